Add the design page and the foundation of the program

Cause: the repository is empty; every later part needs the design, typed ids, the table of error kinds, structured logs with a time line, checked settings, platform clients and the build. Ruled out: tslog's own pretty or JSON output (one key=value line per event is wanted, and its default collects a call stack per line); a settings loader that stops at the first problem. Conclusion: the other parts can start against these interfaces.

--- /dev/null
+++ b/src/commands/index.ts
@@ -0,0 +1,1 @@
+export { runCommandLine } from './runCommandLine.js'
--- /dev/null
+++ b/src/common/index.ts
@@ -0,0 +1,5 @@
+export * from './ids.js'
+export * from './ErrorKind.js'
+export * from './Failure.js'
+export * from './Clock.js'
+export * from './Task.js'
--- /dev/null
+++ b/src/configuration/documents.ts
@@ -0,0 +1,126 @@
+/**
+ * The documents of the configuration tree: their paths and their schemas. Each document is plain JSON data.
+ */
+import { z } from 'zod'
+import { modelSchema, ownerSchema, teamSchema, workerIdSchema, zoneSchema } from '../common/index.js'
+
+/** Path of a document, e.g. `/fleet/models/carassius`. */
+export const configurationPathSchema = z.string()
+  .max(200)
+  .regex(/^(\/[a-z0-9][a-z0-9._-]{0,62}){2,8}$/, 'must be 2 to 8 parts of a-z, 0-9, ".", "_", "-", each after "/"')
+  .brand<'ConfigurationPath'>()
+export type ConfigurationPath = z.infer<typeof configurationPathSchema>
+
+/** `/fleet/models/<model>` */
+export const modelDocumentSchema = z.strictObject({
+  versions: z.array(z.string().min(1)).min(1),
+  defaultVersion: z.string().min(1),
+  /** Longest prompt plus output, in tokens. */
+  contextTokens: z.number().int().positive()
+})
+export type ModelDocument = z.infer<typeof modelDocumentSchema>
+
+/** `/fleet/adapters/<adapter>` */
+export const adapterDocumentSchema = z.strictObject({ model: modelSchema, version: z.string().min(1) })
+export type AdapterDocument = z.infer<typeof adapterDocumentSchema>
+
+/** Role of an engine: which part of the work it takes. */
+export const engineRoleSchema = z.enum(['prefill', 'decode', 'mixed'])
+export type EngineRole = z.infer<typeof engineRoleSchema>
+
+/** How often a call of a service route may run, and how that is ensured. */
+export const callClassSchema = z.enum(['idempotent', 'once_issued_key', 'once_logged_claim'])
+export type CallClass = z.infer<typeof callClassSchema>
+
+/** One upstream process of a pool. */
+export const workerSchema = z.strictObject({
+  id: workerIdSchema,
+  zone: zoneSchema,
+  /** `ip:port` */
+  address: z.string().regex(/^[^\s/]+:\d{1,5}$/, 'must be ip:port'),
+  /** True if the engine refuses orders with an old fencing number. */
+  checksFencing: z.boolean().default(false),
+  /** True if `GET /load` works. */
+  reportsLoad: z.boolean().default(true)
+})
+export type WorkerDocument = z.infer<typeof workerSchema>
+
+/** A route of a service pool. The first route that matches decides; without a match the call is `once_issued_key`. */
+export const serviceRouteSchema = z.strictObject({
+  method: z.enum(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'ANY']),
+  pathPrefix: z.string().startsWith('/'),
+  class: callClassSchema
+})
+export type ServiceRoute = z.infer<typeof serviceRouteSchema>
+
+/** `/fleet/pools/<pool>` */
+export const poolDocumentSchema = z.discriminatedUnion('kind', [
+  z.strictObject({ kind: z.literal('engines'), workers: z.array(workerSchema), models: z.array(modelSchema).min(1) }),
+  z.strictObject({
+    kind: z.literal('service'),
+    workers: z.array(workerSchema),
+    service: z.strictObject({ routes: z.array(serviceRouteSchema) })
+  })
+])
+export type PoolDocument = z.infer<typeof poolDocumentSchema>
+
+/** `/fleet/roles/<worker>` */
+export const roleDocumentSchema = z.strictObject({ role: engineRoleSchema })
+export type RoleDocument = z.infer<typeof roleDocumentSchema>
+
+/** `/fleet/shares`: each team's share of the fleet in percent; the sum is at most 100. */
+export const sharesDocumentSchema = z.record(teamSchema, z.number().min(0).max(100))
+export type SharesDocument = z.infer<typeof sharesDocumentSchema>
+
+/** `/teams/<team>/account` */
+export const accountDocumentSchema = z.strictObject({
+  owner: ownerSchema,
+  /** SHA-256 of each token, in hexadecimal, with its expiry as Unix milliseconds if it has one. */
+  tokens: z.array(z.strictObject({
+    sha256: z.string().regex(/^[0-9a-f]{64}$/),
+    expiresAt: z.number().int().positive().optional()
+  })),
+  /** True if the team may change `/fleet` and the accounts. */
+  operator: z.boolean().default(false)
+})
+export type AccountDocument = z.infer<typeof accountDocumentSchema>
+
+/** `/teams/<team>/settings/limits` */
+export const limitsDocumentSchema = z.strictObject({
+  /** Most requests of the team in progress on one host. */
+  maxConcurrent: z.number().int().positive(),
+  /** Sustained requests per second of the team on one host. */
+  requestsPerSecond: z.number().positive()
+})
+export type LimitsDocument = z.infer<typeof limitsDocumentSchema>
+
+/** What a path holds. */
+export type DocumentKind = 'model' | 'adapter' | 'pool' | 'role' | 'shares' | 'account' | 'limits' | 'team_setting'
+
+const kindPatterns: ReadonlyArray<readonly [RegExp, DocumentKind]> = [
+  [/^\/fleet\/models\/[^/]+$/, 'model'],
+  [/^\/fleet\/adapters\/[^/]+$/, 'adapter'],
+  [/^\/fleet\/pools\/[^/]+$/, 'pool'],
+  [/^\/fleet\/roles\/[^/]+$/, 'role'],
+  [/^\/fleet\/shares$/, 'shares'],
+  [/^\/teams\/[^/]+\/account$/, 'account'],
+  [/^\/teams\/[^/]+\/settings\/limits$/, 'limits'],
+  [/^\/teams\/[^/]+\/settings\/.+$/, 'team_setting']
+]
+
+/** The kind of document at a path; undefined if no document may stand there. */
+export function documentKindOf (path: string): DocumentKind | undefined {
+  return kindPatterns.find(([pattern]) => pattern.test(path))?.[1]
+}
+
+/** Schema of each kind of document. */
+export const documentSchemas = {
+  model: modelDocumentSchema,
+  adapter: adapterDocumentSchema,
+  pool: poolDocumentSchema,
+  role: roleDocumentSchema,
+  shares: sharesDocumentSchema,
+  account: accountDocumentSchema,
+  limits: limitsDocumentSchema,
+  team_setting: z.unknown()
+} satisfies Record<DocumentKind, z.ZodType>
--- /dev/null
+++ b/src/configuration/index.ts
@@ -0,0 +1,2 @@
+export * from './documents.js'
+export * from './ConfigurationReader.js'
--- /dev/null
+++ b/src/observability/EventLog.ts
@@ -0,0 +1,83 @@
+/**
+ * Structured logs: one key=value line per event, written by tslog, and the same event in the time line.
+ * Common field names: `request`, `team`, `worker`, `engine`, `peer`, `path` (of a setting), `lease`,
+ * `offset`, `stream`, `kind` (an error kind), `reason`.
+ */
+import { Logger } from 'tslog'
+import { formatTimestamp } from './HybridClock.js'
+import type { EventFields, Timeline } from './Timeline.js'
+
+/** Levels of log lines, from least to most urgent. */
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error'
+
+const levelNumbers: Record<LogLevel, number> = { debug: 2, info: 3, warn: 4, error: 5 }
+
+/** Options of an `EventLog`. */
+export interface EventLogOptions {
+  /** The time line that gets every event, whatever its level. */
+  timeline: Timeline
+  /** Lines below this level are not written. */
+  level: LogLevel
+  /** Receives finished lines, without line end. Default: standard error. */
+  write?: (line: string) => void
+}
+
+interface LogLine { line: unknown }
+
+function formatValue (value: string | number | boolean): string {
+  const text = String(value)
+  return /^[^\s"=\p{Cc}]+$/u.test(text) ? text : JSON.stringify(text)
+}
+
+function formatFields (fields: EventFields): string {
+  return Object.entries(fields)
+    .filter((entry): entry is [string, string | number | boolean] => entry[1] !== undefined)
+    .map(([key, value]) => `${key}=${formatValue(value)}`)
+    .join(' ')
+}
+
+/** Writes events of one process. */
+export class EventLog {
+  private readonly logger: Logger<LogLine>
+  readonly timeline: Timeline
+
+  constructor (options: EventLogOptions) {
+    this.timeline = options.timeline
+    const write = options.write ?? (line => { process.stderr.write(`${line}\n`) })
+    this.logger = new Logger<LogLine>({
+      type: 'hidden',
+      minLevel: levelNumbers[options.level],
+      overwrite: {
+        // Keeps the line as it is; tslog's default collects the call stack on each line.
+        toLogObj: parts => ({ line: parts[0] })
+      },
+      attachedTransports: [record => write(String(record.line))]
+    })
+  }
+
+  debug (event: string, fields: EventFields = {}): void {
+    this.emit('debug', event, fields)
+  }
+
+  info (event: string, fields: EventFields = {}): void {
+    this.emit('info', event, fields)
+  }
+
+  warn (event: string, fields: EventFields = {}): void {
+    this.emit('warn', event, fields)
+  }
+
+  error (event: string, fields: EventFields = {}): void {
+    this.emit('error', event, fields)
+  }
+
+  private emit (level: LogLevel, event: string, fields: EventFields): void {
+    const entry = this.timeline.add(event, fields)
+    if (levelNumbers[level] < this.logger.settings.minLevel) return
+    const time = new Date(entry.timestamp.wall).toISOString()
+    const head = `time=${time} clock=${formatTimestamp(entry.timestamp)} level=${level} process=${this.timeline.process} event=${event}`
+    const rest = formatFields(fields)
+    const line = rest === '' ? head : `${head} ${rest}`
+    this.logger.log(levelNumbers[level], level, line)
+  }
+}
--- /dev/null
+++ b/src/observability/index.ts
@@ -0,0 +1,4 @@
+export * from './HybridClock.js'
+export * from './Timeline.js'
+export * from './EventLog.js'
+export * from './Metrics.js'
--- /dev/null
+++ b/src/platform/HttpClient.ts
@@ -0,0 +1,101 @@
+/**
+ * JSON over HTTP to one platform service. Tells apart "certainly not sent" from "perhaps sent", which the
+ * callers need to decide whether a call may be repeated.
+ */
+import { Result } from 'true-myth'
+import { Client, type Dispatcher } from 'undici'
+import { type Failure, failure } from '../common/index.js'
+
+/** One call. */
+export interface HttpCall {
+  method: 'GET' | 'POST' | 'PUT' | 'DELETE'
+  path: string
+  headers?: Record<string, string>
+  /** Sent as JSON. */
+  body?: unknown
+  /** Time for the whole answer. */
+  timeoutMilliseconds: number
+  signal?: AbortSignal | undefined
+}
+
+/** An answer. */
+export interface HttpAnswer {
+  status: number
+  headers: Dispatcher.ResponseData['headers']
+  /** Parsed JSON; undefined for an empty body or one that is not JSON. */
+  body: unknown
+}
+
+const notSentCodes = new Set(['ECONNREFUSED', 'ENOTFOUND', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
+
+/** Time for setting up a connection, in milliseconds. */
+const connectTimeoutMilliseconds = 1000
+
+function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
+
+/** True if the error proves that no byte of the call reached the other side. */
+export function isNotSent (caught: unknown): boolean {
+  const code = (caught as { code?: string } | null)?.code
+  return code !== undefined && notSentCodes.has(code)
+}
+
+/**
+ * Connections to one origin. A connection that went silent is given up with the call that timed out on it,
+ * since each call has its own connection from a small pool that undici opens anew.
+ */
+export class HttpClient {
+  private readonly clients: Client[] = []
+  private readonly idle: Client[] = []
+
+  constructor (private readonly origin: string) {}
+
+  /** Makes a call. Errors: `platform_unavailable` (certainly not sent), `outcome_unknown`, `cancelled`. */
+  async send (call: HttpCall): Promise<Result<HttpAnswer, Failure>> {
+    const timeout = AbortSignal.timeout(call.timeoutMilliseconds)
+    const signal = call.signal === undefined ? timeout : AbortSignal.any([timeout, call.signal])
+    const client = this.idle.pop() ?? this.open()
+    try {
+      const answer = await client.request({
+        method: call.method,
+        path: call.path,
+        headers: { ...call.headers, ...(call.body === undefined ? {} : { 'content-type': 'application/json' }) },
+        body: call.body === undefined ? null : JSON.stringify(call.body),
+        signal,
+        headersTimeout: 0,
+        bodyTimeout: 0
+      })
+      const text = await answer.body.text()
+      this.idle.push(client)
+      return Result.ok({ status: answer.statusCode, headers: answer.headers, body: parseJson(text) })
+    } catch (caught) {
+      this.discard(client)
+      if (call.signal?.aborted) return Result.err(failure('cancelled', 'the call was cancelled'))
+      const kind = isNotSent(caught) ? 'platform_unavailable' : 'outcome_unknown'
+      return Result.err(failure(kind, `${call.method} ${this.origin}${call.path}: ${(caught as Error).message}`))
+    }
+  }
+
+  /** Closes all connections. */
+  async close (): Promise<void> {
+    await Promise.all(this.clients.splice(0).map(client => client.destroy()))
+    this.idle.length = 0
+  }
+
+  private open (): Client {
+    const client = new Client(this.origin, { connectTimeout: connectTimeoutMilliseconds, keepAliveTimeout: 10_000 })
+    this.clients.push(client)
+    return client
+  }
+
+  private discard (client: Client): void {
+    const position = this.clients.indexOf(client)
+    if (position >= 0) this.clients.splice(position, 1)
+    client.destroy().catch(() => {})
+  }
+}
--- /dev/null
+++ b/src/platform/index.ts
@@ -0,0 +1,3 @@
+export * from './LogClient.js'
+export * from './HostListClient.js'
+export * from './HttpClient.js'
--- /dev/null
+++ b/src/settings/index.ts
@@ -0,0 +1,2 @@
+export * from './loadSettings.js'
+export * from './HostSettings.js'
--- /dev/null
+++ b/src/streams/index.ts
@@ -0,0 +1,2 @@
+export * from './RecordSource.js'
+export * from './StreamFold.js'
