Add the contract for writing records to a log stream

Cause: configuration, leases and orders all append a record and need to know what became of it, including when the answer of the log was lost. Ruled out: each slice doing its own append and read-back. Change: abstract class RecordWriter in src/streams.

--- a/src/streams/index.ts
+++ b/src/streams/index.ts
@@ -1,2 +1,3 @@
 export * from './RecordSource.js'
 export * from './StreamFold.js'
+export * from './RecordWriter.js'
