Add the replay slice: trace format, generators, open loop, report

Cause: goodput has to be measured by replaying traces against stated outcomes, and operators need a command for it. Ruled out: closed-loop load (hides the delays of a slow system), and latency from the actual send time (coordinated omission). Change: src/replay and the commands `replay generate` and `replay run`. Conclusion: ready to be run against hosts; plots and planned fleet changes are still missing.

--- /dev/null
+++ b/src/commands/replayCommand.ts
@@ -0,0 +1,101 @@
+/**
+ * `dogwooddale replay run` sends a trace to entry hosts and reports; `dogwooddale replay generate` makes a
+ * trace from a built-in profile and a seed.
+ */
+import { existsSync, writeFileSync } from 'node:fs'
+import type { CommandModule } from 'yargs'
+import { errorAnswers, SystemClock } from '../common/index.js'
+import {
+  formatReport, generateTrace, profileOf, readTrace, ReplayRunner, reportOf, statedOutcomesSchema, type StatedOutcomes,
+  unmetOutcomes, writeTrace
+} from '../replay/index.js'
+import { loadSettings } from '../settings/index.js'
+
+/** Exit status of a replay whose stated outcomes were not met. */
+const unmetExitStatus = 8
+
+function fail (message: string): void {
+  process.stderr.write(`${message}\n`)
+  process.exitCode = errorAnswers.bad_request.exitStatus
+}
+
+/** Parses `team=token` pairs. */
+function tokensOf (pairs: string[]): Record<string, string> {
+  return Object.fromEntries(pairs.map(pair => {
+    const [team = '', ...rest] = pair.split('=')
+    return [team, rest.join('=')]
+  }))
+}
+
+const generateSubcommand: CommandModule = {
+  command: 'generate <file>',
+  describe: 'Make a trace from a built-in profile',
+  builder: parser => parser
+    .positional('file', { type: 'string', describe: 'Trace file to write' })
+    .option('profile', { choices: ['acuarios', 'kontenerowo'] as const, demandOption: true, describe: 'Profile of the trace' })
+    .option('seed', { type: 'number', default: 1, describe: 'Seed of the random numbers' })
+    .option('duration', { type: 'number', default: 60, describe: 'Duration in seconds' })
+    .option('scale', { type: 'number', default: 1, describe: 'Factor on all rates' }),
+  handler: args => {
+    const profile = profileOf(args.profile as 'acuarios' | 'kontenerowo', (args.duration as number) * 1000, args.scale as number)
+    const trace = generateTrace(profile, args.seed as number)
+    writeTrace(args.file as string, trace)
+    process.stdout.write(`${trace.entries.length} entries written\n`)
+  }
+}
+
+async function runReplay (args: Record<string, unknown>): Promise<void> {
+  const file = args.file as string
+  const trace = readTrace(file)
+  if (trace.isErr) return fail(trace.error.message)
+  const outcomesFile = `${file}.outcomes.toml`
+  let stated: StatedOutcomes = {}
+  if (existsSync(outcomesFile)) {
+    const loaded = loadSettings(statedOutcomesSchema, outcomesFile)
+    if (loaded.isErr) return fail(loaded.error.message)
+    stated = loaded.value
+  }
+  const showsProgress = process.stderr.isTTY && args.json !== true
+  const runner = new ReplayRunner({
+    trace: trace.value,
+    origins: (args.host as string[]).map(address => `http://${address}`),
+    tokens: tokensOf(args.token as string[]),
+    clock: new SystemClock(),
+    speed: args.speed as number,
+    onProgress: (ended, all) => { if (showsProgress) process.stderr.write(`\r${ended}/${all} requests`) }
+  })
+  const outcomes = await runner.run()
+  if (showsProgress) process.stderr.write('\n')
+  const report = reportOf(trace.value.header, outcomes, {
+    firstTokenMilliseconds: args.firstToken as number,
+    betweenTokensMilliseconds: args.betweenTokens as number
+  })
+  const unmet = unmetOutcomes(report, stated)
+  if (typeof args.report === 'string') writeFileSync(args.report, `${JSON.stringify({ ...report, unmet }, null, 2)}\n`)
+  if (args.json === true) process.stdout.write(`${JSON.stringify({ ...report, unmet }, null, 2)}\n`)
+  else process.stdout.write(`${formatReport(report)}\n${unmet.length === 0 ? 'stated outcomes: met' : `stated outcomes: NOT met\n${unmet.join('\n')}`}\n`)
+  if (unmet.length > 0) process.exitCode = unmetExitStatus
+}
+
+const runSubcommand: CommandModule = {
+  command: 'run <file>',
+  describe: 'Send a trace to entry hosts and report',
+  builder: parser => parser
+    .positional('file', { type: 'string', describe: 'Trace file' })
+    .option('host', { type: 'string', array: true, demandOption: true, describe: 'Caller address ip:port of an entry host; may be repeated' })
+    .option('token', { type: 'string', array: true, default: [], describe: 'team=token; may be repeated' })
+    .option('speed', { type: 'number', default: 1, describe: 'Replay this many times faster than recorded' })
+    .option('first-token', { type: 'number', default: 630, describe: 'Target for the first token in milliseconds' })
+    .option('between-tokens', { type: 'number', default: 50, describe: 'Target between tokens in milliseconds' })
+    .option('report', { type: 'string', describe: 'Write the report as JSON to this file' })
+    .option('json', { type: 'boolean', default: false, describe: 'Print the report as JSON' }),
+  handler: runReplay
+}
+
+/** The `replay` command. */
+export const replayCommand: CommandModule = {
+  command: 'replay',
+  describe: 'Generate and replay traces',
+  builder: parser => parser.command(generateSubcommand).command(runSubcommand).demandCommand(1, 'Name a subcommand.'),
+  handler: () => {}
+}
