Add role planners: static, threshold and payback

Cause: engines have to change roles when the mix shifts for long enough, and must not when it alternates about as fast as a change takes. Ruled out: a fixed horizon (either too short for real shifts or too long for an alternating mix); the estimate is the mean remainder of earlier runs. Conclusion: a component without a caller so far; the host has to feed it.

--- /dev/null
+++ b/src/roles/index.ts
@@ -0,0 +1,5 @@
+export * from './RolePlanner.js'
+export * from './MixTrend.js'
+export * from './servedFraction.js'
+export * from './ThresholdRolePlanner.js'
+export * from './PaybackRolePlanner.js'
