Add the HTML page with plots to the replay report

Cause: shifts of the mix and their effect are seen best over time. Ruled out: vega-lite 6 (wants Node 22); plots drawn by own code. Vega's build for Node awaits an optional canvas library at top level, which a CommonJS bundle does not allow, so the bundle takes the browser build. The plotting library is loaded only when a page is written; the bundle no longer carries a source map that nothing reads. Conclusion: the page is not yet looked at with real data.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -11,7 +11,8 @@
     format: 'cjs',
     target: 'node20',
     logLevel: 'warning',
-    sourcemap: 'inline',
+    // The build for Node awaits an optional canvas library at top level, which CommonJS does not allow; plots are SVG.
+    alias: { 'vega-canvas': './node_modules/vega-canvas/build/vega-canvas.browser.js' },
     define: { 'import.meta.url': '__importMetaUrl' },
     banner: {
       js: 'const __importMetaUrl=require("url").pathToFileURL(process.execPath).href;'
--- a/src/commands/replayCommand.ts
+++ b/src/commands/replayCommand.ts
@@ -6,8 +6,8 @@
 import type { CommandModule } from 'yargs'
 import { errorAnswers, SystemClock } from '../common/index.js'
 import {
-  formatReport, generateTrace, profileOf, readTrace, ReplayRunner, reportOf, statedOutcomesSchema, type StatedOutcomes,
-  unmetOutcomes, writeTrace
+  formatReport, generateTrace, profileOf, readTrace, ReplayRunner, reportOf, statedOutcomesSchema,
+  type StatedOutcomes, timeSeriesOf, unmetOutcomes, writeTrace
 } from '../replay/index.js'
 import { loadSettings } from '../settings/index.js'
 
@@ -66,12 +66,18 @@
   })
   const outcomes = await runner.run()
   if (showsProgress) process.stderr.write('\n')
-  const report = reportOf(trace.value.header, outcomes, {
+  const targets = {
     firstTokenMilliseconds: args.firstToken as number,
     betweenTokensMilliseconds: args.betweenTokens as number
-  })
+  }
+  const report = reportOf(trace.value.header, outcomes, targets)
   const unmet = unmetOutcomes(report, stated)
   if (typeof args.report === 'string') writeFileSync(args.report, `${JSON.stringify({ ...report, unmet }, null, 2)}\n`)
+  if (typeof args.page === 'string') {
+    // Loaded only here: the plotting library would lengthen the start of every command.
+    const { reportPage } = await import('../replay/reportPage.js')
+    writeFileSync(args.page, await reportPage(report, unmet, timeSeriesOf(trace.value, outcomes, targets)))
+  }
   if (args.json === true) process.stdout.write(`${JSON.stringify({ ...report, unmet }, null, 2)}\n`)
   else process.stdout.write(`${formatReport(report)}\n${unmet.length === 0 ? 'stated outcomes: met' : `stated outcomes: NOT met\n${unmet.join('\n')}`}\n`)
   if (unmet.length > 0) process.exitCode = unmetExitStatus
@@ -88,6 +94,7 @@
     .option('first-token', { type: 'number', default: 630, describe: 'Target for the first token in milliseconds' })
     .option('between-tokens', { type: 'number', default: 50, describe: 'Target between tokens in milliseconds' })
     .option('report', { type: 'string', describe: 'Write the report as JSON to this file' })
+    .option('page', { type: 'string', describe: 'Write the report as an HTML page with plots to this file' })
     .option('json', { type: 'boolean', default: false, describe: 'Print the report as JSON' }),
   handler: runReplay
 }
