Add the log and host list stand-ins with fault injection

Tests, the demo and benchmarks need the platform's log and host list with their promised faults: outages, lost answers, silent connections, lag. The client classes in src/platform had nothing to run against.

A general HTTP mock library was ruled out: it can answer with a status, but it cannot keep one open connection silent while new ones work, or close a connection after the effect of a call. The stand-ins therefore share a small server class that controls each connection's writes.

Faults are set with `POST /faults` or `addFault`, may have a count, a scope (method, path prefix) and a duration.

--- a/src/commands/runCommandLine.ts
+++ b/src/commands/runCommandLine.ts
@@ -4,12 +4,14 @@
  */
 import yargs, { type CommandModule } from 'yargs'
 import { checkCommand } from './checkCommand.js'
+import { standInCommand } from './standInCommand.js'
 
 /** Version shown by `--version`; equal to the one in package.json. */
 export const programVersion = '0.1.0'
 
 const commands: CommandModule[] = [
-  checkCommand
+  checkCommand,
+  standInCommand
 ]
 
 /** Runs the program with its arguments, without the program's own name. */
--- /dev/null
+++ b/src/standins/platformStandIns.test.ts
@@ -0,0 +1,203 @@
+/**
+ * Guards against a log and a host list that differ from what the platform promises, which would let tests of
+ * other slices pass for the wrong reason.
+ */
+import { afterEach, describe, expect, test } from '@jest/globals'
+import { ManualClock, toOffset } from '../common/index.js'
+import { HttpHostListClient, HttpLogClient, type ListedHost } from '../platform/index.js'
+import { HostListStandIn } from './HostListStandIn.js'
+import { LogStandIn } from './LogStandIn.js'
+import type { FaultInput } from './Fault.js'
+
+const cleanups: Array<() => Promise<void>> = []
+afterEach(async () => {
+  for (const cleanup of cleanups.splice(0).reverse()) await cleanup()
+})
+
+/** Tells when something starts to wait on it. */
+class AnnouncingClock extends ManualClock {
+  announce = () => {}
+  readonly firstSleep = new Promise<void>(resolve => { this.announce = resolve })
+
+  override sleep (milliseconds: number, signal?: AbortSignal): Promise<void> {
+    const slept = super.sleep(milliseconds, signal)
+    this.announce()
+    return slept
+  }
+}
+
+async function startLog (settings: Parameters<typeof LogStandIn.start>[0] = {}, clock = new ManualClock()) {
+  const log = await LogStandIn.start(settings, { clock })
+  const client = new HttpLogClient(log.origin)
+  cleanups.push(() => log.stop(), () => client.close())
+  const read = async (from: number, waitMilliseconds = 0) => {
+    return (await client.read('leases', { from: toOffset(from), limit: 100, waitMilliseconds })).unwrapOrElse(failed => { throw new Error(failed.message) })
+  }
+  return { log, client, clock, read }
+}
+
+describe('LogStandIn', () => {
+  test('gives dense offsets from 1, per stream', async () => {
+    const { client, read } = await startLog()
+    const offsets = []
+    for (const values of [['a'], ['b', 'c'], ['d']]) offsets.push((await client.append('leases', values)).unwrapOr(toOffset(0)))
+    expect(offsets).toEqual([1, 2, 4])
+    expect((await client.append('orders', ['x'])).unwrapOr(toOffset(0))).toBe(1)
+    const page = await read(2)
+    expect(page.records.map(({ offset, value }) => `${offset}${value}`)).toEqual(['2b', '3c', '4d'])
+    expect(page).toMatchObject({ startOffset: 1, nextOffset: 5 })
+  })
+
+  test('drops records after the retention and keeps counting', async () => {
+    const { client, clock, read } = await startLog({ retentionSeconds: 10 })
+    await client.append('leases', ['a', 'b'])
+    await clock.advance(6000)
+    await client.append('leases', ['c'])
+    await clock.advance(5000)
+    expect(await read(1)).toMatchObject({ startOffset: 3, nextOffset: 4, records: [{ offset: 3, value: 'c' }] })
+    await clock.advance(10_000)
+    expect(await read(1)).toMatchObject({ startOffset: 4, nextOffset: 4, records: [] })
+    expect((await client.append('leases', ['d'])).unwrapOr(toOffset(0))).toBe(4)
+  })
+
+  test('refuses appends over the limit until time has passed', async () => {
+    const { client, clock } = await startLog({ appendsPerSecond: 2 })
+    const kinds = []
+    for (let call = 0; call < 3; call += 1) kinds.push((await client.append('leases', ['a'])).isOk)
+    const refused = await client.append('leases', ['a'])
+    await clock.advance(500)
+    kinds.push((await client.append('leases', ['a'])).isOk)
+    expect(kinds).toEqual([true, true, false, true])
+    expect(refused.isErr && refused.error.kind).toBe('overloaded')
+  })
+
+  test('answers a long poll with the next append', async () => {
+    const { client, read } = await startLog()
+    const waiting = read(1, 30_000)
+    await client.append('leases', ['a'])
+    expect((await waiting).records).toMatchObject([{ offset: 1, value: 'a' }])
+  })
+
+  test.each<[string, FaultInput, string, number]>([
+    ['an outage', { kind: 'outage' }, 'platform_unavailable', 0],
+    ['an outage that closes connections', { kind: 'outage', mode: 'disconnect' }, 'outcome_unknown', 0],
+    ['refused connections', { kind: 'outage', mode: 'refused', durationMilliseconds: 1000 }, 'platform_unavailable', 0],
+    ['a refusal', { kind: 'refuse' }, 'not_run', 0],
+    ['a lost answer', { kind: 'lose_answer' }, 'outcome_unknown', 1],
+    ['a reset during the answer', { kind: 'reset_after_bytes', bytes: 20 }, 'outcome_unknown', 1],
+    ['a failure after the effect', { kind: 'refuse', when: 'after', status: 500 }, 'outcome_unknown', 1]
+  ])('%s is seen as such', async (_name, fault, kind, stored) => {
+    const { log, client, clock, read } = await startLog()
+    log.addFault(fault)
+    const appended = await client.append('leases', ['a'])
+    log.clearFaults()
+    await clock.advance(1000)
+    expect(appended.isErr && appended.error.kind).toBe(kind)
+    expect((await read(1)).records).toHaveLength(stored)
+  })
+
+  test('keeps silent connections open without an answer while new ones work', async () => {
+    const { log, client, read } = await startLog()
+    await client.append('leases', ['a'])
+    const controller = new AbortController()
+    log.addFault({ kind: 'silent' })
+    const silent = client.append('leases', ['b'], controller.signal)
+    const other = new HttpLogClient(log.origin)
+    cleanups.push(() => other.close())
+    const page = await other.read('leases', { from: toOffset(2), limit: 10, waitMilliseconds: 30_000 })
+    expect(page.isOk && page.value.records).toHaveLength(1)
+    controller.abort()
+    expect((await silent).isErr).toBe(true)
+    expect((await read(1)).records).toHaveLength(2)
+  })
+
+  test('counts faults and lists them', async () => {
+    const { log, client } = await startLog()
+    const faultsUrl = `${log.origin}/faults`
+    const set = await fetch(faultsUrl, { method: 'POST', body: JSON.stringify({ kind: 'refuse', method: 'POST', count: 2 }) })
+    expect(await set.json()).toEqual({ faults: [{ kind: 'refuse', method: 'POST', count: 2, status: 503, when: 'before' }] })
+    const results = []
+    for (let call = 0; call < 3; call += 1) results.push((await client.append('leases', ['a'])).isOk)
+    expect(results).toEqual([false, false, true])
+    expect(await (await fetch(faultsUrl)).json()).toEqual({ faults: [] })
+    expect((await fetch(faultsUrl, { method: 'POST', body: '{"kind":"flood"}' })).status).toBe(400)
+    expect(await (await fetch(faultsUrl, { method: 'DELETE' })).json()).toEqual({ faults: [] })
+  })
+
+  test('closes everything at a crash and says so', async () => {
+    const crashed = new Promise<void>(resolve => {
+      LogStandIn.start({}, { onCrash: resolve }).then(log => log.addFault({ kind: 'crash' }), () => {})
+    })
+    await crashed
+  })
+
+  test('ends long polls when it drains', async () => {
+    const clock = new AnnouncingClock()
+    const { log, read } = await startLog({}, clock)
+    const waiting = read(1, 30_000)
+    await clock.firstSleep
+    await log.drain()
+    expect((await waiting).records).toEqual([])
+  })
+})
+
+describe('HostListStandIn', () => {
+  const host = (incarnation: string, state: 'live' | 'leaving' = 'live') => ({
+    hostId: 'guayaquil-a-1',
+    incarnation,
+    zone: 'guayaquil-a',
+    region: 'costa',
+    addresses: { callers: ['127.0.0.1:1'], administration: '127.0.0.1:2', peers: '127.0.0.1:3' },
+    state
+  }) as ListedHost
+  const first = host('00000000000000aa')
+  const second = host('00000000000000bb')
+
+  async function startList (lagMilliseconds: number) {
+    const clock = new ManualClock()
+    const list = await HostListStandIn.start({ lagMilliseconds }, { clock })
+    const client = new HttpHostListClient(list.origin)
+    cleanups.push(() => list.stop(), () => client.close())
+    const states = async () => {
+      const seen = await client.read()
+      return seen.isOk && seen.value !== 'unchanged' ? seen.value.hosts.map(({ incarnation, state }) => `${incarnation} ${state}`) : []
+    }
+    return { list, client, clock, states }
+  }
+
+  test.each<[string, (client: HttpHostListClient) => Promise<unknown>, string[]]>([
+    ['an entry stays', async () => {}, ['00000000000000aa live']],
+    ['an entry becomes leaving', client => client.register(host('00000000000000aa', 'leaving')), ['00000000000000aa leaving']],
+    ['a successor replaces its entry', client => client.register(second), ['00000000000000bb live']],
+    ['an entry is removed', client => client.remove(first), []],
+    ['another incarnation removes nothing', client => client.remove(second), ['00000000000000aa live']]
+  ])('%s, seen after the lag', async (_name, act, expected) => {
+    const { client, clock, states } = await startList(5000)
+    await client.register(first)
+    await clock.advance(3000)
+    await act(client)
+    expect(await states()).toEqual([])
+    await clock.advance(2000)
+    expect(await states()).toEqual(['00000000000000aa live'])
+    await clock.advance(1_000_000)
+    expect(await states()).toEqual(expected)
+  })
+
+  test('answers "unchanged" to a known version', async () => {
+    const { client } = await startList(0)
+    await client.register(first)
+    expect((await client.read(1)).unwrapOr({ version: 0, hosts: [] })).toBe('unchanged')
+    expect((await client.read(0)).unwrapOr('unchanged')).toMatchObject({ version: 1 })
+  })
+
+  test('shows an older state while a lag is set as a fault', async () => {
+    const { list, client, clock, states } = await startList(0)
+    await client.register(first)
+    await clock.advance(1000)
+    await client.remove(first)
+    list.addFault({ kind: 'lag', milliseconds: 500 })
+    expect(await states()).toEqual(['00000000000000aa live'])
+    list.clearFaults()
+    expect(await states()).toEqual([])
+  })
+})
