Add ProcessGroup, which starts processes for tests, demo and benchmarks

Process tests need to start the bundle with settings, wait until it listens, and kill, pause or terminate it. Waiting a fixed time was ruled out, since it is flaky on a busy machine; a start therefore waits for the JSON readiness line, and fails with the last log lines when the process ends before it.

Signals go only to children of the group, through the child handle, so a reused process id is never hit. What is still running when the starting process exits is killed.

--- a/src/settings/loadSettings.ts
+++ b/src/settings/loadSettings.ts
@@ -29,7 +29,8 @@
   return key.replace(/_([a-z0-9])/g, (_, letter: string) => letter.toUpperCase())
 }
 
-function snakeCaseOf (key: string): string {
+/** The spelling of a key in a settings file. */
+export function snakeCaseOf (key: string): string {
   return key.replace(/[A-Z]/g, letter => `_${letter.toLowerCase()}`)
 }
 
--- /dev/null
+++ b/src/testing/ProcessGroup.ts
@@ -0,0 +1,96 @@
+/**
+ * Starts processes of the program for tests, the demo and benchmarks, and pauses and ends them. Each gets its
+ * settings as a TOML file in a temporary directory and counts as started when it has printed its readiness
+ * line. Only processes that the group started are signalled, each by its own id.
+ */
+import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join, resolve } from 'node:path'
+import { spawn } from 'node:child_process'
+import { stringify } from 'smol-toml'
+import { snakeCaseOf } from '../settings/index.js'
+import { StartedProcess } from './StartedProcess.js'
+
+/** Options of a group. */
+export interface ProcessGroupOptions {
+  /** The bundle to run. Default: `dist/dogwooddale.cjs` under the working directory. */
+  program?: string
+  /** A process that is not ready after this time is killed, and its start fails. */
+  readyMilliseconds?: number
+  /** `stopAll` kills what is still there this long after SIGTERM. */
+  stopMilliseconds?: number
+}
+
+/** What to start. */
+export interface StartOptions {
+  /** Name of the process, unique in the group. */
+  name: string
+  /** Subcommand, e.g. `['stand-in', 'log']`. */
+  command: string[]
+  /** Settings with keys in camelCase, as the schema of the subcommand has them; undefined members are left out. */
+  settings: Record<string, unknown>
+  /** Further environment variables. */
+  environment?: Record<string, string>
+}
+
+/** Most processes that one group runs at a time; the machine's limit for all groups is a few hundred. */
+const maxProcesses = 300
+
+/** Writes settings as the text of a TOML file, with snake_case keys. */
+export function settingsTextOf (settings: Record<string, unknown>): string {
+  return stringify(withSnakeCaseKeys(settings) as Record<string, unknown>)
+}
+
+function withSnakeCaseKeys (value: unknown): unknown {
+  if (Array.isArray(value)) return value.map(withSnakeCaseKeys)
+  if (typeof value !== 'object' || value === null || value instanceof Date) return value
+  return Object.fromEntries(Object.entries(value)
+    .filter(([, member]) => member !== undefined)
+    .map(([key, member]) => [snakeCaseOf(key), withSnakeCaseKeys(member)]))
+}
+
+/** The processes of one test, demo or benchmark. */
+export class ProcessGroup {
+  private readonly processes = new Map<string, StartedProcess>()
+  private directory: Promise<string> | undefined
+  private readonly killAll = () => {
+    for (const started of this.running()) started.signal('SIGKILL')
+  }
+
+  constructor (private readonly options: ProcessGroupOptions = {}) {
+    process.once('exit', this.killAll)
+  }
+
+  /** The processes that have not ended, in the order of their start. */
+  running (): StartedProcess[] {
+    return [...this.processes.values()].filter(started => started.isRunning)
+  }
+
+  /** Starts a process and waits until it is ready. Throws with its last log lines if it ends before, or takes too long. */
+  async start (options: StartOptions): Promise<StartedProcess> {
+    if (this.processes.get(options.name)?.isRunning) throw new Error(`a process "${options.name}" is running`)
+    if (this.running().length >= maxProcesses) throw new Error(`the group runs ${maxProcesses} processes already`)
+    this.directory ??= mkdtemp(join(tmpdir(), 'dogwooddale-'))
+    const file = join(await this.directory, `${options.name}.toml`)
+    await writeFile(file, settingsTextOf(options.settings))
+    const program = resolve(this.options.program ?? 'dist/dogwooddale.cjs')
+    const child = spawn(process.execPath, [program, ...options.command, '--settings', file], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+      env: { ...process.env, NODE_OPTIONS: '', ...options.environment }
+    })
+    const started = new StartedProcess(options.name, child)
+    this.processes.set(options.name, started)
+    await started.becomeReady(this.options.readyMilliseconds ?? 20_000)
+    return started
+  }
+
+  /** Ends all processes, gracefully where they follow SIGTERM in time, and removes the temporary directory. */
+  async stopAll (): Promise<void> {
+    const limit = this.options.stopMilliseconds ?? 5000
+    await Promise.all(this.running().map(started => started.terminateOrKill(limit)))
+    process.removeListener('exit', this.killAll)
+    if (this.directory !== undefined) await rm(await this.directory, { recursive: true, force: true })
+    this.directory = undefined
+    this.processes.clear()
+  }
+}
--- /dev/null
+++ b/src/testing/index.ts
@@ -0,0 +1,2 @@
+export * from './ProcessGroup.js'
+export * from './StartedProcess.js'
