Add the engine, service and weight store stand-ins

Routing, resume, role changes and at-most-once calls need upstreams whose behaviour is known: continuous batching with stated costs, a bounded KV memory and prefix cache, streams that any engine generates alike, orders with and without fencing, and a service that records each run.

Waiting a fixed time per request was ruled out for the engine: it shows neither queueing nor the effect of long prompts on running streams, which is what the role planner is measured by.

--- a/src/standins/StandIn.ts
+++ b/src/standins/StandIn.ts
@@ -221,12 +221,22 @@
   return new Response(answer.body, { status, headers: answer.headers })
 }
 
-/** Reads and validates a JSON body. Errors: `bad_request`. */
+/** Reads and validates a JSON body; an empty body counts as the given value. Errors: `bad_request`. */
 export async function readJson<Schema extends z.ZodType> (
   c: StandInContext,
-  schema: Schema
+  schema: Schema,
+  emptyBody?: unknown
 ): Promise<Result<z.infer<Schema>, Failure>> {
-  const body: unknown = await c.req.json().catch(() => undefined)
+  const text = await c.req.text().catch(() => '')
+  const body = text === '' ? emptyBody : parseJson(text)
   const parsed = schema.safeParse(body)
   return parsed.success ? Result.ok(parsed.data) : Result.err(failure('bad_request', z.prettifyError(parsed.error)))
 }
+
+function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/src/standins/UpstreamStandIn.ts
@@ -0,0 +1,43 @@
+/**
+ * What the stand-ins of upstreams (engine and service) have in common: an incarnation, load reports with a
+ * lag, and leaving.
+ */
+import { z } from 'zod'
+import { errorResponseOf, type Incarnation, newIncarnation } from '../common/index.js'
+import { LaggedValue } from './LaggedValue.js'
+import { readJson, StandIn, type StandInOptions } from './StandIn.js'
+
+const leavingSchema = z.strictObject({ leaving: z.boolean().default(true) })
+
+/** A stand-in that takes work. `Load` has the figures of its load report. */
+export abstract class UpstreamStandIn<Load extends object> extends StandIn {
+  readonly incarnation: Incarnation = newIncarnation()
+  protected isLeaving = false
+  private readonly reports: LaggedValue<Load>
+
+  protected constructor (options: StandInOptions, initialLoad: Load, private readonly loadLagMilliseconds: number) {
+    super(options)
+    this.reports = new LaggedValue<Load>(this.clock, initialLoad)
+    this.app.get('/load', c => c.json(this.loadReport()))
+    this.app.post('/leaving', async c => {
+      const body = await readJson(c, leavingSchema, {})
+      if (body.isErr) return errorResponseOf(body.error)
+      this.isLeaving = body.value.leaving
+      this.noteLoad()
+      return c.json({ leaving: this.isLeaving })
+    })
+  }
+
+  /** The figures of the load report, without lag. */
+  protected abstract loadFigures (): Load
+
+  /** To be called after each change of the figures. */
+  protected noteLoad (): void {
+    this.reports.set(this.loadFigures())
+  }
+
+  private loadReport (): Load & { at: number, incarnation: Incarnation } {
+    const lag = this.faults.lagMilliseconds({ method: 'GET', path: '/load' }, this.loadLagMilliseconds)
+    return { at: this.clock.wall() - lag, incarnation: this.incarnation, ...this.reports.at(lag) }
+  }
+}
--- a/src/standins/index.ts
+++ b/src/standins/index.ts
@@ -1,4 +1,7 @@
+export * from './engine/index.js'
 export * from './Fault.js'
 export * from './HostListStandIn.js'
 export * from './LogStandIn.js'
+export * from './ServiceStandIn.js'
 export * from './StandIn.js'
+export * from './WeightStoreStandIn.js'
