--- a/src/commands/runCommandLine.ts
+++ b/src/commands/runCommandLine.ts
@@ -5,13 +5,15 @@
 import yargs, { type CommandModule } from 'yargs'
 import { checkCommand } from './checkCommand.js'
 import { replayCommand } from './replayCommand.js'
+import { standInCommand } from './standInCommand.js'
 
 /** Version shown by `--version`; equal to the one in package.json. */
 export const programVersion = '0.1.0'
 
 const commands: CommandModule[] = [
   checkCommand,
-  replayCommand
+  replayCommand,
+  standInCommand
 ]
 
 /** Runs the program with its arguments, without the program's own name. */
