--- a/src/streams/RecordSource.ts
+++ b/src/streams/RecordSource.ts
@@ -33,3 +33,14 @@
   /** The sources to try, the most wanted first. Called anew each time that a follower has to choose. */
   abstract sources (): RecordSource[]
 }
+
+/** A directory that always names the same sources. */
+export class FixedSourceDirectory extends SourceDirectory {
+  constructor (private readonly list: RecordSource[]) {
+    super()
+  }
+
+  sources (): RecordSource[] {
+    return this.list
+  }
+}
--- /dev/null
+++ b/src/streams/testSupport.ts
@@ -0,0 +1,113 @@
+/**
+ * Parts that the tests of log streams share: a small fold whose state depends on the order of all records,
+ * and helpers that make records and move the manual clock.
+ */
+import { Result } from 'true-myth'
+import { z } from 'zod'
+import { type Clock, failure, type Failure, ManualClock, newRecordId } from '../common/index.js'
+import { EventLog, HybridClock, Timeline } from '../observability/index.js'
+import { InMemoryLogClient, type LogClient, type StreamName } from '../platform/index.js'
+import { FollowerGroup, type FollowerGroupOptions } from './FollowerGroup.js'
+import { LogSource } from './LogSource.js'
+import { FixedSourceDirectory } from './RecordSource.js'
+import { type ApplyOutcome, currentRecordVersion, type FoldRecord, StreamFold } from './StreamFold.js'
+
+const chainStateSchema = z.object({ digest: z.number(), count: z.number() })
+
+/** Accepts `add { number }`, and `guard { digest }` only if the digest is the current one. */
+export class ChainFold extends StreamFold {
+  digest = 7
+  count = 0
+
+  constructor (readonly stream: StreamName = 'configuration') {
+    super()
+  }
+
+  apply (record: FoldRecord): ApplyOutcome {
+    const { kind, number, digest } = record.value
+    if (kind === 'add' && typeof number === 'number') return this.mix(number)
+    if (kind === 'guard' && digest === this.digest) return this.mix(1)
+    return { accepted: false, failure: failure(kind === 'guard' ? 'conflict' : 'bad_request', 'not applicable') }
+  }
+
+  snapshot (): unknown {
+    return { digest: this.digest, count: this.count }
+  }
+
+  restore (state: unknown): Result<void, Failure> {
+    const parsed = chainStateSchema.safeParse(state)
+    if (!parsed.success) return Result.err(failure('bad_request', 'not a state of this fold'))
+    this.digest = parsed.data.digest
+    this.count = parsed.data.count
+    return Result.ok(undefined)
+  }
+
+  private mix (number: number): ApplyOutcome {
+    this.digest = (this.digest * 31 + number) % 1_000_003
+    this.count += 1
+    return { accepted: true }
+  }
+}
+
+/** Text of a record of the current version. */
+export function recordText (kind: string, members: Record<string, unknown> = {}): string {
+  return JSON.stringify({ version: currentRecordVersion, kind, id: newRecordId(), ...members })
+}
+
+/** Text of an `add` record. */
+export function addText (number: number, members: Record<string, unknown> = {}): string {
+  return recordText('add', { number, ...members })
+}
+
+/** An event log that writes nothing. */
+export function silentEvents (clock: Clock, process = 'test'): EventLog {
+  return new EventLog({ timeline: new Timeline(process, new HybridClock(clock)), level: 'error', write: () => {} })
+}
+
+/** Moves the clock in small steps until the condition holds; throws after the given time of the clock. */
+export async function advanceUntil (clock: ManualClock, condition: () => boolean, limitMilliseconds = 60_000): Promise<void> {
+  const step = 25
+  for (let waited = 0; !condition(); waited += step) {
+    if (waited > limitMilliseconds) throw new Error(`the condition did not hold within ${limitMilliseconds} ms of the manual clock`)
+    await clock.advance(waited === 0 ? 0 : step)
+  }
+}
+
+/** Moves the clock until the promise is settled and returns its value. */
+export async function advanceUntilSettled<Value> (clock: ManualClock, promise: Promise<Value>): Promise<Value> {
+  let isSettled = false
+  const settle = (): void => { isSettled = true }
+  promise.then(settle, settle)
+  await advanceUntil(clock, () => isSettled)
+  return await promise
+}
+
+/** A clock, a log and groups of followers that read it directly. */
+export class StreamFixture {
+  readonly clock = new ManualClock()
+  readonly log = new InMemoryLogClient(this.clock)
+  private readonly groups: FollowerGroup[] = []
+
+  /** Makes and starts a group; by default its only source is the log. */
+  group (folds: StreamFold[], options: Partial<FollowerGroupOptions> & { clock?: Clock, log?: LogClient } = {}): FollowerGroup {
+    const { clock, log } = { clock: this.clock, log: this.log, ...options }
+    const source = new LogSource({ log, clock, random: () => 0 })
+    const group = new FollowerGroup({
+      folds, directory: new FixedSourceDirectory([source]), log, clock, events: silentEvents(clock), random: () => 0, ...options
+    })
+    this.groups.push(group)
+    group.start()
+    return group
+  }
+
+  /** Moves the clock until the group is ready. */
+  async ready (group: FollowerGroup): Promise<FollowerGroup> {
+    await advanceUntil(this.clock, () => group.isReady)
+    return group
+  }
+
+  /** Stops all groups. */
+  async stop (): Promise<void> {
+    await Promise.all(this.groups.map(group => group.stop()))
+  }
+}
