Add the calls between entry hosts over gRPC

Cause: hosts relay log records, heartbeats and usage to each other (design sections 4.5, 4.6 and 6), and there was no code for these calls yet.

Ruled out: reading "was it sent" from the gRPC status UNAVAILABLE, which the library gives both before and after a call was written; retries of the library, since a call must run once or not at all; a gRPC status table of its own beside the table of error kinds.

Change: PeerServer serves each call of peer.proto with the handler that it is given and answers UNIMPLEMENTED for the others. It refuses calls without a valid sender and calls for another incarnation. PeerPool has one channel per peer: a call is made only on a connected channel, so a failure to connect is not_run, and a failure after that without an answer is outcome_unknown. The error kind and its detail travel in trailing metadata. HTTP/2 keep-alive (1 s, answer within 1.5 s) drops a silent connection. PeerRecordSource follows a stream at a peer. The stream names became a zod schema, since the Follow call has to check the name.

--- /dev/null
+++ b/src/peers/PeerRecordSource.ts
@@ -0,0 +1,26 @@
+/**
+ * Another host as the source of a log stream's records: the `Follow` call of the relay tree.
+ */
+import type { Offset } from '../common/index.js'
+import type { StreamName } from '../platform/index.js'
+import { RecordSource, type SourceMessage } from '../streams/RecordSource.js'
+import { decodeSourceMessage } from './followMessages.js'
+import type { PeerPool } from './PeerPool.js'
+import type { PeerTarget } from './PeerIdentity.js'
+
+/** The records that one peer relays. */
+export class PeerRecordSource extends RecordSource {
+  constructor (private readonly pool: PeerPool, private readonly target: PeerTarget) {
+    super()
+  }
+
+  get name (): string {
+    return this.target.hostId
+  }
+
+  async * follow (stream: StreamName, from: Offset, signal: AbortSignal): AsyncIterable<SourceMessage> {
+    for await (const message of this.pool.follow(this.target, stream, from, signal)) {
+      yield decodeSourceMessage(message)
+    }
+  }
+}
--- /dev/null
+++ b/src/peers/peerFailures.ts
@@ -0,0 +1,63 @@
+/**
+ * Failures as gRPC errors and back. The kind travels in trailing metadata, so that the table of error kinds
+ * stays the only one; the gRPC status code is derived from the kind's HTTP status for readers of traces.
+ */
+import { Metadata, type ServiceError, status, type StatusObject } from '@grpc/grpc-js'
+import { errorAnswers, type ErrorKind, type Failure, failure, isErrorKind } from '../common/index.js'
+
+const kindKey = 'x-dogwooddale-error-kind'
+const detailKey = 'x-dogwooddale-error-detail-bin'
+
+/** Longest detail that is sent; HTTP/2 header blocks are limited to 16 KB by default. */
+const maxDetailBytes = 4096
+
+const codesByHttpStatus = new Map<number, status>([
+  [400, status.INVALID_ARGUMENT],
+  [401, status.UNAUTHENTICATED],
+  [403, status.PERMISSION_DENIED],
+  [404, status.NOT_FOUND],
+  [409, status.ABORTED],
+  [413, status.RESOURCE_EXHAUSTED],
+  [422, status.INVALID_ARGUMENT],
+  [429, status.RESOURCE_EXHAUSTED],
+  [431, status.INVALID_ARGUMENT],
+  [499, status.CANCELLED],
+  [500, status.INTERNAL],
+  [502, status.UNKNOWN],
+  [503, status.UNAVAILABLE],
+  [504, status.DEADLINE_EXCEEDED]
+])
+
+/** Makes the gRPC status that carries a failure. A detail over 4 KB is left out. */
+export function statusOfFailure (failed: Failure): StatusObject {
+  const metadata = new Metadata()
+  metadata.set(kindKey, failed.kind)
+  const detail = Buffer.from(JSON.stringify(failed.detail ?? {}))
+  if (failed.detail !== undefined && detail.length <= maxDetailBytes) metadata.set(detailKey, detail)
+  return {
+    code: codesByHttpStatus.get(errorAnswers[failed.kind].status) ?? status.UNKNOWN,
+    details: failed.message,
+    metadata
+  }
+}
+
+function parseDetail (value: string | Buffer | undefined): Record<string, unknown> | undefined {
+  if (value === undefined) return undefined
+  try {
+    const parsed: unknown = JSON.parse(value.toString())
+    return typeof parsed === 'object' && parsed !== null ? parsed as Record<string, unknown> : undefined
+  } catch {
+    return undefined
+  }
+}
+
+/**
+ * Reads the failure out of a gRPC error. An error without a kind comes from the connection, not from the
+ * peer's handler: it gets the given kind, or `not_run` when the peer does not have the method.
+ */
+export function failureOfServiceError (error: ServiceError, kindWithoutAnswer: ErrorKind): Failure {
+  const kind = String(error.metadata?.get(kindKey)[0] ?? '')
+  if (isErrorKind(kind)) return failure(kind, error.details, parseDetail(error.metadata.get(detailKey)[0]))
+  if (error.code === status.UNIMPLEMENTED) return failure('not_run', `the peer does not have this call: ${error.details}`)
+  return failure(kindWithoutAnswer, error.details)
+}
--- a/src/platform/LogClient.ts
+++ b/src/platform/LogClient.ts
@@ -9,7 +9,8 @@
 import { HttpClient } from './HttpClient.js'
 
 /** Names of the log's streams. */
-export type StreamName = 'configuration' | 'leases' | 'orders' | 'use' | 'claims'
+export const streamNameSchema = z.enum(['configuration', 'leases', 'orders', 'use', 'claims'])
+export type StreamName = z.infer<typeof streamNameSchema>
 
 /** One record of a stream. */
 export const logRecordSchema = z.object({
