Add the upstream table of an entry host

An entry host needs to know which workers it may send to without asking anyone at the time of the decision.

Health comes only from this host's connections, requests and polls. The load of a worker is its last report, corrected by what this host has sent and finished since the report was taken. Candidate lists per model and pool are rebuilt only when a worker's availability, role or models change.

Ruled out: recomputing the candidates for each decision, which scans all workers; trusting a report's age as zero, which sends everything between two reports to the worker that looked idle.

--- /dev/null
+++ b/src/upstreams/UpstreamHealth.ts
@@ -0,0 +1,66 @@
+/**
+ * Health of one upstream from direct evidence only: connections, requests and polls of this host.
+ */
+import type { Clock } from '../common/index.js'
+
+/** Failed requests in a row after which the upstream gets no work for a while. */
+const failuresBeforePause = 3
+
+/** Polls without an answer in a row after which the upstream gets no work. */
+const silentPollsBeforePause = 3
+
+const firstPauseMilliseconds = 1000
+const longestPauseMilliseconds = 30_000
+
+/** Decides from evidence whether an upstream may get work. */
+export class UpstreamHealth {
+  private failures = 0
+  private silentPolls = 0
+  private refused = false
+  private pausedUntil = -Infinity
+  private pauseMilliseconds = firstPauseMilliseconds
+
+  /** `polled`: a poll loop will notice the recovery; without one only time ends a pause. */
+  constructor (private readonly clock: Clock, private readonly polled: boolean) {}
+
+  /** True if the upstream may get work. */
+  get usable (): boolean {
+    if (this.refused || this.silentPolls >= silentPollsBeforePause) return false
+    return this.clock.monotonic() >= this.pausedUntil
+  }
+
+  /** A request was answered. */
+  requestSucceeded (): void {
+    this.failures = 0
+    this.pauseMilliseconds = firstPauseMilliseconds
+  }
+
+  /** A request failed for a reason that lies with the upstream or the way to it. */
+  requestFailed (): void {
+    this.failures += 1
+    if (this.failures >= failuresBeforePause) this.pause()
+  }
+
+  /** A connection was refused: the process is gone or leaving. */
+  connectionRefused (): void {
+    if (this.polled) this.refused = true
+    else this.pause()
+  }
+
+  /** A poll was answered. */
+  pollAnswered (): void {
+    this.silentPolls = 0
+    this.refused = false
+  }
+
+  /** A poll was not answered in time or failed after connecting. */
+  pollUnanswered (): void {
+    this.silentPolls += 1
+  }
+
+  private pause (): void {
+    this.failures = 0
+    this.pausedUntil = this.clock.monotonic() + this.pauseMilliseconds
+    this.pauseMilliseconds = Math.min(longestPauseMilliseconds, this.pauseMilliseconds * 2)
+  }
+}
--- /dev/null
+++ b/src/upstreams/UpstreamManager.ts
@@ -0,0 +1,227 @@
+/**
+ * Owns the table of upstreams that this host routes to: a bounded subset of each pool, one poll task per
+ * worker, and candidate lists per model and pool that change only when a worker's availability changes.
+ */
+import { type Clock, type Hash, type HostId, type Model, type Pool, Task, type WorkerId, type Zone } from '../common/index.js'
+import type { ConfigurationReader, EngineRole, PoolDocument } from '../configuration/index.js'
+import type { EventLog } from '../observability/index.js'
+import { chooseSubset } from './chooseSubset.js'
+import type { LoadReport } from './LoadReport.js'
+import { pollLoad } from './pollLoad.js'
+import { Upstream } from './Upstream.js'
+import { UpstreamWork } from './UpstreamWork.js'
+
+/** Options of an `UpstreamManager`. */
+export interface UpstreamManagerOptions {
+  hostId: HostId
+  zone: Zone
+  configuration: ConfigurationReader
+  clock: Clock
+  events: EventLog
+  hash: Hash
+  /** Time between two polls of one worker. */
+  loadPollMilliseconds: number
+  /** Most workers of one pool that this host routes to. */
+  subsetSize: number
+}
+
+/** One worker for operators. */
+export interface UpstreamView {
+  id: WorkerId
+  pool: Pool
+  zone: Zone
+  address: string
+  role: EngineRole
+  available: boolean
+  leaving: boolean
+  draining: boolean
+  /** Requests of this host on the worker. */
+  outstanding: number
+  queuedPrefillTokens: number
+  runningDecodes: number
+  report: LoadReport | undefined
+}
+
+/** What a list of candidates is for. */
+export type CandidatePurpose = 'start' | 'decode'
+
+interface Entry { upstream: Upstream, task: Task | undefined }
+
+/** The upstreams of this host. */
+export class UpstreamManager {
+  private readonly entries = new Map<WorkerId, Entry>()
+  private readonly lists = new Map<string, readonly Upstream[]>()
+  private readonly drainWaiters = new Map<WorkerId, Array<() => void>>()
+  private started = false
+  private endListening = (): void => {}
+
+  constructor (private readonly options: UpstreamManagerOptions) {
+    this.reconcile()
+    this.endListening = options.configuration.onChange(paths => {
+      if (paths.some(path => path.startsWith('/fleet/pools/') || path.startsWith('/fleet/roles/'))) this.reconcile()
+    })
+  }
+
+  /** Starts the poll tasks. */
+  start (): void {
+    this.started = true
+    for (const entry of this.entries.values()) this.startTask(entry)
+  }
+
+  /** Stops the poll tasks. Requests go on; connections close when the requests on them have ended. */
+  async stop (): Promise<void> {
+    this.started = false
+    this.endListening()
+    await Promise.all([...this.entries.values()].map(({ task }) => task?.stop()))
+    for (const { upstream } of this.entries.values()) upstream.close().catch(() => {})
+  }
+
+  /**
+   * Engines that may get work for a model, own zone first. `start`: engines that compute prompts;
+   * `decode`: engines that continue from an imported KV cache.
+   */
+  candidatesForModel (model: Model, purpose: CandidatePurpose = 'start'): readonly Upstream[] {
+    return this.list(`${purpose}/${model}`, upstream => {
+      if (upstream.description.kind !== 'engines' || !upstream.models.includes(model)) return false
+      return purpose === 'start' ? upstream.role !== 'decode' : upstream.role !== 'prefill'
+    })
+  }
+
+  /** Workers of a pool that may get work, own zone first. */
+  candidatesForPool (pool: Pool): readonly Upstream[] {
+    return this.list(`pool/${pool}`, upstream => upstream.description.pool === pool)
+  }
+
+  /** The worker, if it is in this host's subset. */
+  worker (id: WorkerId): Upstream | undefined {
+    return this.entries.get(id)?.upstream
+  }
+
+  /** Counts a request that is about to be sent. `prefillTokens` is 0 for services. */
+  begin (upstream: Upstream, prefillTokens: number): UpstreamWork {
+    return new UpstreamWork(upstream, prefillTokens, this.options.clock, () => this.afterEvidence(upstream))
+  }
+
+  /** Takes a worker out of the candidate lists for a role change, or puts it back. */
+  setDraining (id: WorkerId, draining: boolean): void {
+    const upstream = this.worker(id)
+    if (upstream === undefined) return
+    upstream.draining = draining
+    this.options.events.info(draining ? 'worker_drain_started' : 'worker_drain_ended', { worker: id })
+    this.afterEvidence(upstream)
+  }
+
+  /** Requests of this host that run on the worker. */
+  runningStreams (id: WorkerId): number {
+    return this.worker(id)?.load.outstanding ?? 0
+  }
+
+  /** Resolves when no request of this host runs on the worker. */
+  async whenIdle (id: WorkerId): Promise<void> {
+    while (this.runningStreams(id) > 0) {
+      await new Promise<void>(resolve => {
+        this.drainWaiters.set(id, [...this.drainWaiters.get(id) ?? [], resolve])
+      })
+    }
+  }
+
+  /** All workers of the subset. */
+  view (): UpstreamView[] {
+    return [...this.entries.values()].map(({ upstream }) => ({
+      id: upstream.id,
+      pool: upstream.description.pool,
+      zone: upstream.zone,
+      address: upstream.description.worker.address,
+      role: upstream.role,
+      available: upstream.usable,
+      leaving: upstream.leaving,
+      draining: upstream.draining,
+      outstanding: upstream.load.outstanding,
+      queuedPrefillTokens: upstream.load.queuedPrefillTokens,
+      runningDecodes: upstream.load.runningDecodes,
+      report: upstream.load.lastReport
+    }))
+  }
+
+  private list (key: string, belongs: (upstream: Upstream) => boolean): readonly Upstream[] {
+    const ready = this.lists.get(key)
+    if (ready !== undefined) return ready
+    const members = [...this.entries.values()]
+      .map(entry => entry.upstream)
+      .filter(upstream => upstream.available && belongs(upstream))
+    const list = [...members.filter(upstream => upstream.ownZone), ...members.filter(upstream => !upstream.ownZone)]
+    if (list.length > 0) this.lists.set(key, list)
+    return list
+  }
+
+  /** Makes the table match the configuration. */
+  private reconcile (): void {
+    const wanted = new Set<WorkerId>()
+    const roles = this.options.configuration.roles()
+    for (const [pool, document] of this.options.configuration.pools()) {
+      for (const worker of chooseSubset(document.workers, { ...this.options, size: this.options.subsetSize })) {
+        wanted.add(worker.id)
+        const role = roles.get(worker.id)?.role ?? 'mixed'
+        this.place(pool, document, worker, role)
+      }
+    }
+    for (const [id, entry] of this.entries) {
+      if (!wanted.has(id)) this.remove(entry)
+    }
+    this.lists.clear()
+  }
+
+  private place (pool: Pool, document: PoolDocument, worker: PoolDocument['workers'][number], role: EngineRole): void {
+    const models = document.kind === 'engines' ? document.models : []
+    const description = { pool, kind: document.kind, worker, models, role, ownZone: worker.zone === this.options.zone }
+    const present = this.entries.get(worker.id)
+    if (present !== undefined) {
+      if (JSON.stringify(present.upstream.description) === JSON.stringify(description)) return
+      this.remove(present)
+    }
+    const upstream = new Upstream(description, this.options.clock)
+    upstream.available = upstream.usable
+    const entry: Entry = { upstream, task: undefined }
+    this.entries.set(worker.id, entry)
+    if (this.started) this.startTask(entry)
+  }
+
+  private remove (entry: Entry): void {
+    entry.upstream.removed = true
+    entry.upstream.available = false
+    this.entries.delete(entry.upstream.id)
+    this.options.events.info('worker_removed', { worker: entry.upstream.id })
+    entry.task?.stop().catch(() => {})
+    entry.upstream.close().catch(() => {})
+  }
+
+  private startTask (entry: Entry): void {
+    const { clock, events, loadPollMilliseconds } = this.options
+    const poll = { clock, intervalMilliseconds: loadPollMilliseconds, onPoll: (upstream: Upstream) => this.afterPoll(upstream) }
+    entry.task ??= Task.start(
+      signal => pollLoad(entry.upstream, poll, signal),
+      error => events.error('load_poll_ended', { worker: entry.upstream.id, reason: String(error) })
+    )
+  }
+
+  private readonly offered = new WeakMap<Upstream, string>()
+
+  /** The reported role and models decide about the lists too, so a change of them rebuilds the lists. */
+  private afterPoll (upstream: Upstream): void {
+    const offer = `${upstream.role} ${upstream.models.join(' ')}`
+    if (this.offered.get(upstream) !== offer) this.lists.clear()
+    this.offered.set(upstream, offer)
+    this.afterEvidence(upstream)
+  }
+
+  private afterEvidence (upstream: Upstream): void {
+    if (upstream.load.outstanding === 0) {
+      for (const wake of this.drainWaiters.get(upstream.id) ?? []) wake()
+      this.drainWaiters.delete(upstream.id)
+    }
+    if (upstream.available === upstream.usable) return
+    upstream.available = upstream.usable
+    this.lists.clear()
+    this.options.events.info(upstream.available ? 'worker_available' : 'worker_unavailable', { worker: upstream.id })
+  }
+}
--- /dev/null
+++ b/src/upstreams/UpstreamWork.ts
@@ -0,0 +1,47 @@
+/**
+ * One request of this host on one upstream, from just before it is sent until it has ended.
+ */
+import type { Clock } from '../common/index.js'
+import type { SentWork } from './LoadEstimate.js'
+import type { Upstream } from './Upstream.js'
+
+/**
+ * How a request ended: `answered`; `failed` by the upstream or the way to it; `refused` before it was sent;
+ * `left` by this host, which says nothing about the upstream.
+ */
+export type WorkResult = 'answered' | 'failed' | 'refused' | 'left'
+
+/** Counts one request in the load of its upstream and reports its end as evidence of health. */
+export class UpstreamWork {
+  private readonly work: SentWork
+  private ended = false
+  private readonly startedAt: number
+
+  constructor (
+    readonly upstream: Upstream,
+    prefillTokens: number,
+    private readonly clock: Clock,
+    private readonly onEnd: () => void
+  ) {
+    this.startedAt = clock.monotonic()
+    this.work = upstream.load.begin(this.startedAt, prefillTokens)
+  }
+
+  /** Notes that the first token arrived. */
+  firstToken (): void {
+    this.upstream.load.firstToken(this.work, this.clock.monotonic())
+  }
+
+  /** Ends the request. Returns its duration in milliseconds; only the first call has an effect. */
+  end (result: WorkResult): number {
+    const now = this.clock.monotonic()
+    if (this.ended) return 0
+    this.ended = true
+    this.upstream.load.end(this.work, now)
+    if (result === 'answered') this.upstream.health.requestSucceeded()
+    if (result === 'failed') this.upstream.health.requestFailed()
+    if (result === 'refused') this.upstream.health.connectionRefused()
+    this.onEnd()
+    return now - this.startedAt
+  }
+}
--- /dev/null
+++ b/src/upstreams/pollLoad.ts
@@ -0,0 +1,57 @@
+/**
+ * The task of one upstream: polls its load and feeds the answers and their absence to load and health.
+ */
+import { match, P } from 'ts-pattern'
+import type { Clock } from '../common/index.js'
+import { HttpClient } from '../platform/index.js'
+import { loadReportSchema } from './LoadReport.js'
+import type { Upstream } from './Upstream.js'
+
+/** Reports are not counted as older than this, so that a clock that is set wrongly has a bounded effect. */
+const longestLagMilliseconds = 10_000
+
+/** Options of `pollLoad`. */
+export interface PollOptions {
+  clock: Clock
+  intervalMilliseconds: number
+  /** Called after each poll. */
+  onPoll: (upstream: Upstream) => void
+}
+
+/** Polls until the signal aborts. An upstream without load reports is only looked at again in each round. */
+export async function pollLoad (upstream: Upstream, options: PollOptions, signal: AbortSignal): Promise<void> {
+  const http = new HttpClient(upstream.origin)
+  while (!signal.aborted) {
+    if (upstream.description.worker.reportsLoad) await pollOnce(upstream, http, options, signal)
+    if (!signal.aborted) options.onPoll(upstream)
+    await options.clock.sleep(options.intervalMilliseconds, signal)
+  }
+  await http.close()
+}
+
+async function pollOnce (upstream: Upstream, http: HttpClient, options: PollOptions, signal: AbortSignal): Promise<void> {
+  const sentAt = options.clock.monotonic()
+  const sent = await http.send({
+    method: 'GET',
+    path: '/load',
+    timeoutMilliseconds: Math.max(1000, options.intervalMilliseconds),
+    signal
+  })
+  if (sent.isErr) {
+    match(sent.error.kind)
+      .with('platform_unavailable', () => upstream.health.connectionRefused())
+      .with('cancelled', () => {})
+      .with(P.string, () => upstream.health.pollUnanswered())
+      .exhaustive()
+    return
+  }
+  const report = loadReportSchema.safeParse(sent.value.body)
+  if (sent.value.status !== 200 || !report.success) {
+    upstream.health.pollUnanswered()
+    return
+  }
+  upstream.health.pollAnswered()
+  upstream.leaving = report.data.leaving
+  const lag = Math.min(longestLagMilliseconds, Math.max(0, options.clock.wall() - report.data.at))
+  upstream.load.apply(report.data, Math.min(sentAt, options.clock.monotonic() - lag))
+}
