Add forwarding of streams and whole answers to engines and services

Each request to a model is a Generation: attempts on engines, one after the other, whose tokens form one answer.

--- /dev/null
+++ b/src/forwarding/RequestManager.ts
@@ -0,0 +1,63 @@
+/**
+ * Owns the open requests of this host: starts them, knows which ones run, and tells when none is left.
+ */
+import type { RequestId, Team } from '../common/index.js'
+import { Generation, type GenerationContext, type GenerationRequest } from './Generation.js'
+import { ServiceCall, type ServiceContext, type ServiceRequest } from './ServiceCall.js'
+
+/** One open request, for operators. */
+export interface OpenRequest {
+  requestId: RequestId
+  team: Team
+  kind: 'generation' | 'service'
+  /** Unix time in milliseconds. */
+  startedAt: number
+}
+
+/** Options of a `RequestManager`. */
+export type RequestManagerOptions = GenerationContext & ServiceContext
+
+/** The open requests. */
+export class RequestManager {
+  private readonly open = new Map<RequestId, OpenRequest>()
+  private waiters: Array<() => void> = []
+
+  constructor (private readonly options: RequestManagerOptions) {}
+
+  /** Counts a request as open until the returned function is called. */
+  begin (request: Pick<OpenRequest, 'requestId' | 'team' | 'kind'>): () => void {
+    this.open.set(request.requestId, { ...request, startedAt: this.options.clock.wall() })
+    return () => {
+      this.open.delete(request.requestId)
+      if (this.open.size > 0) return
+      for (const wake of this.waiters.splice(0)) wake()
+    }
+  }
+
+  /** Starts a request to a model. The caller reads its events; `ended` resolves when no attempt runs any more. */
+  generate (request: GenerationRequest): { generation: Generation, ended: Promise<void> } {
+    this.options.budget.requestStarted()
+    const generation = new Generation(request, this.options)
+    const ended = generation.run().catch(error => {
+      this.options.events.error('generation_ended', { request: request.requestId, reason: String(error) })
+      generation.cancel()
+    })
+    return { generation, ended }
+  }
+
+  /** Prepares a call to a plain service. */
+  serviceCall (request: ServiceRequest): ServiceCall {
+    this.options.budget.requestStarted()
+    return new ServiceCall(request, this.options)
+  }
+
+  /** The open requests, oldest first. */
+  view (): OpenRequest[] {
+    return [...this.open.values()]
+  }
+
+  /** Resolves when no request is open. */
+  async drain (): Promise<void> {
+    while (this.open.size > 0) await new Promise<void>(resolve => { this.waiters.push(resolve) })
+  }
+}
--- /dev/null
+++ b/src/forwarding/headers.ts
@@ -0,0 +1,35 @@
+/**
+ * The headers that pass between callers and services. Everything else stays at this host: credentials,
+ * cookies, forwarding headers that a caller could forge, and headers that concern one connection.
+ */
+
+/** Request headers that reach a service. */
+export const allowedRequestHeaders = [
+  'accept', 'accept-language', 'content-type', 'if-match', 'if-modified-since', 'if-none-match', 'if-unmodified-since', 'range'
+] as const
+
+/** Answer headers that reach a caller. */
+export const allowedAnswerHeaders = [
+  'cache-control', 'content-disposition', 'content-language', 'content-range', 'content-type', 'etag', 'expires',
+  'last-modified', 'location', 'retry-after', 'vary'
+] as const
+
+/** The allowed headers of a request. */
+export function requestHeadersOf (headers: Headers): Record<string, string> {
+  const allowed: Record<string, string> = {}
+  for (const name of allowedRequestHeaders) {
+    const value = headers.get(name)
+    if (value !== null) allowed[name] = value
+  }
+  return allowed
+}
+
+/** The allowed headers of a service's answer. */
+export function answerHeadersOf (headers: Record<string, string | string[] | undefined>): Record<string, string> {
+  const allowed: Record<string, string> = {}
+  for (const name of allowedAnswerHeaders) {
+    const value = headers[name]
+    if (value !== undefined) allowed[name] = Array.isArray(value) ? value.join(', ') : value
+  }
+  return allowed
+}
--- /dev/null
+++ b/src/forwarding/index.ts
@@ -0,0 +1,6 @@
+export * from './headers.js'
+export * from './RetryBudget.js'
+export * from './EngineAttempt.js'
+export * from './Generation.js'
+export * from './ServiceCall.js'
+export * from './RequestManager.js'
--- /dev/null
+++ b/src/routing/RoutingPolicy.ts
@@ -0,0 +1,43 @@
+/**
+ * The choice of an upstream for one attempt. A policy sees only candidates that may get work.
+ */
+import type { WorkerId, Zone } from '../common/index.js'
+import type { AnalysedPrompt } from './PromptTokenizer.js'
+
+/** What a policy knows about a request; without tokens and blocks for a call of a service. */
+export type RoutingRequest = AnalysedPrompt
+
+/** What a policy knows about a worker. */
+export interface RoutingCandidate {
+  readonly id: WorkerId
+  readonly zone: Zone
+  /** True if the worker is in this host's availability zone. */
+  readonly ownZone: boolean
+  readonly load: {
+    /** Requests of this host on the worker. */
+    readonly outstanding: number
+    /** Prompt tokens that wait on the worker. */
+    readonly queuedPrefillTokens: number
+    /** Streams that generate tokens on the worker. */
+    readonly runningDecodes: number
+  }
+}
+
+/** Chooses one of the candidates. */
+export abstract class RoutingPolicy {
+  /** The chosen candidate; undefined if there is none. Candidates of the own zone come first. */
+  abstract choose<Candidate extends RoutingCandidate> (
+    request: RoutingRequest,
+    candidates: readonly Candidate[]
+  ): Candidate | undefined
+
+  /** Called when a request was sent to a worker. */
+  sent (_request: RoutingRequest, _worker: RoutingCandidate): void {}
+}
+
+/** The leading candidates that are in the own zone; all candidates if there are none in it. */
+export function preferOwnZone<Candidate extends RoutingCandidate> (candidates: readonly Candidate[]): number {
+  let count = 0
+  while (count < candidates.length && candidates[count]!.ownZone) count += 1
+  return count === 0 ? candidates.length : count
+}
--- /dev/null
+++ b/src/routing/index.ts
@@ -0,0 +1,3 @@
+export * from './RoutingPolicy.js'
+export * from './RoundRobinPolicy.js'
+export * from './PromptTokenizer.js'
