Add admission, issued keys and usage counting

UsageManager gives a batch its identity before the first hand-over and never changes it afterwards; Ledger counts each identity once.

--- /dev/null
+++ b/src/admission/index.ts
@@ -0,0 +1,1 @@
+export * from './AdmissionManager.js'
--- /dev/null
+++ b/src/idempotency/index.ts
@@ -0,0 +1,3 @@
+export * from './IssuerClient.js'
+export * from './IdempotencyManager.js'
+export type { OnceOutcome } from './OutcomeTable.js'
--- /dev/null
+++ b/src/usage/Ledger.ts
@@ -0,0 +1,131 @@
+/**
+ * Totals of use, recomputed from batches alone. Every reader that applies the same batches, in any order and
+ * however often, gets the same totals.
+ */
+import { z } from 'zod'
+import type { UsageBatch, UsageRecord } from './UsageRecord.js'
+
+const totalSchema = z.object({
+  owner: z.string(),
+  team: z.string(),
+  model: z.string(),
+  requests: z.number(),
+  calls: z.number(),
+  promptTokens: z.number(),
+  cachedPromptTokens: z.number(),
+  generatedTokens: z.number(),
+  engineMilliseconds: z.number()
+})
+/** Total of one owner, team and model. */
+export type UsageTotal = z.infer<typeof totalSchema>
+
+const writerSchema = z.object({ through: z.number(), beyond: z.array(z.number()) })
+
+/** State of a ledger as plain data, for snapshots. */
+export const ledgerStateSchema = z.object({
+  totals: z.array(totalSchema),
+  /** Counted batches by `hostId/incarnation`: all up to `through`, and those in `beyond`. */
+  writers: z.record(z.string(), writerSchema),
+  /** Latest request ids, oldest first. */
+  recentRequests: z.array(z.string())
+})
+export type LedgerState = z.infer<typeof ledgerStateSchema>
+
+/**
+ * Request ids that are remembered. A neighbour submits the mirrored records of a dead host within seconds, so
+ * only recent ids can come twice under different batch identities.
+ */
+export const defaultRememberedRequests = 100_000
+
+/** Counted use. */
+export class Ledger {
+  private readonly totals = new Map<string, UsageTotal>()
+  private readonly writers = new Map<string, { through: number, beyond: Set<number> }>()
+  private readonly recent = new Set<string>()
+
+  constructor (private readonly rememberedRequests = defaultRememberedRequests) {}
+
+  /** Counts a batch. Returns false if it was counted before. */
+  apply (batch: UsageBatch): boolean {
+    if (!this.firstTime(`${batch.hostId}/${batch.incarnation}`, batch.sequence)) return false
+    for (const record of batch.records) {
+      if (this.recent.has(record.requestId)) continue
+      this.remember(record.requestId)
+      this.count(record)
+    }
+    return true
+  }
+
+  /** All totals, ordered by owner, team and model. */
+  view (): UsageTotal[] {
+    return [...this.totals.entries()].sort(([left], [right]) => (left < right ? -1 : 1)).map(([, total]) => ({ ...total }))
+  }
+
+  /** The state as plain data. */
+  state (): LedgerState {
+    const writers: LedgerState['writers'] = {}
+    for (const [name, { through, beyond }] of this.writers) writers[name] = { through, beyond: [...beyond] }
+    return {
+      totals: this.view(),
+      writers,
+      recentRequests: [...this.recent]
+    }
+  }
+
+  /** Makes a ledger from a state. */
+  static fromState (state: LedgerState, rememberedRequests = defaultRememberedRequests): Ledger {
+    const ledger = new Ledger(rememberedRequests)
+    for (const total of state.totals) ledger.totals.set(keyOf(total), { ...total })
+    for (const [name, { through, beyond }] of Object.entries(state.writers)) {
+      ledger.writers.set(name, { through, beyond: new Set(beyond) })
+    }
+    for (const id of state.recentRequests) ledger.remember(id)
+    return ledger
+  }
+
+  private firstTime (writerName: string, sequence: number): boolean {
+    const writer = this.writers.get(writerName) ?? { through: 0, beyond: new Set<number>() }
+    this.writers.set(writerName, writer)
+    if (sequence <= writer.through || writer.beyond.has(sequence)) return false
+    writer.beyond.add(sequence)
+    while (writer.beyond.delete(writer.through + 1)) writer.through += 1
+    return true
+  }
+
+  private remember (requestId: string): void {
+    this.recent.add(requestId)
+    if (this.recent.size <= this.rememberedRequests) return
+    const oldest = this.recent.values().next()
+    if (oldest.done !== true) this.recent.delete(oldest.value)
+  }
+
+  private count (record: UsageRecord): void {
+    const key = keyOf(record)
+    const total = this.totals.get(key) ?? emptyTotalOf(record)
+    total.requests += 1
+    total.calls += record.calls
+    total.promptTokens += record.promptTokens
+    total.cachedPromptTokens += record.cachedPromptTokens
+    total.generatedTokens += record.generatedTokens
+    total.engineMilliseconds += record.engineMilliseconds
+    this.totals.set(key, total)
+  }
+}
+
+function keyOf (part: { owner: string, team: string, model: string }): string {
+  return `${part.owner}\n${part.team}\n${part.model}`
+}
+
+function emptyTotalOf (record: UsageRecord): UsageTotal {
+  return {
+    owner: record.owner,
+    team: record.team,
+    model: record.model,
+    requests: 0,
+    calls: 0,
+    promptTokens: 0,
+    cachedPromptTokens: 0,
+    generatedTokens: 0,
+    engineMilliseconds: 0
+  }
+}
