Add the callers' HTTP of an entry host

entryApplication serves the OpenAI-compatible endpoints, keys, services and health; serve listens on all caller addresses with keep-alive probes and header limits. All errors come from the one table.

Checked by taking the mechanism out, with the named test failing each time: token expiry, account changes, the list of request headers, the list of answer headers, the body limit (the test does not end), the header limit, the lookup of used keys.

--- /dev/null
+++ b/src/entry/entryApplication.test.ts
@@ -0,0 +1,246 @@
+/**
+ * Guards against answers that do not match the OpenAI form, bad input that reaches an upstream, callers that
+ * get in without a valid token, and headers that leak between callers and services.
+ */
+import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
+import type { ManualClock } from '../common/index.js'
+import { FakeEngine, textOf } from './testing/FakeEngine.js'
+import { FakeService } from './testing/FakeService.js'
+import { expiringToken, recordsOf, reefToken, type TestHost, testHost } from './testing/TestHost.js'
+
+let engine: FakeEngine
+let service: FakeService
+let host: TestHost
+
+beforeEach(async () => {
+  engine = await FakeEngine.start()
+  service = await FakeService.start()
+  host = await testHost({ engines: [engine.address], services: [service.address] })
+})
+
+afterEach(async () => {
+  await host.upstreams.stop()
+  await engine.stop()
+  await service.stop()
+})
+
+const authorization = { authorization: `Bearer ${reefToken}` }
+
+async function post (path: string, body: unknown, headers: Record<string, string> = {}): Promise<Response> {
+  const text = typeof body === 'string' || body instanceof Uint8Array ? body : JSON.stringify(body)
+  return await host.application.request(path, {
+    method: 'POST', body: text, headers: { ...authorization, 'content-type': 'application/json', ...headers }
+  })
+}
+
+const completion = { model: 'carassius', prompt: 'which fish', max_tokens: 3 }
+const chat = { model: 'carassius', messages: [{ role: 'user', content: 'which fish' }], max_tokens: 3 }
+
+describe('answers of models', () => {
+  test('a whole completion has the text, the counts and the request id', async () => {
+    const response = await post('/v1/completions', completion)
+    const body = await response.json() as Record<string, unknown>
+    expect(response.status).toBe(200)
+    expect(body).toMatchObject({
+      object: 'text_completion',
+      model: 'carassius',
+      choices: [{ index: 0, text: textOf(3), finish_reason: 'length' }],
+      usage: { prompt_tokens: 11, completion_tokens: 3, total_tokens: 14, prompt_tokens_details: { cached_tokens: 3 } }
+    })
+    expect(body.id).toBe(`cmpl-${response.headers.get('x-request-id')}`)
+  })
+
+  test('a whole chat answer is one message', async () => {
+    const body = await (await post('/v1/chat/completions', chat)).json()
+    expect(body).toMatchObject({
+      object: 'chat.completion', choices: [{ message: { role: 'assistant', content: textOf(3) }, finish_reason: 'length' }]
+    })
+  })
+
+  test.each([
+    ['/v1/completions', completion, (choice: { text?: string }) => choice.text ?? ''],
+    ['/v1/chat/completions', chat, (choice: { delta?: { content?: string } }) => choice.delta?.content ?? '']
+  ])('a stream of %s has each token once, the counts and the end mark', async (path, body, textOfChoice) => {
+    const response = await post(path, { ...body, stream: true, stream_options: { include_usage: true } })
+    const events = (await response.text()).split('\n\n').filter(event => event !== '').map(event => event.slice('data: '.length))
+    expect(response.headers.get('content-type')).toContain('text/event-stream')
+    expect(events.at(-1)).toBe('[DONE]')
+    const chunks = events.slice(0, -1).map(event => JSON.parse(event) as { choices: object[], usage?: object })
+    expect(chunks.flatMap(({ choices }) => choices.map(textOfChoice)).join('')).toBe(textOf(3))
+    expect(chunks.at(-1)?.usage).toMatchObject({ completion_tokens: 3 })
+    expect(JSON.stringify(chunks)).not.toContain('attempt_id')
+  })
+
+  test('one usage record is made per request', async () => {
+    const response = await post('/v1/completions', completion)
+    expect(await recordsOf(host)).toEqual([{
+      requestId: response.headers.get('x-request-id'),
+      team: 'reef',
+      owner: 'acuarios',
+      model: 'carassius',
+      promptTokens: 11,
+      cachedPromptTokens: 3,
+      generatedTokens: 3,
+      engineMilliseconds: 0,
+      calls: 1
+    }])
+  })
+
+  test('the models are listed', async () => {
+    const response = await host.application.request('/v1/models', { headers: authorization })
+    expect(await response.json()).toMatchObject({ object: 'list', data: [{ id: 'carassius', object: 'model' }] })
+  })
+
+  test('an adapter runs on the engines of its model', async () => {
+    host.configuration.set('/fleet/adapters/reef-style', { model: 'carassius', version: '1' })
+    const body = await (await post('/v1/completions', { ...completion, model: 'reef-style' })).json()
+    expect(body).toMatchObject({ model: 'reef-style' })
+    expect(engine.requests[0]).toMatchObject({ model: 'reef-style' })
+  })
+})
+
+describe('bad input', () => {
+  test.each([
+    ['no JSON', '{', {}, 400, 'bad_request'],
+    ['invalid UTF-8', Buffer.from('{"model":"carassius","prompt":"\xff"}', 'latin1'), {}, 400, 'bad_request'],
+    ['no prompt', { model: 'carassius' }, {}, 400, 'bad_request'],
+    ['an empty prompt', { ...completion, prompt: '' }, {}, 400, 'bad_request'],
+    ['a prompt that is no text', { ...completion, prompt: 7 }, {}, 400, 'bad_request'],
+    ['max_tokens of 0', { ...completion, max_tokens: 0 }, {}, 400, 'bad_request'],
+    ['max_tokens that is not whole', { ...completion, max_tokens: 1.5 }, {}, 400, 'bad_request'],
+    ['a temperature out of range', { ...completion, temperature: 3 }, {}, 400, 'bad_request'],
+    ['several answers', { ...completion, n: 2 }, {}, 400, 'bad_request'],
+    ['an unknown model', { ...completion, model: 'perca' }, {}, 404, 'unknown_model'],
+    ['a model name with a path', { ...completion, model: '../x' }, {}, 404, 'unknown_model'],
+    ['a deadline of 0', completion, { 'x-timeout-ms': '0' }, 400, 'bad_request'],
+    ['a deadline over the limit', completion, { 'x-timeout-ms': '600001' }, 400, 'bad_request'],
+    ['a deadline that is no number', completion, { 'x-timeout-ms': '1e3' }, 400, 'bad_request'],
+    ['an unknown priority', completion, { 'x-priority': 'urgent' }, 400, 'bad_request'],
+    ['a key with a space', completion, { 'idempotency-key': 'a b' }, 400, 'bad_request'],
+    ['a body over the limit', { ...completion, prompt: 'x'.repeat(10_001) }, {}, 413, 'body_too_large'],
+    ['headers over the limit', completion, { 'x-fill': 'x'.repeat(5000) }, 431, 'headers_too_large']
+  ])('%s is refused before an engine sees it', async (_name, body, headers: Record<string, string>, status, kind) => {
+    const response = await post('/v1/completions', body, headers)
+    expect(response.status).toBe(status)
+    expect(await response.json()).toMatchObject({ error: { type: kind, not_run: true } })
+    expect(response.headers.get('x-request-id')).toMatch(/^[0-9a-f]{24}$/)
+    expect(engine.requests).toHaveLength(0)
+    expect(await recordsOf(host)).toHaveLength(0)
+  })
+
+  test('a body without a length is cut off at the limit', async () => {
+    let sent = 0
+    const body = new ReadableStream<Uint8Array>({
+      pull (controller) {
+        sent += 1
+        controller.enqueue(new Uint8Array(1000))
+      }
+    })
+    const request = new Request('http://host/v1/completions', { method: 'POST', body, headers: authorization, duplex: 'half' } as RequestInit)
+    expect((await host.application.fetch(request)).status).toBe(413)
+    expect(sent).toBeLessThan(20)
+  })
+
+  test.each([
+    ['GET', '/v1/completions'], ['GET', '/nothing'], ['POST', '/services/none/x'], ['POST', '/services/engines/x'],
+    ['POST', '/services/..%2f/x']
+  ])('%s %s is not found', async (method, path) => {
+    const response = await host.application.request(path, { method, headers: authorization })
+    expect(await response.json()).toMatchObject({ error: { type: 'not_found' } })
+  })
+})
+
+describe('authentication', () => {
+  test.each([
+    ['no token', undefined],
+    ['a wrong token', 'Bearer wrong'],
+    ['another scheme', `Basic ${reefToken}`],
+    ['an empty token', 'Bearer '],
+    ['the hash of a token', 'Bearer 2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae'],
+    ['an expired token', `Bearer ${expiringToken}`]
+  ])('%s gets the one answer without detail', async (_name, value) => {
+    await (host.clock as ManualClock).advance(1000)
+    const headers: Record<string, string> = value === undefined ? {} : { authorization: value }
+    const response = await host.application.request('/v1/models', { headers })
+    expect(response.status).toBe(401)
+    expect(await response.json()).toEqual({ error: { type: 'unauthenticated', message: 'the request has no valid token', not_run: true } })
+  })
+
+  test('a token works until it expires and a new one at once', async () => {
+    const status = async (token: string) =>
+      (await host.application.request('/v1/models', { headers: { authorization: `Bearer ${token}` } })).status
+    expect(await status(expiringToken)).toBe(200)
+    // SHA-256 of "foo"
+    const sha256 = '2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae'
+    host.configuration.set('/teams/kelp/account', { owner: 'acuarios', tokens: [{ sha256 }], operator: false })
+    expect(await status('foo')).toBe(200)
+    host.configuration.set('/teams/kelp/account', { owner: 'acuarios', tokens: [], operator: false })
+    expect(await status('foo')).toBe(401)
+  })
+})
+
+describe('services', () => {
+  test('only the listed headers pass, in both directions', async () => {
+    service.answer = (_run, response) => {
+      response.writeHead(200, { 'content-type': 'text/plain', etag: '"1"', 'set-cookie': 'a=b', 'x-internal': 'yes' }).end('fine')
+    }
+    const response = await host.application.request('/services/votes/tally?round=2', {
+      headers: {
+        ...authorization,
+        accept: 'text/plain',
+        cookie: 'session=1',
+        'x-forwarded-for': '10.0.0.1',
+        forwarded: 'for=10.0.0.1',
+        'x-request-id': 'forged',
+        'if-none-match': '"0"',
+        te: 'trailers'
+      }
+    })
+    const { host: _host, connection: _connection, ...passed } = service.runs[0]!.headers
+    expect(service.runs[0]).toMatchObject({ method: 'GET', path: '/tally?round=2' })
+    expect(passed).toEqual({
+      accept: 'text/plain', 'if-none-match': '"0"', 'x-request-id': response.headers.get('x-request-id')
+    })
+    expect(Object.fromEntries(response.headers)).toEqual({
+      'content-type': 'text/plain', etag: '"1"', 'x-request-id': response.headers.get('x-request-id')
+    })
+    expect(await response.text()).toBe('fine')
+  })
+
+  test('a call with a key runs once and is counted once', async () => {
+    const { key } = await (await post('/keys', '')).json() as { key: string }
+    const answers = [await post('/services/votes/vote', 'yes', { 'idempotency-key': key }),
+      await post('/services/votes/vote', 'yes', { 'idempotency-key': key })]
+    expect(await Promise.all(answers.map(answer => answer.json()))).toEqual([{ run: 1 }, { run: 1 }])
+    expect(service.runs).toHaveLength(1)
+    expect(service.runs[0]!.headers['idempotency-key']).toBe(key)
+    const records = await recordsOf(host)
+    expect(records.map(({ model, calls }) => ({ model, calls }))).toEqual([{ model: 'service/votes', calls: 1 }])
+  })
+
+  test('a call without a key gets one', async () => {
+    const response = await post('/services/votes/vote', 'yes')
+    expect(response.headers.get('idempotency-key')).toMatch(/^host-1\.0123456789abcdef\.1\.[0-9a-f]{32}$/)
+  })
+
+  test('a call of a class that is not available does not run', async () => {
+    expect(await (await post('/services/votes/claims/1', '')).json()).toMatchObject({ error: { type: 'not_run', not_run: true } })
+    expect(service.runs).toHaveLength(0)
+  })
+})
+
+describe('health', () => {
+  test('readiness follows the host and needs no token', async () => {
+    expect((await host.application.request('/health/ready')).status).toBe(200)
+    host.state.ready = false
+    expect((await host.application.request('/health/ready')).status).toBe(503)
+    expect((await host.application.request('/health/live')).status).toBe(200)
+  })
+
+  test('requests are served while draining, on connections that are not kept', async () => {
+    host.state.draining = true
+    const response = await post('/v1/completions', completion)
+    expect(response.status).toBe(200)
+    expect(response.headers.get('connection')).toBe('close')
+  })
+})
--- /dev/null
+++ b/src/entry/entryApplication.ts
@@ -0,0 +1,100 @@
+/**
+ * The callers' HTTP interface of an entry host.
+ */
+import type { HttpBindings } from '@hono/node-server'
+import { type Context, Hono } from 'hono'
+import { createMiddleware } from 'hono/factory'
+import { errorAnswers, errorResponseOf, type Failure, failure, newRequestId, type RequestId } from '../common/index.js'
+import type { AuthenticatedTeam } from '../configuration/index.js'
+import { Authenticator } from './Authenticator.js'
+import { type CallHeaders, readCallHeaders } from './callHeaders.js'
+import type { EntryOptions } from './EntryContext.js'
+import { handleGeneration } from './handleGeneration.js'
+import { handleService } from './handleService.js'
+
+/** What the middleware has found out about a call. */
+export interface CallVariables {
+  requestId: RequestId
+  account: AuthenticatedTeam
+  call: CallHeaders
+  /** Monotonic time in milliseconds. */
+  deadline: number
+  /** Aborts when the caller closes its connection. */
+  callerLeft: AbortSignal
+}
+
+/** Environment of the handlers. */
+export interface EntryEnvironment {
+  Bindings: Partial<HttpBindings>
+  Variables: CallVariables
+}
+
+/** Context of a call. */
+export type EntryCall = Context<EntryEnvironment>
+
+/** Answers a failure. A `retryAfterSeconds` in the detail overrides the table. */
+export function answerFailure (failed: Failure): Response {
+  const response = errorResponseOf(failed)
+  const retryAfter = failed.detail?.retryAfterSeconds
+  if (typeof retryAfter === 'number' && errorAnswers[failed.kind].retryAfterSeconds !== undefined) {
+    response.headers.set('retry-after', String(retryAfter))
+  }
+  return response
+}
+
+function callerSignalOf (context: EntryCall): AbortSignal {
+  const outgoing = context.env?.outgoing
+  if (outgoing === undefined) return context.req.raw.signal
+  const left = new AbortController()
+  outgoing.once('close', () => {
+    if (!outgoing.writableFinished) left.abort()
+  })
+  return left.signal
+}
+
+/** The application for the address `callers`. */
+export function entryApplication (options: EntryOptions): Hono<EntryEnvironment> {
+  const application = new Hono<EntryEnvironment>()
+  const authenticator = new Authenticator(options.configuration, options.clock)
+
+  application.get('/health/live', context => context.json({ live: true }))
+  application.get('/health/ready', context => options.ready()
+    ? context.json({ ready: true })
+    : answerFailure(failure('not_ready', 'the host is not ready')))
+
+  application.use(createMiddleware<EntryEnvironment>(async (context, next) => {
+    const requestId = newRequestId()
+    context.set('requestId', requestId)
+    await next()
+    context.header('x-request-id', requestId)
+    if (options.draining()) context.header('connection', 'close')
+  }))
+
+  application.use(createMiddleware<EntryEnvironment>(async (context, next) => {
+    const call = readCallHeaders(context.req.raw.headers, options.limits)
+    if (call.isErr) return answerFailure(call.error)
+    const account = authenticator.authenticate(context.req.header('authorization'))
+    if (account.isErr) return answerFailure(account.error)
+    context.set('call', call.value)
+    context.set('account', account.value)
+    context.set('deadline', options.clock.monotonic() + call.value.timeoutMilliseconds)
+    context.set('callerLeft', callerSignalOf(context))
+    return await next()
+  }))
+
+  application.post('/v1/chat/completions', context => handleGeneration(context, options, 'chat'))
+  application.post('/v1/completions', context => handleGeneration(context, options, 'completion'))
+  application.get('/v1/models', context => context.json({
+    object: 'list',
+    data: [...options.configuration.models().keys()].map(id => ({ id, object: 'model', created: 0, owned_by: 'dogwooddale' }))
+  }))
+  application.post('/keys', context => context.json({ key: options.idempotency.issue(context.get('account').team) }, 201))
+  application.all('/services/:pool/*', context => handleService(context, options))
+
+  application.notFound(() => answerFailure(failure('not_found', 'there is no such path')))
+  application.onError(error => {
+    options.events.error('request_handler_failed', { reason: error.message })
+    return answerFailure(failure('internal', 'an internal error occurred'))
+  })
+  return application
+}
--- /dev/null
+++ b/src/entry/handleGeneration.ts
@@ -0,0 +1,127 @@
+/**
+ * `POST /v1/chat/completions` and `POST /v1/completions`.
+ */
+import { Result } from 'true-myth'
+import { type Failure, failure, type Model, modelSchema } from '../common/index.js'
+import type { AdapterDocument } from '../configuration/index.js'
+import type { Generation, GenerationEvent, GenerationRequest } from '../forwarding/index.js'
+import { readBody } from './callHeaders.js'
+import { answerFailure, type EntryCall } from './entryApplication.js'
+import type { EntryOptions } from './EntryContext.js'
+import { type AnswerShape, streamedBody, wholeBody } from './generationAnswer.js'
+import { type ChatBody, chatBodySchema, type CompletionBody, completionBodySchema, parseBody, promptOfChat } from './generationBody.js'
+
+type Endpoint = AnswerShape['endpoint']
+
+interface ParsedCall { body: ChatBody | CompletionBody, prompt: string, maxTokens: number | undefined }
+
+/** Answers a request to a model. */
+export async function handleGeneration (context: EntryCall, options: EntryOptions, endpoint: Endpoint): Promise<Response> {
+  const bytes = await readBody(context.req.raw, options.limits.maxBodyBytes)
+  if (bytes.isErr) return answerFailure(bytes.error)
+  const parsed = parseCall(endpoint, bytes.value)
+  if (parsed.isErr) return answerFailure(parsed.error)
+  const model = findModel(options, parsed.value.body.model)
+  if (model === undefined) return answerFailure(failure('unknown_model', `there is no model ${JSON.stringify(parsed.value.body.model)}`))
+  const request = requestOf(context, options, endpoint, parsed.value, model)
+  const admitted = await options.admission.admit({ ...request, signal: context.get('callerLeft') })
+  if (admitted.isErr) return answerFailure(admitted.error)
+  return await generate(context, options, request, shapeOf(context, options, endpoint, parsed.value), admitted.value.release)
+}
+
+async function generate (
+  context: EntryCall,
+  options: EntryOptions,
+  request: GenerationRequest,
+  shape: AnswerShape,
+  release: () => void
+): Promise<Response> {
+  const endRequest = options.requests.begin({ requestId: request.requestId, team: request.team, kind: 'generation' })
+  const { generation, ended } = options.requests.generate(request)
+  const leave = (): void => { generation.cancel() }
+  const left = context.get('callerLeft')
+  left.addEventListener('abort', leave, { once: true })
+  if (left.aborted) leave()
+  const finish = (): void => {
+    left.removeEventListener('abort', leave)
+    ended.then(() => {
+      recordUsage(options, generation)
+      release()
+      endRequest()
+    }, () => {})
+  }
+  const first = await generation.next()
+  if (first === undefined || first.kind === 'failed') {
+    finish()
+    return answerFailure(first?.failure ?? failure('cancelled', 'the caller left'))
+  }
+  if (request.body.stream === true) return streamedAnswer(generation, first, shape, finish)
+  const whole = await wholeBody(generation, first, shape)
+  finish()
+  return whole.isOk ? Response.json(whole.value) : answerFailure(whole.error)
+}
+
+function streamedAnswer (generation: Generation, first: GenerationEvent, shape: AnswerShape, finish: () => void): Response {
+  return new Response(streamedBody(generation, first, shape, finish), {
+    headers: { 'content-type': 'text/event-stream; charset=utf-8', 'cache-control': 'no-store' }
+  })
+}
+
+function parseCall (endpoint: Endpoint, bytes: Uint8Array): Result<ParsedCall, Failure> {
+  if (endpoint === 'completion') {
+    return parseBody(completionBodySchema, bytes)
+      .map(body => ({ body, prompt: body.prompt, maxTokens: body.max_tokens ?? undefined }))
+  }
+  return parseBody(chatBodySchema, bytes).map(body => ({
+    body,
+    prompt: promptOfChat(body),
+    maxTokens: body.max_completion_tokens ?? body.max_tokens ?? undefined
+  }))
+}
+
+/** A caller names a model or an adapter, which runs on engines of its model. */
+function findModel (options: EntryOptions, text: string): Model | undefined {
+  const name = modelSchema.safeParse(text)
+  if (!name.success) return undefined
+  if (options.configuration.get(`/fleet/models/${name.data}`) !== undefined) return name.data
+  const adapter = options.configuration.get(`/fleet/adapters/${name.data}`)?.value as AdapterDocument | undefined
+  return adapter?.model
+}
+
+function requestOf (
+  context: EntryCall,
+  options: EntryOptions,
+  endpoint: Endpoint,
+  parsed: ParsedCall,
+  model: Model
+): GenerationRequest {
+  const { team, owner } = context.get('account')
+  return {
+    requestId: context.get('requestId'),
+    team,
+    owner,
+    model,
+    path: endpoint === 'chat' ? '/v1/chat/completions' : '/v1/completions',
+    body: parsed.body,
+    maxTokens: parsed.maxTokens,
+    priority: context.get('call').priority,
+    deadline: context.get('deadline'),
+    routing: options.tokenizer.analyse(parsed.body.model, parsed.prompt)
+  }
+}
+
+function shapeOf (context: EntryCall, options: EntryOptions, endpoint: Endpoint, parsed: ParsedCall): AnswerShape {
+  return {
+    endpoint,
+    requestId: context.get('requestId'),
+    model: parsed.body.model,
+    created: Math.floor(options.clock.wall() / 1000),
+    includeUsage: parsed.body.stream_options?.include_usage === true
+  }
+}
+
+function recordUsage (options: EntryOptions, generation: Generation): void {
+  if (!generation.hasRun) return
+  const { requestId, team, owner, body } = generation.request
+  options.usage.record({ requestId, team, owner, model: String(body.model), ...generation.usage(), calls: 1 })
+}
--- /dev/null
+++ b/src/entry/index.ts
@@ -0,0 +1,5 @@
+export * from './EntryContext.js'
+export type { CallLimits } from './callHeaders.js'
+export { entryApplication } from './entryApplication.js'
+export { onceExecutor } from './handleService.js'
+export * from './serve.js'
--- /dev/null
+++ b/src/entry/serve.ts
@@ -0,0 +1,86 @@
+/**
+ * Listens on the callers' addresses.
+ */
+import { createServer, type Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { createAdaptorServer } from '@hono/node-server'
+import type { Hono } from 'hono'
+import type { EntryEnvironment } from './entryApplication.js'
+
+/** Options of `serve`. */
+export interface ServeOptions {
+  application: Hono<EntryEnvironment>
+  /** `ip:port` each; port 0 lets the system choose. */
+  addresses: readonly string[]
+  /** Headers above this size are answered by the application, those above twice of it by Node. */
+  maxHeaderBytes: number
+}
+
+/** A listening server. */
+export interface CallerServer {
+  /** The actual addresses. */
+  addresses: string[]
+  /** Stops accepting connections and resolves when the open ones have ended. */
+  close: () => Promise<void>
+}
+
+/** Idle time after which the system probes a connection, to notice callers that are gone. */
+const probeAfterMilliseconds = 15_000
+
+/** Time for a caller to send its headers. */
+const headersTimeoutMilliseconds = 10_000
+
+/** Time for a caller to send headers and body. */
+const requestTimeoutMilliseconds = 60_000
+
+/** Idle connections are closed after this time. */
+const keepAliveMilliseconds = 65_000
+
+/** Listens on all addresses, or on none if one of them cannot be used. */
+export async function serve (options: ServeOptions): Promise<CallerServer> {
+  const servers: Server[] = []
+  const close = async (): Promise<void> => {
+    await Promise.all(servers.map(server => new Promise<void>(resolve => {
+      server.close(() => { resolve() })
+      server.closeIdleConnections()
+    })))
+  }
+  try {
+    for (const address of options.addresses) servers.push(await listen(options, address))
+  } catch (caught) {
+    await close()
+    throw caught
+  }
+  return { addresses: servers.map(addressOf), close }
+}
+
+async function listen (options: ServeOptions, address: string): Promise<Server> {
+  const separator = address.lastIndexOf(':')
+  const server = createAdaptorServer({
+    fetch: options.application.fetch,
+    createServer,
+    overrideGlobalObjects: false,
+    serverOptions: {
+      maxHeaderSize: options.maxHeaderBytes * 2,
+      keepAlive: true,
+      keepAliveInitialDelay: probeAfterMilliseconds,
+      noDelay: true,
+      headersTimeout: headersTimeoutMilliseconds,
+      keepAliveTimeout: keepAliveMilliseconds,
+      requestTimeout: requestTimeoutMilliseconds
+    }
+  }) as Server
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(Number(address.slice(separator + 1)), address.slice(0, separator).replace(/^\[|\]$/g, ''), () => {
+      server.off('error', reject)
+      resolve()
+    })
+  })
+  return server
+}
+
+function addressOf (server: Server): string {
+  const { address, family, port } = server.address() as AddressInfo
+  return family === 'IPv6' ? `[${address}]:${port}` : `${address}:${port}`
+}
--- /dev/null
+++ b/src/entry/testing/FakeEngine.ts
@@ -0,0 +1,147 @@
+/**
+ * A small engine for the tests of the request path. It generates `t0 t1 t2 ...` and lets a test write the
+ * stream of an attempt itself.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
+
+/** A request as the engine got it. */
+export interface EngineRequestBody {
+  request_id: string
+  attempt_id: string
+  resume_from?: number
+  max_tokens?: number
+  priority: string
+  [field: string]: unknown
+}
+
+/** Answers one attempt. */
+export type EngineScript = (request: EngineRequestBody, response: ServerResponse, path: string) => void | Promise<void>
+
+/** Text of the token at a position. */
+export function tokenAt (position: number): string {
+  return ` t${position}`
+}
+
+/** Text of the tokens from 0 up to, but without, `count`. */
+export function textOf (count: number): string {
+  return Array.from({ length: count }, (_, position) => tokenAt(position)).join('')
+}
+
+/** The event of one token. */
+export function tokenEvent (request: EngineRequestBody, position: number, attemptId = request.attempt_id): string {
+  const choice = { index: 0, text: tokenAt(position), finish_reason: null }
+  return `data: ${JSON.stringify({ attempt_id: attemptId, position, choices: [choice] })}\n\n`
+}
+
+/** The event after the last token, and the end mark. */
+export function endEvents (request: EngineRequestBody, position: number): string {
+  const usage = { prompt_tokens: 11, completion_tokens: position, prompt_tokens_details: { cached_tokens: 3 } }
+  const choice = { index: 0, text: '', finish_reason: 'length' }
+  return `data: ${JSON.stringify({ attempt_id: request.attempt_id, position, choices: [choice], usage })}\n\ndata: [DONE]\n\n`
+}
+
+/** Starts the answer of a stream. */
+export function startStream (response: ServerResponse): void {
+  response.writeHead(200, { 'content-type': 'text/event-stream' })
+  response.flushHeaders()
+}
+
+/** The whole stream of an attempt. */
+export function streamOf (request: EngineRequestBody): string {
+  const count = request.max_tokens ?? 4
+  const events: string[] = []
+  for (let position = request.resume_from ?? 0; position < count; position += 1) events.push(tokenEvent(request, position))
+  return events.join('') + endEvents(request, count)
+}
+
+/** Generates all tokens at once. */
+export const plainScript: EngineScript = (request, response) => {
+  startStream(response)
+  response.end(streamOf(request))
+}
+
+/** A fake engine. */
+export class FakeEngine {
+  readonly requests: EngineRequestBody[] = []
+  readonly cancelled: Array<{ requestId: string, attemptId: unknown }> = []
+  /** Headers of the requests. */
+  readonly headers: Array<IncomingMessage['headers']> = []
+  /** Answer of `GET /load`; undefined: status 500. */
+  load: Record<string, unknown> | undefined = { at: 0, models: ['carassius'], role: 'mixed' }
+  /** Answer of `GET /requests/<id>`; undefined: 404. */
+  progress: number | undefined
+  progressQueries = 0
+  script: EngineScript = plainScript
+  /** Answers other paths. */
+  other: (request: IncomingMessage, response: ServerResponse, body: string) => void = (_request, response) => {
+    response.writeHead(404).end('{}')
+  }
+
+  private readonly sockets = new Set<Socket>()
+  private readonly waiters: Array<() => void> = []
+
+  private constructor (private readonly server: Server) {
+    server.on('connection', socket => {
+      this.sockets.add(socket)
+      socket.on('close', () => { this.sockets.delete(socket) })
+    })
+  }
+
+  static async start (): Promise<FakeEngine> {
+    const server = createServer()
+    const engine = new FakeEngine(server)
+    server.on('request', (request, response) => {
+      engine.handle(request, response).catch(() => { response.destroy() })
+    })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    return engine
+  }
+
+  get address (): string {
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`
+  }
+
+  /** Resolves when the condition holds; it is looked at after each call to the engine. */
+  async until (condition: () => boolean): Promise<void> {
+    while (!condition()) await new Promise<void>(resolve => { this.waiters.push(resolve) })
+  }
+
+  async stop (): Promise<void> {
+    for (const socket of this.sockets) socket.destroy()
+    await new Promise<void>(resolve => { this.server.close(() => { resolve() }) })
+  }
+
+  private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const parts: Buffer[] = []
+    for await (const part of request) parts.push(part as Buffer)
+    const body = Buffer.concat(parts).toString()
+    this.answer(request, response, body)
+    for (const wake of this.waiters.splice(0)) wake()
+  }
+
+  private answer (request: IncomingMessage, response: ServerResponse, body: string): void {
+    const path = request.url ?? ''
+    if (path === '/load') return this.answerLoad(response)
+    const cancelled = /^\/requests\/([^/]+)\/cancel$/.exec(path)
+    if (cancelled !== null) {
+      this.cancelled.push({ requestId: cancelled[1]!, attemptId: (JSON.parse(body) as { attempt_id: unknown }).attempt_id })
+      response.end('{}')
+      return
+    }
+    if (path.startsWith('/requests/')) {
+      this.progressQueries += 1
+      response.writeHead(this.progress === undefined ? 404 : 200).end(JSON.stringify({ position: this.progress }))
+      return
+    }
+    if (!path.startsWith('/v1/')) return this.other(request, response, body)
+    const parsed = JSON.parse(body) as EngineRequestBody
+    this.requests.push(parsed)
+    this.headers.push(request.headers)
+    Promise.resolve(this.script(parsed, response, path)).catch(() => { response.destroy() })
+  }
+
+  private answerLoad (response: ServerResponse): void {
+    response.writeHead(this.load === undefined ? 500 : 200).end(JSON.stringify({ ...this.load, at: Date.now() }))
+  }
+}
--- /dev/null
+++ b/src/entry/testing/FakeService.ts
@@ -0,0 +1,60 @@
+/**
+ * A small service for the tests of the request path. It records its runs.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+
+/** One run. */
+export interface FakeRun { method: string, path: string, headers: IncomingMessage['headers'], body: string }
+
+/** A fake service. */
+export class FakeService {
+  readonly runs: FakeRun[] = []
+  /** Answers a run; default: status 200 with the number of the run. */
+  answer: (run: FakeRun, response: ServerResponse) => void | Promise<void> = (_run, response) => {
+    response.writeHead(200, { 'content-type': 'application/json', 'set-cookie': 'a=b' }).end(JSON.stringify({ run: this.runs.length }))
+  }
+
+  private readonly waiters: Array<() => void> = []
+
+  private constructor (private readonly server: Server) {}
+
+  static async start (): Promise<FakeService> {
+    const server = createServer()
+    const service = new FakeService(server)
+    server.on('request', (request, response) => {
+      service.handle(request, response).catch(() => { response.destroy() })
+    })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    return service
+  }
+
+  get address (): string {
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`
+  }
+
+  /** Resolves when the service has had this many runs. */
+  async untilRuns (count: number): Promise<void> {
+    while (this.runs.length < count) await new Promise<void>(resolve => { this.waiters.push(resolve) })
+  }
+
+  async stop (): Promise<void> {
+    this.server.closeAllConnections()
+    await new Promise<void>(resolve => { this.server.close(() => { resolve() }) })
+  }
+
+  private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const parts: Buffer[] = []
+    for await (const part of request) parts.push(part as Buffer)
+    if (request.url === '/load') {
+      response.end(JSON.stringify({ at: Date.now() }))
+      return
+    }
+    const run = {
+      method: request.method ?? '', path: request.url ?? '', headers: request.headers, body: Buffer.concat(parts).toString()
+    }
+    this.runs.push(run)
+    for (const wake of this.waiters.splice(0)) wake()
+    await this.answer(run, response)
+  }
+}
--- /dev/null
+++ b/src/entry/testing/TestHost.ts
@@ -0,0 +1,152 @@
+/**
+ * The request path of one host, put together for tests, without log, peers or platform.
+ */
+import { createHash } from 'node:crypto'
+import { Result } from 'true-myth'
+import { AdmissionManager } from '../../admission/index.js'
+import {
+  type Clock, type Failure, type HostId, type Incarnation, loadHash, ManualClock, type Zone
+} from '../../common/index.js'
+import { FixedConfiguration } from '../../configuration/index.js'
+import { defaultAttemptLimits, type GenerationContext, RequestManager, RetryBudget } from '../../forwarding/index.js'
+import { IdempotencyManager, NoIssuerClient } from '../../idempotency/index.js'
+import { EventLog, HybridClock, Timeline } from '../../observability/index.js'
+import { RoundRobinPolicy, WordTokenizer } from '../../routing/index.js'
+import { UpstreamManager } from '../../upstreams/index.js'
+import { type UsageBatch, UsageManager, UsageSink } from '../../usage/index.js'
+import { entryApplication, type EntryOptions, onceExecutor, serve } from '../index.js'
+
+/** A sink that keeps the batches. */
+export class KeptBatches extends UsageSink {
+  readonly batches: UsageBatch[] = []
+
+  async submit (batch: UsageBatch): Promise<Result<void, Failure>> {
+    this.batches.push(batch)
+    return Result.ok(undefined)
+  }
+}
+
+/** Options of a test host. */
+export interface TestHostOptions {
+  clock?: Clock
+  /** Addresses of engines of model `carassius`. */
+  engines?: string[]
+  /** Addresses of workers of the service pool `votes`. */
+  services?: string[]
+  limits?: Partial<EntryOptions['limits']>
+  generation?: Partial<GenerationContext>
+  maxConcurrent?: number
+  documents?: Record<string, unknown>
+}
+
+/** Token of team `reef`; it never expires. */
+export const reefToken = 'reef-secret'
+
+/** Token of team `reef` that expires one second after the start of a `ManualClock`. */
+export const expiringToken = 'old-secret'
+
+const routes = [
+  { method: 'GET', pathPrefix: '/', class: 'idempotent' },
+  { method: 'POST', pathPrefix: '/claims', class: 'once_logged_claim' }
+]
+
+function documentsOf (options: TestHostOptions, clock: Clock): Record<string, unknown> {
+  const worker = (prefix: string) => (address: string, index: number) =>
+    ({ id: `${prefix}-${index}`, zone: 'a', address, checksFencing: false, reportsLoad: true })
+  return {
+    '/fleet/models/carassius': { versions: ['1'], defaultVersion: '1', contextTokens: 8192 },
+    '/fleet/pools/engines': { kind: 'engines', workers: (options.engines ?? []).map(worker('engine')), models: ['carassius'] },
+    '/fleet/pools/votes': { kind: 'service', workers: (options.services ?? []).map(worker('vote')), service: { routes } },
+    '/teams/reef/account': {
+      owner: 'acuarios',
+      tokens: [
+        { sha256: sha256(reefToken) },
+        { sha256: sha256(expiringToken), expiresAt: clock.wall() + 1000 }
+      ],
+      operator: false
+    },
+    ...options.documents
+  }
+}
+
+function sha256 (text: string): string {
+  return createHash('sha256').update(text).digest('hex')
+}
+
+/** Puts a host together. */
+export async function testHost (options: TestHostOptions = {}) {
+  const clock = options.clock ?? new ManualClock()
+  const timeline = new Timeline('host-1', new HybridClock(clock))
+  const events = new EventLog({ timeline, level: 'error', write: () => {} })
+  const configuration = new FixedConfiguration(documentsOf(options, clock))
+  const hostId = 'host-1' as HostId
+  const incarnation = '0123456789abcdef' as Incarnation
+  const upstreams = new UpstreamManager({
+    hostId, zone: 'a' as Zone, configuration, clock, events, hash: await loadHash(), loadPollMilliseconds: 500, subsetSize: 32
+  })
+  const requests = new RequestManager({
+    upstreams,
+    policy: new RoundRobinPolicy(),
+    servicePolicy: new RoundRobinPolicy(),
+    clock,
+    events,
+    budget: new RetryBudget(0.1, 100),
+    limits: defaultAttemptLimits,
+    maxBufferedBytes: 262_144,
+    maxOnceAnswerBytes: 1_048_576,
+    ...options.generation
+  })
+  const batches = new KeptBatches()
+  const usage = new UsageManager({ hostId, incarnation, sink: batches, clock, events })
+  const idempotency = new IdempotencyManager({
+    hostId,
+    incarnation,
+    clock,
+    events,
+    issuers: new NoIssuerClient(),
+    execute: onceExecutor({ configuration, clock, requests, usage })
+  })
+  const admission = new AdmissionManager({ configuration, clock, maxConcurrent: options.maxConcurrent ?? 100, maxQueued: 100 })
+  const limits = {
+    maxBodyBytes: 10_000,
+    maxHeaderBytes: 4096,
+    defaultTimeoutMilliseconds: 30_000,
+    maxTimeoutMilliseconds: 600_000,
+    ...options.limits
+  }
+  const state = { ready: true, draining: false }
+  const application = entryApplication({
+    configuration,
+    clock,
+    events,
+    tokenizer: new WordTokenizer(),
+    admission,
+    requests,
+    idempotency,
+    usage,
+    limits,
+    ready: () => state.ready,
+    draining: () => state.draining
+  })
+  return {
+    application, configuration, clock, timeline, upstreams, requests, usage, idempotency, admission, batches, state, limits
+  }
+}
+
+/** A test host. */
+export type TestHost = Awaited<ReturnType<typeof testHost>>
+
+/** Lets a test host listen. */
+export async function listening (host: TestHost) {
+  const server = await serve({
+    application: host.application, addresses: ['127.0.0.1:0'], maxHeaderBytes: host.limits.maxHeaderBytes
+  })
+  return { origin: `http://${server.addresses[0]}`, close: server.close }
+}
+
+/** All records that the host has handed over. */
+export async function recordsOf (host: TestHost) {
+  await host.requests.drain()
+  await host.usage.flush(new AbortController().signal)
+  return host.batches.batches.flatMap(batch => batch.records)
+}
