Test the contract of engine, service and weight store; mend draining

Three faults were found on the way. A load report with a lag showed no models until the lag had passed, since its history began empty; it now begins with the first figures. Draining never ended when a connection became idle after the server was closed, as Node closes only those idle at that moment. A stopped stand-in kept a timer when an outage with refused connections was set.

--- a/src/standins/ServiceStandIn.ts
+++ b/src/standins/ServiceStandIn.ts
@@ -51,13 +51,15 @@
 export class ServiceStandIn extends UpstreamStandIn<ServiceLoad> {
   private readonly runs: ServiceRun[] = []
   private readonly queue: Array<() => void> = []
-  private runCount = 0
+  /** Runs so far. */
+  runCount = 0
   private running = 0
 
   private constructor (private readonly settings: z.infer<typeof serviceStandInSettingsSchema>, options: StandInOptions) {
-    super(options, { running: 0, queued: 0, maxConcurrent: settings.maxConcurrent, leaving: false }, settings.loadLagMilliseconds)
+    super(options, settings.loadLagMilliseconds)
     this.app.get('/runs', c => c.json({ runs: this.runs }))
     this.app.all('*', c => this.call(c))
+    this.noteLoad()
   }
 
   /** Starts a service. */
--- a/src/standins/StandIn.ts
+++ b/src/standins/StandIn.ts
@@ -3,6 +3,7 @@
  * (`POST /faults` with one fault or a list, `GET /faults`, `DELETE /faults`), and the ways to end: `drain`
  * waits for open calls, `stop` closes everything at once.
  */
+import type { Server } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import { createAdaptorServer, type HttpBindings } from '@hono/node-server'
 import { type Context, Hono } from 'hono'
@@ -33,11 +34,15 @@
   protected readonly app = new Hono<{ Bindings: HttpBindings }>()
   protected readonly clock: Clock
   protected readonly faults: FaultTable
-  private readonly server = createAdaptorServer({ fetch: (request, env) => this.answer(request, env as HttpBindings) })
+  private readonly server = createAdaptorServer({
+    fetch: (request, env) => this.answer(request, env as HttpBindings)
+  }) as Server
+
   private readonly connections = new Map<Socket, Connection>()
   private readonly waits = new Set<AbortController>()
   private address: AddressInfo | undefined
-  private isEnding = false
+  /** Aborted when the stand-in stops or drains. */
+  private readonly ending = new AbortController()
 
   protected constructor (private readonly options: StandInOptions) {
     this.clock = options.clock ?? new SystemClock()
@@ -79,7 +84,7 @@
 
   /** Closes everything at once. */
   async stop (): Promise<void> {
-    this.isEnding = true
+    this.ending.abort()
     const closed = this.closeServer()
     for (const wait of this.waits) wait.abort()
     for (const socket of this.connections.keys()) socket.destroy()
@@ -89,7 +94,7 @@
 
   /** Accepts no more connections, ends long polls, and waits until the open calls are answered. */
   async drain (): Promise<void> {
-    this.isEnding = true
+    this.ending.abort()
     const closed = this.closeServer()
     for (const wait of this.waits) wait.abort()
     for (const { socket, isMuted } of this.connections.values()) {
@@ -110,7 +115,7 @@
       socket.once('close', () => this.connections.delete(socket))
     })
     // A server that closes idle connections itself would end those that a fault holds open.
-    if ('keepAliveTimeout' in this.server) this.server.keepAliveTimeout = 0
+    this.server.keepAliveTimeout = 0
     await this.openServer(Number(port === '' ? 80 : port), hostname.replace(/^\[|\]$/g, ''))
     return this
   }
@@ -120,7 +125,7 @@
     const controller = new AbortController()
     if (kind === 'wait') {
       this.waits.add(controller)
-      if (this.isEnding) controller.abort()
+      if (this.ending.signal.aborted) controller.abort()
     }
     c.env.outgoing.once('close', () => {
       this.waits.delete(controller)
@@ -149,9 +154,10 @@
       this.crash()
       return
     }
+    if (fault.kind === 'silent') this.muteConnections(fault)
+    if (fault.kind === 'silent' && fault.connections === 'existing') return
     this.faults.add(fault)
     if (fault.kind === 'outage') this.startOutage(fault)
-    if (fault.kind === 'silent') this.muteConnections(fault)
   }
 
   private startOutage (fault: Extract<Fault, { kind: 'outage' }>): void {
@@ -161,8 +167,8 @@
     if (fault.mode !== 'refused' || this.address === undefined) return
     const { port, address } = this.address
     this.closeServer().catch(() => {})
-    this.clock.sleep(fault.durationMilliseconds ?? 0)
-      .then(() => this.isEnding ? undefined : this.openServer(port, address))
+    this.clock.sleep(fault.durationMilliseconds ?? 0, this.ending.signal)
+      .then(() => this.ending.signal.aborted ? undefined : this.openServer(port, address))
       .catch(error => { process.stderr.write(`level=error event=listen_failed reason=${JSON.stringify(String(error))}\n`) })
   }
 
@@ -183,9 +189,10 @@
     const { socket } = env.incoming
     const connection = this.connections.get(socket)
     if (connection !== undefined) connection.path = call.path
-    if (this.isEnding) {
-      env.outgoing.shouldKeepAlive = false
-    }
+    env.outgoing.once('close', () => {
+      // The server waits for connections that become idle after it was closed.
+      if (this.ending.signal.aborted) setImmediate(() => this.server.closeIdleConnections())
+    })
     if (call.path === faultsPath) return await this.app.fetch(request, env)
     const refused = await this.applyFaults('before', call, socket)
     if (refused !== undefined) return refused
@@ -194,7 +201,6 @@
     const reset = this.faults.take('reset_after_bytes', call)
     if (reset !== undefined) connection?.cutAfter(reset.bytes, 'reset')
     const response = await this.app.fetch(request, env)
-    if (this.isEnding) env.outgoing.shouldKeepAlive = false
     return await this.applyFaults('after', call, socket) ?? response
   }
 
--- a/src/standins/UpstreamStandIn.ts
+++ b/src/standins/UpstreamStandIn.ts
@@ -13,11 +13,10 @@
 export abstract class UpstreamStandIn<Load extends object> extends StandIn {
   readonly incarnation: Incarnation = newIncarnation()
   protected isLeaving = false
-  private readonly reports: LaggedValue<Load>
+  private reports: LaggedValue<Load> | undefined
 
-  protected constructor (options: StandInOptions, initialLoad: Load, private readonly loadLagMilliseconds: number) {
+  protected constructor (options: StandInOptions, private readonly loadLagMilliseconds: number) {
     super(options)
-    this.reports = new LaggedValue<Load>(this.clock, initialLoad)
     this.app.get('/load', c => c.json(this.loadReport()))
     this.app.post('/leaving', async c => {
       const body = await readJson(c, leavingSchema, {})
@@ -33,11 +32,17 @@
 
   /** To be called after each change of the figures. */
   protected noteLoad (): void {
-    this.reports.set(this.loadFigures())
+    this.reportedLoad().set(this.loadFigures())
+  }
+
+  /** Created late, since the first figures need the members of the subclass. */
+  private reportedLoad (): LaggedValue<Load> {
+    this.reports ??= new LaggedValue<Load>(this.clock, this.loadFigures())
+    return this.reports
   }
 
   private loadReport (): Load & { at: number, incarnation: Incarnation } {
     const lag = this.faults.lagMilliseconds({ method: 'GET', path: '/load' }, this.loadLagMilliseconds)
-    return { at: this.clock.wall() - lag, incarnation: this.incarnation, ...this.reports.at(lag) }
+    return { at: this.clock.wall() - lag, incarnation: this.incarnation, ...this.reportedLoad().at(lag) }
   }
 }
--- a/src/standins/engine/EngineStandIn.ts
+++ b/src/standins/engine/EngineStandIn.ts
@@ -69,15 +69,7 @@
   private readonly link: Pace
 
   private constructor (private readonly settings: EngineSettings, options: StandInOptions) {
-    super(options, {
-      role: settings.role,
-      models: [],
-      runningDecodes: 0,
-      queuedPrefillTokens: 0,
-      kvUsedTokens: 0,
-      kvCapacityTokens: settings.kvCapacityTokens,
-      leaving: false
-    }, settings.loadLagMilliseconds * settings.timeScale)
+    super(options, settings.loadLagMilliseconds * settings.timeScale)
     const { clock, incarnation } = this
     const onChange = () => this.noteLoad()
     this.feed = new CacheEventFeed({
--- /dev/null
+++ b/src/standins/upstreamStandIns.test.ts
@@ -0,0 +1,133 @@
+/**
+ * Guards against a service stand-in that hides or invents runs, which would make at-most-once tests worthless,
+ * and against a weight store without its limits.
+ */
+import { afterEach, describe, expect, test } from '@jest/globals'
+import { ManualClock, SystemClock } from '../common/index.js'
+import { EngineStandIn } from './engine/index.js'
+import type { FaultInput } from './Fault.js'
+import { ServiceStandIn, type ServiceStandInSettings } from './ServiceStandIn.js'
+import { WeightStoreStandIn } from './WeightStoreStandIn.js'
+
+const cleanups: Array<() => Promise<void>> = []
+afterEach(async () => {
+  for (const cleanup of cleanups.splice(0).reverse()) await cleanup()
+})
+
+describe('ServiceStandIn', () => {
+  async function start (settings: ServiceStandInSettings = {}, clock?: ManualClock) {
+    const service = await ServiceStandIn.start({ processingMilliseconds: 0, ...settings }, clock === undefined ? {} : { clock })
+    cleanups.push(() => service.stop())
+    const call = async (path: string, init: RequestInit = {}) => {
+      return await fetch(`${service.origin}${path}`, init).then(response => response.status, () => 'closed')
+    }
+    const runs = async () => {
+      const answer = await (await fetch(`${service.origin}/runs`)).json() as { runs: Array<Record<string, unknown>> }
+      return answer.runs
+    }
+    return { service, call, runs }
+  }
+
+  test('records each run, repeated ones too', async () => {
+    const { call, runs } = await start()
+    const vote = { method: 'POST', headers: { 'idempotency-key': 'k1', 'x-request-id': 'r1' }, body: 'yes' }
+    expect([await call('/votes?topic=7', vote), await call('/votes?topic=7', vote), await call('/stock')]).toEqual([200, 200, 200])
+    expect(await runs()).toMatchObject([
+      { run: 1, method: 'POST', path: '/votes?topic=7', idempotencyKey: 'k1', requestId: 'r1' },
+      { run: 2, method: 'POST', path: '/votes?topic=7', idempotencyKey: 'k1', requestId: 'r1' },
+      { run: 3, method: 'GET', path: '/stock', idempotencyKey: null, requestId: null }
+    ])
+  })
+
+  test.each<[FaultInput, number | 'closed', number]>([
+    [{ kind: 'refuse' }, 503, 0],
+    [{ kind: 'refuse', when: 'after', status: 500 }, 500, 1],
+    [{ kind: 'lose_answer' }, 'closed', 1],
+    [{ kind: 'outage', mode: 'disconnect', path: '/votes' }, 'closed', 0],
+    [{ kind: 'refuse', path: '/trades' }, 200, 1],
+    [{ kind: 'refuse', method: 'GET' }, 200, 1]
+  ])('%o', async (fault, seen, expectedRuns) => {
+    const { service, call, runs } = await start()
+    service.addFault(fault)
+    expect(await call('/votes', { method: 'POST' })).toBe(seen)
+    service.clearFaults()
+    expect(await runs()).toHaveLength(expectedRuns)
+  })
+
+  test.each([['before', 0], ['after', 1]] as const)('dies %s the run', async (when, expectedRuns) => {
+    let runsAtCrash: number | undefined
+    const onCrash = () => { runsAtCrash = service.runCount }
+    const service = await ServiceStandIn.start({ processingMilliseconds: 0 }, { onCrash })
+    cleanups.push(() => service.stop())
+    service.addFault({ kind: 'crash', when })
+    await expect(fetch(`${service.origin}/votes`, { method: 'POST' })).rejects.toThrow('fetch failed')
+    expect(runsAtCrash).toBe(expectedRuns)
+    await expect(fetch(service.origin)).rejects.toThrow('fetch failed')
+  })
+
+  test('queues and refuses calls over its limits and reports the load', async () => {
+    const clock = new ManualClock()
+    const { service, call, runs } = await start({ processingMilliseconds: 100, maxConcurrent: 1, maxQueued: 1 }, clock)
+    const load = async () => await (await fetch(`${service.origin}/load`)).json() as Record<string, unknown>
+    const calls = [call('/a'), call('/b'), call('/c')]
+    // The calls arrive in any order; one of the three is refused.
+    expect(await Promise.race(calls)).toBe(429)
+    expect(await load()).toMatchObject({ running: 1, queued: 1, maxConcurrent: 1, leaving: false })
+    await clock.advance(100)
+    await clock.advance(100)
+    expect((await Promise.all(calls)).sort()).toEqual([200, 200, 429])
+    expect(await runs()).toHaveLength(2)
+    await fetch(`${service.origin}/leaving`, { method: 'POST' })
+    expect(await load()).toMatchObject({ running: 0, queued: 0, leaving: true })
+  })
+})
+
+/** Records the waits and ends them at once, but for those of callers that wait for an event. */
+class InstantClock extends SystemClock {
+  readonly sleeps: number[] = []
+
+  override async sleep (milliseconds: number, signal?: AbortSignal): Promise<void> {
+    this.sleeps.push(milliseconds)
+    if (signal !== undefined) await super.sleep(milliseconds, signal)
+  }
+}
+
+describe('WeightStoreStandIn', () => {
+  const weights = [{ model: 'carassius', version: '2', bytes: 300_000 }]
+
+  test('sends the bytes at the shared rate and limits downloads', async () => {
+    const clock = new ManualClock()
+    const settings = { bytesPerSecond: 65_536, maxConcurrent: 1, retryAfterSeconds: 3, weights }
+    const store = await WeightStoreStandIn.start(settings, { clock })
+    cleanups.push(() => store.stop())
+    const response = await fetch(`${store.origin}/weights/carassius/2`)
+    const reading = response.arrayBuffer().then(({ byteLength }) => `${byteLength} bytes`)
+    const second = await fetch(`${store.origin}/weights/carassius/2`)
+    expect([second.status, second.headers.get('retry-after')]).toEqual([429, '3'])
+    let seconds = 0
+    while (await Promise.race([reading, clock.advance(1000)]) === undefined) seconds += 1
+    // The first 64 KiB come at once, the rest at the rate.
+    expect(seconds).toBeGreaterThanOrEqual(Math.floor((300_000 - 65_536) / 65_536))
+    expect(await reading).toBe('300000 bytes')
+    expect((await fetch(`${store.origin}/weights/carassius/3`)).status).toBe(404)
+  })
+
+  test('an engine downloads from it, waiting when told to', async () => {
+    const clock = new InstantClock()
+    const store = await WeightStoreStandIn.start({ weights })
+    const engine = await EngineStandIn.start({ weightStore: store.origin }, { clock })
+    cleanups.push(() => store.stop(), () => engine.stop())
+    store.addFault({ kind: 'refuse', status: 429, count: 1 })
+    const answers = []
+    for (const [orderId, version] of [['o1', '2'], ['o2', '3']]) {
+      const order = { kind: 'load_model', model: 'carassius', version }
+      const body = JSON.stringify({ orderId, fencingNumber: 1, order })
+      answers.push(await (await fetch(`${engine.origin}/orders?wait-ms=30000`, { method: 'POST', body })).json())
+    }
+    expect(answers).toEqual([
+      { orderId: 'o1', state: 'done' },
+      { orderId: 'o2', state: 'failed', detail: 'the weight store answered with status 404' }
+    ])
+    expect(clock.sleeps).toContain(1000)
+  })
+})
