Add the configuration fold, its manager and team authentication

Cause: hosts need one accepted configuration, decided alike everywhere from the order of the log, and operators need to learn what became of a change. Ruled out: validating the whole tree for each change (an index by reference names the few documents a change can break); keeping 100 full values of each path without a total (100 changes of 5,600 roles and of large pools exceed the 32 MB of a host; the total is 8 MiB of text, oldest first); refusing references to unknown documents locally (this host may be behind the log). Change: ConfigurationFold, ConfigurationTree, validateTree, ChangeHistory, ConfigurationManager, TeamAuthenticator, rights. Moving a token between accounts in one change passed without its mechanism; the test's edits are now in the order that needs it.

--- /dev/null
+++ b/src/configuration/ConfigurationManager.test.ts
@@ -0,0 +1,175 @@
+/**
+ * Guards against refused changes that cost an append, changes without a known outcome after an outage or a
+ * lost answer, tokens that outlive their expiry or tell why they failed, and rights wider than the table.
+ */
+import { describe, expect, test } from '@jest/globals'
+import { ManualClock, type Team, type Owner } from '../common/index.js'
+import { EventLog, HybridClock, Timeline } from '../observability/index.js'
+import { ConfigurationFold } from './ConfigurationFold.js'
+import { ConfigurationManager } from './ConfigurationManager.js'
+import { type AuthenticatedTeam, FixedConfiguration } from './ConfigurationReader.js'
+import { DirectRecordWriter } from './DirectRecordWriter.js'
+import { exampleConfiguration, exampleEdits, forumToken, oldTokenExpiry, operatorToken } from './exampleConfiguration.js'
+import { mayChange, mayRead, visibleValue } from './rights.js'
+import { TeamAuthenticator } from './TeamAuthenticator.js'
+
+const operator: AuthenticatedTeam = { team: 'harbour' as Team, owner: 'acuarios' as Owner, operator: true }
+const forum: AuthenticatedTeam = { team: 'forum' as Team, owner: 'acuarios' as Owner, operator: false }
+
+function quietLog (clock: ManualClock): EventLog {
+  return new EventLog({ timeline: new Timeline('test', new HybridClock(clock)), level: 'error', write: () => {} })
+}
+
+async function exampleManager () {
+  const clock = new ManualClock()
+  const fold = new ConfigurationFold()
+  const writer = new DirectRecordWriter([fold], clock)
+  const manager = new ConfigurationManager({ fold, writer, clock, log: quietLog(clock) })
+  const seeded = await writer.submit('configuration', {
+    kind: 'change', changeId: 'seed', author: 'harbour', at: 0, basedOn: 0, edits: exampleEdits
+  })
+  expect(seeded.isOk && seeded.value.outcome).toEqual({ accepted: true })
+  return { manager, writer, fold, clock }
+}
+
+const role = '/fleet/roles/engine-1'
+
+describe('ConfigurationManager', () => {
+  test.each<[string, AuthenticatedTeam, Parameters<ConfigurationManager['change']>[1], string]>([
+    ['a stale version', operator, [{ path: role, expectedVersion: 0, value: null }], 'conflict'],
+    ['a malformed document', operator, [{ path: role, expectedVersion: 1, value: { role: 'x' } }], 'invalid_configuration'],
+    ['shares over 100', operator, [{ path: '/fleet/shares', expectedVersion: 1, value: { forum: 101 } }], 'invalid_configuration'],
+    ['a malformed path', operator, [{ path: 'x', expectedVersion: 1, value: 1 }], 'bad_request'],
+    ['no edits', operator, [], 'bad_request'],
+    ['a path of the fleet by a team', forum, [{ path: role, expectedVersion: 1, value: null }], 'forbidden'],
+    ['a setting of another team', operator, [{ path: '/teams/forum/settings/x', expectedVersion: 0, value: 1 }], 'forbidden']
+  ])('refuses %s without an append', async (_name, author, edits, kind) => {
+    const { manager, writer } = await exampleManager()
+    const changed = await manager.change(author, edits, 'c')
+    expect(changed.isErr && changed.error).toMatchObject({ kind, detail: { changeId: 'c' } })
+    expect(writer.records).toHaveLength(1)
+  })
+
+  test('leaves a version that this host has not read to the log', async () => {
+    const { manager, writer } = await exampleManager()
+    const changed = await manager.change(operator, [{ path: role, expectedVersion: 7, value: null }])
+    expect(changed.isErr && changed.error.kind).toBe('conflict')
+    expect(writer.records).toHaveLength(2)
+  })
+
+  test('a reference to an unknown document is decided by the log', async () => {
+    const { manager, writer } = await exampleManager()
+    const edits = [{ path: '/fleet/roles/engine-9', expectedVersion: 0, value: { role: 'mixed' } }]
+    const changed = await manager.change(operator, edits)
+    expect(changed.isErr && changed.error).toMatchObject({ kind: 'invalid_configuration', detail: { problems: [{ path: '/fleet/roles/engine-9' }] } })
+    expect(writer.records).toHaveLength(2)
+  })
+
+  test('the loser of a race gets the winning author, version and value', async () => {
+    const { manager, writer } = await exampleManager()
+    writer.mode = 'lost_answer'
+    await manager.change(operator, [{ path: role, expectedVersion: 1, value: { role: 'decode' } }], 'winner')
+    writer.mode = 'normal'
+    const changed = await manager.change(operator, [{ path: role, expectedVersion: 1, value: { role: 'mixed' } }], 'loser')
+    expect(changed.isErr && changed.error).toMatchObject({
+      kind: 'conflict',
+      detail: { changeId: 'loser', conflicts: [{ path: role, version: 2, author: 'harbour', value: { role: 'decode' } }] }
+    })
+    expect(manager.outcomeOf('harbour', 'winner')).toMatchObject({ kind: 'accepted', offset: 2 })
+  })
+
+  test('an outage refuses a change; a lost answer leaves it unresolved until the record is read', async () => {
+    const { manager, writer } = await exampleManager()
+    const edits = [{ path: role, expectedVersion: 1, value: { role: 'decode' } }]
+    writer.mode = 'outage'
+    const refused = await manager.change(operator, edits, 'c1')
+    expect(refused.isErr && refused.error).toMatchObject({ kind: 'platform_unavailable', detail: { changeId: 'c1' } })
+    expect(manager.outcomeOf('harbour', 'c1')).toBeUndefined()
+    writer.mode = 'lost_answer'
+    const lost = await manager.change(operator, edits, 'c1')
+    expect(lost.isErr && lost.error).toMatchObject({ kind: 'outcome_unknown', detail: { changeId: 'c1' } })
+    expect(manager.outcomeOf('harbour', 'c1')).toEqual({ kind: 'unresolved', changeId: 'c1', author: 'harbour' })
+    writer.deliver()
+    expect(manager.outcomeOf('harbour', 'c1')).toMatchObject({ kind: 'accepted', offset: 2 })
+    const repeated = await manager.change(operator, edits, 'c1')
+    expect(repeated.isOk && repeated.value).toEqual({ changeId: 'c1', version: 2 })
+    expect(writer.records).toHaveLength(2)
+  })
+
+  test('a change sent again while its first record is unread takes effect once', async () => {
+    const { manager, writer } = await exampleManager()
+    const edits = [{ path: role, expectedVersion: 1, value: { role: 'decode' } }]
+    writer.mode = 'lost_answer'
+    await manager.change(operator, edits, 'c1')
+    writer.mode = 'normal'
+    const repeated = await manager.change(operator, edits, 'c1')
+    expect(repeated.isOk && repeated.value).toEqual({ changeId: 'c1', version: 2 })
+    expect(manager.historyOf(role).map(entry => entry.version)).toEqual([1, 2])
+  })
+
+  test('a listener that throws keeps no other from hearing a change', async () => {
+    const { manager } = await exampleManager()
+    const heard: string[][] = []
+    manager.onChange(() => { throw new Error('faulty') })
+    const stop = manager.onChange(paths => heard.push(paths))
+    await manager.change(operator, [{ path: role, expectedVersion: 1, value: null }])
+    stop()
+    await manager.change(operator, [{ path: role, expectedVersion: 2, value: { role: 'mixed' } }])
+    expect(heard).toEqual([[role]])
+  })
+})
+
+describe('TeamAuthenticator', () => {
+  test('gives one answer for every bad credential', async () => {
+    const clock = new ManualClock(oldTokenExpiry - 1)
+    const authenticator = new TeamAuthenticator(new FixedConfiguration(exampleConfiguration), clock)
+    expect(authenticator.authenticate('Bearer old-token').map(team => team.team).unwrapOr('none' as Team)).toBe('forum')
+    await clock.advance(1)
+    const bad = [
+      undefined, '', 'Bearer', 'Bearer  ', `Basic ${forumToken}`, 'Bearer unknown', 'Bearer old-token', `Bearer ${forumToken} x`
+    ]
+    const answers = bad.map(header => authenticator.authenticate(header)
+      .map(String)
+      .unwrapOrElse(failed => JSON.stringify(failed)))
+    expect(new Set(answers).size).toBe(1)
+    expect(answers[0]).toContain('unauthenticated')
+  })
+
+  test('follows accounts that change', async () => {
+    const { manager, clock } = await exampleManager()
+    const authenticator = new TeamAuthenticator(manager, clock)
+    const teamOf = (token: string): string => authenticator.authenticate(`Bearer ${token}`)
+      .map(by => String(by.team))
+      .unwrapOr('none')
+    expect([operatorToken, forumToken].map(teamOf)).toEqual(['harbour', 'forum'])
+    const account = exampleConfiguration['/teams/forum/account'] as { tokens: unknown[] }
+    await manager.change(operator, [
+      { path: '/teams/acopio/account', expectedVersion: 0, value: account },
+      { path: '/teams/forum/account', expectedVersion: 1, value: { ...account, tokens: [] } }
+    ])
+    expect(teamOf(forumToken)).toBe('acopio')
+  })
+})
+
+describe('rights', () => {
+  test.each<[string, boolean, boolean, boolean, boolean]>([
+    // path, operator changes, operator reads, team forum changes, team forum reads
+    ['/fleet/shares', true, true, false, true],
+    ['/fleet/pools/modelos-foro', true, true, false, true],
+    ['/teams/forum/account', true, true, false, true],
+    ['/teams/harbour/account', true, true, false, false],
+    ['/teams/forum/settings/limits', false, true, true, true],
+    ['/teams/forum/settings/a/b', false, true, true, true],
+    ['/teams/other/settings/limits', false, true, false, false],
+    ['/teams/forum2/settings/limits', false, true, false, false]
+  ])('%s', (path, operatorChanges, operatorReads, teamChanges, teamReads) => {
+    expect([mayChange(operator, path), mayRead(operator, path), mayChange(forum, path), mayRead(forum, path)])
+      .toEqual([operatorChanges, operatorReads, teamChanges, teamReads])
+  })
+
+  test('a team sees no token hash, not even its own', () => {
+    const account = exampleConfiguration['/teams/forum/account']
+    expect(JSON.stringify(visibleValue(forum, '/teams/forum/account', account))).not.toMatch(/[0-9a-f]{64}|sha256/)
+    expect(visibleValue(operator, '/teams/forum/account', account)).toEqual(account)
+  })
+})
