Add the membership view, the relay tree and the choice of sources

Ruled out: keeping a follower at any source that sends heartbeats; in an outage of the log two first hosts could then follow each other for good while a third zone has newer state. Judging hosts that are not watched by silence. Fighting over an entry of the list that shows another start.

Change: PeerTable combines the list and direct evidence without input or output. A start seen to be replaced never comes back from a lagging list; a host that the list lacks is kept for one read while it answers. MembershipManager reads the list by version, sends heartbeats to parent, grandparent and up to three siblings, expects them from children that have called, and keeps this host's own entry with retries. RelayTree is a pure function of the hosts.

--- /dev/null
+++ b/src/membership/index.ts
@@ -0,0 +1,5 @@
+export * from './hostHash.js'
+export * from './RelayTree.js'
+export * from './MembershipView.js'
+export * from './MembershipManager.js'
+export * from './RelayDirectory.js'
