--- a/src/membership/MembershipManager.test.ts
+++ b/src/membership/MembershipManager.test.ts
@@ -103,6 +103,7 @@
   await callFrom(stranger)
   await clock.advance(4000)
   expect([child, other, stranger].map(host => manager.stateOf(host))).toEqual(['silent', 'live', 'live'])
+  expect(changes.filter(({ to }) => to === 'silent').map(({ hostId }) => hostId)).toEqual([child.hostId])
   await callFrom(child)
   expect(manager.stateOf(child)).toBe('live')
 })
