Serve requests through entry hosts and add the demonstration

Cause: the parts stood alone; no request went from a caller to an upstream. Ruled out: making a host wait with readiness until it knows all others (it cannot know how many there are); instead a host that does not know the issuer of a key reads the host list at once. Change: src/host with the control and the request part and the graceful shutdown, `dogwooddale host`, the usage appender of a zone, the client for issuers of keys, src/testing/Deployment, `npm run demo`. Conclusion: the thin path stands; policies, leases, orders and the administration API are still to be connected.

--- a/src/commands/runCommandLine.ts
+++ b/src/commands/runCommandLine.ts
@@ -4,6 +4,7 @@
  */
 import yargs, { type CommandModule } from 'yargs'
 import { checkCommand } from './checkCommand.js'
+import { hostCommand } from './hostCommand.js'
 import { replayCommand } from './replayCommand.js'
 import { standInCommand } from './standInCommand.js'
 
@@ -12,6 +13,7 @@
 
 const commands: CommandModule[] = [
   checkCommand,
+  hostCommand,
   replayCommand,
   standInCommand
 ]
--- /dev/null
+++ b/src/host/HostContext.ts
@@ -0,0 +1,45 @@
+/**
+ * What all parts of an entry host share: identity, time, events, metrics and the clients of the platform.
+ */
+import { Result } from 'true-myth'
+import { type Clock, type Failure, failureOf, type Incarnation, newIncarnation, SystemClock } from '../common/index.js'
+import { EventLog, HybridClock, Metrics, Timeline } from '../observability/index.js'
+import { HttpHostListClient, HttpLogClient } from '../platform/index.js'
+import type { HostSettings } from '../settings/index.js'
+
+/** Shared parts of a host. */
+export interface HostContext {
+  settings: HostSettings
+  incarnation: Incarnation
+  clock: Clock
+  hybridClock: HybridClock
+  events: EventLog
+  metrics: Metrics
+  log: HttpLogClient
+  hostList: HttpHostListClient
+}
+
+/** Makes the shared parts. */
+export function createContext (settings: HostSettings): HostContext {
+  const clock = new SystemClock()
+  const hybridClock = new HybridClock(clock)
+  return {
+    settings,
+    incarnation: newIncarnation(),
+    clock,
+    hybridClock,
+    events: new EventLog({ timeline: new Timeline(settings.host.id, hybridClock), level: settings.log.level }),
+    metrics: new Metrics(),
+    log: new HttpLogClient(settings.platform.log),
+    hostList: new HttpHostListClient(settings.platform.hostList)
+  }
+}
+
+/** Runs a step of the start; what it throws becomes a failure. */
+export async function attempt<Value> (step: () => Promise<Value>): Promise<Result<Value, Failure>> {
+  try {
+    return Result.ok(await step())
+  } catch (caught) {
+    return Result.err(failureOf(caught))
+  }
+}
--- /dev/null
+++ b/src/host/RequestPart.ts
@@ -0,0 +1,194 @@
+/**
+ * The request part of a host: from the caller's HTTP to the upstreams, with admission, routing, at-most-once
+ * execution and the counting of use.
+ */
+import { Result } from 'true-myth'
+import { match } from 'ts-pattern'
+import { AdmissionManager } from '../admission/index.js'
+import { loadHash } from '../common/index.js'
+import { entryApplication, type EntryOptions, onceExecutor } from '../entry/index.js'
+import { defaultAttemptLimits, RequestManager, RetryBudget } from '../forwarding/index.js'
+import { IdempotencyManager, onceAnswerMessageOf, PeerIssuerClient } from '../idempotency/index.js'
+import type { PeerHandlers } from '../peers/index.js'
+import { RoundRobinPolicy, type RoutingPolicy, WordTokenizer } from '../routing/index.js'
+import type { HostSettings } from '../settings/index.js'
+import { UpstreamManager } from '../upstreams/index.js'
+import {
+  type UsageBatch, UsageAppender, usageBatchSchema, UsageManager, ZoneAppenderClient, ZoneUsageSink
+} from '../usage/index.js'
+import { failure, type Failure, type Pool, type Team } from '../common/index.js'
+import type { ControlPart } from './ControlPart.js'
+import type { HostContext } from './HostContext.js'
+
+/** Most retries that may follow each other at once after a quiet time. */
+const retryBurst = 10
+
+/** Largest answer of an at-most-once call that is kept for repeated calls. */
+const maxOnceAnswerBytes = 1_048_576
+
+function policyOf (name: HostSettings['routing']['policy']): RoutingPolicy {
+  return match(name)
+    .with('round_robin', () => new RoundRobinPolicy())
+    .with('least_outstanding', () => new RoundRobinPolicy())
+    .with('power_of_two', () => new RoundRobinPolicy())
+    .with('prefix_affinity', () => new RoundRobinPolicy())
+    .with('estimated_first_token', () => new RoundRobinPolicy())
+    .exhaustive()
+}
+
+/** Sends batches to the host that appends for the zone. */
+class PeerZoneAppenderClient extends ZoneAppenderClient {
+  constructor (private readonly control: ControlPart) {
+    super()
+  }
+
+  submit (batch: UsageBatch): Promise<Result<void, Failure>> | undefined {
+    const target = this.control.zoneAppender()
+    if (target === undefined) return undefined
+    return this.control.pool
+      .submitUse(target, { sequence: batch.sequence, records: JSON.stringify(batch.records) })
+      .then(answered => answered.andThen(({ stored }) => stored
+        ? Result.ok<void, Failure>(undefined)
+        : Result.err<void, Failure>(failure('platform_unavailable', 'the batch was not stored'))))
+  }
+}
+
+/** State of the host as the request part needs it. */
+export interface RequestPartOptions {
+  context: HostContext
+  control: ControlPart
+  ready: () => boolean
+  draining: () => boolean
+}
+
+/** The request part. */
+export class RequestPart {
+  private constructor (
+    readonly upstreams: UpstreamManager,
+    readonly admission: AdmissionManager,
+    readonly requests: RequestManager,
+    readonly idempotency: IdempotencyManager,
+    readonly usage: UsageManager,
+    readonly appender: UsageAppender,
+    readonly application: ReturnType<typeof entryApplication>
+  ) {}
+
+  /** Builds the request part; `start` makes it work. */
+  static async create (options: RequestPartOptions): Promise<RequestPart> {
+    const { context, control } = options
+    const { settings, clock, events } = context
+    const hash = await loadHash()
+    const upstreams = new UpstreamManager({
+      hostId: settings.host.id,
+      zone: settings.host.zone,
+      configuration: control.configuration,
+      clock,
+      events,
+      hash,
+      loadPollMilliseconds: settings.upstreams.loadPollMilliseconds,
+      subsetSize: settings.upstreams.subsetSize
+    })
+    const admission = new AdmissionManager({
+      configuration: control.configuration,
+      clock,
+      maxConcurrent: settings.limits.maxConcurrent,
+      maxQueued: settings.limits.maxQueued
+    })
+    const requests = new RequestManager({
+      upstreams,
+      policy: policyOf(settings.routing.policy),
+      servicePolicy: new RoundRobinPolicy(),
+      clock,
+      events,
+      budget: new RetryBudget(settings.limits.retryBudget, retryBurst),
+      limits: { ...defaultAttemptLimits, progressCheckMilliseconds: settings.upstreams.progressCheckMilliseconds },
+      maxBufferedBytes: settings.limits.maxBufferedBytes,
+      maxOnceAnswerBytes
+    })
+    const appender = new UsageAppender({ log: context.log, clock, events })
+    const usage = new UsageManager({
+      ...control.identity,
+      sink: new ZoneUsageSink(new PeerZoneAppenderClient(control), appender),
+      clock,
+      events
+    })
+    const idempotency = new IdempotencyManager({
+      ...control.identity,
+      clock,
+      events,
+      issuers: new PeerIssuerClient(control.pool, (hostId, incarnation) => control.findTarget(hostId, incarnation)),
+      execute: onceExecutor({ configuration: control.configuration, clock, requests, usage })
+    })
+    const entry: EntryOptions = {
+      configuration: control.configuration,
+      clock,
+      events,
+      tokenizer: new WordTokenizer(),
+      admission,
+      requests,
+      idempotency,
+      usage,
+      limits: settings.limits,
+      ready: options.ready,
+      draining: options.draining
+    }
+    return new RequestPart(upstreams, admission, requests, idempotency, usage, appender, entryApplication(entry))
+  }
+
+  /** Handlers of the calls between hosts that this part answers. */
+  peerHandlers (): PeerHandlers {
+    return {
+      submitUse: async ({ sequence, records }, { sender }) => {
+        const batch = usageBatchSchema.safeParse({ ...sender, sequence, records: parseRecords(records) })
+        if (!batch.success) return Result.err(failure('bad_request', 'the usage batch is malformed'))
+        return (await this.appender.add(batch.data)).map(() => ({ stored: true }))
+      },
+      executeOnce: async call => {
+        const answer = await this.idempotency.executeIssued({
+          key: call.key,
+          team: call.team as Team,
+          pool: call.pool as Pool,
+          method: call.method,
+          path: call.path,
+          headers: Object.fromEntries(call.headers.map(({ name, value }) => [name, value])),
+          body: call.body,
+          timeoutMilliseconds: call.timeoutMilliseconds
+        })
+        return Result.ok(onceAnswerMessageOf(answer))
+      }
+    }
+  }
+
+  /** Starts polling upstreams and handing use over. */
+  start (): void {
+    this.upstreams.start()
+    this.usage.start()
+    this.appender.start()
+  }
+
+  /** Waits until all open requests have ended and all use is stored; false if the signal aborted first. */
+  async drain (signal: AbortSignal): Promise<boolean> {
+    const aborted = new Promise<false>(resolve => {
+      signal.addEventListener('abort', () => resolve(false), { once: true })
+    })
+    const ended = await Promise.race([this.requests.drain().then(() => true), aborted])
+    if (!ended) return false
+    return await this.usage.flush(signal) && await this.appender.flush(signal)
+  }
+
+  /** Stops all tasks. */
+  async stop (): Promise<void> {
+    await this.usage.stop()
+    await this.appender.stop()
+    await this.upstreams.stop()
+    this.admission.close()
+  }
+}
+
+function parseRecords (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/src/host/index.ts
@@ -0,0 +1,1 @@
+export { EntryHost, type LifeState } from './EntryHost.js'
--- a/src/membership/MembershipManager.ts
+++ b/src/membership/MembershipManager.ts
@@ -55,6 +55,7 @@
   private readonly heartbeats = new Map<HostId, { identity: PeerIdentity, task: Task }>()
   private tasks: Task[] = []
   private isListReadable = true
+  private reading: Promise<void> | undefined
   private isTreeStale = false
   private registeredAt: number | undefined
 
@@ -107,6 +108,12 @@
     return this.table.stateOf(identity)
   }
 
+  /** Reads the list now. Callers that come while a read runs share it. */
+  async refresh (): Promise<void> {
+    this.reading ??= this.readListOnce().finally(() => { this.reading = undefined })
+    await this.reading
+  }
+
   /** Calls the listener with each change from now on. Returns a function that ends this. */
   onChange (listener: MembershipListener): () => void {
     this.listeners.add(listener)
@@ -158,14 +165,18 @@
 
   private async readList (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const read = await this.options.list.read(this.table.listVersion)
-      if (read.isOk) this.table.applyList(read.value)
-      this.reportList(read.isOk ? undefined : read.error)
-      this.publish()
+      await this.refresh()
       await this.options.clock.sleep(this.options.settings.listPollMilliseconds, signal)
     }
   }
 
+  private async readListOnce (): Promise<void> {
+    const read = await this.options.list.read(this.table.listVersion)
+    if (read.isOk) this.table.applyList(read.value)
+    this.reportList(read.isOk ? undefined : read.error)
+    this.publish()
+  }
+
   private reportList (failed: Failure | undefined): void {
     if (this.isListReadable === (failed === undefined)) return
     this.isListReadable = failed === undefined
--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -1,2 +1,3 @@
 export * from './ProcessGroup.js'
 export * from './StartedProcess.js'
+export * from './Deployment.js'
