Move KV transfer out of the engine's HTTP module; start each stand-in once

The command line's table of stand-ins was only tried with the log, so a wrong schema of another one would have gone unseen. ProcessGroup.test.ts now starts and drains a process of each kind.

--- a/src/standins/engine/EngineStandIn.ts
+++ b/src/standins/engine/EngineStandIn.ts
@@ -1,9 +1,10 @@
 /**
  * Stand-in of a model engine: the HTTP interface over batch, prefix cache, orders and KV transfer.
  */
+import type { Result } from 'true-myth'
 import { match } from 'ts-pattern'
 import { z } from 'zod'
-import { type Failure, errorBodyOf, errorResponseOf, failure, requestIdSchema } from '../../common/index.js'
+import { type Failure, errorBodyOf, errorResponseOf, failure } from '../../common/index.js'
 import type { EngineRole } from '../../configuration/index.js'
 import { readJson, type StandInContext, type StandInOptions } from '../StandIn.js'
 import { UpstreamStandIn } from '../UpstreamStandIn.js'
@@ -12,25 +13,18 @@
 import { ChunkWriter } from './ChunkWriter.js'
 import {
   answerOf, chatCompletionSchema, completionSchema, type CompletionKind, type CompletionRequest, lastChunkOf,
-  promptSchema, promptTextOf, textAt, tokenChunkOf, workOf
+  textAt, tokenChunkOf, workOf
 } from './completions.js'
 import { EngineRequest, type EngineSink, type EngineWork } from './EngineRequest.js'
 import { type EngineSettings, type EngineStandInSettings, engineStandInSettingsSchema } from './EngineSettings.js'
 import { EngineState } from './EngineState.js'
+import { kvExportSchema, kvImportSchema, KvTransfer } from './KvTransfer.js'
 import { OrderExecutor } from './OrderExecutor.js'
 import { orderMessageSchema } from './orders.js'
 import { Pace } from './Pace.js'
 import { PrefixCache } from './PrefixCache.js'
 import { describeRequest, RequestTable } from './RequestTable.js'
-import { blocksOf, type KvBlock, tokensOf } from './tokens.js'
 
-const blockSchema = z.object({ hash: z.string(), tokens: z.number().int().positive() })
-const exportSchema = z.union([
-  z.object({ request_id: requestIdSchema }),
-  z.object({ model: z.string() }).and(promptSchema)
-])
-/** Body of `POST /kv/import`: the answer of `POST /kv/export`, which stands for the data itself. */
-const importSchema = z.object({ model: z.string(), blocks: z.array(blockSchema).max(100_000) })
 const cancelSchema = z.object({ attempt_id: z.string().optional() })
 const eventStreamHeaders = { 'content-type': 'text/event-stream', 'cache-control': 'no-cache' }
 const countQuerySchema = z.coerce.number().int().nonnegative()
@@ -42,16 +36,6 @@
   leaving: boolean
 }
 
-/** KV cache that can be exported. */
-interface HeldKv {
-  model: string
-  /** Output tokens that it covers. */
-  position: number
-  /** Prompt and output tokens that it covers. */
-  tokens: number
-  blocks: KvBlock[]
-}
-
 /** A request that was queued, or refused. */
 interface Submission {
   request: EngineRequest
@@ -66,7 +50,7 @@
   private readonly state: EngineState
   private readonly orders: OrderExecutor
   private readonly requests: RequestTable
-  private readonly link: Pace
+  private readonly kv: KvTransfer
 
   private constructor (private readonly settings: EngineSettings, options: StandInOptions) {
     super(options, settings.loadLagMilliseconds * settings.timeScale)
@@ -89,7 +73,9 @@
       clock, incarnation, checksFencing: settings.checksFencing, execute: order => this.state.execute(order)
     })
     this.requests = new RequestTable(settings.maxFinishedRequests)
-    this.link = new Pace(clock, settings.timeScale)
+    this.kv = new KvTransfer({
+      settings, pace: new Pace(clock, settings.timeScale), cache: this.cache, requests: this.requests, models: this.state.models
+    })
     this.noteLoad()
     this.addRoutes()
   }
@@ -127,8 +113,14 @@
     this.app.get('/requests/:id', c => this.showRequest(c, c.req.param('id')))
     this.app.post('/requests/:id/cancel', c => this.cancelRequest(c, c.req.param('id')))
     this.app.get('/state', c => c.json(this.describe()))
-    this.app.post('/kv/export', c => this.exportKv(c))
-    this.app.post('/kv/import', c => this.importKv(c))
+    this.app.post('/kv/export', async c => {
+      const body = await readJson(c, kvExportSchema)
+      return answerOfResult(c, body.isErr ? body : await this.kv.export(body.value))
+    })
+    this.app.post('/kv/import', async c => {
+      const body = await readJson(c, kvImportSchema)
+      return answerOfResult(c, body.isErr ? body : await this.kv.import(body.value))
+    })
     this.app.get('/cache-events', c => {
       const from = countQuerySchema.catch(1).parse(c.req.query('from'))
       return c.body(this.feed.stream(from, this.closedSignal(c, 'wait')), 200, eventStreamHeaders)
@@ -262,52 +254,8 @@
     }
     return c.json(received.value, received.value.state === 'running' ? 202 : 200)
   }
-
-  private async exportKv (c: StandInContext): Promise<Response> {
-    const body = await readJson(c, exportSchema)
-    if (body.isErr) return errorResponseOf(body.error)
-    const held = 'request_id' in body.value ? this.heldByRequest(body.value.request_id) : this.heldForPrompt(body.value)
-    if (held === undefined) return errorResponseOf(failure('not_found', 'the KV cache is not held'))
-    await this.transfer(held.blocks)
-    return c.json({ ...held, bytes: held.tokens * this.settings.kvBytesPerToken })
-  }
-
-  /** The KV cache of a request: always while it generates, and later as long as the prefix cache has its blocks. */
-  private heldByRequest (requestId: string): HeldKv | undefined {
-    const request = this.requests.get(requestId)
-    if (request === undefined || request.state === 'queued' || request.state === 'prefill') return undefined
-    const blocks = request.exportBlocks()
-    if (request.hasEnded && !this.cache.hasFullBlocks(blocks)) return undefined
-    const { position, promptTokenCount, details } = request
-    return { model: details.model, position, tokens: promptTokenCount + position, blocks }
-  }
-
-  private heldForPrompt (wanted: { model: string } & z.infer<typeof promptSchema>): HeldKv | undefined {
-    const promptTokens = tokensOf(promptTextOf(wanted))
-    const blocks = blocksOf(wanted.model, promptTokens, this.settings.blockTokens)
-    if (!this.cache.hasFullBlocks(blocks)) return undefined
-    return { model: wanted.model, position: 0, tokens: promptTokens.length, blocks }
-  }
-
-  private async importKv (c: StandInContext): Promise<Response> {
-    const body = await readJson(c, importSchema)
-    if (body.isErr) return errorResponseOf(body.error)
-    const { model, blocks } = body.value
-    if (this.state.models.modelOf(model) === undefined) {
-      return errorResponseOf(failure('unknown_model', `model "${model}" is not loaded`))
-    }
-    await this.transfer(blocks)
-    this.cache.importBlocks(blocks)
-    return c.json({ tokens: tokenCountOf(blocks) })
-  }
-
-  /** Takes the time that the transfer of blocks costs; transfers of one engine share its link. */
-  private async transfer (blocks: readonly KvBlock[]): Promise<void> {
-    this.link.restart()
-    await this.link.spend(tokenCountOf(blocks) * this.settings.cost.transferMilliseconds)
-  }
 }
 
-function tokenCountOf (blocks: readonly KvBlock[]): number {
-  return blocks.reduce((sum, { tokens }) => sum + tokens, 0)
+function answerOfResult (c: StandInContext, result: Result<object, Failure>): Response {
+  return result.isErr ? errorResponseOf(result.error) : c.json(result.value)
 }
--- a/src/testing/ProcessGroup.test.ts
+++ b/src/testing/ProcessGroup.test.ts
@@ -46,6 +46,17 @@
     expect(started.map(({ isRunning }) => isRunning)).toEqual([false, false])
   })
 
+  test.each([
+    ['engine', { models: [{ model: 'carassius' }], timeScale: 0.01 }],
+    ['service', { processingMilliseconds: 1 }],
+    ['host-list', { lagMilliseconds: 100 }],
+    ['weight-store', { otherBytes: 10 }]
+  ])('starts the stand-in %s', async (kind, settings) => {
+    const started = await group.start({ name: kind, command: ['stand-in', kind], settings })
+    expect((await fetch(`${started.origin()}/faults`)).status).toBe(200)
+    expect(await started.terminate()).toEqual({ code: 0, signal: null })
+  })
+
   test('a crash ends the process', async () => {
     const started = await group.start(log)
     await fetch(`${started.origin()}/faults`, { method: 'POST', body: '{"kind":"crash"}' }).catch(() => {})
