--- a/src/commands/runCommandLine.ts
+++ b/src/commands/runCommandLine.ts
@@ -4,6 +4,7 @@
  */
 import yargs, { type CommandModule } from 'yargs'
 import { checkCommand } from './checkCommand.js'
+import { replayCommand } from './replayCommand.js'
 import { standInCommand } from './standInCommand.js'
 
 /** Version shown by `--version`; equal to the one in package.json. */
@@ -11,6 +12,7 @@
 
 const commands: CommandModule[] = [
   checkCommand,
+  replayCommand,
   standInCommand
 ]
 
--- /dev/null
+++ b/src/replay/index.ts
@@ -0,0 +1,5 @@
+export * from './Trace.js'
+export * from './TraceGenerator.js'
+export * from './ReplayReport.js'
+export * from './ReplayRunner.js'
+export * from './TimeSeries.js'
