--- a/src/standins/engine/completions.ts
+++ b/src/standins/engine/completions.ts
@@ -15,9 +15,9 @@
 
 const extensionShape = {
   model: z.string(),
-  max_tokens: maxTokensSchema.optional(),
-  max_completion_tokens: maxTokensSchema.optional(),
-  stream: z.boolean().default(false),
+  max_tokens: maxTokensSchema.nullish(),
+  max_completion_tokens: maxTokensSchema.nullish(),
+  stream: z.boolean().nullish(),
   request_id: requestIdSchema.optional(),
   attempt_id: attemptIdSchema.optional(),
   priority: z.enum(['interactive', 'batch']).default('interactive'),
@@ -26,7 +26,7 @@
 }
 
 const contentSchema = z.union([z.string(), z.array(z.object({ type: z.literal('text'), text: z.string() }))])
-const messagesSchema = z.array(z.object({ role: z.string(), content: contentSchema })).min(1)
+const messagesSchema = z.array(z.object({ role: z.string(), content: contentSchema.nullish() })).min(1)
 
 /** Body of `POST /v1/completions`. */
 export const completionSchema = z.object({ ...extensionShape, prompt: z.string().min(1) })
@@ -46,7 +46,7 @@
   if ('prompt' in request) return request.prompt
   return request.messages
     .map(({ role, content }) => {
-      return `${role}: ${typeof content === 'string' ? content : content.map(part => part.text).join(' ')}`
+      return `${role}: ${typeof content === 'string' ? content : (content ?? []).map(part => part.text).join(' ')}`
     })
     .join('\n')
 }
--- a/src/testing/ProcessGroup.test.ts
+++ b/src/testing/ProcessGroup.test.ts
@@ -34,6 +34,13 @@
     await expect(group.start(log)).rejects.toThrow('is running')
   })
 
+  test('waits for log lines', async () => {
+    const started = await group.start(log)
+    const never = started.logLine(/never/)
+    await started.kill()
+    await expect(never).rejects.toThrow('"log" ended without a log line like /never/')
+  })
+
   test('tells why a process did not start', async () => {
     await expect(group.start({ ...log, settings: { retentionSecond: 60 } }))
       .rejects.toThrow('retention_second: found an unknown key; allowed: did you mean "retention_seconds"?')
--- a/src/testing/StartedProcess.ts
+++ b/src/testing/StartedProcess.ts
@@ -44,6 +44,8 @@
   /** Resolves when the process has ended. */
   readonly exited: Promise<ExitStatus>
   private readonly ready: Promise<Readiness>
+  /** Resolves after the end of the process and of its output. */
+  private readonly closed: Promise<void>
   private readonly watchers = new Set<(line: string) => void>()
   private hasExited = false
 
@@ -53,7 +55,12 @@
         this.hasExited = true
         resolve({ code, signal })
       })
+      // A process that could not be started has no exit event.
+      child.once('error', () => {
+        if (child.pid === undefined) resolve({ code: null, signal: null })
+      })
     })
+    this.closed = new Promise(resolve => child.once('close', () => resolve()))
     createInterface({ input: child.stderr as Readable }).on('line', line => this.keepLine(line))
     this.ready = new Promise((resolve, reject) => {
       createInterface({ input: child.stdout as Readable }).on('line', line => {
@@ -94,15 +101,18 @@
   async logLine (pattern: RegExp): Promise<string> {
     const past = this.logLines.find(line => pattern.test(line))
     if (past !== undefined) return past
-    return await new Promise((resolve, reject) => {
+    const seen = new Promise<string>(resolve => {
       const watch = (line: string) => {
         if (!pattern.test(line)) return
         this.watchers.delete(watch)
         resolve(line)
       }
       this.watchers.add(watch)
-      this.child.once('close', () => reject(new Error(`"${this.name}" ended without a log line like ${String(pattern)}`)))
     })
+    const ended = this.closed.then(() => {
+      throw new Error(`"${this.name}" ended without a log line like ${String(pattern)}`)
+    })
+    return await Promise.race([seen, ended])
   }
 
   /** Sends SIGTERM and resolves with the exit status. */
