--- a/src/testing/ProcessGroup.test.ts
+++ b/src/testing/ProcessGroup.test.ts
@@ -34,6 +34,13 @@
     await expect(group.start(log)).rejects.toThrow('is running')
   })
 
+  test('waits for log lines', async () => {
+    const started = await group.start(log)
+    const never = started.logLine(/never/)
+    await started.kill()
+    await expect(never).rejects.toThrow('"log" ended without a log line like /never/')
+  })
+
   test('tells why a process did not start', async () => {
     await expect(group.start({ ...log, settings: { retentionSecond: 60 } }))
       .rejects.toThrow('retention_second: found an unknown key; allowed: did you mean "retention_seconds"?')
@@ -46,6 +53,17 @@
     expect(started.map(({ isRunning }) => isRunning)).toEqual([false, false])
   })
 
+  test.each([
+    ['engine', { models: [{ model: 'carassius' }], timeScale: 0.01 }],
+    ['service', { processingMilliseconds: 1 }],
+    ['host-list', { lagMilliseconds: 100 }],
+    ['weight-store', { otherBytes: 10 }]
+  ])('starts the stand-in %s', async (kind, settings) => {
+    const started = await group.start({ name: kind, command: ['stand-in', kind], settings })
+    expect((await fetch(`${started.origin()}/faults`)).status).toBe(200)
+    expect(await started.terminate()).toEqual({ code: 0, signal: null })
+  })
+
   test('a crash ends the process', async () => {
     const started = await group.start(log)
     await fetch(`${started.origin()}/faults`, { method: 'POST', body: '{"kind":"crash"}' }).catch(() => {})
