--- a/src/configuration/TeamAuthenticator.ts
+++ b/src/configuration/TeamAuthenticator.ts
@@ -5,7 +5,7 @@
  */
 import { createHash } from 'node:crypto'
 import { Result } from 'true-myth'
-import { type Clock, type Failure, failure, type Team } from '../common/index.js'
+import { type Clock, type Failure, failure, type Owner, type Team } from '../common/index.js'
 import type { AuthenticatedTeam, ConfigurationReader } from './ConfigurationReader.js'
 import { teamOf } from './ConfigurationTree.js'
 import { type AccountDocument, documentKindOf } from './documents.js'
@@ -15,6 +15,9 @@
   expiresAt: number | undefined
 }
 
+/** Who holds the bootstrap token. */
+const bootstrapTeam: AuthenticatedTeam = { team: 'bootstrap' as Team, owner: 'bootstrap' as Owner, operator: true }
+
 /** Hash under which a token is stored in an account. */
 export function tokenHashOf (token: string): string {
   return createHash('sha256').update(token).digest('hex')
@@ -26,7 +29,15 @@
   private readonly hashesOfTeams = new Map<Team, string[]>()
   private readonly stopListening: () => void
 
-  constructor (private readonly configuration: ConfigurationReader, private readonly clock: Clock) {
+  /**
+   * `bootstrapTokenHash`: hash of a token with operators' rights that works only while no operator account
+   * exists; without it nobody could write the first configuration.
+   */
+  constructor (
+    private readonly configuration: ConfigurationReader,
+    private readonly clock: Clock,
+    private readonly bootstrapTokenHash?: string
+  ) {
     for (const [team, account] of configuration.accounts()) this.replace(team, account)
     this.stopListening = configuration.onChange(paths => { this.update(paths) })
   }
@@ -37,13 +48,19 @@
    */
   authenticate (authorization: string | undefined): Result<AuthenticatedTeam, Failure> {
     const token = /^bearer +([^\s]{1,512})$/i.exec(authorization ?? '')?.[1]
-    const known = token === undefined ? undefined : this.tokens.get(tokenHashOf(token))
+    const hash = tokenHashOf(token ?? '')
+    if (token !== undefined && hash === this.bootstrapTokenHash && !this.hasOperator()) return Result.ok(bootstrapTeam)
+    const known = token === undefined ? undefined : this.tokens.get(hash)
     if (known === undefined || (known.expiresAt !== undefined && known.expiresAt <= this.clock.wall())) {
       return Result.err(failure('unauthenticated', 'a valid bearer token is required'))
     }
     return Result.ok(known.team)
   }
 
+  private hasOperator (): boolean {
+    return [...this.configuration.accounts().values()].some(account => account.operator)
+  }
+
   /** Stops following the configuration. */
   close (): void {
     this.stopListening()
--- a/src/settings/HostSettings.ts
+++ b/src/settings/HostSettings.ts
@@ -35,6 +35,13 @@
     /** How long the log keeps records. Snapshots are written after a third of it. */
     logRetentionSeconds: z.number().positive().default(86_400)
   }),
+  administration: z.strictObject({
+    /**
+     * SHA-256 of a token, in hexadecimal, with operators' rights. It works only while the configuration has no
+     * operator account, so that the first configuration can be written.
+     */
+    bootstrapTokenSha256: z.string().regex(/^[0-9a-f]{64}$/, '64 hexadecimal digits').optional()
+  }).prefault({}),
   /** Mutual TLS between entry hosts. Absent: plain TCP. The files are read anew when they change. */
   peerTls: z.strictObject({
     certificateFile: z.string(),
