Authenticate callers and operators by the same class

Cause: two classes found the team of a token by the same rules; a change of one would have left the other behind. Ruled out: keeping both with a shared function (the state would stay twice). Conclusion: one owner of the token table per application.

--- a/src/configuration/TeamAuthenticator.test.ts
+++ b/src/configuration/TeamAuthenticator.test.ts
@@ -12,7 +12,9 @@
   owner: 'acuarios', operator, tokens: [{ sha256: tokenHashOf('secret'), ...(expiresAt === undefined ? {} : { expiresAt }) }]
 })
 
-function authenticatorFor (documents: Record<string, unknown>): { authenticator: TeamAuthenticator, configuration: FixedConfiguration } {
+interface Case { authenticator: TeamAuthenticator, configuration: FixedConfiguration }
+
+function authenticatorFor (documents: Record<string, unknown>): Case {
   const configuration = new FixedConfiguration(documents)
   return { configuration, authenticator: new TeamAuthenticator(configuration, new ManualClock(1000), tokenHashOf('first')) }
 }
--- a/src/entry/entryApplication.ts
+++ b/src/entry/entryApplication.ts
@@ -5,8 +5,7 @@
 import { type Context, Hono } from 'hono'
 import { createMiddleware } from 'hono/factory'
 import { errorAnswers, errorResponseOf, type Failure, failure, newRequestId, type RequestId } from '../common/index.js'
-import type { AuthenticatedTeam } from '../configuration/index.js'
-import { Authenticator } from './Authenticator.js'
+import { type AuthenticatedTeam, TeamAuthenticator } from '../configuration/index.js'
 import { type CallHeaders, readCallHeaders } from './callHeaders.js'
 import type { EntryOptions } from './EntryContext.js'
 import { handleGeneration } from './handleGeneration.js'
@@ -55,7 +54,7 @@
 /** The application for the address `callers`. */
 export function entryApplication (options: EntryOptions): Hono<EntryEnvironment> {
   const application = new Hono<EntryEnvironment>()
-  const authenticator = new Authenticator(options.configuration, options.clock)
+  const authenticator = new TeamAuthenticator(options.configuration, options.clock)
 
   application.get('/health/live', context => context.json({ live: true }))
   application.get('/health/ready', context => options.ready()
