Keep the message of the answer to a request without a valid token

Change: the text that the tests state. Conclusion: the wording of the answer is part of the interface.

--- a/src/configuration/TeamAuthenticator.ts
+++ b/src/configuration/TeamAuthenticator.ts
@@ -52,7 +52,7 @@
     if (token !== undefined && hash === this.bootstrapTokenHash && !this.hasOperator()) return Result.ok(bootstrapTeam)
     const known = token === undefined ? undefined : this.tokens.get(hash)
     if (known === undefined || (known.expiresAt !== undefined && known.expiresAt <= this.clock.wall())) {
-      return Result.err(failure('unauthenticated', 'a valid bearer token is required'))
+      return Result.err(failure('unauthenticated', 'the request has no valid token'))
     }
     return Result.ok(known.team)
   }
