--- /dev/null
+++ b/src/leases/LeaseFold.ts
@@ -0,0 +1,68 @@
+/**
+ * The table of leases as the log's order decides it: a record takes effect only if it names the last accepted
+ * record of its lease. Of a claim and a late renewal the one that is first in the log therefore wins.
+ */
+import { Result } from 'true-myth'
+import { match } from 'ts-pattern'
+import { failure, type Failure, type FencingNumber, noOffset, type Offset } from '../common/index.js'
+import { type ApplyOutcome, type FoldRecord, StreamFold } from '../streams/index.js'
+import {
+  isSameHolder, type LeaseName, type LeaseRecord, leaseRecordSchema, type LeaseState, leaseTableSchema
+} from './leaseRecords.js'
+
+function refused (kind: 'bad_request' | 'conflict', message: string): ApplyOutcome {
+  return { accepted: false, failure: failure(kind, message) }
+}
+
+/** Fold of the stream `leases`. */
+export class LeaseFold extends StreamFold {
+  readonly stream = 'leases'
+  private table = new Map<string, LeaseState>()
+
+  /** The state of a lease; undefined if it was never claimed. */
+  lease (lease: LeaseName): LeaseState | undefined {
+    return this.table.get(lease)
+  }
+
+  /** All leases by name. */
+  leases (): Map<string, LeaseState> {
+    return new Map(this.table)
+  }
+
+  apply (record: FoldRecord): ApplyOutcome {
+    const parsed = leaseRecordSchema.safeParse(record.value)
+    if (!parsed.success) return refused('bad_request', 'not a record of a lease')
+    const body = parsed.data
+    const state = this.table.get(body.lease)
+    if (body.succeeds !== (state?.lastOffset ?? noOffset)) {
+      return refused('conflict', `offset ${body.succeeds} is not the last accepted record of ${body.lease}`)
+    }
+    const next = this.successorOf(state, body, record.offset)
+    if (next === undefined) return refused('conflict', `${body.holder.hostId} does not hold ${body.lease}`)
+    this.table.set(body.lease, next)
+    return { accepted: true }
+  }
+
+  snapshot (): unknown {
+    return Object.fromEntries(this.table)
+  }
+
+  restore (state: unknown, _through: Offset): Result<void, Failure> {
+    const parsed = leaseTableSchema.safeParse(state)
+    if (!parsed.success) return Result.err(failure('bad_request', 'not a table of leases'))
+    this.table = new Map(Object.entries(parsed.data))
+    return Result.ok(undefined)
+  }
+
+  private successorOf (state: LeaseState | undefined, record: LeaseRecord, offset: Offset): LeaseState | undefined {
+    if (record.kind === 'claim') {
+      const { holder, duration } = record
+      return { holder, isReleased: false, lastOffset: offset, fencingNumber: offset as number as FencingNumber, duration }
+    }
+    if (state === undefined || state.isReleased || !isSameHolder(state.holder, record.holder)) return undefined
+    return match(record)
+      .with({ kind: 'renew' }, () => ({ ...state, lastOffset: offset }))
+      .with({ kind: 'release' }, () => ({ ...state, lastOffset: offset, isReleased: true }))
+      .exhaustive()
+  }
+}
--- /dev/null
+++ b/src/leases/index.ts
@@ -0,0 +1,3 @@
+export * from './leaseRecords.js'
+export * from './LeaseFold.js'
+export * from './LeaseManager.js'
