--- a/src/commands/runCommandLine.ts
+++ b/src/commands/runCommandLine.ts
@@ -4,12 +4,18 @@
  */
 import yargs, { type CommandModule } from 'yargs'
 import { checkCommand } from './checkCommand.js'
+import { hostCommand } from './hostCommand.js'
+import { replayCommand } from './replayCommand.js'
+import { standInCommand } from './standInCommand.js'
 
 /** Version shown by `--version`; equal to the one in package.json. */
 export const programVersion = '0.1.0'
 
 const commands: CommandModule[] = [
-  checkCommand
+  checkCommand,
+  hostCommand,
+  replayCommand,
+  standInCommand
 ]
 
 /** Runs the program with its arguments, without the program's own name. */
--- /dev/null
+++ b/src/usage/index.ts
@@ -0,0 +1,6 @@
+export * from './UsageRecord.js'
+export * from './UsageSink.js'
+export * from './UsageManager.js'
+export * from './Ledger.js'
+export * from './UsageAppender.js'
+export * from './ZoneUsageSink.js'
