Add the administration API

Cause: operators and teams need to read and change settings, watch them, see the fleet and the use, drain and confirm, all with one authentication and one table of errors. Ruled out: hono's streamSSE for the watch (it writes without regard to the reader; the body here is pulled, so a slow reader only delays itself); sending the event id with each path (a reader cut off in the middle of a change would miss the rest of it). Conclusion: what other slices own comes in by AdministrationOptions.

--- /dev/null
+++ b/src/administration/administrationApplication.test.ts
@@ -0,0 +1,329 @@
+/**
+ * Guards against unauthenticated access, answers that leave the table of error kinds, settings or token hashes
+ * shown to the wrong team, unconditional changes, and watches that lose changes, never end or hold memory.
+ */
+import { describe, expect, test } from '@jest/globals'
+import { Result } from 'true-myth'
+import { errorAnswers, type ErrorKind, failure, type HostId, type Incarnation, ManualClock, noOffset, toOffset } from '../common/index.js'
+import { ConfigurationFold, ConfigurationManager, type ConfigurationState, TeamAuthenticator, tokenHashOf } from '../configuration/index.js'
+import { DirectRecordWriter } from '../configuration/DirectRecordWriter.js'
+import { exampleEdits, forumToken, operatorToken } from '../configuration/exampleConfiguration.js'
+import { EventLog, HybridClock, Metrics, Timeline } from '../observability/index.js'
+import { administrationApplication, type AdministrationOptions } from './index.js'
+
+interface SentRequest { token?: string, body?: unknown, headers?: Record<string, string> }
+
+async function exampleApplication (changed: Partial<AdministrationOptions> = {}) {
+  const clock = new ManualClock()
+  const timeline = new Timeline('guayaquil-a-1', new HybridClock(clock))
+  const log = new EventLog({ timeline, level: 'error', write: () => {} })
+  const fold = new ConfigurationFold()
+  const writer = new DirectRecordWriter([fold], clock)
+  const configuration = new ConfigurationManager({ fold, writer, clock, log })
+  await writer.submit('configuration', { kind: 'change', changeId: 'seed', author: 'harbour', at: 0, basedOn: 0, edits: exampleEdits })
+  const calls: unknown[] = []
+  const snapshots: ConfigurationState[] = []
+  const options: AdministrationOptions = {
+    configuration,
+    authenticator: new TeamAuthenticator(configuration, clock),
+    clock,
+    log,
+    timeline,
+    metrics: new Metrics(),
+    health: () => ({ live: true, ready: false, reasons: ['no_configuration'] }),
+    fleetReport: () => ({
+      at: 0, reportedBy: 'guayaquil-a-1' as HostId, incarnation: '0'.repeat(16) as Incarnation, hosts: [], workers: [], leases: [], openOrders: [], streams: []
+    }),
+    usageStatement: owner => Result.ok({ through: noOffset, lines: [], asked: owner } as never),
+    drainHost: by => { calls.push(['host', by.team]) },
+    drainWorker: (worker, by) => {
+      if (worker !== 'engine-1') return Promise.resolve(Result.err(failure('not_found', 'no such worker')))
+      calls.push([worker, by.team])
+      return Promise.resolve(Result.ok(undefined))
+    },
+    confirmOrder: (orderId, by) => {
+      calls.push([orderId, by.team])
+      return Promise.resolve(Result.ok(undefined))
+    },
+    writeConfigurationSnapshot: stateAt => {
+      snapshots.push(stateAt(toOffset(5)))
+      return Promise.resolve(Result.ok(toOffset(6)))
+    },
+    ...changed
+  }
+  const application = administrationApplication(options)
+  const send = async (method: string, path: string, request: SentRequest = {}) => {
+    const { token = operatorToken, body, headers } = request
+    const authorization: Record<string, string> = token === '' ? {} : { authorization: `Bearer ${token}` }
+    const text = body === undefined || typeof body === 'string' ? body : JSON.stringify(body)
+    const init = { method, headers: { ...authorization, ...headers }, ...(text === undefined ? {} : { body: text }) }
+    const response = await application.request(path, init)
+    return { status: response.status, headers: response.headers, response, json: async () => await response.json() as any }
+  }
+  return { clock, writer, configuration, calls, snapshots, send }
+}
+
+const role = '/settings/fleet/roles/engine-1'
+const first = { 'if-match': '"1"' }
+
+describe('error answers', () => {
+  const routes = [
+    ['GET', '/settings'], ['GET', role], ['PUT', role], ['DELETE', role], ['POST', '/settings'], ['GET', '/history/fleet/shares'],
+    ['GET', '/changes/x'], ['GET', '/watch'], ['GET', '/export'], ['POST', '/restore'], ['GET', '/fleet'], ['GET', '/use'],
+    ['GET', '/timeline'], ['POST', '/drain'], ['POST', '/drain/engine-1'], ['POST', '/orders/o/confirm'], ['GET', '/nothing']
+  ] as const
+  test.each(routes)('%s %s: bad credentials get one answer', async (method, path) => {
+    const { send, calls } = await exampleApplication()
+    const answers = await Promise.all(['', 'unknown', 'old-token x'].map(async token => {
+      const { status, response } = await send(method, path, { token })
+      return [status, await response.text()]
+    }))
+    expect(new Set(answers.map(String)).size).toBe(1)
+    expect(answers[0]?.[0]).toBe(401)
+    expect(calls).toEqual([])
+  })
+
+  test.each<[string, string, string, SentRequest, ErrorKind]>([
+    ['unknown path', 'GET', '/nothing', {}, 'not_found'],
+    ['wrong method', 'PATCH', role, {}, 'not_found'],
+    ['no document', 'GET', '/settings/fleet/roles/engine-2', {}, 'not_found'],
+    ['malformed document path', 'GET', '/settings/fleet/roles/Engine%202', {}, 'bad_request'],
+    ['traversal in a path', 'GET', '/settings/teams/forum/..%2fharbour/account', {}, 'bad_request'],
+    ['body that is not JSON', 'PUT', role, { body: '{"role":', headers: first }, 'bad_request'],
+    ['empty body', 'PUT', role, { body: '', headers: first }, 'bad_request'],
+    ['null document', 'PUT', role, { body: 'null', headers: first }, 'bad_request'],
+    ['no condition', 'PUT', role, { body: { role: 'mixed' } }, 'bad_request'],
+    ['malformed condition', 'PUT', role, { body: { role: 'mixed' }, headers: { 'if-match': '1' } }, 'bad_request'],
+    ['two conditions', 'PUT', role, { body: { role: 'mixed' }, headers: { ...first, 'if-none-match': '*' } }, 'bad_request'],
+    ['stale version', 'PUT', role, { body: { role: 'mixed' }, headers: { 'if-match': '"0"' } }, 'conflict'],
+    ['new path that exists', 'PUT', role, { body: { role: 'mixed' }, headers: { 'if-none-match': '*' } }, 'conflict'],
+    ['stale deletion', 'DELETE', role, { headers: { 'if-match': '"0"' } }, 'conflict'],
+    ['invalid document', 'PUT', role, { body: { role: 'x' }, headers: first }, 'invalid_configuration'],
+    ['broken reference', 'DELETE', '/settings/fleet/models/danio', { headers: first }, 'invalid_configuration'],
+    ['malformed change id', 'PUT', role, { body: { role: 'mixed' }, headers: { ...first, 'x-change-id': 'a b' } }, 'bad_request'],
+    ['body over the limit', 'PUT', role, { body: `"${'x'.repeat(5000)}"`, headers: first }, 'body_too_large'],
+    ['edits of another shape', 'POST', '/settings', { body: { edits: 1 } }, 'bad_request'],
+    ['unknown member', 'POST', '/settings', { body: { edits: [], extra: 1 } }, 'bad_request'],
+    ['unknown change', 'GET', '/changes/x', {}, 'not_found'],
+    ['malformed offset', 'GET', '/watch?after=x', {}, 'bad_request'],
+    ['malformed owner', 'GET', '/use?owner=A', {}, 'bad_request'],
+    ['malformed worker', 'POST', '/drain/A', {}, 'bad_request'],
+    ['unknown worker', 'POST', '/drain/engine-9', {}, 'not_found'],
+    ['restore without confirmation', 'POST', '/restore', { body: { state: { documents: [], deleted: [], history: [], outcomes: [] } } }, 'bad_request'],
+    ['restore of an invalid state', 'POST', '/restore', { body: { confirm: true, state: { documents: [{ path: '/fleet/x', version: 1, value: 1 }], deleted: [], history: [], outcomes: [] } } }, 'bad_request'],
+    ['fleet by a team', 'PUT', role, { token: forumToken, body: { role: 'mixed' }, headers: first }, 'forbidden'],
+    ['account of another team', 'GET', '/settings/teams/harbour/account', { token: forumToken }, 'forbidden'],
+    ['settings of another team', 'GET', '/settings/teams/harbour/settings/x', { token: forumToken }, 'forbidden'],
+    ['history of another team', 'GET', '/history/teams/harbour/account', { token: forumToken }, 'forbidden'],
+    ['change of another team', 'GET', '/changes/seed?author=harbour', { token: forumToken }, 'forbidden'],
+    ['time line by a team', 'GET', '/timeline', { token: forumToken }, 'forbidden'],
+    ['export by a team', 'GET', '/export', { token: forumToken }, 'forbidden'],
+    ['restore by a team', 'POST', '/restore', { token: forumToken, body: {} }, 'forbidden'],
+    ['drain by a team', 'POST', '/drain', { token: forumToken }, 'forbidden'],
+    ['worker drain by a team', 'POST', '/drain/engine-1', { token: forumToken }, 'forbidden'],
+    ['confirmation by a team', 'POST', '/orders/o/confirm', { token: forumToken }, 'forbidden']
+  ])('%s', async (_name, method, path, request, kind) => {
+    const { send, calls, snapshots, writer } = await exampleApplication({ maxBodyBytes: 4096 })
+    const answer = await send(method, path, request)
+    const body = await answer.json()
+    expect([answer.status, body.error.type]).toEqual([errorAnswers[kind].status, kind])
+    expect([calls, snapshots]).toEqual([[], []])
+    expect(writer.records.length).toBeLessThanOrEqual(2)
+  })
+
+  test('an outage and a lost answer name the change', async () => {
+    const { send, writer } = await exampleApplication()
+    const put = async () => await send('PUT', role, { body: { role: 'mixed' }, headers: { ...first, 'x-change-id': 'c1' } })
+    writer.mode = 'outage'
+    expect(await (await put()).json()).toMatchObject({ error: { type: 'platform_unavailable', not_run: true, detail: { changeId: 'c1' } } })
+    writer.mode = 'lost_answer'
+    expect(await (await put()).json()).toMatchObject({ error: { type: 'outcome_unknown', not_run: false, detail: { changeId: 'c1' } } })
+    expect(await (await send('GET', '/changes/c1')).json()).toMatchObject({ kind: 'unresolved' })
+    writer.deliver()
+    expect(await (await send('GET', '/changes/c1')).json()).toMatchObject({ kind: 'accepted', offset: 2 })
+  })
+
+  test('a fault inside answers without its details', async () => {
+    const { send } = await exampleApplication({ fleetReport: () => { throw new Error('secret') } })
+    const answer = await send('GET', '/fleet')
+    expect([answer.status, JSON.stringify(await answer.json())]).toEqual([500, expect.not.stringContaining('secret')])
+  })
+})
+
+describe('settings', () => {
+  test('get, put, delete and create again, with entity tags', async () => {
+    const { send } = await exampleApplication()
+    const got = await send('GET', role)
+    expect([got.headers.get('etag'), await got.json()]).toEqual(['"1"', { path: '/fleet/roles/engine-1', version: 1, value: { role: 'prefill' } }])
+    expect((await send('GET', role, { headers: { 'if-none-match': '"1"' } })).status).toBe(304)
+    const put = await send('PUT', role, { body: { role: 'mixed' }, headers: { ...first, 'x-change-id': 'c2' } })
+    expect([put.headers.get('etag'), await put.json()]).toEqual(['"2"', { changeId: 'c2', version: 2 }])
+    expect((await send('DELETE', role, { headers: { 'if-match': '"2"' } })).status).toBe(200)
+    expect(await (await send('GET', role)).json()).toMatchObject({ error: { type: 'not_found', detail: { version: 3 } } })
+    expect((await send('PUT', role, { body: { role: 'decode' }, headers: { 'if-none-match': '*' } })).headers.get('etag')).toBe('"4"')
+    const history = await (await send('GET', `/history${role.slice('/settings'.length)}`)).json()
+    expect(history.entries.map((entry: any) => [entry.version, entry.author, entry.value?.role]))
+      .toEqual([[1, 'harbour', 'prefill'], [2, 'harbour', 'mixed'], [3, 'harbour', undefined], [4, 'harbour', 'decode']])
+  })
+
+  test('several edits take effect together or not at all', async () => {
+    const { send, configuration } = await exampleApplication()
+    const account = { path: '/teams/acopio/account', expectedVersion: 0, value: { owner: 'o', tokens: [] } }
+    const shares = { path: '/fleet/shares', expectedVersion: 1, value: { acopio: 5 } }
+    expect((await send('POST', '/settings', { body: { edits: [{ ...account, expectedVersion: 1 }, shares] } })).status).toBe(409)
+    expect(configuration.get(account.path)).toBeUndefined()
+    expect((await send('POST', '/settings', { body: { edits: [account, shares] } })).status).toBe(200)
+    expect([configuration.get(account.path)?.version, configuration.get(shares.path)?.version]).toEqual([2, 2])
+  })
+
+  test('a team sees the fleet and its own subtree, and no token hash anywhere', async () => {
+    const { send, writer } = await exampleApplication()
+    await writer.submit('configuration', {
+      kind: 'change', changeId: 'x', author: 'harbour', at: 0, basedOn: 0, edits: [{ path: '/teams/harbour/settings/secret', expectedVersion: 0, value: 1 }]
+    })
+    const list = await (await send('GET', '/settings', { token: forumToken })).json()
+    expect(list.documents.map((document: any) => document.path).filter((path: string) => path.startsWith('/teams')))
+      .toEqual(['/teams/forum/account', '/teams/forum/settings/limits'])
+    const texts = await Promise.all(['/settings', '/history/teams/forum/account', '/settings/teams/forum/account']
+      .map(async path => await (await send('GET', path, { token: forumToken })).response.text()))
+    expect(texts.join()).not.toContain(tokenHashOf(forumToken))
+    expect(JSON.stringify(await (await send('GET', '/export')).json())).toContain(tokenHashOf(forumToken))
+  })
+
+  test('restore writes the exported state with versions no later than the snapshot', async () => {
+    const { send, writer, snapshots } = await exampleApplication()
+    for (let version = 1; version <= 8; version += 1) {
+      await send('PUT', '/settings/fleet/shares', { body: { forum: version }, headers: { 'if-match': `"${version}"` } })
+    }
+    const { state, through } = await (await send('GET', '/export')).json()
+    expect([through, writer.records.length]).toEqual([9, 9])
+    expect(await (await send('POST', '/restore', { body: { confirm: true, state } })).json()).toEqual({ offset: 6 })
+    const restored = new ConfigurationFold()
+    expect(restored.restore(snapshots[0], toOffset(5)).isOk).toBe(true)
+    expect(restored.get('/fleet/shares')).toMatchObject({ version: 5, value: { forum: 8 } })
+    expect(new ConfigurationFold().restore(state, toOffset(5)).isErr).toBe(true)
+  })
+})
+
+describe('host routes', () => {
+  test.each<[string, string, string, number, unknown]>([
+    ['GET', '/health/live', '', 200, { live: true }],
+    ['GET', '/health/ready', '', 503, { error: { type: 'not_ready', detail: { reasons: ['no_configuration'] } } }],
+    ['GET', '/fleet', forumToken, 200, { reportedBy: 'guayaquil-a-1' }],
+    ['GET', '/use', forumToken, 200, { through: 0, lines: [] }],
+    ['GET', '/use?owner=kontenerowo', forumToken, 200, { asked: 'kontenerowo' }],
+    ['GET', '/timeline', operatorToken, 200, { events: [] }],
+    ['POST', '/drain', operatorToken, 202, { draining: 'guayaquil-a-1' }],
+    ['POST', '/drain/engine-1', operatorToken, 202, { draining: 'engine-1' }],
+    ['POST', '/orders/o-1/confirm', operatorToken, 200, { confirmed: 'o-1' }]
+  ])('%s %s', async (method, path, token, status, body) => {
+    const { send } = await exampleApplication()
+    const answer = await send(method, path, { token })
+    expect({ status: answer.status, body: await answer.json() }).toMatchObject({ status, body })
+  })
+
+  test('actions name the operator', async () => {
+    const { send, calls } = await exampleApplication()
+    for (const path of ['/drain', '/drain/engine-1', '/orders/o-1/confirm']) await send('POST', path)
+    expect(calls).toEqual([['host', 'harbour'], ['engine-1', 'harbour'], ['o-1', 'harbour']])
+  })
+
+  test('metrics need no token', async () => {
+    const { send } = await exampleApplication()
+    const answer = await send('GET', '/metrics', { token: '' })
+    expect([answer.status, answer.headers.get('content-type')]).toEqual([200, expect.stringContaining('text/plain')])
+  })
+})
+
+describe('watch', () => {
+  async function watching (path: string, token = operatorToken, changed: Partial<AdministrationOptions> = {}) {
+    const example = await exampleApplication(changed)
+    const open = async () => {
+      const reader = (await example.send('GET', path, { token })).response.body!.getReader()
+      const next = async (): Promise<string> => {
+        const { value, done } = await reader.read()
+        return done ? 'end' : new TextDecoder().decode(value)
+      }
+      expect(await next()).toBe(': watching\n\n')
+      return { next, cancel: async () => { await reader.cancel() } }
+    }
+    const set = async (name: string, value: unknown, version = 0) => await example.send('PUT', `/settings/teams/forum/settings/${name}`, {
+      token: forumToken, body: value, headers: { 'if-match': `"${version}"` }
+    })
+    return { ...example, open, set }
+  }
+
+  test('sends later changes under the prefix, with the offset as id', async () => {
+    const { open, set, send } = await watching('/watch?prefix=/teams/forum', forumToken)
+    const { next } = await open()
+    await send('DELETE', role, { headers: first })
+    await set('colour', { name: 'blue' })
+    expect(await next()).toBe('event: change\nid: 3\ndata: {"path":"/teams/forum/settings/colour","version":3,"value":{"name":"blue"}}\n\n')
+  })
+
+  test('goes on after an offset, with deletions, and gives the id only with the last path of a change', async () => {
+    const { open, writer } = await watching('/watch?after=1')
+    const edits = [{ path: '/fleet/roles/engine-1', expectedVersion: 1, value: null }, { path: '/fleet/roles/engine-2', expectedVersion: 0, value: { role: 'mixed' } }]
+    await writer.submit('configuration', { kind: 'change', changeId: 'x', author: 'harbour', at: 0, basedOn: 0, edits })
+    const { next } = await open()
+    const events = [await next(), await next()]
+    expect(events.map(event => /id: (\d+)/.exec(event)?.[1])).toEqual([undefined, '2'])
+    expect(events.join()).toContain('{"path":"/fleet/roles/engine-1","version":2,"value":null}')
+  })
+
+  test('a slow reader gets the latest state of a path once', async () => {
+    const { open, set } = await watching('/watch')
+    const { next } = await open()
+    for (let version = 1; version <= 50; version += 1) await set('counter', version, version === 1 ? 0 : version)
+    await set('other', 1)
+    expect(await next()).toContain('"value":50}')
+    expect(await next()).toContain('/teams/forum/settings/other')
+  })
+
+  test('sends a heartbeat each 10 s of silence', async () => {
+    const { open, clock } = await watching('/watch')
+    const { next } = await open()
+    const pending = next()
+    await clock.advance(9_999)
+    expect(await Promise.race([pending, Promise.resolve('silent')])).toBe('silent')
+    await clock.advance(1)
+    expect(await pending).toBe(': heartbeat\n\n')
+  })
+
+  test('hides what the team may not read', async () => {
+    const { open, writer, set } = await watching('/watch', forumToken)
+    const { next } = await open()
+    const edits = [{ path: '/teams/harbour/settings/secret', expectedVersion: 0, value: 1 }]
+    await writer.submit('configuration', { kind: 'change', changeId: 'x', author: 'harbour', at: 0, basedOn: 0, edits })
+    await set('visible', 1)
+    expect(await next()).toContain('/teams/forum/settings/visible')
+  })
+
+  test('ends when the token is withdrawn', async () => {
+    const { open, send } = await watching('/watch', forumToken)
+    const { next } = await open()
+    await send('PUT', '/settings/teams/forum/account', { body: { owner: 'acuarios', tokens: [] }, headers: first })
+    expect(await next()).toContain('"type":"unauthenticated"')
+    expect(await next()).toBe('end')
+  })
+
+  test('ends with an error when too many paths wait', async () => {
+    const { open, set } = await watching('/watch', operatorToken, { maxWaitingPaths: 2 })
+    const { next } = await open()
+    for (const name of ['a', 'b', 'c']) await set(name, 1)
+    expect(await next()).toContain('"type":"overloaded"')
+    expect(await next()).toBe('end')
+  })
+
+  test('ends when the host closes, and cancelled watches make room', async () => {
+    const closing = new AbortController()
+    const { open, send } = await watching('/watch', operatorToken, { closing: closing.signal, maxWatches: 2 })
+    const watches = [await open(), await open()]
+    expect((await send('GET', '/watch')).status).toBe(429)
+    await watches[0]?.cancel()
+    const last = await open()
+    const ends = [watches[1]?.next(), last.next()]
+    closing.abort()
+    expect(await Promise.all(ends)).toEqual(['end', 'end'])
+  })
+})
--- /dev/null
+++ b/src/administration/hostRoutes.ts
@@ -0,0 +1,60 @@
+/**
+ * The routes about this host and the fleet: health, metrics, reports, draining, confirmation of orders.
+ */
+import { Hono } from 'hono'
+import { Result } from 'true-myth'
+import { errorResponseOf, failure, ownerSchema, workerIdSchema } from '../common/index.js'
+import type { AdministrationOptions } from './AdministrationOptions.js'
+import { type AdministrationContext, type AdministrationTypes, answerWith, operatorsOnly, parseWith } from './requests.js'
+
+const expositionType = 'text/plain; version=0.0.4; charset=utf-8'
+
+/** Routes that need no token: health and metrics. */
+export function publicRoutes (options: AdministrationOptions): Hono<AdministrationTypes> {
+  const routes = new Hono<AdministrationTypes>()
+  routes.get('/health/live', () => {
+    const { live, reasons } = options.health()
+    return live ? Response.json({ live }) : errorResponseOf(failure('internal', 'the host is not live', { reasons }))
+  })
+  routes.get('/health/ready', () => {
+    const { ready, reasons } = options.health()
+    return ready ? Response.json({ ready }) : errorResponseOf(failure('not_ready', 'the host is not ready', { reasons }))
+  })
+  routes.get('/metrics', async () =>
+    new Response(await options.metrics.exposition(), { headers: { 'content-type': expositionType } }))
+  return routes
+}
+
+function getUse (context: AdministrationContext, options: AdministrationOptions): Response {
+  const asked = context.req.query('owner')
+  if (asked === undefined) return answerWith(options.usageStatement())
+  return answerWith(parseWith(ownerSchema, asked).andThen(owner => options.usageStatement(owner)))
+}
+
+async function drainWorker (context: AdministrationContext, options: AdministrationOptions): Promise<Response> {
+  const worker = parseWith(workerIdSchema, context.req.param('worker'))
+  if (worker.isErr) return errorResponseOf(worker.error)
+  const drained = await options.drainWorker(worker.value, context.get('team'))
+  return answerWith(drained.map(() => ({ draining: worker.value })), 202)
+}
+
+async function confirmOrder (context: AdministrationContext, options: AdministrationOptions): Promise<Response> {
+  const orderId = context.req.param('id') ?? ''
+  const confirmed = await options.confirmOrder(orderId, context.get('team'))
+  return answerWith(confirmed.map(() => ({ confirmed: orderId })))
+}
+
+/** Routes `/fleet`, `/use`, `/timeline`, `/drain` and `/orders`. Every owner may read all use, to audit the bill. */
+export function hostRoutes (options: AdministrationOptions): Hono<AdministrationTypes> {
+  const routes = new Hono<AdministrationTypes>()
+  routes.get('/fleet', () => answerWith(Result.ok(options.fleetReport())))
+  routes.get('/use', context => getUse(context, options))
+  routes.get('/timeline', operatorsOnly, () => Response.json({ events: options.timeline.events() }))
+  routes.post('/drain', operatorsOnly, context => {
+    options.drainHost(context.get('team'))
+    return Response.json({ draining: options.timeline.process }, { status: 202 })
+  })
+  routes.post('/drain/:worker', operatorsOnly, async context => await drainWorker(context, options))
+  routes.post('/orders/:id/confirm', operatorsOnly, async context => await confirmOrder(context, options))
+  return routes
+}
--- /dev/null
+++ b/src/administration/watchRoutes.ts
@@ -0,0 +1,110 @@
+/**
+ * `GET /watch`: changes of the configuration as server-sent events. Each event `change` carries a path with its
+ * version and document; `null` means deleted. The event id is the offset through which the reader is complete:
+ * a reader that was cut off goes on with `after` set to the last id that it got.
+ */
+import { Hono } from 'hono'
+import { z } from 'zod'
+import { errorResponseOf, type Failure, failure, type Offset, offsetSchema } from '../common/index.js'
+import { mayRead, visibleValue } from '../configuration/index.js'
+import type { AdministrationOptions } from './AdministrationOptions.js'
+import { type AdministrationContext, type AdministrationTypes, parseWith } from './requests.js'
+import { Watch } from './Watch.js'
+
+/** Time between heartbeat comments, in milliseconds. */
+export const watchHeartbeatMilliseconds = 10_000
+
+const defaultMaxWatches = 64
+const defaultMaxWaitingPaths = 20_000
+
+const watchQuerySchema = z.object({
+  prefix: z.string().max(200).default(''),
+  after: z.string().regex(/^\d{1,15}$/).transform(Number).pipe(offsetSchema).optional()
+})
+
+function eventText (event: string, data: unknown, id?: Offset): string {
+  return `event: ${event}\n${id === undefined ? '' : `id: ${id}\n`}data: ${JSON.stringify(data)}\n\n`
+}
+
+function errorEvent (failed: Failure): string {
+  return eventText('error', { type: failed.kind, message: failed.message })
+}
+
+/** Writes the events of one watch until its reader leaves, its token becomes invalid or it overflows. */
+async function * eventsOf (
+  options: AdministrationOptions,
+  watch: Watch,
+  authorization: string | undefined
+): AsyncGenerator<string> {
+  // Tells the reader at once that the watch is in place.
+  yield ': watching\n\n'
+  for (;;) {
+    await watch.wait(options.clock, watchHeartbeatMilliseconds)
+    if (watch.isClosed) return
+    // The token may have expired, or the account may have gone, since the last event.
+    const team = options.authenticator.authenticate(authorization)
+    if (team.isErr) return yield errorEvent(team.error)
+    if (watch.isOverflowed) return yield errorEvent(failure('overloaded', 'the watch was read too slowly'))
+    const taken = watch.take()
+    if (taken === undefined) {
+      yield ': heartbeat\n\n'
+      continue
+    }
+    const { path, version, isLastOfVersion } = taken
+    const id = isLastOfVersion ? version : undefined
+    if (mayRead(team.value, path)) {
+      const value = visibleValue(team.value, path, options.configuration.get(path)?.value ?? null)
+      yield eventText('change', { path, version, value }, id)
+    }
+  }
+}
+
+/** Encodes a sequence of texts as a body; the sequence goes on only as fast as the body is read. */
+function bodyOf (texts: AsyncGenerator<string>, onEnd: () => void): ReadableStream<Uint8Array> {
+  const encoder = new TextEncoder()
+  return new ReadableStream({
+    async pull (controller) {
+      const next = await texts.next().catch(error => {
+        onEnd()
+        throw error
+      })
+      if (next.done !== true) return controller.enqueue(encoder.encode(next.value))
+      onEnd()
+      controller.close()
+    },
+    cancel: onEnd
+  }, { highWaterMark: 0 })
+}
+
+/** Route `/watch`. */
+export function watchRoutes (options: AdministrationOptions): Hono<AdministrationTypes> {
+  const routes = new Hono<AdministrationTypes>()
+  const watches = new Set<Watch>()
+
+  function startWatch (context: AdministrationContext): Response {
+    const query = parseWith(watchQuerySchema, context.req.query())
+    if (query.isErr) return errorResponseOf(query.error)
+    if (watches.size >= (options.maxWatches ?? defaultMaxWatches)) {
+      return errorResponseOf(failure('overloaded', 'too many watches on this host'))
+    }
+    const after = query.value.after ?? options.configuration.through
+    const watch = new Watch(
+      options.configuration, query.value.prefix, after, options.maxWaitingPaths ?? defaultMaxWaitingPaths
+    )
+    watches.add(watch)
+    const end = (): void => {
+      watch.close()
+      watches.delete(watch)
+      options.closing?.removeEventListener('abort', end)
+    }
+    options.closing?.addEventListener('abort', end)
+    if (options.closing?.aborted === true) end()
+    const events = eventsOf(options, watch, context.req.header('authorization'))
+    return new Response(bodyOf(events, end), {
+      headers: { 'content-type': 'text/event-stream', 'cache-control': 'no-store' }
+    })
+  }
+
+  routes.get('/watch', startWatch)
+  return routes
+}
--- a/src/configuration/ConfigurationFold.ts
+++ b/src/configuration/ConfigurationFold.ts
@@ -92,6 +92,12 @@
     return this.tree.get(path)?.version ?? this.deletedVersions.get(path) ?? noOffset
   }
 
+  /** Paths whose version is greater than the given offset, deleted ones included as far as they are kept. */
+  changedSince (after: Offset): string[] {
+    const deleted = this.deletedVersions.entries().filter(([, version]) => version > after).map(([path]) => path)
+    return [...this.tree.list('').filter(({ version }) => version > after).map(({ path }) => path), ...deleted]
+  }
+
   /** Kept changes of a path, oldest first. */
   historyOf (path: string): readonly HistoryEntry[] {
     return this.history.of(path)
@@ -161,6 +167,7 @@
     const tree = new ConfigurationTree()
     const problems: ConfigurationProblem[] = []
     for (const { path, version, value } of parsed.data.documents) {
+      if (version > through) problems.push({ path, problem: `version ${version} is after the snapshot's offset ${through}` })
       const checked = checkDocument(path, value)
       if (checked.valid) tree.put(path, stored(path, version, checked.value))
       else problems.push(...checked.problems)
--- a/src/configuration/ConfigurationManager.ts
+++ b/src/configuration/ConfigurationManager.ts
@@ -78,6 +78,11 @@
     return this.options.fold.versionOf(path)
   }
 
+  /** Paths that changed after the given offset, deleted ones included as far as they are kept. */
+  changedSince (after: Offset): string[] {
+    return this.options.fold.changedSince(after)
+  }
+
   /** Kept changes of a path, oldest first. */
   historyOf (path: string): readonly HistoryEntry[] {
     return this.options.fold.historyOf(path)
--- a/src/configuration/ConfigurationTree.ts
+++ b/src/configuration/ConfigurationTree.ts
@@ -94,7 +94,7 @@
     return this.index.get(keyOf(kind, name)) ?? []
   }
 
-  /** Length of all settings of a team as JSON text. */
+  /** Length of all settings of a team as JSON text, with their paths. */
   settingsLength (team: string): number {
     return this.settingsLengths.get(team) ?? 0
   }
@@ -115,7 +115,7 @@
       if (paths === undefined) this.index.set(key, [document.path])
       else paths.push(document.path)
     }
-    this.addSettingsLength(document, document.length)
+    this.addSettingsLength(document, document.path.length + document.length)
   }
 
   private unlink (document: StoredDocument): void {
@@ -125,7 +125,7 @@
       paths.splice(paths.indexOf(document.path), 1)
       if (paths.length === 0) this.index.delete(key)
     }
-    this.addSettingsLength(document, -document.length)
+    this.addSettingsLength(document, -document.path.length - document.length)
   }
 
   private addSettingsLength (document: StoredDocument, length: number): void {
--- a/src/configuration/validateTree.ts
+++ b/src/configuration/validateTree.ts
@@ -12,7 +12,10 @@
   type SharesDocument
 } from './documents.js'
 
-/** Most JSON text of all settings of one team, in UTF-16 code units. 1,300 teams at this size take about 20 MB. */
+/**
+ * Most JSON text of all settings of one team with their paths, in UTF-16 code units. 1,300 teams at this size
+ * take about 20 MB.
+ */
 export const maxSettingsLength = 16_384
 
 function textOf (issue: z.core.$ZodIssue): string {
