Connect leases, the administration API and the usage ledger to the host

Cause: a host served callers but had no duties, and operators had no way in. Ruled out: following the stream `use` at every host (it carries every request's use; 1,500 followers would break the 12 KB/s a node): the ledger is read from the first question on.

--- a/src/administration/AdministrationOptions.ts
+++ b/src/administration/AdministrationOptions.ts
@@ -17,8 +17,8 @@
   timeline: Timeline
   health: () => HealthReport
   fleetReport: () => FleetReport
-  /** Use by all owners, or by one. Errors: `not_ready`. */
-  usageStatement: (owner?: Owner) => Result<UsageStatement, Failure>
+  /** Use by all owners, or by one, read from the log. Errors: `platform_unavailable`. */
+  usageStatement: (owner?: Owner) => Promise<Result<UsageStatement, Failure>>
   /** Starts the graceful shutdown of this host and returns at once. */
   drainHost: (by: AuthenticatedTeam) => void
   /** Takes an upstream out of service gracefully. Errors: `not_found`, and those of a configuration change. */
--- a/src/administration/administrationApplication.test.ts
+++ b/src/administration/administrationApplication.test.ts
@@ -34,7 +34,7 @@
     fleetReport: () => ({
       at: 0, reportedBy: 'guayaquil-a-1' as HostId, incarnation: '0'.repeat(16) as Incarnation, hosts: [], workers: [], leases: [], openOrders: [], streams: []
     }),
-    usageStatement: owner => Result.ok({ through: noOffset, lines: [], asked: owner } as never),
+    usageStatement: async owner => Result.ok({ through: noOffset, lines: [], asked: owner } as never),
     drainHost: by => { calls.push(['host', by.team]) },
     drainWorker: (worker, by) => {
       if (worker !== 'engine-1') return Promise.resolve(Result.err(failure('not_found', 'no such worker')))
--- a/src/administration/hostRoutes.ts
+++ b/src/administration/hostRoutes.ts
@@ -25,10 +25,11 @@
   return routes
 }
 
-function getUse (context: AdministrationContext, options: AdministrationOptions): Response {
+async function getUse (context: AdministrationContext, options: AdministrationOptions): Promise<Response> {
   const asked = context.req.query('owner')
-  if (asked === undefined) return answerWith(options.usageStatement())
-  return answerWith(parseWith(ownerSchema, asked).andThen(owner => options.usageStatement(owner)))
+  if (asked === undefined) return answerWith(await options.usageStatement())
+  const owner = parseWith(ownerSchema, asked)
+  return owner.isErr ? errorResponseOf(owner.error) : answerWith(await options.usageStatement(owner.value))
 }
 
 async function drainWorker (context: AdministrationContext, options: AdministrationOptions): Promise<Response> {
@@ -48,7 +49,7 @@
 export function hostRoutes (options: AdministrationOptions): Hono<AdministrationTypes> {
   const routes = new Hono<AdministrationTypes>()
   routes.get('/fleet', () => answerWith(Result.ok(options.fleetReport())))
-  routes.get('/use', context => getUse(context, options))
+  routes.get('/use', async context => await getUse(context, options))
   routes.get('/timeline', operatorsOnly, () => Response.json({ events: options.timeline.events() }))
   routes.post('/drain', operatorsOnly, context => {
     options.drainHost(context.get('team'))
--- a/src/configuration/documents.ts
+++ b/src/configuration/documents.ts
@@ -41,7 +41,9 @@
   /** True if the engine refuses orders with an old fencing number. */
   checksFencing: z.boolean().default(false),
   /** True if `GET /load` works. */
-  reportsLoad: z.boolean().default(true)
+  reportsLoad: z.boolean().default(true),
+  /** True: the worker gets no new work; what runs on it ends normally. */
+  draining: z.boolean().default(false)
 })
 export type WorkerDocument = z.infer<typeof workerSchema>
 
--- a/src/entry/serve.ts
+++ b/src/entry/serve.ts
@@ -1,15 +1,13 @@
 /**
- * Listens on the callers' addresses.
+ * Listens on the addresses of an HTTP application: the callers' one and the operators' one.
  */
 import { createServer, type Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { createAdaptorServer } from '@hono/node-server'
-import type { Hono } from 'hono'
-import type { EntryEnvironment } from './entryApplication.js'
 
 /** Options of `serve`. */
 export interface ServeOptions {
-  application: Hono<EntryEnvironment>
+  application: { fetch: (request: Request, ...rest: any[]) => Response | Promise<Response> }
   /** `ip:port` each; port 0 lets the system choose. */
   addresses: readonly string[]
   /** Headers above this size are answered by the application, those above twice of it by Node. */
@@ -17,7 +15,7 @@
 }
 
 /** A listening server. */
-export interface CallerServer {
+export interface ListeningServer {
   /** The actual addresses. */
   addresses: string[]
   /** Stops accepting connections and resolves when the open ones have ended. */
@@ -37,7 +35,7 @@
 const keepAliveMilliseconds = 65_000
 
 /** Listens on all addresses, or on none if one of them cannot be used. */
-export async function serve (options: ServeOptions): Promise<CallerServer> {
+export async function serve (options: ServeOptions): Promise<ListeningServer> {
   const servers: Server[] = []
   const close = async (): Promise<void> => {
     await Promise.all(servers.map(server => new Promise<void>(resolve => {
--- a/src/host/ControlPart.ts
+++ b/src/host/ControlPart.ts
@@ -3,14 +3,23 @@
  * connections to other hosts over which it spreads.
  */
 import { Result } from 'true-myth'
-import type { Failure, HostId, Incarnation } from '../common/index.js'
+import type { Failure, HostId, Incarnation, Zone } from '../common/index.js'
 import { ConfigurationFold, ConfigurationManager } from '../configuration/index.js'
+import { LeaseManager, type LeaseName, leaseNameSchema } from '../leases/index.js'
 import { loadHostHash, MembershipManager, RelayDirectory } from '../membership/index.js'
 import { type PeerHandlers, PeerPool, PeerRecordSource, PeerServer, type PeerTarget } from '../peers/index.js'
 import type { ListedHost } from '../platform/index.js'
 import { FollowerGroup, LogSource } from '../streams/index.js'
 import type { HostContext } from './HostContext.js'
 
+/** Lease of the one host that writes snapshots. */
+const snapshotLease = leaseNameSchema.parse('snapshots')
+
+/** Lease of the one host of a zone that plans roles and sends orders to engines. */
+function plannerLeaseOf (zone: Zone): LeaseName {
+  return leaseNameSchema.parse(`zone/${zone}/planner`)
+}
+
 /** Addresses on which a host really listens. */
 export interface HostAddresses {
   callers: string[]
@@ -30,6 +39,7 @@
   readonly configurationFold = new ConfigurationFold()
   readonly followers: FollowerGroup
   readonly configuration: ConfigurationManager
+  readonly leases: LeaseManager
   readonly pool: PeerPool
   private membershipManager: MembershipManager | undefined
   private server: PeerServer | undefined
@@ -45,8 +55,15 @@
       clock
     })
     this.pool = new PeerPool({ identity: this.identity, hybridClock: context.hybridClock })
+    this.leases = new LeaseManager({
+      clock,
+      events,
+      holder: this.identity,
+      compete: [plannerLeaseOf(settings.host.zone), snapshotLease],
+      ...settings.leases
+    })
     this.followers = new FollowerGroup({
-      folds: [this.configurationFold],
+      folds: [this.configurationFold, this.leases],
       directory,
       log,
       clock,
@@ -141,6 +158,16 @@
     return first === undefined || first.hostId === self.hostId ? undefined : this.targetOf(first.hostId)
   }
 
+  /** Starts to compete for leases. */
+  startDuties (): void {
+    this.leases.start(this.followers)
+  }
+
+  /** Hands all duties over, so that others take them up at once. */
+  async stopDuties (): Promise<void> {
+    await this.leases.stop()
+  }
+
   /** Leaves the other hosts and closes all connections. */
   async stop (): Promise<void> {
     await this.followers.stop()
--- a/src/host/EntryHost.ts
+++ b/src/host/EntryHost.ts
@@ -3,8 +3,9 @@
  */
 import { Result } from 'true-myth'
 import type { Failure } from '../common/index.js'
-import { type CallerServer, serve } from '../entry/index.js'
+import { type ListeningServer, serve } from '../entry/index.js'
 import type { HostSettings } from '../settings/index.js'
+import { AdministrationPart } from './AdministrationPart.js'
 import { ControlPart, type HostAddresses } from './ControlPart.js'
 import { attempt, createContext, type HostContext } from './HostContext.js'
 import { RequestPart } from './RequestPart.js'
@@ -18,7 +19,9 @@
   private draining: Promise<boolean> | undefined
   private readonly control: ControlPart
   private requests: RequestPart | undefined
-  private callers: CallerServer | undefined
+  private administration: AdministrationPart | undefined
+  private callers: ListeningServer | undefined
+  private operators: ListeningServer | undefined
   private listening: HostAddresses | undefined
 
   private constructor (private readonly context: HostContext) {
@@ -71,10 +74,27 @@
     }))
     if (callers.isErr) return Result.err(callers.error)
     this.callers = callers.value
-    this.listening = { callers: callers.value.addresses, administration: settings.listen.administration, peers: peers.value }
+    const administration = new AdministrationPart({
+      context,
+      control,
+      requests,
+      ready: () => this.state === 'ready',
+      draining: () => this.state === 'draining',
+      drain: () => { this.drain().catch(error => events.error('drain_failed', { reason: String(error) })) }
+    })
+    this.administration = administration
+    const operators = await attempt(() => serve({
+      application: administration.application,
+      addresses: [settings.listen.administration],
+      maxHeaderBytes: settings.limits.maxHeaderBytes
+    }))
+    if (operators.isErr) return Result.err(operators.error)
+    this.operators = operators.value
+    this.listening = { callers: callers.value.addresses, administration: operators.value.addresses[0] ?? '', peers: peers.value }
     await control.start(this.listening)
     requests.start()
     await control.followers.waitUntilReady()
+    control.startDuties()
     this.state = 'ready'
     events.info('host_ready', { zone: settings.host.zone, incarnation: context.incarnation, through: control.configuration.through })
     return Result.ok(undefined)
@@ -85,6 +105,7 @@
     this.state = 'draining'
     events.info('drain_started', { open: this.requests?.requests.view().length ?? 0 })
     this.control.membership.leave()
+    await this.control.stopDuties()
     await clock.sleep(settings.drain.readinessDelayMilliseconds)
     const closed = this.callers?.close()
     const finished = await this.requests?.drain(AbortSignal.timeout(settings.drain.timeoutMilliseconds)) ?? true
@@ -95,6 +116,8 @@
   }
 
   private async close (): Promise<void> {
+    await this.administration?.stop()
+    await this.operators?.close()
     await this.requests?.stop()
     await this.control.stop()
     await this.context.log.close()
--- a/src/streams/StreamFollower.ts
+++ b/src/streams/StreamFollower.ts
@@ -5,6 +5,7 @@
  */
 import { Backoff, ChangeNotifier, type Clock, failureOf, type Offset, Task } from '../common/index.js'
 import type { EventLog } from '../observability/index.js'
+import type { StreamName } from '../platform/index.js'
 import { logSourceName } from './LogSource.js'
 import type { RecordSource, SourceDirectory, SourceMessage } from './RecordSource.js'
 import type { RelayBufferOptions } from './RelayBuffer.js'
@@ -51,6 +52,11 @@
     this.backoff = new Backoff({ ...backoffOptions, random })
   }
 
+  /** The stream. */
+  get stream (): StreamName {
+    return this.options.fold.stream
+  }
+
   /** Last applied offset. */
   get through (): Offset {
     return this.replica.through
--- a/src/upstreams/Upstream.ts
+++ b/src/upstreams/Upstream.ts
@@ -41,7 +41,7 @@
   /** Last published decision whether the upstream is a candidate. */
   available = false
 
-  constructor (readonly description: UpstreamDescription, clock: Clock) {
+  constructor (public description: UpstreamDescription, clock: Clock) {
     this.health = new UpstreamHealth(clock, description.worker.reportsLoad)
     this.origin = `http://${description.worker.address}`
   }
@@ -70,7 +70,8 @@
 
   /** True if the upstream may get new work. */
   get usable (): boolean {
-    return !this.removed && !this.leaving && !this.draining && this.health.usable
+    const isDraining = this.draining || this.description.worker.draining
+    return !this.removed && !this.leaving && !isDraining && this.health.usable
   }
 
   /** Connections for requests. */
--- a/src/upstreams/UpstreamManager.ts
+++ b/src/upstreams/UpstreamManager.ts
@@ -8,7 +8,7 @@
 import { chooseSubset } from './chooseSubset.js'
 import type { LoadReport } from './LoadReport.js'
 import { pollLoad } from './pollLoad.js'
-import { Upstream } from './Upstream.js'
+import { Upstream, type UpstreamDescription } from './Upstream.js'
 import { UpstreamWork } from './UpstreamWork.js'
 
 /** Options of an `UpstreamManager`. */
@@ -29,6 +29,7 @@
 export interface UpstreamView {
   id: WorkerId
   pool: Pool
+  kind: PoolDocument['kind']
   zone: Zone
   address: string
   role: EngineRole
@@ -130,12 +131,13 @@
     return [...this.entries.values()].map(({ upstream }) => ({
       id: upstream.id,
       pool: upstream.description.pool,
+      kind: upstream.description.kind,
       zone: upstream.zone,
       address: upstream.description.worker.address,
       role: upstream.role,
       available: upstream.usable,
       leaving: upstream.leaving,
-      draining: upstream.draining,
+      draining: upstream.draining || upstream.description.worker.draining,
       outstanding: upstream.load.outstanding,
       queuedPrefillTokens: upstream.load.queuedPrefillTokens,
       runningDecodes: upstream.load.runningDecodes,
@@ -176,7 +178,11 @@
     const description = { pool, kind: document.kind, worker, models, role, ownZone: worker.zone === this.options.zone }
     const present = this.entries.get(worker.id)
     if (present !== undefined) {
-      if (JSON.stringify(present.upstream.description) === JSON.stringify(description)) return
+      if (isSameProcess(present.upstream.description, description)) {
+        present.upstream.description = description
+        this.afterEvidence(present.upstream)
+        return
+      }
       this.remove(present)
     }
     const upstream = new Upstream(description, this.options.clock)
@@ -225,3 +231,9 @@
     this.options.events.info(upstream.available ? 'worker_available' : 'worker_unavailable', { worker: upstream.id })
   }
 }
+
+/** True if only what the system decides about the process has changed: its role, models or draining. */
+function isSameProcess (left: UpstreamDescription, right: UpstreamDescription): boolean {
+  return left.pool === right.pool && left.kind === right.kind &&
+    left.worker.address === right.worker.address && left.worker.reportsLoad === right.worker.reportsLoad
+}
