--- a/src/streams/StreamFollower.ts
+++ b/src/streams/StreamFollower.ts
@@ -5,6 +5,7 @@
  */
 import { Backoff, ChangeNotifier, type Clock, failureOf, type Offset, Task } from '../common/index.js'
 import type { EventLog } from '../observability/index.js'
+import type { StreamName } from '../platform/index.js'
 import { logSourceName } from './LogSource.js'
 import type { RecordSource, SourceDirectory, SourceMessage } from './RecordSource.js'
 import type { RelayBufferOptions } from './RelayBuffer.js'
@@ -51,6 +52,11 @@
     this.backoff = new Backoff({ ...backoffOptions, random })
   }
 
+  /** The followed stream. */
+  get stream (): StreamName {
+    return this.options.fold.stream
+  }
+
   /** Last applied offset. */
   get through (): Offset {
     return this.replica.through
@@ -69,7 +75,7 @@
   /** Starts following. */
   start (): void {
     this.task ??= Task.start(signal => this.run(signal), error => {
-      this.options.events.error('stream_follower_failed', { stream: this.options.fold.stream, reason: failureOf(error).message })
+      this.options.events.error('stream_follower_failed', { stream: this.stream, reason: failureOf(error).message })
     })
   }
 
@@ -138,10 +144,10 @@
   }
 
   private async tryOpen (source: RecordSource, rank: number, signal: AbortSignal): Promise<SourceConnection | undefined> {
-    const { clock, fold, silenceMilliseconds = defaultSilenceMilliseconds } = this.options
+    const { clock, silenceMilliseconds = defaultSilenceMilliseconds } = this.options
     const from = this.replica.wanted()
     try {
-      return await SourceConnection.open({ source, rank, stream: fold.stream, from, clock, silenceMilliseconds, signal })
+      return await SourceConnection.open({ source, rank, stream: this.stream, from, clock, silenceMilliseconds, signal })
     } catch (caught) {
       if (!signal.aborted) this.reportFailure(source, caught)
       return undefined
@@ -152,7 +158,7 @@
   private async followUntilReplaced (connection: SourceConnection, signal: AbortSignal): Promise<SourceConnection | undefined> {
     this.currentSource = connection.source.name
     this.replica.beginSource()
-    this.options.events.info('source_chosen', { stream: this.options.fold.stream, peer: connection.source.name, offset: this.through })
+    this.options.events.info('source_chosen', { stream: this.stream, peer: connection.source.name, offset: this.through })
     const search = new AbortController()
     const better = this.findBetter(connection.rank, signal, AbortSignal.any([signal, search.signal]))
     const failed = this.receiveAll(connection, signal)
@@ -171,7 +177,7 @@
         const before = this.through
         const result = this.replica.receive(message)
         if (result !== 'continue') {
-          this.options.events.info('source_left', { stream: this.options.fold.stream, peer: connection.source.name, reason: result })
+          this.options.events.info('source_left', { stream: this.stream, peer: connection.source.name, reason: result })
           if (result === 'follow_again') this.currentSource = undefined
           return undefined
         }
@@ -201,7 +207,7 @@
 
   private reportFailure (source: RecordSource, caught: unknown): void {
     const { kind, message } = failureOf(caught)
-    this.options.events.info('source_failed', { stream: this.options.fold.stream, peer: source.name, kind, reason: message })
+    this.options.events.info('source_failed', { stream: this.stream, peer: source.name, kind, reason: message })
   }
 }
 
