Add mutual TLS between hosts and the certificates command

Ruled out: refusing a bad certificate in the handshake; with TLS 1.3 the client then sees only a closed connection and cannot say why. The library's file watcher for certificates; it does not check that key and certificate belong together, and the server side would still need its own. Names by address; a replaced host keeps its id and may change its address.

Change: PeerListener accepts TCP or TLS connections and hands them to the gRPC server. A connection with an unusable certificate is accepted, each call on it is answered unauthenticated with the reason, and it is closed after 2 s. The sender of a call has to be named by its certificate. PeerCertificates looks at the files every 2 s; new connections use the new set and open calls go on; an unusable set is reported once and the old one stays in use. PeerPool logs a failed connection or refusal once per reason and makes a new connection after a refusal. A stopping server no longer aborts calls in progress; only Follow calls end at once. The command `dogwooddale certificates` makes an authority and host certificates.

Conclusion: a certificate that a client does not accept is reported there as not_run with the reason, since no call was sent.

--- a/src/commands/runCommandLine.ts
+++ b/src/commands/runCommandLine.ts
@@ -3,12 +3,14 @@
  * table of error kinds; 0 is success.
  */
 import yargs, { type CommandModule } from 'yargs'
+import { certificatesCommand } from './certificatesCommand.js'
 import { checkCommand } from './checkCommand.js'
 
 /** Version shown by `--version`; equal to the one in package.json. */
 export const programVersion = '0.1.0'
 
 const commands: CommandModule[] = [
+  certificatesCommand,
   checkCommand
 ]
 
--- a/src/peers/PeerChannel.ts
+++ b/src/peers/PeerChannel.ts
@@ -5,7 +5,7 @@
  */
 import { type ChannelCredentials, Client, connectivityState, Metadata, type ServiceError } from '@grpc/grpc-js'
 import { Result } from 'true-myth'
-import { type Failure, failure } from '../common/index.js'
+import { type Failure, failure, type HostId } from '../common/index.js'
 import { clientChannelOptions } from './channelOptions.js'
 import { HeartbeatAnswer, HeartbeatRequest, PeerService } from './generated/peer.js'
 
@@ -19,8 +19,10 @@
 export class PeerChannel {
   readonly client: Client
 
-  constructor (readonly address: string, credentials: ChannelCredentials) {
-    this.client = new Client(address, credentials, clientChannelOptions)
+  /** `name` is what the peer's certificate has to name when TLS is on. */
+  constructor (readonly address: string, credentials: ChannelCredentials, name: HostId) {
+    const options = credentials._isSecure() ? { 'grpc.ssl_target_name_override': name } : {}
+    this.client = new Client(address, credentials, { ...clientChannelOptions, ...options })
   }
 
   /** Waits until the channel is connected. Errors: `not_run`; no call was sent. */
@@ -39,6 +41,7 @@
     }
   }
 
+  /** Closes the channel for new calls; the open ones go on. */
   close (): void {
     this.client.close()
   }
--- a/src/peers/PeerHandlers.ts
+++ b/src/peers/PeerHandlers.ts
@@ -11,7 +11,7 @@
 export interface IncomingCall {
   /** The calling host, from the request; checked against its certificate when TLS is on. */
   sender: PeerIdentity
-  /** Aborts when the caller gives up, its connection breaks or this server stops. */
+  /** Aborts when the caller gives up or its connection breaks. */
   signal: AbortSignal
 }
 
--- a/src/peers/PeerPool.test.ts
+++ b/src/peers/PeerPool.test.ts
@@ -5,9 +5,9 @@
 import { afterEach, expect, test } from '@jest/globals'
 import { createServer } from 'node:net'
 import { Result } from 'true-myth'
-import { type ErrorKind, failure, type Incarnation } from '../common/index.js'
+import { type ErrorKind, failure, type Incarnation, toOffset } from '../common/index.js'
 import { keepAliveOptions } from './channelOptions.js'
-import { PeerPool, type PeerHandlers, type PeerTarget } from './index.js'
+import type { PeerHandlers, PeerTarget } from './index.js'
 import { Cleanup, GrowingSource, identityOf, makePool, recordedLog, startServer, TcpForwarder } from './peerTestSupport.js'
 
 const cleanup = new Cleanup()
@@ -65,9 +65,7 @@
 test('a call without a valid sender is refused', async () => {
   const { address } = await startServer(cleanup, { identity: server, handlers: { heartbeat } })
   const identity = { ...identityOf('a'), incarnation: 'x' as Incarnation }
-  const pool = new PeerPool({ identity, hybridClock: recordedLog('a').hybridClock })
-  cleanup.add(() => pool.close())
-  const result = await pool.heartbeat(targetAt(address))
+  const result = await makePool(cleanup, 'a', { identity }).heartbeat(targetAt(address))
   expect(result.isErr && result.error.kind).toBe('bad_request')
 })
 
@@ -124,12 +122,45 @@
   await cancelled
 })
 
+test('a stopping server lets the calls in progress end', async () => {
+  let arrived = (): void => {}
+  let release = (): void => {}
+  const running = new Promise<void>(resolve => { arrived = resolve })
+  const released = new Promise<void>(resolve => { release = resolve })
+  const handlers: PeerHandlers = {
+    heartbeat: async (_request, call) => {
+      arrived()
+      await released
+      return call.signal.aborted ? Result.err(failure('cancelled', 'aborted')) : Result.ok(answer)
+    }
+  }
+  const started = await startServer(cleanup, { identity: server, handlers })
+  const pending = makePool(cleanup, 'a').heartbeat(targetAt(started.address))
+  await running
+  const stopped = started.stop(10_000)
+  release()
+  expect(await pending).toEqual(Result.ok(answer))
+  await stopped
+})
+
+test('releasing a peer does not cut its open calls', async () => {
+  const source = new GrowingSource()
+  const { address } = await startServer(cleanup, { identity: server, handlers: { heartbeat, follow: source } })
+  const pool = makePool(cleanup, 'a')
+  const following = pool.follow(targetAt(address), 'leases', toOffset(1), new AbortController().signal)
+  await following.next()
+  pool.release(server.hostId)
+  source.append(1)
+  expect((await following.next()).value?.records?.records).toHaveLength(1)
+  expect(await pool.heartbeat(targetAt(address))).toEqual(Result.ok(answer))
+  await following.return()
+})
+
 test('stamps move the hybrid clocks of both ends', async () => {
   const { log, hybridClock } = recordedLog('b')
   const { address } = await startServer(cleanup, { identity: server, handlers: { heartbeat }, log, hybridClock })
   const near = recordedLog('a').hybridClock
-  const pool = new PeerPool({ identity: identityOf('a'), hybridClock: near })
-  cleanup.add(() => pool.close())
+  const pool = makePool(cleanup, 'a', { hybridClock: near })
   const ahead = { wall: Date.now() + 30_000, counter: 0 }
   near.receive(ahead)
   await pool.heartbeat(targetAt(address))
@@ -152,7 +183,7 @@
   const forwarder = await TcpForwarder.start(address)
   cleanup.add(() => forwarder.stop())
   const pool = makePool(cleanup, 'a')
-  const following = pool.follow(targetAt(forwarder.address), 'leases', 1 as never, new AbortController().signal)
+  const following = pool.follow(targetAt(forwarder.address), 'leases', toOffset(1), new AbortController().signal)
   // The record and the source's heartbeat; the source sends nothing more by itself.
   await following.next()
   await following.next()
--- a/src/peers/PeerPool.ts
+++ b/src/peers/PeerPool.ts
@@ -3,12 +3,15 @@
  * was certainly not sent (`not_run`); one that ends afterwards without an answer of the peer's handler may
  * have run (`outcome_unknown`).
  */
-import { type CallOptions, type ClientUnaryCall, credentials, Metadata, type ServiceError, status } from '@grpc/grpc-js'
+import {
+  type CallOptions, type ChannelCredentials, type ClientUnaryCall, credentials, experimental, Metadata, type ServiceError, status
+} from '@grpc/grpc-js'
 import { Result } from 'true-myth'
 import { type Failure, failure, FailureError, type HostId, type Offset } from '../common/index.js'
-import { formatTimestamp, type HybridClock, hybridTimeHeader, parseTimestamp } from '../observability/index.js'
+import { type EventLog, formatTimestamp, type HybridClock, hybridTimeHeader, parseTimestamp } from '../observability/index.js'
 import type { StreamName } from '../platform/index.js'
 import * as messages from './generated/peer.js'
+import { CertificateFeed, type PeerCertificates } from './PeerCertificates.js'
 import { PeerChannel } from './PeerChannel.js'
 import { failureOfServiceError } from './peerFailures.js'
 import { expectedIncarnationKey, type PeerIdentity, type PeerTarget } from './PeerIdentity.js'
@@ -18,6 +21,9 @@
   /** This host, named as the sender of each call. */
   identity: PeerIdentity
   hybridClock: HybridClock
+  log: EventLog
+  /** Certificates for mutual TLS. Absent: plain TCP. */
+  certificates?: PeerCertificates
 }
 
 /** Options of one call. */
@@ -42,8 +48,15 @@
 /** The channels to all peers. Each call resolves to the peer's answer, its failure, or one of the two kinds above. */
 export class PeerPool {
   private readonly channels = new Map<HostId, PeerChannel>()
-
-  constructor (private readonly options: PeerPoolOptions) {}
+  private readonly credentials: ChannelCredentials
+  /** Why the last call to a peer got no connection or was refused; each reason is logged once. */
+  private readonly problems = new Map<HostId, string>()
+
+  constructor (private readonly options: PeerPoolOptions) {
+    this.credentials = options.certificates === undefined
+      ? credentials.createInsecure()
+      : secureCredentials(new CertificateFeed(options.certificates))
+  }
 
   heartbeat (target: PeerTarget, options?: PeerCallOptions): Promise<Result<messages.HeartbeatAnswer, Failure>> {
     const request = { expectedIncarnation: target.incarnation ?? '' }
@@ -92,7 +105,7 @@
     const channel = this.channelOf(target)
     const connected = await channel.connect(defaultTimeoutMilliseconds)
     if (signal.aborted) return
-    if (connected.isErr) throw new FailureError(connected.error)
+    if (connected.isErr) throw new FailureError(this.report(target, connected.error))
     const { path, requestSerialize, responseDeserialize } = messages.PeerService.follow
     const request = { sender: this.options.identity, stream, fromOffset }
     const call = channel.client.makeServerStreamRequest(
@@ -105,15 +118,18 @@
     try {
       yield * call as AsyncIterable<messages.FollowMessage>
     } catch (caught) {
-      if (!signal.aborted) throw new FailureError(failureOfServiceError(caught as ServiceError, 'stream_interrupted'))
+      if (!signal.aborted) {
+        throw new FailureError(this.report(target, failureOfServiceError(caught as ServiceError, 'stream_interrupted')))
+      }
     } finally {
       signal.removeEventListener('abort', cancel)
       call.cancel()
     }
   }
 
-  /** Closes the channel to a peer that is gone. Its open calls end. */
+  /** Closes the channel to a peer that is gone. */
   release (hostId: HostId): void {
+    this.problems.delete(hostId)
     this.channels.get(hostId)?.close()
     this.channels.delete(hostId)
   }
@@ -127,7 +143,7 @@
     const known = this.channels.get(target.hostId)
     if (known?.address === target.address) return known
     known?.close()
-    const channel = new PeerChannel(target.address, credentials.createInsecure())
+    const channel = new PeerChannel(target.address, this.credentials, target.hostId)
     this.channels.set(target.hostId, channel)
     return channel
   }
@@ -144,9 +160,24 @@
     const channel = this.channelOf(target)
     const connected = await channel.connect(timeoutMilliseconds)
     if (signal?.aborted) return Result.err(failure('cancelled', 'the call was cancelled before it was sent'))
-    if (connected.isErr) return Result.err(connected.error)
+    if (connected.isErr) return Result.err(this.report(target, connected.error))
     const request = { ...unsigned, sender: this.options.identity } as unknown as Request
-    return await this.send(channel, definition, request, this.metadataFor(target), { deadline }, signal)
+    const answered = await this.send(channel, definition, request, this.metadataFor(target), { deadline }, signal)
+    if (answered.isOk) this.problems.delete(target.hostId)
+    return answered.mapErr(failed => this.report(target, failed))
+  }
+
+  /** Logs a failure to connect or a refused certificate, once until a call succeeds or the reason changes. */
+  private report (target: PeerTarget, failed: Failure): Failure {
+    const isRefused = failed.kind === 'unauthenticated'
+    // The next call makes a new connection, for which the certificates may have been renewed.
+    if (isRefused) this.channels.get(target.hostId)?.close()
+    if (isRefused) this.channels.delete(target.hostId)
+    const isReported = failed.kind === 'not_run' || isRefused
+    if (!isReported || this.problems.get(target.hostId) === failed.message) return failed
+    this.problems.set(target.hostId, failed.message)
+    this.options.log.warn('peer_unreachable', { peer: target.hostId, kind: failed.kind, reason: failed.message })
+    return failed
   }
 
   private send<Request, Answer> (
@@ -183,3 +214,7 @@
     this.options.hybridClock.receive(parseTimestamp(metadata.get(hybridTimeHeader)[0]?.toString()))
   }
 }
+
+function secureCredentials (feed: CertificateFeed): ChannelCredentials {
+  return experimental.createCertificateProviderChannelCredentials(feed, feed)
+}
--- a/src/peers/PeerRecordSource.test.ts
+++ b/src/peers/PeerRecordSource.test.ts
@@ -3,7 +3,8 @@
  * turns to another one, and against a relay that fails without telling its followers.
  */
 import { afterEach, expect, test } from '@jest/globals'
-import { FailureError, type Offset, toOffset } from '../common/index.js'
+import { Result } from 'true-myth'
+import { failure, FailureError, type Offset, toOffset } from '../common/index.js'
 import type { StreamName } from '../platform/index.js'
 import { RecordSource, type SourceMessage } from '../streams/RecordSource.js'
 import { PeerRecordSource } from './index.js'
@@ -102,3 +103,31 @@
   }
   await relayEnded
 })
+
+class EndlessSource extends RecordSource {
+  readonly name = 'endless'
+  produced = 0
+
+  async * follow (_stream: StreamName, _from: Offset, signal: AbortSignal): AsyncIterable<SourceMessage> {
+    const value = 'x'.repeat(65_536)
+    while (!signal.aborted && this.produced < 1000) {
+      this.produced += 1
+      const offset = toOffset(this.produced)
+      yield { kind: 'records', startOffset: toOffset(1), nextOffset: toOffset(this.produced + 1), records: [{ offset, at: 0, value }] }
+    }
+  }
+}
+
+test('a follower that does not read holds the relay up instead of filling its memory', async () => {
+  const endless = new EndlessSource()
+  const handlers = { follow: endless, heartbeat: async () => Result.err(failure('not_ready', 'test')) }
+  const server = await startServer(cleanup, { identity: identityOf('b'), handlers })
+  const pool = makePool(cleanup, 'a')
+  const target = { hostId: identityOf('b').hostId, address: server.address }
+  const following = pool.follow(target, 'leases', toOffset(1), new AbortController().signal)
+  await following.next()
+  // Each answer takes its turn after what the relay could send meanwhile.
+  for (let call = 0; call < 50; call += 1) await pool.heartbeat(target)
+  expect(endless.produced).toBeLessThan(500)
+  await following.return()
+})
--- a/src/peers/PeerServer.ts
+++ b/src/peers/PeerServer.ts
@@ -3,7 +3,7 @@
  * keeps the hybrid clock in step, and turns failures into gRPC errors; the work is done by the handlers.
  */
 import {
-  Metadata, Server, ServerCredentials, type ServerOptions, type ServerUnaryCall, type ServerWritableStream,
+  Metadata, Server, type ServerOptions, type ServerUnaryCall, type ServerWritableStream,
   type sendUnaryData, type UntypedServiceImplementation
 } from '@grpc/grpc-js'
 import { once } from 'node:events'
@@ -18,6 +18,8 @@
 import { expectedIncarnationKey, type PeerIdentity, peerIdentitySchema } from './PeerIdentity.js'
 import { statusOfFailure } from './peerFailures.js'
 import { channelLimits, keepAliveOptions } from './channelOptions.js'
+import type { PeerCertificates } from './PeerCertificates.js'
+import { PeerListener } from './PeerListener.js'
 
 /** Options of a `PeerServer`. */
 export interface PeerServerOptions {
@@ -28,6 +30,8 @@
   handlers: PeerHandlers
   hybridClock: HybridClock
   log: EventLog
+  /** Certificates for mutual TLS. Absent: plain TCP. */
+  certificates?: PeerCertificates
 }
 
 /** A request of any call, as far as the server itself reads it. */
@@ -50,7 +54,7 @@
 export class PeerServer {
   private readonly server = new Server(serverOptions)
   private readonly stopping = new AbortController()
-  private port = 0
+  private listener: PeerListener | undefined
 
   private constructor (private readonly options: PeerServerOptions) {}
 
@@ -58,36 +62,33 @@
   static async start (options: PeerServerOptions): Promise<Result<PeerServer, Failure>> {
     const server = new PeerServer(options)
     server.server.addService(PeerService, server.implementation())
-    const bound = await server.bind()
-    return bound.map(() => server)
+    const { address, certificates, log } = options
+    const listening = await PeerListener.start({ address, server: server.server, certificates, log })
+    return listening.map(listener => {
+      server.listener = listener
+      return server
+    })
   }
 
   /** `ip:port` that the server listens on. */
   get address (): string {
-    return `${this.options.address.slice(0, this.options.address.lastIndexOf(':'))}:${this.port}`
+    return this.listener?.address ?? this.options.address
   }
 
   /** Ends the `Follow` calls with `draining`, waits for the other calls, then closes all connections. */
   async stop (graceMilliseconds = defaultGraceMilliseconds): Promise<void> {
     this.stopping.abort()
+    this.listener?.close()
     let timer: NodeJS.Timeout | undefined
     await new Promise<void>(resolve => {
       timer = setTimeout(resolve, graceMilliseconds)
       this.server.tryShutdown(() => resolve())
     })
     clearTimeout(timer)
+    this.listener?.destroy()
     this.server.forceShutdown()
   }
 
-  private bind (): Promise<Result<void, Failure>> {
-    return new Promise(resolve => {
-      this.server.bindAsync(this.options.address, ServerCredentials.createInsecure(), (error, port) => {
-        this.port = port
-        resolve(error === null ? Result.ok(undefined) : Result.err(failure('internal', error.message)))
-      })
-    })
-  }
-
   private implementation (): UntypedServiceImplementation {
     const { follow, ...unary } = this.options.handlers
     const calls: UntypedServiceImplementation = {}
@@ -145,7 +146,7 @@
     if (opened.isErr) return this.endWith(call, opened.error)
     if (!stream.success) return this.endWith(call, failure('bad_request', `there is no stream "${call.request.stream}"`))
     try {
-      await this.relay(call, source, stream.data, opened.value.signal)
+      await this.relay(call, source, stream.data, AbortSignal.any([opened.value.signal, this.stopping.signal]))
       this.endWith(call, this.stopping.signal.aborted
         ? failure('draining', 'the host stops')
         : failure('stream_interrupted', 'the source of the relaying host ended'))
@@ -172,12 +173,17 @@
     call.emit('error', statusOfFailure(failed))
   }
 
-  /** Checks the parties of a call and adopts its stamp. Errors: `bad_request`, `wrong_incarnation`, `draining`. */
+  /**
+   * Checks the parties of a call and adopts its stamp.
+   * Errors: `bad_request`, `unauthenticated`, `wrong_incarnation`, `draining`.
+   */
   private open (call: AnyCall): Result<IncomingCall, Failure> {
     this.options.hybridClock.receive(parseTimestamp(call.metadata.get(hybridTimeHeader)[0]?.toString()))
     if (this.stopping.signal.aborted) return Result.err(failure('draining', 'the host stops'))
     const sender = peerIdentitySchema.safeParse(call.request.sender)
     if (!sender.success) return Result.err(failure('bad_request', 'the call does not name its sender by host id and incarnation'))
+    const certified = this.listener?.checkCertificate(call, sender.data.hostId)
+    if (certified?.isErr) return Result.err(certified.error)
     const { identity } = this.options
     const expected = call.metadata.get(expectedIncarnationKey)[0]?.toString() ?? call.request.expectedIncarnation ?? ''
     if (expected !== '' && expected !== identity.incarnation) {
@@ -186,7 +192,7 @@
     }
     const cancelled = new AbortController()
     call.on('cancelled', () => cancelled.abort())
-    return Result.ok({ sender: sender.data, signal: AbortSignal.any([cancelled.signal, this.stopping.signal]) })
+    return Result.ok({ sender: sender.data, signal: cancelled.signal })
   }
 
   private sendStamp (call: AnyCall): void {
--- a/src/peers/peerTestSupport.ts
+++ b/src/peers/peerTestSupport.ts
@@ -8,7 +8,7 @@
 import { EventLog, HybridClock, Timeline } from '../observability/index.js'
 import type { LogRecord, StreamName } from '../platform/index.js'
 import { RecordSource, type SourceMessage } from '../streams/RecordSource.js'
-import { PeerPool } from './PeerPool.js'
+import { PeerPool, type PeerPoolOptions } from './PeerPool.js'
 import { PeerServer, type PeerServerOptions } from './PeerServer.js'
 import type { PeerIdentity } from './PeerIdentity.js'
 
@@ -147,8 +147,9 @@
 }
 
 /** Makes a pool that closes after the test. */
-export function makePool (cleanup: Cleanup, hostId: string): PeerPool {
-  const pool = new PeerPool({ identity: identityOf(hostId), hybridClock: recordedLog(hostId).hybridClock })
+export function makePool (cleanup: Cleanup, hostId: string, options: Partial<PeerPoolOptions> = {}): PeerPool {
+  const { log, hybridClock } = recordedLog(hostId)
+  const pool = new PeerPool({ identity: identityOf(hostId), hybridClock, log, ...options })
   cleanup.add(() => pool.close())
   return pool
 }
--- a/src/settings/HostSettings.ts
+++ b/src/settings/HostSettings.ts
@@ -35,7 +35,10 @@
     /** How long the log keeps records. Snapshots are written after a third of it. */
     logRetentionSeconds: z.number().positive().default(86_400)
   }),
-  /** Mutual TLS between entry hosts. Absent: plain TCP. The files are read anew when they change. */
+  /**
+   * Mutual TLS between entry hosts. Absent: plain TCP. The files are read anew when they change. The certificate
+   * has to name the host id as a DNS name.
+   */
   peerTls: z.strictObject({
     certificateFile: z.string(),
     keyFile: z.string(),
