--- a/src/commands/runCommandLine.ts
+++ b/src/commands/runCommandLine.ts
@@ -3,6 +3,7 @@
  * table of error kinds; 0 is success.
  */
 import yargs, { type CommandModule } from 'yargs'
+import { certificatesCommand } from './certificatesCommand.js'
 import { checkCommand } from './checkCommand.js'
 import { hostCommand } from './hostCommand.js'
 import { replayCommand } from './replayCommand.js'
@@ -15,7 +16,8 @@
   checkCommand,
   hostCommand,
   replayCommand,
-  standInCommand
+  standInCommand,
+  certificatesCommand
 ]
 
 /** Runs the program with its arguments, without the program's own name. */
