Add the operators' commands

Cause: operators need the administration API on the command line, with exit statuses from the table of error kinds and more than one server to ask. Ruled out: sending any request to the next server after a lost answer (a drain could run on two hosts; only reads, and changes that carry their own identity, are sent again); yargs' own exit on wrong usage (status 1, which the table does not know for it).

--- /dev/null
+++ b/src/administration/administrationTestSupport.ts
@@ -0,0 +1,75 @@
+/**
+ * An administration application over the example configuration, with stand-ins for what other slices own.
+ */
+import { Result } from 'true-myth'
+import {
+  failure, type HostId, type Incarnation, ManualClock, noOffset, toOffset
+} from '../common/index.js'
+import { ConfigurationFold, ConfigurationManager, type ConfigurationState, TeamAuthenticator } from '../configuration/index.js'
+import { DirectRecordWriter } from '../configuration/DirectRecordWriter.js'
+import { exampleEdits, operatorToken } from '../configuration/exampleConfiguration.js'
+import { EventLog, HybridClock, Metrics, Timeline } from '../observability/index.js'
+import { administrationApplication, type AdministrationOptions, type FleetReport } from './index.js'
+
+const emptyFleet: FleetReport = {
+  at: 0,
+  reportedBy: 'guayaquil-a-1' as HostId,
+  incarnation: '0'.repeat(16) as Incarnation,
+  hosts: [],
+  workers: [],
+  leases: [],
+  openOrders: [],
+  streams: []
+}
+
+/** Parts of a request that differ from an operator's request without body. */
+export interface SentRequest { token?: string, body?: unknown, headers?: Record<string, string> }
+
+/** Makes the application. `calls` lists the actions on the stand-ins, `snapshots` the snapshots written by hand. */
+export async function exampleApplication (changed: Partial<AdministrationOptions> = {}) {
+  const clock = new ManualClock()
+  const timeline = new Timeline('guayaquil-a-1', new HybridClock(clock))
+  const log = new EventLog({ timeline, level: 'error', write: () => {} })
+  const fold = new ConfigurationFold()
+  const writer = new DirectRecordWriter([fold], clock)
+  const configuration = new ConfigurationManager({ fold, writer, clock, log })
+  await writer.submit('configuration', { kind: 'change', changeId: 'seed', author: 'harbour', at: 0, basedOn: 0, edits: exampleEdits })
+  const calls: unknown[] = []
+  const snapshots: ConfigurationState[] = []
+  const options: AdministrationOptions = {
+    configuration,
+    authenticator: new TeamAuthenticator(configuration, clock),
+    clock,
+    log,
+    timeline,
+    metrics: new Metrics(),
+    health: () => ({ live: true, ready: false, reasons: ['no_configuration'] }),
+    fleetReport: () => emptyFleet,
+    usageStatement: owner => Result.ok({ through: noOffset, lines: [], asked: owner } as never),
+    drainHost: by => { calls.push(['host', by.team]) },
+    drainWorker: (worker, by) => {
+      if (worker !== 'engine-1') return Promise.resolve(Result.err(failure('not_found', 'no such worker')))
+      calls.push([worker, by.team])
+      return Promise.resolve(Result.ok(undefined))
+    },
+    confirmOrder: (orderId, by) => {
+      calls.push([orderId, by.team])
+      return Promise.resolve(Result.ok(undefined))
+    },
+    writeConfigurationSnapshot: stateAt => {
+      snapshots.push(stateAt(toOffset(5)))
+      return Promise.resolve(Result.ok(toOffset(6)))
+    },
+    ...changed
+  }
+  const application = administrationApplication(options)
+  const send = async (method: string, path: string, request: SentRequest = {}) => {
+    const { token = operatorToken, body, headers } = request
+    const authorization: Record<string, string> = token === '' ? {} : { authorization: `Bearer ${token}` }
+    const text = body === undefined || typeof body === 'string' ? body : JSON.stringify(body)
+    const init = { method, headers: { ...authorization, ...headers }, ...(text === undefined ? {} : { body: text }) }
+    const response = await application.request(path, init)
+    return { status: response.status, headers: response.headers, response, json: async () => await response.json() as any }
+  }
+  return { application, clock, writer, configuration, calls, snapshots, timeline, send }
+}
--- /dev/null
+++ b/src/commands/administerCommand.ts
@@ -0,0 +1,233 @@
+/**
+ * `dogwooddale administer ACTION`: reads and changes the configuration through the administration API.
+ */
+import { readFileSync, writeFileSync } from 'node:fs'
+import { text } from 'node:stream/consumers'
+import { Result } from 'true-myth'
+import type { Argv, CommandModule } from 'yargs'
+import { z } from 'zod'
+import { changeIdHeader } from '../administration/index.js'
+import { type Failure, failure, newRecordId } from '../common/index.js'
+import { configurationStateSchema, historyEntrySchema } from '../configuration/index.js'
+import type { AdministrationClient } from './AdministrationClient.js'
+import { clientArgumentsOf, print, printFailure, runWithClient, withClientOptions } from './administrationOptions.js'
+
+const documentSchema = z.object({ path: z.string(), version: z.number(), value: z.unknown() })
+const listSchema = z.object({ through: z.number(), documents: z.array(documentSchema) })
+const acceptedSchema = z.object({ changeId: z.string(), version: z.number() })
+const historySchema = z.object({ path: z.string(), version: z.number(), entries: z.array(historyEntrySchema) })
+const exportSchema = z.object({ through: z.number(), state: configurationStateSchema })
+const restoredSchema = z.object({ offset: z.number() })
+
+type Accepted = z.infer<typeof acceptedSchema>
+
+function formatDocument ({ path, version, value }: z.infer<typeof documentSchema>): string {
+  return `${path} version=${version}\n${JSON.stringify(value, null, 2)}`
+}
+
+function formatAccepted ({ changeId, version }: Accepted): string {
+  return `accepted version=${version} change=${changeId}`
+}
+
+function parseJson (source: string): Result<unknown, Failure> {
+  try {
+    return Result.ok(JSON.parse(source))
+  } catch (caught) {
+    return Result.err(failure('bad_request', `the value is not JSON: ${(caught as Error).message}`))
+  }
+}
+
+/** Version that a change expects: the given one, or else the one in force when it is asked for. */
+async function expectedVersionOf (client: AdministrationClient, path: string, given?: number): Promise<Result<number, Failure>> {
+  if (given !== undefined) return Result.ok(given)
+  const current = await client.send({ method: 'GET', path: `/settings${path}`, answer: documentSchema })
+  if (current.isOk) return Result.ok(current.value.version)
+  // A path without a document still has a version when a document was deleted.
+  const version = current.error.detail?.version
+  if (current.error.kind === 'not_found' && typeof version === 'number') return Result.ok(version)
+  return Result.err(current.error)
+}
+
+async function changeDocument (
+  client: AdministrationClient,
+  args: Record<string, unknown>,
+  request: { method: 'PUT' | 'DELETE', body?: unknown }
+): Promise<Result<Accepted, Failure>> {
+  const path = args.path as string
+  const version = await expectedVersionOf(client, path, args.expectVersion as number | undefined)
+  if (version.isErr) return Result.err(version.error)
+  return await client.send({
+    ...request,
+    path: `/settings${path}`,
+    headers: { 'if-match': `"${version.value}"`, [changeIdHeader]: args.changeId as string | undefined ?? newRecordId() },
+    repeatable: true,
+    answer: acceptedSchema
+  })
+}
+
+function withPath (parser: Argv, describe = 'Path of the document, e.g. /fleet/shares'): Argv {
+  return withClientOptions(parser).positional('path', { type: 'string', demandOption: true, describe })
+}
+
+function withChangeOptions (parser: Argv): Argv {
+  return withPath(parser)
+    .option('expect-version', { type: 'number', describe: 'Version that the path must have; 0: never set. Default: the present one' })
+    .option('change-id', { type: 'string', describe: 'Identity of the change; sent again, it takes effect once' })
+}
+
+const getSubcommand: CommandModule = {
+  command: 'get <path>',
+  describe: 'Show a document, or all below a path that ends in "/"',
+  builder: parser => withPath(parser),
+  handler: async args => {
+    const path = args.path as string
+    if (!path.endsWith('/')) {
+      return await runWithClient(args, client =>
+        client.send({ method: 'GET', path: `/settings${path}`, answer: documentSchema }), formatDocument)
+    }
+    const query = new URLSearchParams({ prefix: path })
+    await runWithClient(args, client =>
+      client.send({ method: 'GET', path: `/settings?${query}`, answer: listSchema }),
+    list => list.documents.map(formatDocument).join('\n'))
+  }
+}
+
+const setSubcommand: CommandModule = {
+  command: 'set <path> [value]',
+  describe: 'Set a document; without a value it is read from standard input',
+  builder: parser => withChangeOptions(parser).positional('value', { type: 'string', describe: 'The document as JSON' }),
+  handler: async args => {
+    const value = parseJson(args.value as string | undefined ?? await text(process.stdin))
+    if (value.isErr) return printFailure(value.error, clientArgumentsOf(args).json)
+    await runWithClient(args, client => changeDocument(client, args, { method: 'PUT', body: value.value }), formatAccepted)
+  }
+}
+
+const deleteSubcommand: CommandModule = {
+  command: 'delete <path>',
+  describe: 'Delete a document',
+  builder: withChangeOptions,
+  handler: async args => {
+    await runWithClient(args, client => changeDocument(client, args, { method: 'DELETE' }), formatAccepted)
+  }
+}
+
+const historySubcommand: CommandModule = {
+  command: 'history <path>',
+  describe: 'Show the latest changes of a document with author, time and value',
+  builder: parser => withPath(parser),
+  handler: async args => {
+    await runWithClient(args, client =>
+      client.send({ method: 'GET', path: `/history${args.path as string}`, answer: historySchema }),
+    history => history.entries
+      .map(entry => `${new Date(entry.at).toISOString()} version=${entry.version} author=${entry.author} change=${entry.changeId} ${JSON.stringify(entry.value)}`)
+      .join('\n'))
+  }
+}
+
+const changeSubcommand: CommandModule = {
+  command: 'change <id>',
+  describe: 'Show what became of a change',
+  builder: parser => withClientOptions(parser)
+    .positional('id', { type: 'string', demandOption: true, describe: 'Identity of the change' })
+    .option('author', { type: 'string', describe: 'Team that made the change; default: your own' }),
+  handler: async args => {
+    const query = args.author === undefined ? '' : `?${new URLSearchParams({ author: args.author as string })}`
+    await runWithClient(args, client => client.send({
+      method: 'GET', path: `/changes/${encodeURIComponent(args.id as string)}${query}`, answer: z.record(z.string(), z.unknown())
+    }))
+  }
+}
+
+const watchSubcommand: CommandModule = {
+  command: 'watch [prefix]',
+  describe: 'Print changes as they take effect, one JSON line each',
+  builder: parser => withClientOptions(parser)
+    .positional('prefix', { type: 'string', default: '', describe: 'Only paths that start with this' })
+    .option('after', { type: 'number', describe: 'Start with the changes after this offset; 0: all documents' }),
+  handler: async args => {
+    const stopping = new AbortController()
+    for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => { stopping.abort() })
+    await runWithClient(args, async client => {
+      const ended = await client.watch(
+        args.prefix as string,
+        args.after as number | undefined,
+        change => { print(JSON.stringify(change)) },
+        stopping.signal
+      )
+      return ended.map(() => ({ ended: true }))
+    }, () => 'watch ended')
+  }
+}
+
+const exportSubcommand: CommandModule = {
+  command: 'export',
+  describe: 'Write the whole configuration with its history as JSON, for a restore',
+  builder: parser => withClientOptions(parser)
+    .option('output', { type: 'string', describe: 'File to write; default: standard output' }),
+  handler: async args => {
+    await runWithClient<unknown>(args, async client => {
+      const exported = await client.send({ method: 'GET', path: '/export', answer: exportSchema })
+      if (exported.isErr || args.output === undefined) return exported
+      writeFileSync(args.output as string, `${JSON.stringify(exported.value, null, 2)}\n`)
+      const { through, state } = exported.value
+      return Result.ok({ through, documents: state.documents.length, output: args.output })
+    })
+  }
+}
+
+function readExport (file: string): Result<z.infer<typeof exportSchema>, Failure> {
+  try {
+    return Result.ok(exportSchema.parse(JSON.parse(readFileSync(file, 'utf8'))))
+  } catch (caught) {
+    return Result.err(failure('bad_request', `${file}: not an exported configuration: ${(caught as Error).message}`))
+  }
+}
+
+const restoreSubcommand: CommandModule = {
+  command: 'restore <file>',
+  describe: 'Write an exported configuration into the log as a snapshot; only after all hosts were lost',
+  builder: parser => withClientOptions(parser)
+    .positional('file', { type: 'string', demandOption: true, describe: 'File written by export' })
+    .option('confirm-replace', { type: 'boolean', default: false, describe: 'Confirm that changes after the export may be lost' }),
+  handler: async args => {
+    const { json } = clientArgumentsOf(args)
+    if (args.confirmReplace !== true) {
+      return printFailure(failure('bad_request', 'a restore can lose changes made after the export; confirm with --confirm-replace'), json)
+    }
+    const exported = readExport(args.file as string)
+    if (exported.isErr) return printFailure(exported.error, json)
+    await runWithClient(args, client => client.send({
+      method: 'POST', path: '/restore', body: { confirm: true, state: exported.value.state }, answer: restoredSchema
+    }), ({ offset }) => `snapshot written offset=${offset}`)
+  }
+}
+
+const confirmSubcommand: CommandModule = {
+  command: 'confirm-order <id>',
+  describe: 'State that the former lease holder can no longer send an open order',
+  builder: parser => withClientOptions(parser).positional('id', { type: 'string', demandOption: true, describe: 'Order id' }),
+  handler: async args => {
+    await runWithClient(args, client => client.send({
+      method: 'POST', path: `/orders/${encodeURIComponent(args.id as string)}/confirm`, answer: z.object({ confirmed: z.string() })
+    }), ({ confirmed }) => `confirmed order=${confirmed}`)
+  }
+}
+
+/** The `administer` command. */
+export const administerCommand: CommandModule = {
+  command: 'administer',
+  describe: 'Read and change the configuration',
+  builder: parser => parser
+    .command(getSubcommand)
+    .command(setSubcommand)
+    .command(deleteSubcommand)
+    .command(watchSubcommand)
+    .command(historySubcommand)
+    .command(changeSubcommand)
+    .command(exportSubcommand)
+    .command(restoreSubcommand)
+    .command(confirmSubcommand)
+    .demandCommand(1, 'Name an action.'),
+  handler: () => {}
+}
--- /dev/null
+++ b/src/commands/timelineCommand.ts
@@ -0,0 +1,89 @@
+/**
+ * `dogwooddale timeline`: one ordered list of the events of all hosts.
+ */
+import { Result } from 'true-myth'
+import type { CommandModule } from 'yargs'
+import { z } from 'zod'
+import { fleetReportSchema } from '../administration/index.js'
+import { type Failure, failure } from '../common/index.js'
+import {
+  formatTimestamp, mergeTimelines, type TimelineEvent, timelineEventSchema, type TimelineFilter
+} from '../observability/index.js'
+import { AdministrationClient } from './AdministrationClient.js'
+import { runWithClient, tokenVariable, withClientOptions } from './administrationOptions.js'
+
+/** Hosts that are asked at the same time. */
+const concurrentHosts = 16
+
+const timelineSchema = z.object({ events: z.array(timelineEventSchema) })
+
+/** Writes an event as one line. */
+export function formatEvent ({ timestamp, process: source, event, fields }: TimelineEvent): string {
+  const facts = Object.entries(fields).map(([key, value]) => `${key}=${value}`).join(' ')
+  return `${new Date(timestamp.wall).toISOString()} ${formatTimestamp(timestamp)} ${source} ${event} ${facts}`.trimEnd()
+}
+
+async function timelineOf (host: string, token: string): Promise<Result<TimelineEvent[], Failure>> {
+  const client = new AdministrationClient({ servers: [host], token })
+  const answer = await client.send({ method: 'GET', path: '/timeline', answer: timelineSchema })
+  await client.close()
+  return answer.map(({ events }) => events)
+}
+
+/**
+ * Fetches and merges the time lines of hosts. A host that does not answer is reported and left out.
+ * Errors: the first failure, if no host answers.
+ */
+async function mergedTimeline (
+  hosts: string[],
+  token: string,
+  filter: TimelineFilter
+): Promise<Result<TimelineEvent[], Failure>> {
+  const timelines: TimelineEvent[][] = []
+  const failures: Failure[] = []
+  for (let start = 0; start < hosts.length; start += concurrentHosts) {
+    const group = hosts.slice(start, start + concurrentHosts)
+    const answers = await Promise.all(group.map(async host => ({ host, answer: await timelineOf(host, token) })))
+    for (const { host, answer } of answers) {
+      if (answer.isOk) timelines.push(answer.value)
+      else failures.push({ ...answer.error, message: `${host}: ${answer.error.message}` })
+    }
+  }
+  for (const failed of failures) process.stderr.write(`left out: ${failed.kind}: ${failed.message}\n`)
+  if (timelines.length === 0) return Result.err(failures[0] ?? failure('not_found', 'no host is known'))
+  return Result.ok(mergeTimelines(timelines, filter))
+}
+
+async function hostsOf (client: AdministrationClient, given: string[]): Promise<Result<string[], Failure>> {
+  if (given.length > 0) return Result.ok(given)
+  const fleet = await client.send({ method: 'GET', path: '/fleet', answer: fleetReportSchema })
+  return fleet.map(({ hosts }) => hosts.map(host => host.addresses.administration))
+}
+
+/** The `timeline` command. */
+export const timelineCommand: CommandModule = {
+  command: 'timeline',
+  describe: 'Show the events of all hosts in one order',
+  builder: parser => withClientOptions(parser, false)
+    .option('host', {
+      type: 'string',
+      array: true,
+      nargs: 1,
+      default: [],
+      describe: 'Administration address ip:port of a host; several. Default: all hosts that --server knows'
+    })
+    .option('request', { type: 'string', describe: 'Only events of this request' })
+    .option('engine', { type: 'string', describe: 'Only events of this engine' })
+    .option('setting', { type: 'string', describe: 'Only events of settings under this path' })
+    .option('event', { type: 'string', describe: 'Only events of this name' })
+    .check(({ server, host }) => [server, host].flat().length > 0 || 'Give --server or --host.'),
+  handler: async args => {
+    const token = args.token as string | undefined ?? process.env[tokenVariable] ?? ''
+    const { request, engine, setting, event } = args as TimelineFilter
+    await runWithClient(args, async client => {
+      const hosts = await hostsOf(client, args.host as string[])
+      if (hosts.isErr) return Result.err(hosts.error)
+      return await mergedTimeline(hosts.value, token, { request, engine, setting, event })
+    }, events => events.map(formatEvent).join('\n'))
+  }
+}
