--- a/src/administration/administrationApplication.test.ts
+++ b/src/administration/administrationApplication.test.ts
@@ -3,6 +3,7 @@
  * shown to the wrong team, unconditional changes, and watches that lose changes, never end or hold memory.
  */
 import { describe, expect, test } from '@jest/globals'
+<<<<<<< HEAD
 import { Result } from 'true-myth'
 import { errorAnswers, type ErrorKind, failure, type HostId, type Incarnation, ManualClock, noOffset, toOffset } from '../common/index.js'
 import { ConfigurationFold, ConfigurationManager, type ConfigurationState, TeamAuthenticator, tokenHashOf } from '../configuration/index.js'
@@ -62,6 +63,13 @@
   }
   return { clock, writer, configuration, calls, snapshots, send }
 }
+=======
+import { errorAnswers, type ErrorKind, toOffset } from '../common/index.js'
+import { ConfigurationFold, tokenHashOf } from '../configuration/index.js'
+import { forumToken, operatorToken } from '../configuration/exampleConfiguration.js'
+import { exampleApplication, type SentRequest } from './administrationTestSupport.js'
+import type { AdministrationOptions } from './index.js'
+>>>>>>> configuration
 
 const role = '/settings/fleet/roles/engine-1'
 const first = { 'if-match': '"1"' }
