--- a/src/administration/administrationApplication.test.ts
+++ b/src/administration/administrationApplication.test.ts
@@ -3,73 +3,11 @@
  * shown to the wrong team, unconditional changes, and watches that lose changes, never end or hold memory.
  */
 import { describe, expect, test } from '@jest/globals'
-<<<<<<< HEAD
-import { Result } from 'true-myth'
-import { errorAnswers, type ErrorKind, failure, type HostId, type Incarnation, ManualClock, noOffset, toOffset } from '../common/index.js'
-import { ConfigurationFold, ConfigurationManager, type ConfigurationState, TeamAuthenticator, tokenHashOf } from '../configuration/index.js'
-import { DirectRecordWriter } from '../configuration/DirectRecordWriter.js'
-import { exampleEdits, forumToken, operatorToken } from '../configuration/exampleConfiguration.js'
-import { EventLog, HybridClock, Metrics, Timeline } from '../observability/index.js'
-import { administrationApplication, type AdministrationOptions } from './index.js'
-
-interface SentRequest { token?: string, body?: unknown, headers?: Record<string, string> }
-
-async function exampleApplication (changed: Partial<AdministrationOptions> = {}) {
-  const clock = new ManualClock()
-  const timeline = new Timeline('guayaquil-a-1', new HybridClock(clock))
-  const log = new EventLog({ timeline, level: 'error', write: () => {} })
-  const fold = new ConfigurationFold()
-  const writer = new DirectRecordWriter([fold], clock)
-  const configuration = new ConfigurationManager({ fold, writer, clock, log })
-  await writer.submit('configuration', { kind: 'change', changeId: 'seed', author: 'harbour', at: 0, basedOn: 0, edits: exampleEdits })
-  const calls: unknown[] = []
-  const snapshots: ConfigurationState[] = []
-  const options: AdministrationOptions = {
-    configuration,
-    authenticator: new TeamAuthenticator(configuration, clock),
-    clock,
-    log,
-    timeline,
-    metrics: new Metrics(),
-    health: () => ({ live: true, ready: false, reasons: ['no_configuration'] }),
-    fleetReport: () => ({
-      at: 0, reportedBy: 'guayaquil-a-1' as HostId, incarnation: '0'.repeat(16) as Incarnation, hosts: [], workers: [], leases: [], openOrders: [], streams: []
-    }),
-    usageStatement: async owner => Result.ok({ through: noOffset, lines: [], asked: owner } as never),
-    drainHost: by => { calls.push(['host', by.team]) },
-    drainWorker: (worker, by) => {
-      if (worker !== 'engine-1') return Promise.resolve(Result.err(failure('not_found', 'no such worker')))
-      calls.push([worker, by.team])
-      return Promise.resolve(Result.ok(undefined))
-    },
-    confirmOrder: (orderId, by) => {
-      calls.push([orderId, by.team])
-      return Promise.resolve(Result.ok(undefined))
-    },
-    writeConfigurationSnapshot: stateAt => {
-      snapshots.push(stateAt(toOffset(5)))
-      return Promise.resolve(Result.ok(toOffset(6)))
-    },
-    ...changed
-  }
-  const application = administrationApplication(options)
-  const send = async (method: string, path: string, request: SentRequest = {}) => {
-    const { token = operatorToken, body, headers } = request
-    const authorization: Record<string, string> = token === '' ? {} : { authorization: `Bearer ${token}` }
-    const text = body === undefined || typeof body === 'string' ? body : JSON.stringify(body)
-    const init = { method, headers: { ...authorization, ...headers }, ...(text === undefined ? {} : { body: text }) }
-    const response = await application.request(path, init)
-    return { status: response.status, headers: response.headers, response, json: async () => await response.json() as any }
-  }
-  return { clock, writer, configuration, calls, snapshots, send }
-}
-=======
 import { errorAnswers, type ErrorKind, toOffset } from '../common/index.js'
 import { ConfigurationFold, tokenHashOf } from '../configuration/index.js'
 import { forumToken, operatorToken } from '../configuration/exampleConfiguration.js'
 import { exampleApplication, type SentRequest } from './administrationTestSupport.js'
 import type { AdministrationOptions } from './index.js'
->>>>>>> configuration
 
 const role = '/settings/fleet/roles/engine-1'
 const first = { 'if-match': '"1"' }
--- a/src/administration/administrationTestSupport.ts
+++ b/src/administration/administrationTestSupport.ts
@@ -45,7 +45,7 @@
     metrics: new Metrics(),
     health: () => ({ live: true, ready: false, reasons: ['no_configuration'] }),
     fleetReport: () => emptyFleet,
-    usageStatement: owner => Result.ok({ through: noOffset, lines: [], asked: owner } as never),
+    usageStatement: async owner => Result.ok({ through: noOffset, lines: [], asked: owner } as never),
     drainHost: by => { calls.push(['host', by.team]) },
     drainWorker: (worker, by) => {
       if (worker !== 'engine-1') return Promise.resolve(Result.err(failure('not_found', 'no such worker')))
--- a/src/commands/hostCommand.ts
+++ b/src/commands/hostCommand.ts
@@ -36,9 +36,12 @@
   handler: async args => {
     const settings = loadSettings(hostSettingsSchema, args.settings as string)
     if (settings.isErr) return fail(settings.error)
-    const host = await EntryHost.start(settings.value)
-    if (host.isErr) return fail(host.error)
-    drainOnSignals(host.value)
-    process.stdout.write(`${JSON.stringify({ ready: true, process: settings.value.host.id, addresses: host.value.addresses })}\n`)
+    const host = EntryHost.create(settings.value)
+    drainOnSignals(host)
+    const started = await host.start()
+    // A host that was told to stop while it started ends by its signal handler.
+    if (started.isErr && started.error.kind === 'draining') return
+    if (started.isErr) return fail(started.error)
+    process.stdout.write(`${JSON.stringify({ ready: true, process: settings.value.host.id, addresses: host.addresses })}\n`)
   }
 }
--- a/src/commands/runCommandLine.ts
+++ b/src/commands/runCommandLine.ts
@@ -3,9 +3,9 @@
  * table of error kinds; 0 is success.
  */
 import yargs, { type CommandModule } from 'yargs'
-import { certificatesCommand } from './certificatesCommand.js'
 import { errorAnswers } from '../common/index.js'
 import { administerCommand } from './administerCommand.js'
+import { certificatesCommand } from './certificatesCommand.js'
 import { checkCommand } from './checkCommand.js'
 import { drainCommand, fleetCommand, useCommand } from './fleetCommands.js'
 import { hostCommand } from './hostCommand.js'
@@ -18,13 +18,13 @@
 
 const commands: CommandModule[] = [
   administerCommand,
+  certificatesCommand,
   checkCommand,
   drainCommand,
   fleetCommand,
   hostCommand,
   replayCommand,
   standInCommand,
-  certificatesCommand,
   timelineCommand,
   useCommand
 ]
--- a/src/host/AdministrationPart.ts
+++ b/src/host/AdministrationPart.ts
@@ -49,7 +49,7 @@
       },
       drainWorker: (worker, by) => this.drainWorker(worker, by),
       confirmOrder: async () => Result.err(failure('not_found', 'there is no such open order')),
-      writeConfigurationSnapshot: async () => Result.err(failure('platform_unavailable', 'not available on this host')),
+      writeConfigurationSnapshot: stateAt => control.restoreConfiguration(stateAt),
       closing: this.closing.signal
     }
     this.application = administrationApplication(administration)
--- a/src/host/ControlPart.ts
+++ b/src/host/ControlPart.ts
@@ -3,13 +3,15 @@
  * connections to other hosts over which it spreads.
  */
 import { Result } from 'true-myth'
-import type { Failure, HostId, Incarnation, Zone } from '../common/index.js'
+import {
+  failure, type Failure, type HostId, type Incarnation, newRecordId, noOffset, type Offset, toOffset, type Zone
+} from '../common/index.js'
 import { ConfigurationFold, ConfigurationManager } from '../configuration/index.js'
 import { LeaseManager, type LeaseName, leaseNameSchema } from '../leases/index.js'
 import { loadHostHash, MembershipManager, RelayDirectory } from '../membership/index.js'
-import { type PeerHandlers, PeerPool, PeerRecordSource, PeerServer, type PeerTarget } from '../peers/index.js'
+import { PeerCertificates, type PeerHandlers, PeerPool, PeerRecordSource, PeerServer, type PeerTarget } from '../peers/index.js'
 import type { ListedHost } from '../platform/index.js'
-import { FollowerGroup, LogSource } from '../streams/index.js'
+import { currentRecordVersion, FollowerGroup, LogSource, snapshotRecordOf, SnapshotWriter } from '../streams/index.js'
 import type { HostContext } from './HostContext.js'
 
 /** Lease of the one host that writes snapshots. */
@@ -41,10 +43,22 @@
   readonly configuration: ConfigurationManager
   readonly leases: LeaseManager
   readonly pool: PeerPool
+  private readonly snapshots: SnapshotWriter
   private membershipManager: MembershipManager | undefined
   private server: PeerServer | undefined
 
-  constructor (private readonly options: ControlPartOptions) {
+  /** Loads the certificates for mutual TLS, if the settings name any, and builds the part. Errors: `bad_request`. */
+  static async create (options: ControlPartOptions): Promise<Result<ControlPart, Failure>> {
+    const { settings, clock, events } = options.context
+    if (settings.peerTls === undefined) return Result.ok(new ControlPart(options, undefined))
+    const loaded = await PeerCertificates.load({ files: settings.peerTls, clock, log: events })
+    return loaded.map(certificates => new ControlPart(options, certificates))
+  }
+
+  private constructor (
+    private readonly options: ControlPartOptions,
+    private readonly certificates: PeerCertificates | undefined
+  ) {
     const { context } = options
     const { clock, events, metrics, log, settings } = context
     const logSource = new LogSource({ log, clock })
@@ -54,7 +68,12 @@
       peerSource: target => new PeerRecordSource(this.pool, target),
       clock
     })
-    this.pool = new PeerPool({ identity: this.identity, hybridClock: context.hybridClock })
+    this.pool = new PeerPool({
+      identity: this.identity,
+      hybridClock: context.hybridClock,
+      log: events,
+      ...(certificates === undefined ? {} : { certificates })
+    })
     this.leases = new LeaseManager({
       clock,
       events,
@@ -71,6 +90,14 @@
       metrics,
       silenceMilliseconds: settings.membership.silenceMilliseconds
     })
+    this.snapshots = new SnapshotWriter({
+      followers: this.followers,
+      log,
+      authority: () => this.leases.authority(snapshotLease),
+      clock,
+      events,
+      retentionMilliseconds: settings.platform.logRetentionSeconds * 1000
+    })
     this.configuration = new ConfigurationManager({ fold: this.configurationFold, writer: this.followers, clock, log: events })
   }
 
@@ -98,7 +125,8 @@
         heartbeat: (request, call) => this.membership.answerHeartbeat(request, call)
       },
       hybridClock: context.hybridClock,
-      log: context.events
+      log: context.events,
+      ...(this.certificates === undefined ? {} : { certificates: this.certificates })
     })
     return started.map(server => {
       this.server = server
@@ -158,13 +186,35 @@
     return first === undefined || first.hostId === self.hostId ? undefined : this.targetOf(first.hostId)
   }
 
+  /**
+   * Appends a snapshot of the configuration that an operator exported, covering everything so far. Errors:
+   * `platform_unavailable`, `outcome_unknown`, `conflict` if another record was appended meanwhile.
+   */
+  async restoreConfiguration (stateAt: (through: Offset) => unknown): Promise<Result<Offset, Failure>> {
+    const { log, events } = this.options.context
+    const head = await log.read('configuration', { from: noOffset, limit: 1, waitMilliseconds: 0 })
+    if (head.isErr) return Result.err(head.error)
+    const through = toOffset(head.value.nextOffset - 1)
+    const state = { version: currentRecordVersion, recentIds: [], fold: stateAt(through) }
+    const record = { version: currentRecordVersion, id: newRecordId(), ...snapshotRecordOf(through, state) }
+    const appended = await log.append('configuration', [JSON.stringify(record)])
+    if (appended.isErr) return appended
+    if (appended.value !== through + 1) {
+      return Result.err(failure('conflict', 'another record was appended at the same time; the snapshot has no effect'))
+    }
+    events.warn('configuration_restored', { offset: appended.value })
+    return appended
+  }
+
   /** Starts to compete for leases. */
   startDuties (): void {
     this.leases.start(this.followers)
+    this.snapshots.start()
   }
 
   /** Hands all duties over, so that others take them up at once. */
   async stopDuties (): Promise<void> {
+    await this.snapshots.stop()
     await this.leases.stop()
   }
 
@@ -174,5 +224,6 @@
     await this.membershipManager?.stop()
     await this.server?.stop()
     this.pool.close()
+    await this.certificates?.stop()
   }
 }
--- a/src/host/EntryHost.ts
+++ b/src/host/EntryHost.ts
@@ -2,7 +2,7 @@
  * An entry host: builds its parts, starts them in order, and shuts down gracefully.
  */
 import { Result } from 'true-myth'
-import type { Failure } from '../common/index.js'
+import { failure, type Failure } from '../common/index.js'
 import { type ListeningServer, serve } from '../entry/index.js'
 import type { HostSettings } from '../settings/index.js'
 import { AdministrationPart } from './AdministrationPart.js'
@@ -17,26 +17,30 @@
 export class EntryHost {
   private state: LifeState = 'starting'
   private draining: Promise<boolean> | undefined
-  private readonly control: ControlPart
+  private readonly closing = new AbortController()
   private requests: RequestPart | undefined
   private administration: AdministrationPart | undefined
   private callers: ListeningServer | undefined
   private operators: ListeningServer | undefined
   private listening: HostAddresses | undefined
 
-  private constructor (private readonly context: HostContext) {
-    this.control = new ControlPart({
-      context,
-      status: () => ({ ready: this.state === 'ready', draining: this.state === 'draining' })
-    })
+  private control: ControlPart | undefined
+
+  private constructor (private readonly context: HostContext) {}
+
+  /** Makes a host that does not listen yet. */
+  static create (settings: HostSettings): EntryHost {
+    return new EntryHost(createContext(settings))
   }
 
-  /** Starts a host and waits until it is ready to serve. Errors: `internal` if an address cannot be used. */
-  static async start (settings: HostSettings): Promise<Result<EntryHost, Failure>> {
-    const host = new EntryHost(createContext(settings))
-    const started = await host.run()
-    if (started.isErr) await host.close()
-    return started.map(() => host)
+  /**
+   * Starts the host and waits until it is ready to serve. Errors: `internal` if an address cannot be used,
+   * `bad_request` for unusable certificates, `draining` if it was told to stop before it was ready.
+   */
+  async start (): Promise<Result<void, Failure>> {
+    const started = await this.run()
+    if (started.isErr) await this.close()
+    return started
   }
 
   /** Addresses on which the host listens. */
@@ -56,8 +60,15 @@
   }
 
   private async run (): Promise<Result<void, Failure>> {
-    const { context, control } = this
+    const { context } = this
     const { settings, events } = context
+    const created = await ControlPart.create({
+      context,
+      status: () => ({ ready: this.state === 'ready', draining: this.state === 'draining' })
+    })
+    if (created.isErr) return Result.err(created.error)
+    const control = created.value
+    this.control = control
     const requests = await RequestPart.create({
       context,
       control,
@@ -93,7 +104,8 @@
     this.listening = { callers: callers.value.addresses, administration: operators.value.addresses[0] ?? '', peers: peers.value }
     await control.start(this.listening)
     requests.start()
-    await control.followers.waitUntilReady()
+    await control.followers.waitUntilReady(this.closing.signal)
+    if (this.state !== 'starting') return Result.err(failure('draining', 'the host was stopped before it was ready'))
     control.startDuties()
     this.state = 'ready'
     events.info('host_ready', { zone: settings.host.zone, incarnation: context.incarnation, through: control.configuration.through })
@@ -102,10 +114,15 @@
 
   private async drainOnce (): Promise<boolean> {
     const { settings, clock, events } = this.context
+    const wasReady = this.state === 'ready'
     this.state = 'draining'
     events.info('drain_started', { open: this.requests?.requests.view().length ?? 0 })
-    this.control.membership.leave()
-    await this.control.stopDuties()
+    if (!wasReady) {
+      await this.close()
+      return true
+    }
+    this.control?.membership.leave()
+    await this.control?.stopDuties()
     await clock.sleep(settings.drain.readinessDelayMilliseconds)
     const closed = this.callers?.close()
     const finished = await this.requests?.drain(AbortSignal.timeout(settings.drain.timeoutMilliseconds)) ?? true
@@ -116,10 +133,11 @@
   }
 
   private async close (): Promise<void> {
+    this.closing.abort()
     await this.administration?.stop()
     await this.operators?.close()
     await this.requests?.stop()
-    await this.control.stop()
+    await this.control?.stop()
     await this.context.log.close()
     await this.context.hostList.close()
     this.state = 'stopped'
--- a/src/idempotency/PeerIssuerClient.test.ts
+++ b/src/idempotency/PeerIssuerClient.test.ts
@@ -24,6 +24,10 @@
   timeoutMilliseconds: 4999.25
 }
 
+function quietLog (hybridClock: HybridClock): EventLog {
+  return new EventLog({ timeline: new Timeline('test', hybridClock), level: 'error', write: () => {} })
+}
+
 const endings: Array<() => Promise<void>> = []
 afterEach(async () => {
   for (const end of endings.splice(0)) await end()
@@ -31,12 +35,12 @@
 
 async function clientFor (answer: Result<OnceAnswer, Failure>, incarnation = issuer.incarnation): Promise<PeerIssuerClient> {
   const hybridClock = new HybridClock(new ManualClock())
-  const log = new EventLog({ timeline: new Timeline('test', hybridClock), level: 'error', write: () => {} })
+  const log = quietLog(hybridClock)
   const message = onceAnswerMessageOf(answer)
   const handlers = { executeOnce: async () => Result.ok<typeof message, Failure>(message) }
   const started = await PeerServer.start({ identity: issuer, address: '127.0.0.1:0', handlers, hybridClock, log })
   if (started.isErr) throw new Error(started.error.message)
-  const pool = new PeerPool({ identity: asker, hybridClock })
+  const pool = new PeerPool({ identity: asker, hybridClock, log })
   endings.push(async () => {
     pool.close()
     await started.value.stop(0)
@@ -68,7 +72,8 @@
     ['is not known', async () => undefined],
     ['does not listen', async () => ({ hostId: issuer.hostId, address: '127.0.0.1:1' })]
   ])('says "outcome unknown" when the issuer %s', async (_name, lookup) => {
-    const pool = new PeerPool({ identity: asker, hybridClock: new HybridClock(new ManualClock()) })
+    const hybridClock = new HybridClock(new ManualClock())
+    const pool = new PeerPool({ identity: asker, hybridClock, log: quietLog(hybridClock) })
     endings.push(async () => { pool.close() })
     const client = new PeerIssuerClient(pool, lookup)
     const answer = await client.execute(issuer.hostId, issuer.incarnation, { ...call, timeoutMilliseconds: 500 })
--- a/src/settings/HostSettings.ts
+++ b/src/settings/HostSettings.ts
@@ -35,7 +35,6 @@
     /** How long the log keeps records. Snapshots are written after a third of it. */
     logRetentionSeconds: z.number().positive().default(86_400)
   }),
-<<<<<<< HEAD
   administration: z.strictObject({
     /**
      * SHA-256 of a token, in hexadecimal, with operators' rights. It works only while the configuration has no
@@ -43,13 +42,10 @@
      */
     bootstrapTokenSha256: z.string().regex(/^[0-9a-f]{64}$/, '64 hexadecimal digits').optional()
   }).prefault({}),
-  /** Mutual TLS between entry hosts. Absent: plain TCP. The files are read anew when they change. */
-=======
   /**
    * Mutual TLS between entry hosts. Absent: plain TCP. The files are read anew when they change. The certificate
    * has to name the host id as a DNS name.
    */
->>>>>>> peers
   peerTls: z.strictObject({
     certificateFile: z.string(),
     keyFile: z.string(),
