--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,11 +1,10 @@
 // Builds dist/dogwooddale, a single executable: the bundle is embedded in a copy of the node program.
 import { execFileSync } from 'node:child_process'
-import { chmodSync, copyFileSync, writeFileSync } from 'node:fs'
+import { chmodSync, copyFileSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { createRequire } from 'node:module'
 import { bundle } from './bundle.mjs'
 
 const { inject } = createRequire(import.meta.url)('postject')
-const { readFileSync } = await import('node:fs')
 
 await bundle('src/main.ts', 'dist/dogwooddale.cjs')
 writeFileSync('dist/sea-config.json', JSON.stringify({
@@ -14,6 +13,8 @@
   disableExperimentalSEAWarning: true
 }))
 execFileSync(process.execPath, ['--experimental-sea-config', 'dist/sea-config.json'], { stdio: 'inherit' })
+// A binary that is running cannot be overwritten, but its name can be given to a new file.
+rmSync('dist/dogwooddale', { force: true })
 copyFileSync(process.execPath, 'dist/dogwooddale')
 chmodSync('dist/dogwooddale', 0o755)
 await inject('dist/dogwooddale', 'NODE_SEA_BLOB', readFileSync('dist/sea-prep.blob'), {
--- a/src/commands/administerCommand.ts
+++ b/src/commands/administerCommand.ts
@@ -37,6 +37,21 @@
   }
 }
 
+function readDocuments (file: string): Result<Record<string, unknown>, Failure> {
+  let source: string
+  try {
+    source = readFileSync(file, 'utf8')
+  } catch (caught) {
+    return Result.err(failure('bad_request', `${file}: ${(caught as Error).message}`))
+  }
+  return parseJson(source).andThen(value => {
+    const documents = z.record(z.string(), z.unknown()).safeParse(value)
+    return documents.success
+      ? Result.ok(documents.data)
+      : Result.err(failure('bad_request', `${file}: must be an object of documents by path`))
+  })
+}
+
 /** Version that a change expects: the given one, or else the one in force when it is asked for. */
 async function expectedVersionOf (client: AdministrationClient, path: string, given?: number): Promise<Result<number, Failure>> {
   if (given !== undefined) return Result.ok(given)
@@ -103,6 +118,36 @@
   }
 }
 
+/** Makes the edits of a file of documents by path, each conditional on the version that the path has now. */
+async function editsOf (client: AdministrationClient, documents: Record<string, unknown>): Promise<Result<unknown[], Failure>> {
+  const edits: unknown[] = []
+  for (const [path, value] of Object.entries(documents)) {
+    const expectedVersion = await expectedVersionOf(client, path)
+    if (expectedVersion.isErr) return Result.err(expectedVersion.error)
+    edits.push({ path, expectedVersion: expectedVersion.value, value })
+  }
+  return Result.ok(edits)
+}
+
+const applySubcommand: CommandModule = {
+  command: 'apply <file>',
+  describe: 'Set all documents of a JSON file, an object of documents by path, as one change',
+  builder: parser => withClientOptions(parser)
+    .positional('file', { type: 'string', demandOption: true, describe: 'JSON file; null as a value deletes a document' })
+    .option('change-id', { type: 'string', describe: 'Identity of the change; sent again, it takes effect once' }),
+  handler: async args => {
+    const documents = readDocuments(args.file as string)
+    if (documents.isErr) return printFailure(documents.error, clientArgumentsOf(args).json)
+    await runWithClient(args, async client => {
+      const edits = await editsOf(client, documents.value)
+      if (edits.isErr) return Result.err(edits.error)
+      const changeId = args.changeId as string | undefined ?? newRecordId()
+      const body = { changeId, edits: edits.value }
+      return await client.send({ method: 'POST', path: '/settings', body, repeatable: true, answer: acceptedSchema })
+    }, formatAccepted)
+  }
+}
+
 const deleteSubcommand: CommandModule = {
   command: 'delete <path>',
   describe: 'Delete a document',
@@ -221,6 +266,7 @@
   builder: parser => parser
     .command(getSubcommand)
     .command(setSubcommand)
+    .command(applySubcommand)
     .command(deleteSubcommand)
     .command(watchSubcommand)
     .command(historySubcommand)
--- a/src/commands/administrationCommands.test.ts
+++ b/src/commands/administrationCommands.test.ts
@@ -3,7 +3,7 @@
  * changes while they watch, merge time lines in the wrong order, or end with a status outside the table.
  */
 import { spawn } from 'node:child_process'
-import { mkdtempSync, readFileSync } from 'node:fs'
+import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs'
 import { createServer, type Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
@@ -112,6 +112,21 @@
     expect(ended).toMatchObject({ status, output: '', errors: expect.stringContaining(message) })
   })
 
+  test('applies the documents of a file as one change, all or none', async () => {
+    const { address } = await exampleServer()
+    const file = join(mkdtempSync(join(tmpdir(), 'dogwooddale-test-')), 'documents.json')
+    const applied = async (documents: unknown) => {
+      writeFileSync(file, JSON.stringify(documents))
+      return await run('administer', 'apply', file, ...clientOptions(address))
+    }
+    expect((await applied({ [role]: { role: 'decode' }, '/fleet/models/tetra': { versions: [] } })).status).toBe(2)
+    expect((await run('administer', 'get', role, ...clientOptions(address))).output).not.toContain('decode')
+    const model = { versions: ['1'], defaultVersion: '1', contextTokens: 10 }
+    expect(await applied({ [role]: { role: 'decode' }, '/fleet/models/tetra': model })).toMatchObject({ status: 0 })
+    expect((await run('administer', 'get', role, ...clientOptions(address))).output).toContain('decode')
+    expect((await applied([1])).status).toBe(2)
+  })
+
   test('an outage ends with 6, a lost answer with 7 and the identity of the change', async () => {
     const { address, writer } = await exampleServer()
     const set = async () => await run('administer', 'set', role, '{"role":"mixed"}', '--change-id', 'c1', '--json', ...clientOptions(address))
--- a/src/host/EntryHost.ts
+++ b/src/host/EntryHost.ts
@@ -18,6 +18,7 @@
   private state: LifeState = 'starting'
   private draining: Promise<boolean> | undefined
   private readonly closing = new AbortController()
+  private closed: Promise<void> | undefined
   private requests: RequestPart | undefined
   private administration: AdministrationPart | undefined
   private callers: ListeningServer | undefined
@@ -132,7 +133,13 @@
     return finished
   }
 
-  private async close (): Promise<void> {
+  /** Ends everything; the failed start and the shutdown during a start may both come here. */
+  private close (): Promise<void> {
+    this.closed ??= this.closeOnce()
+    return this.closed
+  }
+
+  private async closeOnce (): Promise<void> {
     this.closing.abort()
     await this.administration?.stop()
     await this.operators?.close()
