Leave only sources that are no ancestors after a term

Cause: the follower that landed meanwhile looks for a better source by itself, without a gap, and after a source that is left it goes on with the next one in the order. The term at every source but the best one therefore sent a follower from its grandparent to the log whenever its parent came back, and would have added readers to the log.

Ruled out: dropping the term; two zones' first hosts, or a host and its former parent, can follow each other without end and get nothing new.

Change: ancestors and the log may be used without limit. Any other source, that is the first hosts of other zones and hosts that are no ancestors any more, is left after 5 s.

--- a/src/membership/RelayDirectory.ts
+++ b/src/membership/RelayDirectory.ts
@@ -4,9 +4,10 @@
  *
  * So that no source holds a follower for good:
  * 1. A source that lacks the wanted offset for 3 s is left and tried last for the next 5 s.
- * 2. A source that fails is tried last for the next 3 s.
- * 3. Only the best source (the first in the order above that is not silent) may be used without limit. At
- *    any other one the follower chooses anew after 5 s. The first hosts of the other zones take turns.
+ * 2. A source that fails or falls silent is tried last for the next 3 s.
+ * 3. A host's ancestors and the log may be used without limit (the follower itself looks for a better one now
+ *    and then). Any other source is left after 5 s: the first hosts of other zones take turns, and a host that
+ *    is no longer an ancestor could itself come to follow this one, so that neither gets anything new.
  *
  * During an outage of the log, a zone's first host thus visits all other zones and collects the newest
  * state that any of them has, returns to the log within 5 s after the outage, and the hosts below it get
@@ -63,6 +64,11 @@
     return [...ancestors, this.options.log.name, ...others]
   }
 
+  private mayStay (name: string): boolean {
+    const { self, tree } = this.options.view()
+    return name === this.options.log.name || tree.ancestorsOf(self).some(({ hostId }) => hostId === name)
+  }
+
   private audible (hosts: ListedHost[]): HostId[] {
     const { peers } = this.options.view()
     return hosts.map(({ hostId }) => hostId).filter(hostId => peers.get(hostId)?.state !== 'silent')
@@ -77,7 +83,7 @@
       clock,
       behindMilliseconds,
       termMilliseconds,
-      isBest: () => this.order()[0] === name,
+      mayStay: () => this.mayStay(name),
       onLeave: reason => this.takeLeave(name, reason, termMilliseconds)
     })
   }
--- a/src/membership/WatchedSource.ts
+++ b/src/membership/WatchedSource.ts
@@ -16,10 +16,10 @@
   clock: Clock
   /** Longest time for which the source may lack the offset that the follower wants. */
   behindMilliseconds: number
-  /** Longest time at a source that is not the best one, after which the follower chooses anew. */
+  /** Longest time at a source at which the follower may not stay; it then chooses anew. */
   termMilliseconds: number
-  /** True while no source is better than this one. */
-  isBest: () => boolean
+  /** True while the follower may use the source without limit. */
+  mayStay: () => boolean
   /** Called when the follower leaves the source because of the source. */
   onLeave: (reason: LeaveReason) => void
 }
@@ -41,10 +41,10 @@
   }
 
   async * follow (stream: StreamName, from: Offset, signal: AbortSignal): AsyncIterable<SourceMessage> {
-    const { clock, source, behindMilliseconds, termMilliseconds, isBest, onLeave } = this.options
+    const { clock, source, behindMilliseconds, termMilliseconds, mayStay, onLeave } = this.options
     let wanted: number = from
     let aheadAt = clock.monotonic()
-    let bestAt = clock.monotonic()
+    let allowedAt = clock.monotonic()
     let heardAt = clock.monotonic()
     let reason: LeaveReason = 'failed'
     try {
@@ -54,9 +54,9 @@
         const now = clock.monotonic()
         if (message.kind !== 'heartbeat') wanted = Math.max(wanted, deliveredOffsetOf(message))
         if (nextOffsetOf(message) >= wanted) aheadAt = now
-        if (isBest()) bestAt = now
+        if (mayStay()) allowedAt = now
         if (now - aheadAt >= behindMilliseconds) reason = 'behind'
-        else if (now - bestAt >= termMilliseconds) reason = 'term_over'
+        else if (now - allowedAt >= termMilliseconds) reason = 'term_over'
         if (reason !== 'failed') throw new FailureError(failure('not_ready', `source ${this.name} is left: ${reason}`))
       }
     } finally {
