--- a/src/administration/administrationApplication.test.ts
+++ b/src/administration/administrationApplication.test.ts
@@ -56,7 +56,7 @@
     ['malformed worker', 'POST', '/drain/A', {}, 'bad_request'],
     ['unknown worker', 'POST', '/drain/engine-9', {}, 'not_found'],
     ['restore without confirmation', 'POST', '/restore', { body: { state: { documents: [], deleted: [], history: [], outcomes: [] } } }, 'bad_request'],
-    ['restore of an invalid state', 'POST', '/restore', { body: { confirm: true, state: { documents: [{ path: '/fleet/x', version: 1, value: 1 }], deleted: [], history: [], outcomes: [] } } }, 'bad_request'],
+    ['restore of an invalid state', 'POST', '/restore', { body: { confirm: true, state: { documents: [{ path: '/fleet/x', version: 1, changeId: 'c', author: 'a', at: 0, value: 1 }], deleted: [], history: [], outcomes: [] } } }, 'bad_request'],
     ['fleet by a team', 'PUT', role, { token: forumToken, body: { role: 'mixed' }, headers: first }, 'forbidden'],
     ['account of another team', 'GET', '/settings/teams/harbour/account', { token: forumToken }, 'forbidden'],
     ['settings of another team', 'GET', '/settings/teams/harbour/settings/x', { token: forumToken }, 'forbidden'],
--- a/src/commands/administrationCommands.test.ts
+++ b/src/commands/administrationCommands.test.ts
@@ -143,6 +143,13 @@
     expect([writer.records.length, configuration.historyOf(role).length]).toEqual([2, 2])
   })
 
+  test('a lost answer stays unknown when the next server cannot be reached', async () => {
+    const losing = await listen(getRequestListener(() => new Promise<Response>(() => { losingServer?.closeAllConnections() })))
+    const losingServer = servers.at(-1)
+    const ended = await run('administer', 'delete', role, '--expect-version', '1', '--server', losing, ...clientOptions(await closedAddress()))
+    expect(ended).toMatchObject({ status: 7 })
+  })
+
   test('a drain whose answer was lost is not sent to the next server', async () => {
     const { address, application, calls } = await exampleServer()
     const losing = await listen(getRequestListener(async request => {
@@ -190,20 +197,28 @@
       await example.send('PUT', '/settings/fleet/shares', { body: { forum: share }, headers: { 'if-match': `"${version}"` } })
     }
     const actions: Array<Promise<void>> = []
-    const ended = client.watch('/fleet/shares', 0, change => {
+    const before = example.configuration.list('/fleet/').length
+    const ended = client.watch('/fleet/', 0, change => {
       seen.push(change)
-      if (seen.length === 1) actions.push(close(firstServer).then(async () => { await setShare(1, 1) }))
-      if (seen.length === 2) actions.push(setShare(2, 2))
-      if (seen.length === 3) stopping.abort()
+      if (seen.length === before) actions.push(close(firstServer).then(async () => { await setShare(1, 1) }))
+      if (seen.length === before + 1) actions.push(setShare(2, 2))
+      if (seen.length === before + 2) stopping.abort()
     }, stopping.signal)
     expect((await ended).isOk).toBe(true)
     await Promise.all(actions)
-    expect(seen.map(change => change.value)).toEqual([{ forum: 60, harbour: 10 }, { forum: 1 }, { forum: 2 }])
+    expect(seen.slice(before).map(change => change.value)).toEqual([{ forum: 1 }, { forum: 2 }])
   })
 
-  test('ends with the error of the server', async () => {
-    const { address } = await exampleServer()
+  test('ends with the error of the server, also later', async () => {
+    const { address, send } = await exampleServer()
     expect(await run('administer', 'watch', ...clientOptions(address, 'wrong'))).toMatchObject({ status: 3 })
+    const actions: unknown[] = []
+    const client = new AdministrationClient({ servers: [address], token: forumToken })
+    const ended = await client.watch('/fleet/shares', 0, () => {
+      actions.push(send('PUT', '/settings/teams/forum/account', { body: { owner: 'acuarios', tokens: [] }, headers: { 'if-match': '"1"' } }))
+    }, new AbortController().signal)
+    await Promise.all(actions)
+    expect(ended.isErr && ended.error.kind).toBe('unauthenticated')
   })
 })
 
--- a/src/configuration/ConfigurationFold.test.ts
+++ b/src/configuration/ConfigurationFold.test.ts
@@ -40,6 +40,7 @@
   return tree
 }
 
+const sharesEntry = { path: '/fleet/shares', version: 1, changeId: 'c', author: 'harbour', at: 0 }
 const engines = exampleConfiguration['/fleet/pools/modelos-foro'] as { workers: Array<Record<string, unknown>> }
 const forum = exampleConfiguration['/teams/forum/account'] as { tokens: unknown[] }
 
@@ -120,10 +121,20 @@
       changeId: 'change-3',
       author: 'other',
       offset: 3,
+      count: 1,
       conflicts: [{ path: '/fleet/roles/engine-1', expectedVersion: 1, version: 2, author: 'harbour', value: { role: 'decode' } }]
     })
   })
 
+  test('the answer lists all problems, the kept outcome the first ones and their number', () => {
+    const fold = exampleFold()
+    const edits = Array.from({ length: 30 }, (_, index) => edit(`/fleet/roles/engine-${index + 10}`, { role: 'mixed' }))
+    const outcome = fold.apply(changeRecord(2, edits))
+    expect(outcome.accepted ? [] : outcome.failure.detail?.problems).toHaveLength(30)
+    const kept = fold.outcomeOf('harbour', 'change-2')
+    expect(kept?.kind === 'invalid' && [kept.problems.length, kept.count]).toEqual([10, 30])
+  })
+
   test('a repeated change is applied once, also after a restored snapshot', () => {
     const fold = exampleFold()
     const paths: string[][] = []
@@ -164,7 +175,7 @@
     const history = new ChangeHistory(10_000)
     for (let version = 1; version <= 30; version += 1) {
       const path = version % 2 === 0 ? '/even' : '/odd'
-      history.add({ path, version: toOffset(version), changeId: 'c', author: 'a', at: 0, value: 'x'.repeat(798) })
+      history.add({ path, version: toOffset(version), changeId: 'c', author: 'a', at: 0, value: 'x'.repeat(898) })
     }
     expect(history.all().map(entry => entry.version)).toEqual([21, 22, 23, 24, 25, 26, 27, 28, 29, 30])
     expect(history.of('/even').map(entry => entry.version)).toEqual([22, 24, 26, 28, 30])
@@ -172,8 +183,8 @@
 
   test.each<[string, unknown]>([
     ['another shape', { documents: 1 }],
-    ['an invalid document', { documents: [{ path: '/fleet/shares', version: 1, value: { a: 'x' } }], deleted: [], history: [], outcomes: [] }],
-    ['a broken reference', { documents: [{ path: '/fleet/shares', version: 1, value: { a: 1 } }], deleted: [], history: [], outcomes: [] }]
+    ['an invalid document', { documents: [{ ...sharesEntry, value: { a: 'x' } }], deleted: [], history: [], outcomes: [] }],
+    ['a broken reference', { documents: [{ ...sharesEntry, value: { a: 1 } }], deleted: [], history: [], outcomes: [] }]
   ])('refuses a snapshot with %s and keeps its state', (_name, state) => {
     const fold = exampleFold()
     expect(fold.restore(state, toOffset(9)).isErr).toBe(true)
@@ -259,7 +270,10 @@
   for (const { path, value } of edits) {
     const checked = value === null ? undefined : checkDocument(path, value)
     if (checked?.valid === false) return 'invalid_configuration'
-    tree.put(path, checked && { path, version: toOffset(0), value: checked.value, length: JSON.stringify(checked.value).length })
+    const document = checked && {
+      path, version: toOffset(0), changeId: 'c', author: 'a', at: 0, value: checked.value, length: JSON.stringify(checked.value).length
+    }
+    tree.put(path, document)
   }
   return validateTree(tree).length === 0 ? 'accepted' : 'invalid_configuration'
 }
--- a/src/configuration/ConfigurationFold.ts
+++ b/src/configuration/ConfigurationFold.ts
@@ -19,16 +19,19 @@
 import { checkDocument, validateChanged, validateTree } from './validateTree.js'
 
 /**
- * Outcomes kept, about 1.6 days at 6,100 changes a day. A repeated change that is older finds its expected
+ * Outcomes kept, about a day at 6,100 changes a day. A repeated change that is older finds its expected
  * versions outdated and has no effect either.
  */
-const maxOutcomes = 10_000
+const maxOutcomes = 6000
 
-/** Versions of deleted paths that are kept; an older one counts as never set. */
-const maxDeletedPaths = 10_000
+/** Deleted paths that are kept with their versions; an older one counts as never set. */
+const maxDeletedPaths = 6000
 
-/** Most problems or conflicts of one change that are kept in its outcome. */
-const maxKeptReasons = 100
+/**
+ * Most problems or conflicts of one change that are kept in its outcome. A pool that loses its workers alone can
+ * have a problem for each of them, and outcomes are part of each snapshot.
+ */
+const maxKeptReasons = 10
 
 /** Hears the paths whose documents changed. */
 export type PathsListener = (paths: string[]) => void
@@ -42,8 +45,12 @@
   return createHash('sha256').update(JSON.stringify(edits)).digest('hex').slice(0, 16)
 }
 
-function stored (path: string, version: Offset, value: unknown): StoredDocument {
-  return { path, version, value, length: JSON.stringify(value).length }
+function stored (entry: HistoryEntry): StoredDocument {
+  return { ...entry, length: JSON.stringify(entry.value).length }
+}
+
+function entryOf ({ path, version, changeId, author, at, value }: StoredDocument): HistoryEntry {
+  return { path, version, changeId, author, at, value }
 }
 
 /** Puts the failure that answers an outcome into words; undefined for an accepted change. */
@@ -57,6 +64,18 @@
     .exhaustive()
 }
 
+/** The part of an outcome that is kept: the first reasons, and no values, which the history has. */
+function keptOutcome (outcome: ChangeOutcome): ChangeOutcome {
+  return match(outcome)
+    .with({ kind: 'accepted' }, accepted => accepted)
+    .with({ kind: 'conflict' }, ({ conflicts, ...rest }) => {
+      const kept = conflicts.slice(0, maxKeptReasons).map(({ value, author, ...conflict }) => conflict)
+      return { ...rest, conflicts: kept }
+    })
+    .with({ kind: 'invalid' }, ({ problems, ...rest }) => ({ ...rest, problems: problems.slice(0, maxKeptReasons) }))
+    .exhaustive()
+}
+
 function applyOutcomeOf (outcome: ChangeOutcome): ApplyOutcome {
   const failed = failureOfOutcome(outcome)
   return failed === undefined ? { accepted: true } : { accepted: false, failure: failed }
@@ -68,7 +87,7 @@
   private tree = new ConfigurationTree()
   private history = new ChangeHistory()
   private outcomes = new BoundedTable<RecordedOutcome>(maxOutcomes)
-  private deletedVersions = new BoundedTable<Offset>(maxDeletedPaths)
+  private deleted = new BoundedTable<HistoryEntry>(maxDeletedPaths)
   private applied = noOffset
   private readonly listeners = new Set<PathsListener>()
 
@@ -89,27 +108,25 @@
 
   /** Offset of the record that last changed the path; 0 if none did. */
   versionOf (path: string): Offset {
-    return this.tree.get(path)?.version ?? this.deletedVersions.get(path) ?? noOffset
+    return this.currentEntry(path)?.version ?? noOffset
   }
 
   /** Paths whose version is greater than the given offset, deleted ones included as far as they are kept. */
   changedSince (after: Offset): string[] {
-    const deleted = this.deletedVersions.entries().filter(([, version]) => version > after).map(([path]) => path)
+    const deleted = this.deleted.entries().filter(([, { version }]) => version > after).map(([path]) => path)
     return [...this.tree.list('').filter(({ version }) => version > after).map(({ path }) => path), ...deleted]
   }
 
   /** Kept changes of a path, oldest first. */
-  historyOf (path: string): readonly HistoryEntry[] {
-    return this.history.of(path)
+  historyOf (path: string): HistoryEntry[] {
+    const current = this.currentEntry(path)
+    return current === undefined ? [] : [...this.history.of(path), current]
   }
 
   /** What became of a change; undefined if it is unknown or too old. */
   outcomeOf (author: string, changeId: string): ChangeOutcome | undefined {
     const recorded = this.outcomes.get(outcomeKey(author, changeId))
-    if (recorded === undefined) return undefined
-    const { outcome } = recorded
-    if (outcome.kind !== 'conflict') return outcome
-    return { ...outcome, conflicts: outcome.conflicts.map(conflict => this.withWinner(conflict)) }
+    return recorded === undefined ? undefined : this.withWinners(recorded.outcome)
   }
 
   /** Edits whose expected version is not the one in force, with the changes that won. */
@@ -124,7 +141,7 @@
   repeatedOutcome (change: Pick<ChangeRecord, 'author' | 'changeId' | 'edits'>): ApplyOutcome | undefined {
     const earlier = this.outcomes.get(outcomeKey(change.author, change.changeId))
     if (earlier === undefined) return undefined
-    if (earlier.digest === digestOf(change.edits)) return applyOutcomeOf(earlier.outcome)
+    if (earlier.digest === digestOf(change.edits)) return applyOutcomeOf(this.withWinners(earlier.outcome))
     return { accepted: false, failure: failure('bad_request', `change id "${change.changeId}" was used for another change`) }
   }
 
@@ -144,17 +161,17 @@
     const repeated = this.repeatedOutcome(change)
     if (repeated !== undefined) return repeated
     const outcome = this.decide(change, record.offset)
-    this.outcomes.set(outcomeKey(change.author, change.changeId), { digest: digestOf(change.edits), outcome })
+    const recorded = { digest: digestOf(change.edits), outcome: keptOutcome(outcome) }
+    this.outcomes.set(outcomeKey(change.author, change.changeId), recorded)
     if (outcome.kind === 'accepted') this.notify(change.edits.map(edit => edit.path))
     return applyOutcomeOf(outcome)
   }
 
   snapshot (): ConfigurationState {
     return {
-      documents: this.tree.list('').map(({ path, version, value }) => ({ path, version, value })),
-      deleted: this.deletedVersions.entries().map(([path, version]) => ({ path, version })),
-      history: this.history.all().map(({ value, ...entry }) =>
-        this.tree.get(entry.path)?.version === entry.version ? entry : { ...entry, value }),
+      documents: this.tree.list('').map(entryOf),
+      deleted: this.deleted.entries().map(([, entry]) => entry),
+      history: this.history.all(),
       outcomes: this.outcomes.entries().map(([, recorded]) => recorded)
     }
   }
@@ -166,10 +183,11 @@
     }
     const tree = new ConfigurationTree()
     const problems: ConfigurationProblem[] = []
-    for (const { path, version, value } of parsed.data.documents) {
+    for (const entry of parsed.data.documents) {
+      const { path, version, value } = entry
       if (version > through) problems.push({ path, problem: `version ${version} is after the snapshot's offset ${through}` })
       const checked = checkDocument(path, value)
-      if (checked.valid) tree.put(path, stored(path, version, checked.value))
+      if (checked.valid) tree.put(path, stored({ ...entry, value: checked.value }))
       else problems.push(...checked.problems)
     }
     problems.push(...validateTree(tree))
@@ -185,15 +203,13 @@
     this.tree = tree
     this.applied = through
     this.history = new ChangeHistory()
-    for (const entry of state.history) {
-      this.history.add('value' in entry ? entry as HistoryEntry : { ...entry, value: tree.get(entry.path)?.value ?? null })
-    }
+    for (const entry of state.history) this.history.add(entry)
     this.outcomes = new BoundedTable(maxOutcomes)
     for (const recorded of state.outcomes) {
       this.outcomes.set(outcomeKey(recorded.outcome.author, recorded.outcome.changeId), recorded)
     }
-    this.deletedVersions = new BoundedTable(maxDeletedPaths)
-    for (const { path, version } of state.deleted) this.deletedVersions.set(path, version)
+    this.deleted = new BoundedTable(maxDeletedPaths)
+    for (const entry of state.deleted) this.deleted.set(entry.path, entry)
     const paths = new Set([...before.list(''), ...tree.list('')].map(document => document.path))
     const changed = [...paths].filter(path => before.get(path)?.version !== tree.get(path)?.version)
     if (changed.length > 0) this.notify(changed)
@@ -202,44 +218,59 @@
   private decide (change: ChangeRecord, offset: Offset): ChangeOutcome {
     const head = { changeId: change.changeId, author: change.author, offset }
     const conflicts = this.conflictsOf(change.edits)
-    if (conflicts.length > 0) {
-      const kept = conflicts.slice(0, maxKeptReasons).map(({ value, ...conflict }) => conflict)
-      return { kind: 'conflict', ...head, conflicts: kept }
-    }
+    if (conflicts.length > 0) return { kind: 'conflict', ...head, count: conflicts.length, conflicts }
     const problems = this.takeEffect(change, offset)
-    if (problems.length > 0) return { kind: 'invalid', ...head, problems: problems.slice(0, maxKeptReasons) }
+    if (problems.length > 0) return { kind: 'invalid', ...head, count: problems.length, problems }
     return { kind: 'accepted', ...head, edits: change.edits.length }
   }
 
   /** Puts the edits into the tree; takes them back and returns the problems if the tree would be invalid. */
   private takeEffect (change: ChangeRecord, offset: Offset): ConfigurationProblem[] {
-    const documents = new Map<string, StoredDocument | undefined>()
+    const { changeId, author, at } = change
+    const entries: HistoryEntry[] = []
     const problems: ConfigurationProblem[] = []
     for (const { path, value } of change.edits) {
       const checked = value === null ? undefined : checkDocument(path, value)
       if (checked?.valid === false) problems.push(...checked.problems)
-      else documents.set(path, checked === undefined ? undefined : stored(path, offset, checked.value))
+      else entries.push({ path, version: offset, changeId, author, at, value: checked?.value ?? null })
     }
     if (problems.length > 0) return problems
-    const previous = new Map([...documents].map(([path, document]) => [path, this.tree.put(path, document)] as const))
+    const previous = new Map(entries.map(entry =>
+      [entry.path, this.tree.put(entry.path, entry.value === null ? undefined : stored(entry))] as const))
     const broken = validateChanged(this.tree, previous)
     if (broken.length > 0) {
       for (const [path, document] of previous) this.tree.put(path, document)
       return broken
     }
-    for (const [path, document] of documents) this.remember(change, offset, path, document)
+    for (const entry of entries) this.supersede(entry, previous.get(entry.path))
     return []
   }
 
-  private remember (change: ChangeRecord, offset: Offset, path: string, document: StoredDocument | undefined): void {
-    if (document === undefined) this.deletedVersions.set(path, offset)
-    else this.deletedVersions.delete(path)
-    const { changeId, author, at } = change
-    this.history.add({ path, version: offset, changeId, author, at, value: document?.value ?? null })
+  /** Moves the former state of a path into the history. */
+  private supersede (entry: HistoryEntry, document: StoredDocument | undefined): void {
+    const former = document === undefined ? this.deleted.get(entry.path) : entryOf(document)
+    if (former !== undefined) this.history.add(former)
+    if (entry.value === null) this.deleted.set(entry.path, entry)
+    else this.deleted.delete(entry.path)
+  }
+
+  /** The state of a path in force; undefined if it was never set. */
+  private currentEntry (path: string): HistoryEntry | undefined {
+    const document = this.tree.get(path)
+    return document === undefined ? this.deleted.get(path) : entryOf(document)
+  }
+
+  private withWinners (outcome: ChangeOutcome): ChangeOutcome {
+    if (outcome.kind !== 'conflict') return outcome
+    return { ...outcome, conflicts: outcome.conflicts.map(conflict => this.withWinner(conflict)) }
   }
 
   private withWinner (conflict: VersionConflict): VersionConflict {
-    const winner = this.history.at(conflict.path, conflict.version)
+    const { path, version } = conflict
+    const current = this.currentEntry(path)
+    const winner = current?.version === version
+      ? current
+      : this.history.of(path).findLast(entry => entry.version === version)
     return winner === undefined ? conflict : { ...conflict, author: winner.author, value: winner.value }
   }
 
--- a/src/configuration/ConfigurationManager.ts
+++ b/src/configuration/ConfigurationManager.ts
@@ -11,7 +11,7 @@
 import {
   changeIdSchema, type ChangeOutcome, type Edit, editsSchema, type HistoryEntry
 } from './changes.js'
-import { type ConfigurationFold, failureOfOutcome, type PathsListener } from './ConfigurationFold.js'
+import { type ConfigurationFold, type PathsListener } from './ConfigurationFold.js'
 import { type AuthenticatedTeam, ConfigurationReader, type VersionedDocument } from './ConfigurationReader.js'
 import { mayChange } from './rights.js'
 import { checkDocument } from './validateTree.js'
@@ -164,10 +164,7 @@
     const recorded = this.options.fold.outcomeOf(author.team, changeId)
     if (outcome.accepted && recorded !== undefined) return Result.ok({ changeId, version: recorded.offset })
     if (outcome.accepted) return Result.err(failure('outcome_unknown', 'the outcome is no longer kept', { changeId }))
-    // The recorded conflict has the winning values, the outcome itself has not.
-    const isOwn = outcome.failure.kind !== 'bad_request' && recorded !== undefined
-    const failed = isOwn ? failureOfOutcome(recorded) ?? outcome.failure : outcome.failure
-    return Result.err(withChangeId(failed, changeId))
+    return Result.err(withChangeId(outcome.failure, changeId))
   }
 
   private undecided (author: AuthenticatedTeam, changeId: string, failed: Failure): Failure {
--- a/src/configuration/ConfigurationTree.ts
+++ b/src/configuration/ConfigurationTree.ts
@@ -4,13 +4,15 @@
  * and, for a new path, one insertion into the sorted list of paths.
  */
 import { match } from 'ts-pattern'
-import type { Offset } from '../common/index.js'
 import type { VersionedDocument } from './ConfigurationReader.js'
 import { type AccountDocument, type AdapterDocument, documentKindOf, type PoolDocument } from './documents.js'
 
-/** A document in force. */
+/** A document in force, with the change that set it. */
 export interface StoredDocument extends VersionedDocument {
-  version: Offset
+  changeId: string
+  author: string
+  /** Unix time in milliseconds at the author's host; for display only. */
+  at: number
   /** Length of the document as JSON text. */
   length: number
 }
@@ -20,7 +22,6 @@
   | 'adapter_of_model'
   | 'pool_of_model'
   | 'worker'
-  | 'engine'
   | 'address'
   | 'token'
   | 'settings_of_team'
@@ -44,7 +45,6 @@
   if (pool.kind === 'service') return keys
   return [
     ...keys,
-    ...pool.workers.map(worker => keyOf('engine', worker.id)),
     ...pool.models.map(model => keyOf('pool_of_model', model))
   ]
 }
--- a/src/configuration/changes.ts
+++ b/src/configuration/changes.ts
@@ -90,10 +90,15 @@
   offset: offsetSchema
 }
 
+const reasonCount = {
+  /** Number of conflicts or problems; a kept outcome lists the first ones only. */
+  count: z.number().int()
+}
+
 /** What became of a change. */
 export const changeOutcomeSchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('accepted'), ...outcomeHead, edits: z.number().int() }),
-  z.object({ kind: z.literal('conflict'), ...outcomeHead, conflicts: z.array(versionConflictSchema) }),
-  z.object({ kind: z.literal('invalid'), ...outcomeHead, problems: z.array(configurationProblemSchema) })
+  z.object({ kind: z.literal('conflict'), ...outcomeHead, ...reasonCount, conflicts: z.array(versionConflictSchema) }),
+  z.object({ kind: z.literal('invalid'), ...outcomeHead, ...reasonCount, problems: z.array(configurationProblemSchema) })
 ])
 export type ChangeOutcome = z.infer<typeof changeOutcomeSchema>
--- a/src/configuration/validateTree.ts
+++ b/src/configuration/validateTree.ts
@@ -111,10 +111,9 @@
 
 function roleProblems (tree: ConfigurationTree, path: string): string[] {
   const worker = lastPartOf(path)
-  if (tree.referring('engine', worker).length > 0) return []
-  return tree.referring('worker', worker).length > 0
-    ? [`worker "${worker}" is a service worker and plays no role`]
-    : [`no engine pool has a worker "${worker}"`]
+  const pools = tree.referring('worker', worker).map(pool => tree.get(pool)?.value as PoolDocument)
+  if (pools.length === 0) return [`no engine pool has a worker "${worker}"`]
+  return pools.some(pool => pool.kind === 'engines') ? [] : [`worker "${worker}" is a service worker and plays no role`]
 }
 
 function accountProblems (tree: ConfigurationTree, account: AccountDocument): string[] {
