--- a/src/commands/runCommandLine.ts
+++ b/src/commands/runCommandLine.ts
@@ -5,6 +5,7 @@
 import yargs, { type CommandModule } from 'yargs'
 import { errorAnswers } from '../common/index.js'
 import { administerCommand } from './administerCommand.js'
+import { certificatesCommand } from './certificatesCommand.js'
 import { checkCommand } from './checkCommand.js'
 import { drainCommand, fleetCommand, useCommand } from './fleetCommands.js'
 import { hostCommand } from './hostCommand.js'
@@ -17,6 +18,7 @@
 
 const commands: CommandModule[] = [
   administerCommand,
+  certificatesCommand,
   checkCommand,
   drainCommand,
   fleetCommand,
