Break the caller's connection when a long service answer breaks

A service answer longer than the buffer passes on as it comes. When its rest broke, the HTTP adaptor wrote "Error: other side closed" into the body and ended it properly, so a caller could take a cut answer for a whole one. The host now closes the caller's connection itself and does not hand the error to the adaptor.

Tests over real connections: callers that leave (stream, whole answer, call that must run once), long answers, header limits, closing with open requests.

--- a/src/entry/entryApplication.test.ts
+++ b/src/entry/entryApplication.test.ts
@@ -4,7 +4,7 @@
  */
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
 import type { ManualClock } from '../common/index.js'
-import { FakeEngine, textOf } from './testing/FakeEngine.js'
+import { FakeEngine, startStream, textOf, tokenEvent } from './testing/FakeEngine.js'
 import { FakeService } from './testing/FakeService.js'
 import { expiringToken, recordsOf, reefToken, type TestHost, testHost } from './testing/TestHost.js'
 
@@ -86,6 +86,17 @@
     }])
   })
 
+  test('a reader that gives up the stream ends the request', async () => {
+    engine.script = (request, response) => {
+      startStream(response)
+      response.write(tokenEvent(request, 0))
+    }
+    const response = await post('/v1/completions', { ...completion, stream: true })
+    await response.body!.cancel()
+    await engine.until(() => engine.cancelled.length === 1)
+    expect(await recordsOf(host)).toMatchObject([{ generatedTokens: 1 }])
+  })
+
   test('the models are listed', async () => {
     const response = await host.application.request('/v1/models', { headers: authorization })
     expect(await response.json()).toMatchObject({ object: 'list', data: [{ id: 'carassius', object: 'model' }] })
--- a/src/entry/handleService.ts
+++ b/src/entry/handleService.ts
@@ -85,11 +85,19 @@
     end()
     return responseOf(answer.value)
   }
-  return new Response(bodyWithRest(answer.value.body, answer.value.rest, end), answer.value)
+  return new Response(bodyWithRest(context, answer.value.body, answer.value.rest, end), answer.value)
 }
 
-/** A body whose end is not held yet. A failure of the rest breaks the caller's connection, so it is never silent. */
-function bodyWithRest (start: Uint8Array, rest: AsyncIterable<Uint8Array>, end: () => void): ReadableStream<Uint8Array> {
+/**
+ * A body whose end is not held yet. A failure of the rest breaks the caller's connection, so it is never silent.
+ * The HTTP adaptor is not told of the failure, since it would add its message to the body and end it properly.
+ */
+function bodyWithRest (
+  context: EntryCall,
+  start: Uint8Array,
+  rest: AsyncIterable<Uint8Array>,
+  end: () => void
+): ReadableStream<Uint8Array> {
   const parts = rest[Symbol.asyncIterator]()
   let sentStart = false
   return new ReadableStream<Uint8Array>({
@@ -107,7 +115,11 @@
         }
         controller.close()
       } catch (caught) {
-        controller.error(caught)
+        if (context.env?.outgoing === undefined) controller.error(caught)
+        else {
+          context.env.outgoing.destroy()
+          controller.close()
+        }
       }
       end()
     },
--- /dev/null
+++ b/src/entry/serve.test.ts
@@ -0,0 +1,134 @@
+/**
+ * Guards against work that goes on for callers that left, connections that are not bounded, and answers of
+ * services that are cut off without notice. These need real connections.
+ */
+import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
+import { request as httpRequest, type IncomingMessage } from 'node:http'
+import { connect } from 'node:net'
+import { FakeEngine, startStream, textOf, tokenEvent } from './testing/FakeEngine.js'
+import { FakeService } from './testing/FakeService.js'
+import { listening, recordsOf, reefToken, type TestHost, testHost } from './testing/TestHost.js'
+
+let engine: FakeEngine
+let service: FakeService
+let host: TestHost
+let server: Awaited<ReturnType<typeof listening>>
+
+beforeEach(async () => {
+  engine = await FakeEngine.start()
+  service = await FakeService.start()
+  host = await testHost({ engines: [engine.address], services: [service.address], generation: { maxBufferedBytes: 1000 } })
+  server = await listening(host)
+})
+
+afterEach(async () => {
+  await server.close()
+  await host.upstreams.stop()
+  await engine.stop()
+  await service.stop()
+})
+
+interface Call { response: Promise<IncomingMessage>, leave: () => void }
+
+function call (method: string, path: string, body = ''): Call {
+  const request = httpRequest(`${server.origin}${path}`, { method, headers: { authorization: `Bearer ${reefToken}` }, agent: false })
+  const response = new Promise<IncomingMessage>((resolve, reject) => {
+    request.once('response', resolve)
+    request.once('error', reject)
+  })
+  response.catch(() => {})
+  request.end(body)
+  return { response, leave: () => request.destroy() }
+}
+
+async function read (response: IncomingMessage): Promise<string> {
+  let text = ''
+  for await (const part of response) text += String(part)
+  return text
+}
+
+function completion (stream: boolean): string {
+  return JSON.stringify({ model: 'carassius', prompt: 'which fish', max_tokens: 50, stream })
+}
+
+describe('callers that leave', () => {
+  test.each([['a stream', true], ['a whole answer', false]])('the engine stops working on %s', async (_name, streamed) => {
+    engine.script = (request, response) => {
+      startStream(response)
+      response.write(tokenEvent(request, 0) + tokenEvent(request, 1))
+    }
+    const open = call('POST', '/v1/completions', completion(streamed))
+    await engine.until(() => engine.requests.length === 1)
+    if (streamed) await new Promise(resolve => open.response.then(response => response.once('data', resolve), () => {}))
+    open.leave()
+    await engine.until(() => engine.cancelled.length === 1)
+    expect(engine.cancelled[0]).toEqual({ requestId: engine.requests[0]!.request_id, attemptId: engine.requests[0]!.attempt_id })
+    expect(await recordsOf(host)).toHaveLength(1)
+    expect(host.requests.view()).toEqual([])
+    expect(host.admission.runningCount).toBe(0)
+  })
+
+  test('a call that must run once is not stopped, and its outcome is kept', async () => {
+    const { key } = JSON.parse(await read(await call('POST', '/keys').response)) as { key: string }
+    let finish = (): void => {}
+    service.answer = (_run, response) => { finish = () => response.end('done') }
+    const headers = { authorization: `Bearer ${reefToken}`, 'idempotency-key': key, 'content-type': 'text/plain' }
+    const vote = () => host.application.request('/services/votes/vote', {
+      method: 'POST', body: 'yes', headers
+    })
+    const first = httpRequest(`${server.origin}/services/votes/vote`, { method: 'POST', headers, agent: false })
+    first.on('error', () => {})
+    first.end('yes')
+    await service.untilRuns(1)
+    first.destroy()
+    const second = vote()
+    finish()
+    expect(await (await second).text()).toBe('done')
+    expect(service.runs).toHaveLength(1)
+  })
+})
+
+test('a stream passes through a connection', async () => {
+  const response = await call('POST', '/v1/completions', completion(true)).response
+  const text = await read(response)
+  expect([...text.matchAll(/"text":"( t\d+)"/g)].map(found => found[1]).join('')).toBe(textOf(50))
+  expect(text.endsWith('data: [DONE]\n\n')).toBe(true)
+})
+
+test('a long answer of a service that breaks is not taken for a whole one', async () => {
+  service.answer = (_run, response) => {
+    response.writeHead(200, { 'content-length': '5000' })
+    response.write('x'.repeat(4000), () => response.destroy())
+  }
+  await expect(call('GET', '/services/votes/tally').response.then(read)).rejects.toThrow(/aborted|hang up/)
+})
+
+test('a long answer of a service passes', async () => {
+  service.answer = (_run, response) => { response.end('x'.repeat(50_000)) }
+  expect(await read(await call('GET', '/services/votes/tally').response)).toHaveLength(50_000)
+  expect(await recordsOf(host)).toHaveLength(1)
+})
+
+test('headers far over the limit are refused by the server', async () => {
+  const socket = connect(Number(new URL(server.origin).port), '127.0.0.1')
+  socket.write(`GET /v1/models HTTP/1.1\r\nhost: x\r\nx-fill: ${'x'.repeat(20_000)}\r\n\r\n`)
+  let answer = ''
+  for await (const part of socket) answer += String(part)
+  expect(answer).toContain('431')
+})
+
+test('closing waits for the open requests', async () => {
+  let finish = (): void => {}
+  service.answer = (_run, response) => { finish = () => response.end('done') }
+  const open = call('GET', '/services/votes/tally')
+  await service.untilRuns(1)
+  const order: string[] = []
+  const closed = server.close().then(() => order.push('closed'))
+  const drained = host.requests.drain().then(() => order.push('drained'))
+  const answered = open.response.then(read).then(text => order.push(text))
+  finish()
+  await Promise.all([closed, drained, answered])
+  expect(order[0]).not.toBe('closed')
+  expect(order.sort()).toEqual(['closed', 'done', 'drained'])
+  server.close = async () => {}
+})
--- a/src/entry/testing/TestHost.ts
+++ b/src/entry/testing/TestHost.ts
@@ -8,7 +8,7 @@
   type Clock, type Failure, type HostId, type Incarnation, loadHash, ManualClock, type Zone
 } from '../../common/index.js'
 import { FixedConfiguration } from '../../configuration/index.js'
-import { defaultAttemptLimits, type GenerationContext, RequestManager, RetryBudget } from '../../forwarding/index.js'
+import { defaultAttemptLimits, RequestManager, type RequestManagerOptions, RetryBudget } from '../../forwarding/index.js'
 import { IdempotencyManager, NoIssuerClient } from '../../idempotency/index.js'
 import { EventLog, HybridClock, Timeline } from '../../observability/index.js'
 import { RoundRobinPolicy, WordTokenizer } from '../../routing/index.js'
@@ -34,7 +34,7 @@
   /** Addresses of workers of the service pool `votes`. */
   services?: string[]
   limits?: Partial<EntryOptions['limits']>
-  generation?: Partial<GenerationContext>
+  generation?: Partial<RequestManagerOptions>
   maxConcurrent?: number
   documents?: Record<string, unknown>
 }
