--- /dev/null
+++ b/src/idempotency/IdempotencyManager.test.ts
@@ -0,0 +1,239 @@
+/**
+ * Guards against calls that run twice under one key: by concurrent or late duplicates, lost answers, restarts,
+ * expiry or a full table. Also against keys that callers make up.
+ */
+import { beforeEach, describe, expect, test } from '@jest/globals'
+import fc from 'fast-check'
+import { Result } from 'true-myth'
+import { type Failure, failure, type HostId, type Incarnation, ManualClock, type Pool, type Team } from '../common/index.js'
+import { EventLog, HybridClock, Timeline } from '../observability/index.js'
+import { IdempotencyManager, type IdempotencyManagerOptions } from './IdempotencyManager.js'
+import { IssuerClient, type OnceAnswer, type OnceCall } from './IssuerClient.js'
+import type { OnceOutcome } from './OutcomeTable.js'
+
+const team = 'reef' as Team
+const ten = 600_000
+let clock: ManualClock
+let runs: string[]
+/** Decides the outcome of a run. */
+let outcomeOf: (call: OnceCall) => Promise<OnceOutcome>
+
+beforeEach(() => {
+  clock = new ManualClock()
+  runs = []
+  outcomeOf = async () => answer(`run ${runs.length}`)
+})
+
+function answer (text: string): OnceOutcome {
+  return Result.ok({ status: 200, headers: {}, body: Buffer.from(text) })
+}
+
+class Issuers extends IssuerClient {
+  constructor (private readonly managers: Map<string, IdempotencyManager>) { super() }
+
+  async execute (hostId: HostId, incarnation: Incarnation, call: OnceCall): Promise<Result<OnceAnswer, Failure>> {
+    const manager = this.managers.get(`${hostId}.${incarnation}`)
+    if (manager === undefined) return Result.err(failure('outcome_unknown', 'the issuer is gone'))
+    return await manager.executeIssued(call)
+  }
+}
+
+function managerOf (
+  options: Partial<IdempotencyManagerOptions> = {},
+  managers = new Map<string, IdempotencyManager>()
+): IdempotencyManager {
+  const complete: IdempotencyManagerOptions = {
+    hostId: 'h-1' as HostId,
+    incarnation: '0000000000000001' as Incarnation,
+    clock,
+    events: new EventLog({ timeline: new Timeline('h-1', new HybridClock(clock)), level: 'error', write: () => {} }),
+    issuers: new Issuers(managers),
+    execute: async call => {
+      runs.push(call.key)
+      return await outcomeOf(call)
+    },
+    ...options
+  }
+  const manager = new IdempotencyManager(complete)
+  managers.set(`${complete.hostId}.${complete.incarnation}`, manager)
+  return manager
+}
+
+function callOf (key: string, changes: Partial<OnceCall> = {}): OnceCall {
+  return {
+    key,
+    team,
+    pool: 'votes' as Pool,
+    method: 'POST',
+    path: '/vote',
+    headers: {},
+    body: Buffer.from('yes'),
+    timeoutMilliseconds: 30_000,
+    ...changes
+  }
+}
+
+function said (outcome: OnceOutcome): string {
+  return outcome.isOk ? Buffer.from(outcome.value.body).toString() : outcome.error.kind
+}
+
+describe('one run per key', () => {
+  test('concurrent duplicates wait for the one run', async () => {
+    let finish = (): void => {}
+    outcomeOf = async () => {
+      await new Promise<void>(resolve => { finish = resolve })
+      return answer('done')
+    }
+    const manager = managerOf()
+    const key = manager.issue(team)
+    const outcomes = Array.from({ length: 50 }, () => manager.execute(callOf(key)))
+    await clock.advance(0)
+    finish()
+    expect((await Promise.all(outcomes)).map(said)).toEqual(Array(50).fill('done'))
+    expect(runs).toHaveLength(1)
+  })
+
+  test('a duplicate whose deadline passes does not run', async () => {
+    outcomeOf = () => new Promise(() => {})
+    const manager = managerOf()
+    const key = manager.issue(team)
+    manager.execute(callOf(key)).catch(() => {})
+    const duplicate = manager.execute(callOf(key, { timeoutMilliseconds: 100 }))
+    await clock.advance(100)
+    expect(said(await duplicate)).toBe('outcome_unknown')
+    expect(runs).toHaveLength(1)
+  })
+
+  test.each<[string, OnceOutcome | 'throws', string, number]>([
+    ['an answer is repeated', answer('done'), 'done', 1],
+    ['an unknown outcome stays unknown', Result.err(failure('outcome_unknown', 'lost')), 'outcome_unknown', 1],
+    ['an internal error is an unknown outcome', 'throws', 'outcome_unknown', 1],
+    ['a call that certainly did not run may run again', Result.err(failure('not_run', 'refused')), 'not_run', 2]
+  ])('%s', async (_name, outcome, expected, count) => {
+    outcomeOf = async () => {
+      if (outcome === 'throws') throw new Error('fault')
+      return outcome
+    }
+    const manager = managerOf()
+    const key = manager.issue(team)
+    expect([said(await manager.execute(callOf(key))), said(await manager.execute(callOf(key)))]).toEqual([expected, expected])
+    expect(runs).toHaveLength(count)
+  })
+
+  test('any order of calls, time and lost answers runs each key at most once', async () => {
+    const step = fc.oneof(
+      fc.record({ kind: fc.constant('call' as const), key: fc.nat(4) }),
+      fc.record({ kind: fc.constant('wait' as const), milliseconds: fc.constantFrom(1000, 60_000, 300_000, 700_000) })
+    )
+    await fc.assert(fc.asyncProperty(fc.array(step, { maxLength: 40 }), async steps => {
+      runs = []
+      const manager = managerOf({ maxKeys: 3, maxBytes: 6 })
+      const keys = Array.from({ length: 5 }, () => manager.issue(team))
+      for (const one of steps) {
+        if (one.kind === 'wait') await clock.advance(one.milliseconds)
+        else await manager.execute(callOf(keys[one.key]!))
+      }
+      expect(new Set(runs).size).toBe(runs.length)
+    }), { seed: 7, numRuns: 60 })
+  })
+})
+
+describe('keys', () => {
+  test('another call under a used key conflicts', async () => {
+    const manager = managerOf()
+    const key = manager.issue(team)
+    await manager.execute(callOf(key))
+    expect(said(await manager.execute(callOf(key, { body: Buffer.from('no') })))).toBe('conflict')
+    expect(said(await manager.execute(callOf(key, { path: '/other' })))).toBe('conflict')
+    expect(runs).toHaveLength(1)
+  })
+
+  test.each<[string, (key: string) => string, string]>([
+    ['no key at all', () => 'mine', 'bad_request'],
+    ['another code', key => key.slice(0, -32) + '0'.repeat(32), 'bad_request'],
+    ['another sequence number', key => key.replace('.1.', '.2.'), 'bad_request'],
+    ['another incarnation of the host', key => key.replace('0000000000000001', '0000000000000009'), 'outcome_unknown'],
+    ['a host that is gone', key => key.replace('h-1', 'h-9'), 'outcome_unknown']
+  ])('a key with %s does not run', async (_name, change, kind) => {
+    const manager = managerOf()
+    const key = change(manager.issue(team))
+    expect(said(await manager.execute(callOf(key)))).toBe(kind)
+    expect(runs).toHaveLength(0)
+  })
+
+  test('a key of another team is refused', async () => {
+    const manager = managerOf()
+    expect(said(await manager.execute(callOf(manager.issue('kelp' as Team))))).toBe('bad_request')
+  })
+
+  test('the key of a restarted host does not run, though its sequence number is known', async () => {
+    const old = managerOf()
+    const key = old.issue(team)
+    const restarted = managerOf({ incarnation: '0000000000000002' as Incarnation })
+    restarted.issue(team)
+    expect(said(await restarted.execute(callOf(key)))).toBe('outcome_unknown')
+    expect(runs).toHaveLength(0)
+  })
+
+  test('a call runs at the issuer of its key, from whichever host it comes', async () => {
+    const managers = new Map<string, IdempotencyManager>()
+    const issuer = managerOf({}, managers)
+    const other = managerOf({ hostId: 'h-2' as HostId, incarnation: '0000000000000002' as Incarnation }, managers)
+    const key = issuer.issue(team)
+    expect((await Promise.all([other.execute(callOf(key)), issuer.execute(callOf(key))])).map(said)).toEqual(['run 1', 'run 1'])
+  })
+})
+
+describe('limits', () => {
+  test('an outcome is kept for ten minutes after the run; then nobody knows', async () => {
+    const manager = managerOf()
+    const key = manager.issue(team)
+    await clock.advance(ten - 1)
+    expect(said(await manager.execute(callOf(key)))).toBe('run 1')
+    await clock.advance(ten - 1)
+    expect(said(await manager.execute(callOf(key)))).toBe('run 1')
+    await clock.advance(20_000)
+    expect(said(await manager.execute(callOf(key)))).toBe('outcome_unknown')
+    expect(runs).toHaveLength(1)
+  })
+
+  test('a used key is remembered until keys of its time have expired', async () => {
+    const manager = managerOf()
+    const key = manager.issue(team)
+    await manager.execute(callOf(key))
+    await clock.advance(900)
+    manager.issue(team)
+    await clock.advance(ten - 400)
+    await manager.execute(callOf(key))
+    await clock.advance(20_000)
+    await manager.execute(callOf(key))
+    expect(runs).toHaveLength(1)
+  })
+
+  test('a key that was not used in time does not run', async () => {
+    const manager = managerOf()
+    const key = manager.issue(team)
+    await clock.advance(ten)
+    expect(said(await manager.execute(callOf(key)))).toBe('outcome_unknown')
+    expect(runs).toHaveLength(0)
+  })
+
+  test('a full table refuses new calls and forgets none', async () => {
+    const manager = managerOf({ maxKeys: 2 })
+    const keys = [manager.issue(team), manager.issue(team), manager.issue(team)]
+    const outcomes = []
+    for (const key of [...keys, ...keys]) outcomes.push(said(await manager.execute(callOf(key))))
+    expect(outcomes).toEqual(['run 1', 'run 2', 'overloaded', 'run 1', 'run 2', 'overloaded'])
+  })
+
+  test('stored answers stay within their bytes; their calls do not run again', async () => {
+    outcomeOf = async () => answer('x'.repeat(10))
+    const manager = managerOf({ maxBytes: 25 })
+    const keys = [manager.issue(team), manager.issue(team), manager.issue(team)]
+    for (const key of keys) await manager.execute(callOf(key))
+    const again = []
+    for (const key of keys) again.push(said(await manager.execute(callOf(key))))
+    expect(again).toEqual(['outcome_unknown', 'x'.repeat(10), 'x'.repeat(10)])
+    expect(runs).toHaveLength(3)
+  })
+})
--- /dev/null
+++ b/src/upstreams/UpstreamManager.test.ts
@@ -0,0 +1,192 @@
+/**
+ * Guards against work for workers that are gone, leaving or being drained, load figures that forget what this
+ * host sent since the last report, and subsets that change more than they have to.
+ */
+import { afterEach, beforeAll, beforeEach, describe, expect, test } from '@jest/globals'
+import { type Hash, type HostId, loadHash, ManualClock, type Model, type Pool, type WorkerId, type Zone } from '../common/index.js'
+import { FixedConfiguration, type WorkerDocument } from '../configuration/index.js'
+import { FakeEngine } from '../entry/testing/FakeEngine.js'
+import { EventLog, HybridClock, Timeline } from '../observability/index.js'
+import { chooseSubset } from './chooseSubset.js'
+import { LoadEstimate } from './LoadEstimate.js'
+import { loadReportSchema } from './LoadReport.js'
+import { UpstreamManager } from './UpstreamManager.js'
+
+let hash: Hash
+beforeAll(async () => { hash = await loadHash() })
+
+function worker (id: string, zone = 'a', address = '127.0.0.1:1', reportsLoad = true): WorkerDocument {
+  return { id: id as WorkerId, zone: zone as Zone, address, checksFencing: false, reportsLoad }
+}
+
+describe('chooseSubset', () => {
+  const workers = Array.from({ length: 200 }, (_, index) => worker(`w-${index}`, index % 2 === 0 ? 'a' : 'b'))
+  const options = () => ({ hostId: 'h-1' as HostId, zone: 'a' as Zone, size: 16, hash })
+
+  test('is bounded, with the own zone first and a quarter for the others', () => {
+    const zones = chooseSubset(workers, options()).map(({ zone }) => zone)
+    expect(zones).toEqual([...Array(12).fill('a') as string[], ...Array(4).fill('b') as string[]])
+  })
+
+  test('takes all there are of a zone with few workers', () => {
+    expect(chooseSubset(workers.slice(0, 10), options())).toHaveLength(10)
+    expect(chooseSubset(workers.filter(({ zone }) => zone === 'b'), options())).toHaveLength(16)
+  })
+
+  test('changes by one worker when one leaves', () => {
+    const before = chooseSubset(workers, options())
+    const after = chooseSubset(workers.filter(({ id }) => id !== before[3]!.id), options())
+    expect(before.filter(kept => after.includes(kept))).toHaveLength(15)
+  })
+
+  test('spreads the workers over the hosts', () => {
+    const uses = new Map<string, number>()
+    for (let host = 0; host < 300; host += 1) {
+      for (const { id } of chooseSubset(workers, { ...options(), hostId: `h-${host}` as HostId })) uses.set(id, (uses.get(id) ?? 0) + 1)
+    }
+    // 300 hosts, 12 of 100 workers each in the own zone: 36 hosts per worker on average.
+    const own = workers.filter(({ zone }) => zone === 'a').map(({ id }) => uses.get(id) ?? 0)
+    expect(Math.min(...own)).toBeGreaterThan(15)
+    expect(Math.max(...own)).toBeLessThan(65)
+  })
+})
+
+describe('LoadEstimate', () => {
+  const report = (queuedPrefillTokens: number, runningDecodes: number) =>
+    loadReportSchema.parse({ at: 0, queuedPrefillTokens, runningDecodes })
+
+  test('adds what was sent since the report and takes off what ended since', () => {
+    const load = new LoadEstimate()
+    const old = load.begin(1, 100)
+    load.firstToken(old, 5)
+    const queued = load.begin(6, 200)
+    load.apply(report(200, 1), 10)
+    expect(load).toMatchObject({ queuedPrefillTokens: 200, runningDecodes: 1, outstanding: 2 })
+    const fresh = load.begin(11, 300)
+    expect(load).toMatchObject({ queuedPrefillTokens: 500, runningDecodes: 1, outstanding: 3 })
+    load.firstToken(queued, 12)
+    expect(load).toMatchObject({ queuedPrefillTokens: 300, runningDecodes: 2 })
+    load.end(old, 13)
+    load.end(fresh, 14)
+    expect(load).toMatchObject({ queuedPrefillTokens: 0, runningDecodes: 1, outstanding: 1 })
+  })
+
+  test('a late report does not undo what happened after it was taken', () => {
+    const load = new LoadEstimate()
+    load.apply(report(0, 0), 0)
+    const first = load.begin(1, 100)
+    load.firstToken(first, 2)
+    const second = load.begin(3, 200)
+    load.end(first, 4)
+    // The report is of time 2.5: the first request was generating, the second not sent.
+    load.apply(report(0, 1), 2.5)
+    expect(load).toMatchObject({ queuedPrefillTokens: 200, runningDecodes: 0 })
+    load.firstToken(second, 6)
+    load.apply(report(0, 1), 7)
+    expect(load).toMatchObject({ queuedPrefillTokens: 0, runningDecodes: 1 })
+  })
+})
+
+describe('UpstreamManager', () => {
+  const model = 'carassius' as Model
+  let engines: FakeEngine[]
+  let configuration: FixedConfiguration
+  let clock: ManualClock
+  let manager: UpstreamManager
+
+  function pool (...workers: WorkerDocument[]) {
+    return { kind: 'engines', workers, models: [model] }
+  }
+
+  function ids (): string[] {
+    return manager.candidatesForModel(model).map(({ id }) => id)
+  }
+
+  /** Lets polls happen until the candidates are as expected. */
+  async function until (expected: string[]): Promise<void> {
+    while (JSON.stringify(ids()) !== JSON.stringify(expected)) await clock.advance(100)
+  }
+
+  beforeEach(async () => {
+    engines = await Promise.all([FakeEngine.start(), FakeEngine.start()])
+    clock = new ManualClock(Date.now())
+    configuration = new FixedConfiguration({
+      '/fleet/pools/p': pool(worker('e-0', 'a', engines[0]!.address), worker('e-1', 'b', engines[1]!.address))
+    })
+    const events = new EventLog({ timeline: new Timeline('h-1', new HybridClock(clock)), level: 'error', write: () => {} })
+    manager = new UpstreamManager({
+      hostId: 'h-1' as HostId, zone: 'a' as Zone, configuration, clock, events, hash, loadPollMilliseconds: 100, subsetSize: 8
+    })
+    manager.start()
+  })
+
+  afterEach(async () => {
+    await manager.stop()
+    await Promise.all(engines.map(engine => engine.stop()))
+  })
+
+  test('lists the own zone first', () => {
+    expect(ids()).toEqual(['e-0', 'e-1'])
+  })
+
+  test.each<[string, () => void | Promise<void>]>([
+    ['says that it is leaving', () => { engines[0]!.load!.leaving = true }],
+    ['refuses connections', () => engines[0]!.stop()],
+    ['does not answer polls', () => { engines[0]!.load = undefined }],
+    ['is taken out of the configuration', () => {
+      configuration.set('/fleet/pools/p', pool(worker('e-1', 'b', engines[1]!.address)))
+    }],
+    ['no longer has the model', () => { engines[0]!.load!.models = ['perca'] }],
+    ['becomes a decode engine', () => { engines[0]!.load!.role = 'decode' }]
+  ])('a worker that %s gets no new work', async (_name, change) => {
+    await change()
+    await until(['e-1'])
+  })
+
+  test('a worker that answers again gets work again', async () => {
+    engines[0]!.load = undefined
+    await until(['e-1'])
+    engines[0]!.load = { models: [model] }
+    await until(['e-0', 'e-1'])
+  })
+
+  test('three failed requests in a row pause a worker for a while', async () => {
+    const upstream = manager.worker('e-0' as WorkerId)!
+    for (const result of ['failed', 'failed', 'answered', 'failed', 'failed'] as const) manager.begin(upstream, 0).end(result)
+    expect(ids()).toEqual(['e-0', 'e-1'])
+    manager.begin(upstream, 0).end('failed')
+    expect(ids()).toEqual(['e-1'])
+    const pausedAt = clock.monotonic()
+    await until(['e-0', 'e-1'])
+    expect(clock.monotonic() - pausedAt).toBeGreaterThanOrEqual(1000)
+  })
+
+  test('a drained worker gets no new work and tells when its streams have ended', async () => {
+    const upstream = manager.worker('e-0' as WorkerId)!
+    const work = manager.begin(upstream, 10)
+    manager.setDraining(upstream.id, true)
+    expect(ids()).toEqual(['e-1'])
+    expect(manager.runningStreams(upstream.id)).toBe(1)
+    let idle = false
+    const waiting = manager.whenIdle(upstream.id).then(() => { idle = true })
+    await clock.advance(100)
+    expect(idle).toBe(false)
+    work.end('answered')
+    await waiting
+    manager.setDraining(upstream.id, false)
+    expect(ids()).toEqual(['e-0', 'e-1'])
+  })
+
+  test('a worker without load reports is not polled and comes back by time', async () => {
+    configuration.set('/fleet/pools/p', pool(worker('e-2', 'a', engines[0]!.address, false)))
+    const upstream = manager.worker('e-2' as WorkerId)!
+    manager.begin(upstream, 0).end('refused')
+    expect(ids()).toEqual([])
+    await until(['e-2'])
+  })
+
+  test('the candidates of a pool are those that may get work', async () => {
+    expect(manager.candidatesForPool('p' as Pool).map(({ id }) => id)).toEqual(['e-0', 'e-1'])
+    expect(manager.candidatesForPool('q' as Pool)).toEqual([])
+  })
+})
