--- a/src/settings/HostSettings.ts
+++ b/src/settings/HostSettings.ts
@@ -35,7 +35,17 @@
     /** How long the log keeps records. Snapshots are written after a third of it. */
     logRetentionSeconds: z.number().positive().default(86_400)
   }),
-  /** Mutual TLS between entry hosts. Absent: plain TCP. The files are read anew when they change. */
+  administration: z.strictObject({
+    /**
+     * SHA-256 of a token, in hexadecimal, with operators' rights. It works only while the configuration has no
+     * operator account, so that the first configuration can be written.
+     */
+    bootstrapTokenSha256: z.string().regex(/^[0-9a-f]{64}$/, '64 hexadecimal digits').optional()
+  }).prefault({}),
+  /**
+   * Mutual TLS between entry hosts. Absent: plain TCP. The files are read anew when they change. The certificate
+   * has to name the host id as a DNS name.
+   */
   peerTls: z.strictObject({
     certificateFile: z.string(),
     keyFile: z.string(),
