--- a/src/testing/Deployment.ts
+++ b/src/testing/Deployment.ts
@@ -24,6 +24,8 @@
   /** Owner of each team. Each team's token is `token-of-<team>`. */
   teams: Record<string, string>
   hostSettings?: Record<string, unknown>
+  /** Arguments of node itself for the hosts, e.g. `['--cpu-prof']`. */
+  hostNodeArguments?: string[]
   engineSettings?: Record<string, unknown>
   serviceSettings?: Record<string, unknown>
   logSettings?: Record<string, unknown>
@@ -114,7 +116,8 @@
     const started = await this.group.start({
       name,
       command: ['host'],
-      settings: merge(merge(base, this.options.hostSettings), settings)
+      settings: merge(merge(base, this.options.hostSettings), settings),
+      nodeArguments: this.options.hostNodeArguments
     })
     this.hosts.set(name, started)
     return started
--- a/src/testing/ProcessGroup.ts
+++ b/src/testing/ProcessGroup.ts
@@ -31,6 +31,8 @@
   settings: Record<string, unknown>
   /** Further environment variables. */
   environment?: Record<string, string>
+  /** Arguments of node itself, e.g. `['--cpu-prof']`. */
+  nodeArguments?: string[]
 }
 
 /** Most processes that one group runs at a time; the machine's limit for all groups is a few hundred. */
@@ -74,7 +76,7 @@
     const file = join(await this.directory, `${options.name}.toml`)
     await writeFile(file, settingsTextOf(options.settings))
     const program = resolve(this.options.program ?? 'dist/dogwooddale.cjs')
-    const child = spawn(process.execPath, [program, ...options.command, '--settings', file], {
+    const child = spawn(process.execPath, [...options.nodeArguments ?? [], program, ...options.command, '--settings', file], {
       stdio: ['ignore', 'pipe', 'pipe'],
       env: { ...process.env, NODE_OPTIONS: '', ...options.environment }
     })
