Send orders to engines by intents in the log

Cause: an engine must never get conflicting orders, and orders of a host that has lost its authority must have no effect, also with engines that ignore fencing numbers. Ruled out: trusting the clock before the send alone (the holder can be paused between check and write); asking all former holders for each order (the fold knows who may still send: the writer of an intent and each holder that found it open); clearing a send whose answer was lost by closing its connection (its bytes can still arrive; the engine's state decides). Change: OrderFold, OrderManager, IntentCompleter, HttpEngineOrderClient and the abstract PredecessorEvidence and EngineDrain in src/orders. Conclusion: usable by the role planner; the request path has to implement EngineDrain, and the host has to answer LeaseStatus by `leaseStatus`.

--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -1,1 +1,2 @@
 export * from './AdmissionManager.js'
+export * from './TokenBucket.js'
--- a/src/leases/testSupport.ts
+++ b/src/leases/testSupport.ts
@@ -85,8 +85,8 @@
 /** What may differ between the hosts of a test. */
 export interface LeaseHostOptions extends Partial<LeaseManagerOptions> {
   rate?: number
-  /** Further folds that the host follows. */
-  folds?: StreamFold[]
+  /** Makes further folds that the host follows. */
+  folds?: (host: Omit<LeaseHost, 'group'>) => StreamFold[]
 }
 
 /** Makes a host that competes for `snapshots` unless told otherwise, and starts it. */
@@ -105,7 +105,7 @@
     ...options
   })
   const log = new PausableLog(fixture.log, gate)
-  const group = fixture.group([leases, ...options.folds ?? []], { clock, log })
+  const group = fixture.group([leases, ...options.folds?.({ gate, clock, leases }) ?? []], { clock, log })
   leases.start(group)
   return { gate, clock, leases, group }
 }
--- /dev/null
+++ b/src/orders/EngineOrderClient.ts
@@ -0,0 +1,92 @@
+/**
+ * Sends orders to engines and reads their state.
+ */
+import { Result } from 'true-myth'
+import { z } from 'zod'
+import { failure, type Failure, failureFromBody, type FencingNumber, type Incarnation, type WorkerId } from '../common/index.js'
+import { type HttpAnswer, HttpClient } from '../platform/index.js'
+import { type EngineOrder, type EngineState, engineStateSchema } from './orderRecords.js'
+
+/** An engine to which orders are sent. */
+export interface EngineTarget {
+  worker: WorkerId
+  /** `ip:port` */
+  address: string
+  /** True if the engine refuses orders with an old fencing number. */
+  checksFencing: boolean
+}
+
+/** One order as it is sent. `fence` changes nothing but the greatest fencing number that the engine has seen. */
+export interface OrderMessage {
+  orderId: string
+  fencingNumber: FencingNumber
+  order: EngineOrder | { kind: 'fence' }
+  /** The engine that the order is meant for; an engine that restarted since refuses it. */
+  engineIncarnation: Incarnation
+}
+
+const orderStatusSchema = z.object({ state: z.enum(['running', 'done', 'failed']), detail: z.string().optional() })
+
+/** Where a received order stands. */
+export type OrderStatus = z.infer<typeof orderStatusSchema>
+
+/** Engines as the order manager sees them. */
+export abstract class EngineOrderClient {
+  /**
+   * Sends an order. Errors: `not_run` (certainly not received), `lost_authority` (the engine has seen a
+   * greater fencing number), `wrong_incarnation`, `conflict` (the engine is carrying out another order),
+   * `bad_request` (the engine does not know such an order), `outcome_unknown`.
+   */
+  abstract send (engine: EngineTarget, message: OrderMessage): Promise<Result<OrderStatus, Failure>>
+
+  /** Reads the engine's state. Errors: `upstream_failed`. */
+  abstract state (engine: EngineTarget): Promise<Result<EngineState, Failure>>
+}
+
+const answerTimeoutMilliseconds = 3000
+
+/** Failures by which an engine says that it did not take an order. */
+const refusals = new Set<Failure['kind']>(['lost_authority', 'wrong_incarnation', 'conflict', 'bad_request'])
+
+/** Engines over HTTP: `POST /orders` and `GET /state`. */
+export class HttpEngineOrderClient extends EngineOrderClient {
+  private readonly clients = new Map<string, HttpClient>()
+
+  async send (engine: EngineTarget, message: OrderMessage): Promise<Result<OrderStatus, Failure>> {
+    const sent = await this.client(engine).send({
+      method: 'POST', path: '/orders', body: message, timeoutMilliseconds: answerTimeoutMilliseconds
+    })
+    if (sent.isErr) return Result.err(failure(sent.error.kind === 'platform_unavailable' ? 'not_run' : 'outcome_unknown', sent.error.message))
+    return statusOf(sent.value)
+  }
+
+  async state (engine: EngineTarget): Promise<Result<EngineState, Failure>> {
+    const sent = await this.client(engine).send({ method: 'GET', path: '/state', timeoutMilliseconds: answerTimeoutMilliseconds })
+    if (sent.isErr) return Result.err(failure('upstream_failed', sent.error.message))
+    const state = engineStateSchema.safeParse(sent.value.body)
+    if (sent.value.status === 200 && state.success) return Result.ok(state.data)
+    return Result.err(failure('upstream_failed', `unexpected answer of an engine to GET /state: status ${sent.value.status}`))
+  }
+
+  /** Closes all connections. */
+  async close (): Promise<void> {
+    await Promise.all([...this.clients.values()].map(client => client.close()))
+    this.clients.clear()
+  }
+
+  private client ({ address }: EngineTarget): HttpClient {
+    const known = this.clients.get(address)
+    if (known !== undefined) return known
+    const created = new HttpClient(`http://${address}`)
+    this.clients.set(address, created)
+    return created
+  }
+}
+
+function statusOf ({ status, body }: HttpAnswer): Result<OrderStatus, Failure> {
+  const parsed = orderStatusSchema.safeParse(body)
+  if (status < 300 && parsed.success) return Result.ok(parsed.data)
+  const stated = failureFromBody(body)
+  if (stated !== undefined && refusals.has(stated.kind)) return Result.err(stated)
+  return Result.err(failure('outcome_unknown', `unexpected answer of an engine to an order: status ${status}`))
+}
--- /dev/null
+++ b/src/orders/OrderManager.ts
@@ -0,0 +1,351 @@
+/**
+ * Sends orders to the engines of a zone while this host holds the zone's planner lease (design section 4.3).
+ * An order is sent only after its intent was accepted in the log, and the next order to that engine only
+ * after the end of this one is in the log. A new holder first completes what it finds open.
+ */
+import { Result } from 'true-myth'
+import type { TokenBucket } from '../admission/index.js'
+import { type Clock, failure, type Failure, failureOf, type FencingNumber, newRecordId, Task, type WorkerId } from '../common/index.js'
+import type { EngineRole } from '../configuration/index.js'
+import { isSameHolder, type LeaseHolder, type LeaseManager, type LeaseName } from '../leases/index.js'
+import type { EventLog } from '../observability/index.js'
+import type { ApplyOutcome, FoldRecord, NewRecord, RecordWriter, SubmittedRecord } from '../streams/index.js'
+import type { EngineDrain } from './EngineDrain.js'
+import type { EngineOrderClient, EngineTarget } from './EngineOrderClient.js'
+import { type BeforeWrite, IntentCompleter, type OrderEnd } from './IntentCompleter.js'
+import { OpenSends } from './OpenSends.js'
+import { OrderFold } from './OrderFold.js'
+import { type EngineOrder, type EngineRecord, type EngineState, type OpenIntent, type OrderId, type PossibleSender } from './orderRecords.js'
+import type { PredecessorEvidence } from './PredecessorEvidence.js'
+import { loadsWeights } from './targetOf.js'
+
+/** Options of an `OrderManager`. Times are in milliseconds. */
+export interface OrderManagerOptions {
+  clock: Clock
+  events: EventLog
+  /** This start of this host. */
+  holder: LeaseHolder
+  /** The planner lease of the zone. */
+  lease: LeaseName
+  leases: LeaseManager
+  /** The engines of the zone, asked anew each time. */
+  engines: () => EngineTarget[]
+  client: EngineOrderClient
+  evidence: PredecessorEvidence
+  drain: EngineDrain
+  /** Spreads the loads of weights below the rate limit of the weight store. Absent: no limit. */
+  weightLoads?: TokenBucket
+  /** Time between two looks at an engine while an order runs. Default: 500. */
+  pollMilliseconds?: number
+  /** Time after which an order without a known end is left open for a later try. Default: 120,000. */
+  orderTimeoutMilliseconds?: number
+  /** Time between two tries to complete open intents. Default: 2,000. */
+  reconcileMilliseconds?: number
+  /** Called between the last check of the authority and the write of an order. Default: nothing. */
+  beforeWrite?: BeforeWrite
+}
+
+/** Options of a role change. */
+export interface RoleChangeOptions {
+  /** Longest wait for the engine's running streams, in milliseconds. */
+  drainLimitMilliseconds: number
+  /** What to do when streams still run at the limit. Default: `give_up`, since a planned change interrupts nothing. */
+  atLimit?: 'give_up' | 'send'
+}
+
+/** An engine for operators. */
+export interface EngineOrderReport extends EngineRecord {
+  engine: WorkerId
+  /** Former holders that may still send; other orders to an engine that ignores fencing numbers wait for them. */
+  formerSenders: PossibleSender[]
+}
+
+const defaultPollMilliseconds = 500
+const defaultOrderTimeoutMilliseconds = 120_000
+const defaultReconcileMilliseconds = 2000
+
+/** Tries of an order whose intents end as abandoned. */
+const maxAttempts = 3
+
+/** The orders of a zone. */
+export class OrderManager extends OrderFold {
+  private readonly sends = new OpenSends()
+  private readonly completer: IntentCompleter
+  private readonly stopping = new AbortController()
+  /** The last piece of work on each engine; the next one waits for it. */
+  private readonly work = new Map<WorkerId, Promise<unknown>>()
+  /** The fencing number under which each engine that checks numbers was fenced last. */
+  private readonly fenced = new Map<WorkerId, FencingNumber>()
+  private readonly reconciling = new Set<WorkerId>()
+  private takingOver: Promise<Result<void, Failure>> | undefined
+  private writer: RecordWriter | undefined
+  private task: Task | undefined
+
+  constructor (private readonly options: OrderManagerOptions) {
+    super()
+    const { client, clock, events, beforeWrite } = options
+    this.completer = new IntentCompleter({
+      client,
+      clock,
+      events,
+      beforeWrite,
+      sends: this.sends,
+      authority: () => this.fencingNumber(),
+      hasFormerSenders: engine => this.formerSenders(engine.worker).length > 0,
+      pollMilliseconds: options.pollMilliseconds ?? defaultPollMilliseconds,
+      orderTimeoutMilliseconds: options.orderTimeoutMilliseconds ?? defaultOrderTimeoutMilliseconds
+    })
+  }
+
+  /** Starts to complete open intents whenever this host holds the lease. */
+  start (writer: RecordWriter): void {
+    this.writer = writer
+    this.task = Task.start(signal => this.run(signal), error => {
+      this.options.events.error('order_task_failed', { reason: failureOf(error).message })
+    })
+  }
+
+  /** Ends all work; has to be called before the lease is released. Intents without a known end stay open. */
+  async stop (): Promise<void> {
+    this.stopping.abort()
+    await this.task?.stop()
+    await Promise.allSettled(this.work.values())
+  }
+
+  /**
+   * Brings an engine to a target. Errors: `not_found`, `lost_authority`, `not_ready` (a former holder may still
+   * send; try again later), `conflict`, `outcome_unknown` (the order stays open and is completed later),
+   * `platform_unavailable`, `upstream_failed`, `cancelled`.
+   */
+  async execute (worker: WorkerId, order: EngineOrder): Promise<Result<OrderEnd, Failure>> {
+    const engine = this.options.engines().find(target => target.worker === worker)
+    if (engine === undefined) return Result.err(failure('not_found', `${worker} is not an engine of this zone`))
+    return await this.exclusively(worker, () => this.executeUntilKnown(engine, order))
+  }
+
+  /** Drains an engine, changes its role, and lets work return. Errors: as `execute`, and `deadline_exceeded`. */
+  async changeRole (worker: WorkerId, role: EngineRole, options: RoleChangeOptions): Promise<Result<OrderEnd, Failure>> {
+    if (this.fencingNumber() === undefined) return Result.err(failure('lost_authority', 'the lease is not held here'))
+    const marked = await this.options.drain.stopAccepting(worker)
+    if (marked.isErr) return Result.err(marked.error)
+    try {
+      const isIdle = await this.options.drain.waitUntilIdle(worker, options.drainLimitMilliseconds)
+      if (isIdle || options.atLimit === 'send') return await this.execute(worker, { kind: 'change_role', role })
+      return Result.err(failure('deadline_exceeded', `streams of ${worker} still run`))
+    } finally {
+      await this.options.drain.accept(worker)
+    }
+  }
+
+  /**
+   * An operator states that the former holders of an order can no longer send it. Errors: as
+   * `RecordWriter.submit`, and `conflict` if no former holder may send it.
+   */
+  async confirm (orderId: OrderId, operator: string): Promise<Result<void, Failure>> {
+    const submitted = await this.submit({ kind: 'confirm', orderId, operator })
+    return submitted.map(() => undefined)
+  }
+
+  /** Answers a successor: whether an order of this authority to the engine may still be on its way. */
+  async leaseStatus (
+    lease: LeaseName, fencingNumber: FencingNumber, worker: WorkerId
+  ): Promise<{ knowsLeaseIsOver: boolean, orderInFlight: boolean }> {
+    // In this order: once the authority is over for good, no further send can pass its check.
+    const knowsLeaseIsOver = lease === this.options.lease && this.options.leases.confirmOver(lease, fencingNumber)
+    const engine = this.options.engines().find(target => target.worker === worker)
+    if (engine !== undefined && this.sends.has(worker, fencingNumber)) await this.readState(engine)
+    return { knowsLeaseIsOver, orderInFlight: this.sends.has(worker, fencingNumber) }
+  }
+
+  /** What is known of each engine that ever had an order. */
+  engineReports (): EngineOrderReport[] {
+    return [...this.engineRecords()].map(([name, record]) => {
+      const engine = name as WorkerId
+      return { ...record, engine, formerSenders: this.formerSenders(engine) }
+    })
+  }
+
+  private fencingNumber (): FencingNumber | undefined {
+    return this.options.leases.authority(this.options.lease)?.fencingNumber
+  }
+
+  private formerSenders (worker: WorkerId): PossibleSender[] {
+    const { lease } = this.options
+    const current = this.currentFencingNumber(lease)
+    return this.engineRecord(worker).possibleSenders.filter(sender => sender.lease !== lease || sender.fencingNumber < current)
+  }
+
+  private async run (signal: AbortSignal): Promise<void> {
+    const { clock, reconcileMilliseconds = defaultReconcileMilliseconds } = this.options
+    while (!signal.aborted) {
+      if (this.fencingNumber() !== undefined) await this.reconcile()
+      await clock.sleep(reconcileMilliseconds, signal)
+    }
+  }
+
+  /** Fences the engines and completes their open intents, each engine on its own, since an order can take minutes. */
+  private async reconcile (): Promise<void> {
+    const takenOver = await this.takeOver()
+    if (takenOver.isErr) return
+    for (const engine of this.options.engines()) {
+      if (this.reconciling.has(engine.worker) || !this.needsSettling(engine)) continue
+      this.reconciling.add(engine.worker)
+      this.exclusively(engine.worker, () => this.settle(engine))
+        .catch(caught => this.options.events.error('order_task_failed', { engine: engine.worker, reason: failureOf(caught).message }))
+        .finally(() => this.reconciling.delete(engine.worker))
+    }
+  }
+
+  private needsSettling (engine: EngineTarget): boolean {
+    if (this.engineRecord(engine.worker).open !== undefined) return true
+    return engine.checksFencing && this.fenced.get(engine.worker) !== this.fencingNumber()
+  }
+
+  /** Lets one piece of work at a time run on an engine. */
+  private async exclusively<Value> (worker: WorkerId, body: () => Promise<Value>): Promise<Value> {
+    const before = this.work.get(worker) ?? Promise.resolve()
+    const current = before.then(body)
+    this.work.set(worker, current.catch(() => {}))
+    return await current
+  }
+
+  private async executeUntilKnown (engine: EngineTarget, order: EngineOrder): Promise<Result<OrderEnd, Failure>> {
+    for (let attempt = 1; ; attempt += 1) {
+      if (this.stopping.signal.aborted) return Result.err(failure('draining', 'this host stops sending orders'))
+      const executed = await this.executeOnce(engine, order)
+      if (executed.isErr || executed.value.result !== 'abandoned' || attempt === maxAttempts) return executed
+    }
+  }
+
+  private async executeOnce (engine: EngineTarget, order: EngineOrder): Promise<Result<OrderEnd, Failure>> {
+    const state = await this.settle(engine)
+    if (state.isErr) return Result.err(state.error)
+    const cleared = await this.clearFormerSenders(engine)
+    if (cleared.isErr) return Result.err(cleared.error)
+    if (loadsWeights(order)) await this.waitForWeightStore()
+    if (this.stopping.signal.aborted) return Result.err(failure('draining', 'this host stops sending orders'))
+    const intent = await this.writeIntent(engine, order, state.value)
+    if (intent.isErr) return Result.err(intent.error)
+    return await this.completeAndRecord(engine, intent.value, true)
+  }
+
+  /** Takes over if need be, fences the engine and completes its open intent. Returns the engine's state. */
+  private async settle (engine: EngineTarget): Promise<Result<EngineState, Failure>> {
+    const takenOver = await this.takeOver()
+    if (takenOver.isErr) return Result.err(takenOver.error)
+    const fenced = await this.fence(engine)
+    if (fenced.isErr) return fenced
+    const { open } = this.engineRecord(engine.worker)
+    if (open === undefined) return fenced
+    const completed = await this.completeAndRecord(engine, open, false)
+    if (completed.isErr) return Result.err(completed.error)
+    return await this.readState(engine)
+  }
+
+  /** Makes this host's fencing number the current one of the stream. */
+  private async takeOver (): Promise<Result<void, Failure>> {
+    const { lease, holder } = this.options
+    const fencingNumber = this.fencingNumber()
+    if (fencingNumber === undefined) return Result.err(failure('lost_authority', `${lease} is not held here`))
+    if (this.currentFencingNumber(lease) === fencingNumber) return Result.ok(undefined)
+    this.takingOver ??= this.submit({ kind: 'takeover', lease, fencingNumber, holder })
+      .then(submitted => submitted.map(() => undefined))
+      .finally(() => { this.takingOver = undefined })
+    return await this.takingOver
+  }
+
+  /** An engine that restarted has forgotten the greatest number, so this is checked before each order. */
+  private async fence (engine: EngineTarget): Promise<Result<EngineState, Failure>> {
+    const read = await this.readState(engine)
+    const fencingNumber = this.fencingNumber()
+    if (fencingNumber === undefined) return Result.err(failure('lost_authority', 'the lease is over'))
+    if (read.isErr || !engine.checksFencing) return read
+    if (read.value.greatestFencingNumber >= fencingNumber) {
+      this.fenced.set(engine.worker, fencingNumber)
+      return read
+    }
+    const orderId = `fence-${newRecordId()}`
+    const engineIncarnation = read.value.incarnation
+    const sent = await this.completer.send(engine, { orderId, fencingNumber, engineIncarnation, order: { kind: 'fence' } })
+    if (sent.isErr && sent.error.kind !== 'outcome_unknown') return Result.err(sent.error)
+    const after = await this.readState(engine)
+    if (after.isErr) return after
+    if (after.value.greatestFencingNumber < fencingNumber) {
+      return Result.err(failure('not_ready', `${engine.worker} has not seen fencing number ${fencingNumber} yet`))
+    }
+    this.fenced.set(engine.worker, fencingNumber)
+    return after
+  }
+
+  private async readState (engine: EngineTarget): Promise<Result<EngineState, Failure>> {
+    const read = await this.options.client.state(engine)
+    if (read.isOk) this.sends.resolve(engine.worker, read.value)
+    return read
+  }
+
+  /** An engine that ignores fencing numbers gets no other order while a former holder may still send to it. */
+  private async clearFormerSenders (engine: EngineTarget): Promise<Result<void, Failure>> {
+    if (engine.checksFencing) return Result.ok(undefined)
+    for (const sender of this.formerSenders(engine.worker)) {
+      const evidence = await this.evidenceFor(sender, engine.worker)
+      if (evidence === undefined) {
+        const { hostId } = sender.holder
+        return Result.err(failure('not_ready', `${hostId} may still send order ${sender.orderId}`, { hostId, orderId: sender.orderId }))
+      }
+      this.options.events.info('former_sender_cleared', { engine: engine.worker, peer: sender.holder.hostId, reason: evidence })
+    }
+    return Result.ok(undefined)
+  }
+
+  /** An earlier authority of this very process needs no question to another host. */
+  private async evidenceFor (sender: PossibleSender, worker: WorkerId): Promise<string | undefined> {
+    if (!isSameHolder(sender.holder, this.options.holder)) return await this.options.evidence.find(sender, worker)
+    return this.sends.has(worker, sender.fencingNumber) ? undefined : 'own_process'
+  }
+
+  private async waitForWeightStore (): Promise<void> {
+    const { weightLoads, clock } = this.options
+    if (weightLoads === undefined) return
+    for (;;) {
+      const wait = weightLoads.take(clock.monotonic())
+      if (wait <= 0 || this.stopping.signal.aborted) return
+      await clock.sleep(wait, this.stopping.signal)
+    }
+  }
+
+  private async writeIntent (engine: EngineTarget, order: EngineOrder, state: EngineState): Promise<Result<OpenIntent, Failure>> {
+    const { lease, holder } = this.options
+    const fencingNumber = this.fencingNumber()
+    if (fencingNumber === undefined) return Result.err(failure('lost_authority', 'the lease is over'))
+    const orderId = newRecordId() as string as OrderId
+    const intent = { lease, holder, fencingNumber, orderId, engine: engine.worker, engineIncarnation: state.incarnation, order }
+    const { lastOffset } = this.engineRecord(engine.worker)
+    const submitted = await this.submit({ kind: 'intent', ...intent, succeeds: lastOffset })
+    return submitted.map(({ offset }) => ({ ...intent, offset }))
+  }
+
+  private async completeAndRecord (engine: EngineTarget, intent: OpenIntent, isNew: boolean): Promise<Result<OrderEnd, Failure>> {
+    const completed = await this.completer.complete(engine, intent, isNew, this.stopping.signal)
+    if (completed.isErr) return completed
+    const fencingNumber = this.fencingNumber()
+    if (fencingNumber === undefined) return Result.err(failure('lost_authority', 'the lease ended before the outcome was written'))
+    const { orderId, lease } = intent
+    const written = await this.submit({ kind: 'outcome', lease, fencingNumber, orderId, ...completed.value })
+    if (written.isErr) return Result.err(written.error)
+    this.options.events.info('order_ended', { engine: engine.worker, kind: completed.value.result, reason: completed.value.detail.reason })
+    return completed
+  }
+
+  private async submit (record: NewRecord): Promise<Result<SubmittedRecord, Failure>> {
+    if (this.writer === undefined) return Result.err(failure('not_ready', 'the order manager was not started'))
+    const submitted = await this.writer.submit('orders', record)
+    if (submitted.isErr || submitted.value.outcome.accepted) return submitted
+    return Result.err(submitted.value.outcome.failure)
+  }
+
+  override apply (record: FoldRecord): ApplyOutcome {
+    const outcome = super.apply(record)
+    if (outcome.accepted) this.options.events.debug('order_record', { kind: record.value.kind, offset: record.offset })
+    return outcome
+  }
+}
--- /dev/null
+++ b/src/orders/index.ts
@@ -0,0 +1,8 @@
+export * from './orderRecords.js'
+export * from './OrderFold.js'
+export * from './OrderManager.js'
+export * from './EngineOrderClient.js'
+export * from './EngineDrain.js'
+export * from './PredecessorEvidence.js'
+export type { BeforeWrite, OrderEnd } from './IntentCompleter.js'
+export { isReached, loadsWeights } from './targetOf.js'
--- /dev/null
+++ b/src/orders/targetOf.ts
@@ -0,0 +1,22 @@
+/**
+ * What an order aims at, compared with what the engine says it is.
+ */
+import { match } from 'ts-pattern'
+import type { EngineOrder, EngineState } from './orderRecords.js'
+
+/** True if the engine already is what the order shall make of it. */
+export function isReached (order: EngineOrder, state: EngineState): boolean {
+  return match(order)
+    .with({ kind: 'load_model' }, { kind: 'load_version' }, ({ model, version }) =>
+      state.models.some(loaded => loaded.model === model && loaded.version === version))
+    .with({ kind: 'unload_model' }, ({ model }) => state.models.every(loaded => loaded.model !== model))
+    .with({ kind: 'load_adapter' }, ({ adapter, model, version }) =>
+      state.adapters.some(loaded => loaded.adapter === adapter && loaded.model === model && loaded.version === version))
+    .with({ kind: 'change_role' }, ({ role }) => state.role === role)
+    .exhaustive()
+}
+
+/** True if the engine downloads weights from the weight store for the order. */
+export function loadsWeights (order: EngineOrder): boolean {
+  return order.kind === 'load_model' || order.kind === 'load_version' || order.kind === 'load_adapter'
+}
