Test the order of waiting changes, waking a watch and leaving it

Cause: two mechanisms of the watch could be taken out without a failing test: keeping waiting paths in the order of versions, and waking a reader that waits. No test showed that a reader that leaves over a real connection frees its place. Ruled out: faults in the code; all three tests pass on it as it is. Change: tests only.

--- a/src/administration/administrationApplication.test.ts
+++ b/src/administration/administrationApplication.test.ts
@@ -222,8 +222,18 @@
     const { next } = await open()
     for (let version = 1; version <= 50; version += 1) await set('counter', version, version === 1 ? 0 : version)
     await set('other', 1)
-    expect(await next()).toContain('"value":50}')
-    expect(await next()).toContain('/teams/forum/settings/other')
+    await set('counter', 51, 51)
+    // In the order of versions: the id of the last change read must not stand for an earlier one that waits.
+    expect(await next()).toContain('id: 52\ndata: {"path":"/teams/forum/settings/other"')
+    expect(await next()).toContain('id: 53\ndata: {"path":"/teams/forum/settings/counter","version":53,"value":51}')
+  })
+
+  test('a change wakes a reader that waits', async () => {
+    const { open, set } = await watching('/watch')
+    const { next } = await open()
+    const pending = next()
+    await set('colour', 1)
+    expect(await pending).toContain('/teams/forum/settings/colour')
   })
 
   test('sends a heartbeat each 10 s of silence', async () => {
--- a/src/commands/administrationCommands.test.ts
+++ b/src/commands/administrationCommands.test.ts
@@ -209,6 +209,21 @@
     expect(seen.slice(before).map(change => change.value)).toEqual([{ forum: 1 }, { forum: 2 }])
   })
 
+  test('a reader that leaves makes room for another', async () => {
+    const { address } = await exampleServer({ maxWatches: 1 })
+    const client = new AdministrationClient({ servers: [address], token: operatorToken })
+    const watchOnce = async () => {
+      const stopping = new AbortController()
+      const ended = await client.watch('/fleet/shares', 0, () => { stopping.abort() }, stopping.signal)
+      return ended.isOk ? 'seen' : ended.error.kind
+    }
+    expect(await watchOnce()).toBe('seen')
+    // The server learns of the end a moment later than the reader.
+    let second = await watchOnce()
+    while (second === 'overloaded') second = await watchOnce()
+    expect(second).toBe('seen')
+  })
+
   test('ends with the error of the server, also later', async () => {
     const { address, send } = await exampleServer()
     expect(await run('administer', 'watch', ...clientOptions(address, 'wrong'))).toMatchObject({ status: 3 })
