Let the planner lease holder bring engines to the configured state

Cause: the order manager had no caller; engines did not follow the configuration, and a role planner had nothing to plan for. Ruled out: marking an engine as draining in the configuration for each planned order (an operator's change for every order, and it would not end by itself when the holder dies); marking by calls to all hosts (no bounded fan-out). Marks are records of the stream `orders` that every host follows anyway and that run out by each host's own clock. Change: src/fleet (drain marks, drain, comparison with the configuration, role duty, evidence about former holders), demand reports, FleetPart.

--- /dev/null
+++ b/src/fleet/DrainMarks.ts
@@ -0,0 +1,38 @@
+/**
+ * Which engines get no new work now, because an order that interrupts them is announced or open. Every host
+ * reads this from the stream `orders`; marks run out by the host's own clock, so that an engine returns to
+ * work when the holder of the lease dies between marking and ordering.
+ */
+import type { Clock, Offset, WorkerId } from '../common/index.js'
+import type { EngineOrder, OrderFold } from '../orders/index.js'
+
+/** Orders that end what runs on the engine. */
+const interruptingKinds: ReadonlySet<EngineOrder['kind']> = new Set(['change_role', 'load_version', 'unload_model'])
+
+/** Reads the marks of the fold. */
+export class DrainMarks {
+  /** Local time at which each mark was first seen. */
+  private readonly seenAt = new Map<string, { offset: Offset, at: number }>()
+
+  constructor (private readonly fold: OrderFold, private readonly clock: Clock) {}
+
+  /** The engines that get no new work at this moment. */
+  drainedEngines (): Set<WorkerId> {
+    const drained = new Set<WorkerId>()
+    const now = this.clock.monotonic()
+    for (const [engine, mark] of this.fold.drainMarks()) {
+      if (now - this.firstSeen(engine, mark.offset, now) < mark.durationMilliseconds) drained.add(engine as WorkerId)
+    }
+    for (const { engine, order } of this.fold.openIntents()) {
+      if (interruptingKinds.has(order.kind)) drained.add(engine)
+    }
+    return drained
+  }
+
+  private firstSeen (engine: string, offset: Offset, now: number): number {
+    const seen = this.seenAt.get(engine)
+    if (seen?.offset === offset) return seen.at
+    this.seenAt.set(engine, { offset, at: now })
+    return now
+  }
+}
--- a/src/host/AdministrationPart.ts
+++ b/src/host/AdministrationPart.ts
@@ -3,12 +3,15 @@
  */
 import { Result } from 'true-myth'
 import {
-  administrationApplication, type AdministrationOptions, type FleetReport, type LeaseReport, type StreamReport, type WorkerReport
+  administrationApplication, type AdministrationOptions, type FleetReport, type LeaseReport, type OpenOrderReport,
+  type StreamReport, type WorkerReport
 } from '../administration/index.js'
 import { failure, type Failure, type WorkerId } from '../common/index.js'
 import { type AuthenticatedTeam, type PoolDocument, TeamAuthenticator } from '../configuration/index.js'
+import type { OpenIntent } from '../orders/index.js'
 import type { UpstreamView } from '../upstreams/index.js'
 import type { ControlPart } from './ControlPart.js'
+import type { FleetPart } from './FleetPart.js'
 import type { HostContext } from './HostContext.js'
 import type { RequestPart } from './RequestPart.js'
 import { UsageReader } from './UsageReader.js'
@@ -18,6 +21,7 @@
   context: HostContext
   control: ControlPart
   requests: RequestPart
+  fleet: FleetPart
   ready: () => boolean
   draining: () => boolean
   drain: () => void
@@ -48,7 +52,7 @@
         options.drain()
       },
       drainWorker: (worker, by) => this.drainWorker(worker, by),
-      confirmOrder: async () => Result.err(failure('not_found', 'there is no such open order')),
+      confirmOrder: (orderId, by) => options.fleet.confirm(orderId, by.team),
       writeConfigurationSnapshot: stateAt => control.restoreConfiguration(stateAt),
       closing: this.closing.signal
     }
@@ -69,7 +73,7 @@
   }
 
   private fleetReport (): FleetReport {
-    const { context, control, requests } = this.options
+    const { context, control, fleet, requests } = this.options
     const { self, peers } = control.membership.view()
     return {
       at: context.clock.wall(),
@@ -82,7 +86,8 @@
         ...(lease.isReleased ? {} : { holder: lease.holder.hostId }),
         fencingNumber: lease.fencingNumber
       })),
-      openOrders: [],
+      openOrders: fleet.orders.engineReports().flatMap(({ engine, open, formerSenders }): OpenOrderReport[] =>
+        open === undefined ? [] : [openOrderOf(engine, open, formerSenders.length > 0)]),
       streams: control.followers.followers().map((follower): StreamReport => ({
         stream: follower.stream,
         through: follower.through,
@@ -127,3 +132,7 @@
     queuedPrefillTokens: Math.max(0, worker.queuedPrefillTokens)
   }
 }
+
+function openOrderOf (engine: WorkerId, intent: OpenIntent, needsConfirmation: boolean): OpenOrderReport {
+  return { orderId: intent.orderId, engine, kind: intent.order.kind, fencingNumber: intent.fencingNumber, needsConfirmation }
+}
--- a/src/host/ControlPart.ts
+++ b/src/host/ControlPart.ts
@@ -4,24 +4,22 @@
  */
 import { Result } from 'true-myth'
 import {
-  failure, type Failure, type HostId, type Incarnation, newRecordId, noOffset, type Offset, toOffset, type Zone
+  failure, type Failure, type HostId, type Incarnation, newRecordId, noOffset, type Offset, toOffset
 } from '../common/index.js'
 import { ConfigurationFold, ConfigurationManager } from '../configuration/index.js'
 import { LeaseManager, type LeaseName, leaseNameSchema } from '../leases/index.js'
 import { loadHostHash, MembershipManager, RelayDirectory } from '../membership/index.js'
 import { PeerCertificates, type PeerHandlers, PeerPool, PeerRecordSource, PeerServer, type PeerTarget } from '../peers/index.js'
-import type { ListedHost } from '../platform/index.js'
-import { currentRecordVersion, FollowerGroup, LogSource, snapshotRecordOf, SnapshotWriter } from '../streams/index.js'
+import type { ListedHost, StreamName } from '../platform/index.js'
+import {
+  currentRecordVersion, FollowerGroup, LogSource, type NewRecord, RecordWriter, snapshotRecordOf, SnapshotWriter, type StreamFold,
+  type SubmittedRecord
+} from '../streams/index.js'
 import type { HostContext } from './HostContext.js'
 
 /** Lease of the one host that writes snapshots. */
 const snapshotLease = leaseNameSchema.parse('snapshots')
 
-/** Lease of the one host of a zone that plans roles and sends orders to engines. */
-function plannerLeaseOf (zone: Zone): LeaseName {
-  return leaseNameSchema.parse(`zone/${zone}/planner`)
-}
-
 /** Addresses on which a host really listens. */
 export interface HostAddresses {
   callers: string[]
@@ -34,6 +32,19 @@
   context: HostContext
   /** State of the host for heartbeats and the list. */
   status: () => { ready: boolean, draining: boolean }
+  /** Makes the folds of further streams. The part's followers do not exist yet when this is called. */
+  furtherFolds: (control: ControlPart) => StreamFold[]
+}
+
+/** Writes through followers that are made later: folds and followers need each other. */
+class DeferredWriter extends RecordWriter {
+  constructor (private readonly followers: () => FollowerGroup) {
+    super()
+  }
+
+  async submit (stream: StreamName, record: NewRecord): Promise<Result<SubmittedRecord, Failure>> {
+    return await this.followers().submit(stream, record)
+  }
 }
 
 /** The control part. */
@@ -78,11 +89,13 @@
       clock,
       events,
       holder: this.identity,
-      compete: [plannerLeaseOf(settings.host.zone), snapshotLease],
+      compete: [this.plannerLease, snapshotLease],
       ...settings.leases
     })
+    const writer = new DeferredWriter(() => this.followers)
+    this.configuration = new ConfigurationManager({ fold: this.configurationFold, writer, clock, log: events })
     this.followers = new FollowerGroup({
-      folds: [this.configurationFold, this.leases],
+      folds: [this.configurationFold, this.leases, ...options.furtherFolds(this)],
       directory,
       log,
       clock,
@@ -98,7 +111,11 @@
       events,
       retentionMilliseconds: settings.platform.logRetentionSeconds * 1000
     })
-    this.configuration = new ConfigurationManager({ fold: this.configurationFold, writer: this.followers, clock, log: events })
+  }
+
+  /** Lease of the one host of this zone that plans roles and sends orders to engines. */
+  get plannerLease (): LeaseName {
+    return leaseNameSchema.parse(`zone/${this.options.context.settings.host.zone}/planner`)
   }
 
   /** Identity of this start of the host. */
--- a/src/host/EntryHost.ts
+++ b/src/host/EntryHost.ts
@@ -2,11 +2,12 @@
  * An entry host: builds its parts, starts them in order, and shuts down gracefully.
  */
 import { Result } from 'true-myth'
-import { failure, type Failure } from '../common/index.js'
+import { failure, type Failure, type Model } from '../common/index.js'
 import { type ListeningServer, serve } from '../entry/index.js'
 import type { HostSettings } from '../settings/index.js'
 import { AdministrationPart } from './AdministrationPart.js'
 import { ControlPart, type HostAddresses } from './ControlPart.js'
+import { FleetPart } from './FleetPart.js'
 import { attempt, createContext, type HostContext } from './HostContext.js'
 import { RequestPart } from './RequestPart.js'
 
@@ -20,6 +21,7 @@
   private readonly closing = new AbortController()
   private closed: Promise<void> | undefined
   private requests: RequestPart | undefined
+  private fleet: FleetPart | undefined
   private administration: AdministrationPart | undefined
   private callers: ListeningServer | undefined
   private operators: ListeningServer | undefined
@@ -60,24 +62,40 @@
     return this.draining
   }
 
+  private get requestPart (): RequestPart {
+    if (this.requests === undefined) throw new Error('the request part does not exist yet')
+    return this.requests
+  }
+
   private async run (): Promise<Result<void, Failure>> {
     const { context } = this
     const { settings, events } = context
     const created = await ControlPart.create({
       context,
-      status: () => ({ ready: this.state === 'ready', draining: this.state === 'draining' })
+      status: () => ({ ready: this.state === 'ready', draining: this.state === 'draining' }),
+      furtherFolds: part => {
+        this.fleet = new FleetPart({ context, control: part, requests: () => this.requestPart })
+        return [this.fleet.orders]
+      }
     })
     if (created.isErr) return Result.err(created.error)
     const control = created.value
     this.control = control
+    const { fleet } = this
+    if (fleet === undefined) throw new Error('the fleet part is made with the control part')
     const requests = await RequestPart.create({
       context,
       control,
+      onUse: record => fleet.meter.add({
+        model: record.model as Model,
+        prefillTokens: record.promptTokens - record.cachedPromptTokens,
+        decodeTokens: record.generatedTokens
+      }),
       ready: () => this.state === 'ready',
       draining: () => this.state === 'draining'
     })
     this.requests = requests
-    const peers = await control.listen(requests.peerHandlers())
+    const peers = await control.listen({ ...requests.peerHandlers(), ...fleet.peerHandlers() })
     if (peers.isErr) return Result.err(peers.error)
     const callers = await attempt(() => serve({
       application: requests.application,
@@ -90,6 +108,7 @@
       context,
       control,
       requests,
+      fleet,
       ready: () => this.state === 'ready',
       draining: () => this.state === 'draining',
       drain: () => { this.drain().catch(error => events.error('drain_failed', { reason: String(error) })) }
@@ -108,6 +127,7 @@
     await control.followers.waitUntilReady(this.closing.signal)
     if (this.state !== 'starting') return Result.err(failure('draining', 'the host was stopped before it was ready'))
     control.startDuties()
+    fleet.start()
     this.state = 'ready'
     events.info('host_ready', { zone: settings.host.zone, incarnation: context.incarnation, through: control.configuration.through })
     return Result.ok(undefined)
@@ -123,6 +143,7 @@
       return true
     }
     this.control?.membership.leave()
+    await this.fleet?.stop()
     await this.control?.stopDuties()
     await clock.sleep(settings.drain.readinessDelayMilliseconds)
     const closed = this.callers?.close()
@@ -143,6 +164,8 @@
     this.closing.abort()
     await this.administration?.stop()
     await this.operators?.close()
+    await this.fleet?.stop()
+    await this.fleet?.close()
     await this.requests?.stop()
     await this.control?.stop()
     await this.context.log.close()
--- a/src/host/RequestPart.ts
+++ b/src/host/RequestPart.ts
@@ -14,7 +14,7 @@
 import type { HostSettings } from '../settings/index.js'
 import { UpstreamManager } from '../upstreams/index.js'
 import {
-  type UsageBatch, UsageAppender, usageBatchSchema, UsageManager, ZoneAppenderClient, ZoneUsageSink
+  type UsageBatch, UsageAppender, usageBatchSchema, UsageManager, ZoneAppenderClient, type UsageRecord, ZoneUsageSink
 } from '../usage/index.js'
 import { failure, type Failure, type Pool, type Team } from '../common/index.js'
 import type { ControlPart } from './ControlPart.js'
@@ -59,6 +59,8 @@
   control: ControlPart
   ready: () => boolean
   draining: () => boolean
+  /** Called with the use of each request that ended. */
+  onUse: (record: UsageRecord) => void
 }
 
 /** The request part. */
@@ -110,7 +112,8 @@
       ...control.identity,
       sink: new ZoneUsageSink(new PeerZoneAppenderClient(control), appender),
       clock,
-      events
+      events,
+      onRecord: options.onUse
     })
     const idempotency = new IdempotencyManager({
       ...control.identity,
--- a/src/orders/OrderFold.ts
+++ b/src/orders/OrderFold.ts
@@ -12,7 +12,8 @@
 import type { LeaseName } from '../leases/index.js'
 import { type ApplyOutcome, type FoldRecord, StreamFold } from '../streams/index.js'
 import {
-  type EngineRecord, type OpenIntent, type OrderId, type OrderRecord, orderRecordSchema, type OrderTable, orderTableSchema
+  type DrainMark, type EngineRecord, type OpenIntent, type OrderId, type OrderRecord, orderRecordSchema, type OrderTable,
+  orderTableSchema
 } from './orderRecords.js'
 
 const accepted: ApplyOutcome = { accepted: true }
@@ -28,6 +29,7 @@
   readonly stream = 'orders'
   private leases = new Map<string, OrderTable['leases'][string]>()
   private engines = new Map<string, EngineRecord>()
+  private drains = new Map<string, DrainMark>()
 
   /** What the log says about an engine. */
   engineRecord (engine: WorkerId): EngineRecord {
@@ -44,6 +46,11 @@
     return [...this.engines.values()].flatMap(({ open }) => open ?? [])
   }
 
+  /** Marks that engines get no new work. They run out by the clock of each host, which the fold does not know. */
+  drainMarks (): ReadonlyMap<string, DrainMark> {
+    return this.drains
+  }
+
   /** The current fencing number of a lease in this stream; 0 if nobody took over yet. */
   currentFencingNumber (lease: LeaseName): number {
     return this.leases.get(lease)?.fencingNumber ?? 0
@@ -56,12 +63,17 @@
       .with({ kind: 'takeover' }, body => this.applyTakeover(body))
       .with({ kind: 'intent' }, body => this.applyIntent(body, record.offset))
       .with({ kind: 'outcome' }, body => this.applyOutcome(body, record.offset))
+      .with({ kind: 'drain' }, body => this.applyDrain(body, record.offset))
       .with({ kind: 'confirm' }, body => this.applyConfirm(body))
       .exhaustive()
   }
 
   snapshot (): unknown {
-    return { leases: Object.fromEntries(this.leases), engines: Object.fromEntries(this.engines) } satisfies OrderTable
+    return {
+      leases: Object.fromEntries(this.leases),
+      engines: Object.fromEntries(this.engines),
+      drains: Object.fromEntries(this.drains)
+    } satisfies OrderTable
   }
 
   restore (state: unknown, _through: Offset): Result<void, Failure> {
@@ -69,6 +81,7 @@
     if (!parsed.success) return Result.err(failure('bad_request', 'not a table of orders'))
     this.leases = new Map(Object.entries(parsed.data.leases))
     this.engines = new Map(Object.entries(parsed.data.engines))
+    this.drains = new Map(Object.entries(parsed.data.drains))
     return Result.ok(undefined)
   }
 
@@ -117,6 +130,13 @@
     return accepted
   }
 
+  private applyDrain ({ lease, fencingNumber, engine, durationMilliseconds }: RecordOf<'drain'>, offset: Offset): ApplyOutcome {
+    if (fencingNumber !== this.currentFencingNumber(lease)) return refused('lost_authority', `not the current holder of ${lease}`)
+    if (durationMilliseconds === 0) this.drains.delete(engine)
+    else this.drains.set(engine, { offset, durationMilliseconds })
+    return accepted
+  }
+
   /** The current holder is never confirmed away: it answers for itself. */
   private applyConfirm ({ orderId }: RecordOf<'confirm'>): ApplyOutcome {
     const found = [...this.engines].find(([, { possibleSenders }]) => possibleSenders.some(sender => sender.orderId === orderId))
--- a/src/orders/OrderManager.ts
+++ b/src/orders/OrderManager.ts
@@ -125,18 +125,37 @@
 
   /** Drains an engine, changes its role, and lets work return. Errors: as `execute`, and `deadline_exceeded`. */
   async changeRole (worker: WorkerId, role: EngineRole, options: RoleChangeOptions): Promise<Result<OrderEnd, Failure>> {
+    return await this.executeDrained(worker, { kind: 'change_role', role }, options)
+  }
+
+  /** Drains an engine, brings it to a target, and lets work return. Errors: as `execute`, and `deadline_exceeded`. */
+  async executeDrained (worker: WorkerId, order: EngineOrder, options: RoleChangeOptions): Promise<Result<OrderEnd, Failure>> {
     if (this.fencingNumber() === undefined) return Result.err(failure('lost_authority', 'the lease is not held here'))
     const marked = await this.options.drain.stopAccepting(worker)
     if (marked.isErr) return Result.err(marked.error)
     try {
       const isIdle = await this.options.drain.waitUntilIdle(worker, options.drainLimitMilliseconds)
-      if (isIdle || options.atLimit === 'send') return await this.execute(worker, { kind: 'change_role', role })
+      if (isIdle || options.atLimit === 'send') return await this.execute(worker, order)
       return Result.err(failure('deadline_exceeded', `streams of ${worker} still run`))
     } finally {
       await this.options.drain.accept(worker)
     }
   }
 
+  /**
+   * Marks an engine as getting no new work for a time on every host, or ends the mark with 0. Errors:
+   * `lost_authority`, and those of `RecordWriter.submit`.
+   */
+  async markDraining (worker: WorkerId, durationMilliseconds: number): Promise<Result<void, Failure>> {
+    const takenOver = await this.takeOver()
+    if (takenOver.isErr) return takenOver
+    const { lease } = this.options
+    const submitted = await this.submit({
+      kind: 'drain', lease, fencingNumber: this.currentFencingNumber(lease), engine: worker, durationMilliseconds
+    })
+    return submitted.map(() => undefined)
+  }
+
   /**
    * An operator states that the former holders of an order can no longer send it. Errors: as
    * `RecordWriter.submit`, and `conflict` if no former holder may send it.
--- a/src/orders/orderRecords.ts
+++ b/src/orders/orderRecords.ts
@@ -70,6 +70,13 @@
     result: orderResultSchema,
     detail: outcomeDetailSchema
   }),
+  z.object({
+    kind: z.literal('drain'),
+    ...authority,
+    engine: workerIdSchema,
+    /** Time for which hosts give the engine no new work, from when each reads the record; 0 ends it. */
+    durationMilliseconds: z.number().int().nonnegative()
+  }),
   z.object({ kind: z.literal('confirm'), orderId: orderIdSchema, operator: z.string().min(1).max(100) })
 ])
 export type OrderRecord = z.infer<typeof orderRecordSchema>
@@ -105,10 +112,15 @@
 })
 export type EngineRecord = z.infer<typeof engineRecordSchema>
 
+/** A mark that an engine gets no new work. */
+export const drainMarkSchema = z.object({ offset: offsetSchema, durationMilliseconds: z.number().int().positive() })
+export type DrainMark = z.infer<typeof drainMarkSchema>
+
 /** The state of the stream `orders`. */
 export const orderTableSchema = z.object({
   /** The greatest fencing number of each lease that a takeover named, with its holder. */
   leases: z.record(z.string(), z.object({ fencingNumber: fencingNumberSchema, holder: leaseHolderSchema })),
-  engines: z.record(z.string(), engineRecordSchema)
+  engines: z.record(z.string(), engineRecordSchema),
+  drains: z.record(z.string(), drainMarkSchema).default({})
 })
 export type OrderTable = z.infer<typeof orderTableSchema>
--- a/src/settings/HostSettings.ts
+++ b/src/settings/HostSettings.ts
@@ -80,7 +80,20 @@
   roles: z.strictObject({
     planner: z.enum(['static', 'threshold', 'payback']).default('static'),
     /** Cost of one role change in the planner's objective, in seconds of one engine's goodput, beside the change itself. */
-    changeWeightSeconds: z.number().nonnegative().default(30)
+    changeWeightSeconds: z.number().nonnegative().default(30),
+    /** What one engine does, and what a change of its role costs; measure it on your engines. */
+    capacity: z.strictObject({
+      prefillTokensPerSecond: z.number().positive().default(15_000),
+      decodeTokensPerSecond: z.number().positive().default(2500),
+      /** Time for which a change takes the engine away, draining included. */
+      changeSeconds: z.number().positive().default(12),
+      /** Share of its capacity that a mixed engine keeps within the latency targets. */
+      mixedEfficiency: z.number().positive().max(1).default(0.8)
+    }).prefault({})
+  }).prefault({}),
+  orders: z.strictObject({
+    /** Loads of weights that this host may start per second, for all engines of its zone. */
+    weightLoadsPerSecond: z.number().positive().default(0.5)
   }).prefault({}),
   limits: z.strictObject({
     maxBodyBytes: z.number().int().positive().default(4_194_304),
--- a/src/usage/UsageManager.ts
+++ b/src/usage/UsageManager.ts
@@ -13,6 +13,8 @@
   sink: UsageSink
   clock: Clock
   events: EventLog
+  /** Called with each record, e.g. to measure demand. */
+  onRecord?: (record: UsageRecord) => void
   /** Time between two hand-overs; default 1000. */
   flushMilliseconds?: number
   /** Records in one batch at most; default 1000. */
@@ -61,6 +63,7 @@
 
   /** Adds the record of a request that has ended. */
   record (record: UsageRecord): void {
+    this.options.onRecord?.(record)
     if (this.kept >= (this.options.maxKeptRecords ?? 1_000_000)) {
       this.lost += 1
       if (this.lost === 1) this.options.events.error('usage_lost', { request: record.requestId, reason: 'too many records wait' })
