--- a/src/configuration/ConfigurationFold.test.ts
+++ b/src/configuration/ConfigurationFold.test.ts
@@ -40,6 +40,7 @@
   return tree
 }
 
+const sharesEntry = { path: '/fleet/shares', version: 1, changeId: 'c', author: 'harbour', at: 0 }
 const engines = exampleConfiguration['/fleet/pools/modelos-foro'] as { workers: Array<Record<string, unknown>> }
 const forum = exampleConfiguration['/teams/forum/account'] as { tokens: unknown[] }
 
@@ -69,6 +70,7 @@
     ['account deleted under its share', [edit('/teams/forum/account', null), edit('/teams/forum/settings/limits', null)], '/fleet/shares: unknown team "forum"'],
     ['account deleted under its settings', [edit('/teams/forum/account', null), edit('/fleet/shares', {})], 'unknown team "forum"'],
     ['settings too long', [edit('/teams/forum/settings/a', 'x'.repeat(9000)), edit('/teams/forum/settings/b', 'x'.repeat(9000))], 'at most 16384'],
+    ['settings with long paths', Array.from({ length: 700 }, (_, index) => edit(`/teams/forum/settings/s${index}`, 1)), 'at most 16384'],
     ['unknown path', [edit('/fleet/nothing/x', {})], 'no document can stand'],
     ['unknown member', [edit('/fleet/roles/engine-2', { role: 'mixed', rol: 1 })], 'rol']
   ])('refuses: %s', (_name, edits, expected) => {
@@ -119,10 +121,20 @@
       changeId: 'change-3',
       author: 'other',
       offset: 3,
+      count: 1,
       conflicts: [{ path: '/fleet/roles/engine-1', expectedVersion: 1, version: 2, author: 'harbour', value: { role: 'decode' } }]
     })
   })
 
+  test('the answer lists all problems, the kept outcome the first ones and their number', () => {
+    const fold = exampleFold()
+    const edits = Array.from({ length: 30 }, (_, index) => edit(`/fleet/roles/engine-${index + 10}`, { role: 'mixed' }))
+    const outcome = fold.apply(changeRecord(2, edits))
+    expect(outcome.accepted ? [] : outcome.failure.detail?.problems).toHaveLength(30)
+    const kept = fold.outcomeOf('harbour', 'change-2')
+    expect(kept?.kind === 'invalid' && [kept.problems.length, kept.count]).toEqual([10, 30])
+  })
+
   test('a repeated change is applied once, also after a restored snapshot', () => {
     const fold = exampleFold()
     const paths: string[][] = []
@@ -163,7 +175,7 @@
     const history = new ChangeHistory(10_000)
     for (let version = 1; version <= 30; version += 1) {
       const path = version % 2 === 0 ? '/even' : '/odd'
-      history.add({ path, version: toOffset(version), changeId: 'c', author: 'a', at: 0, value: 'x'.repeat(798) })
+      history.add({ path, version: toOffset(version), changeId: 'c', author: 'a', at: 0, value: 'x'.repeat(898) })
     }
     expect(history.all().map(entry => entry.version)).toEqual([21, 22, 23, 24, 25, 26, 27, 28, 29, 30])
     expect(history.of('/even').map(entry => entry.version)).toEqual([22, 24, 26, 28, 30])
@@ -171,8 +183,8 @@
 
   test.each<[string, unknown]>([
     ['another shape', { documents: 1 }],
-    ['an invalid document', { documents: [{ path: '/fleet/shares', version: 1, value: { a: 'x' } }], deleted: [], history: [], outcomes: [] }],
-    ['a broken reference', { documents: [{ path: '/fleet/shares', version: 1, value: { a: 1 } }], deleted: [], history: [], outcomes: [] }]
+    ['an invalid document', { documents: [{ ...sharesEntry, value: { a: 'x' } }], deleted: [], history: [], outcomes: [] }],
+    ['a broken reference', { documents: [{ ...sharesEntry, value: { a: 1 } }], deleted: [], history: [], outcomes: [] }]
   ])('refuses a snapshot with %s and keeps its state', (_name, state) => {
     const fold = exampleFold()
     expect(fold.restore(state, toOffset(9)).isErr).toBe(true)
@@ -207,7 +219,7 @@
   [() => '/fleet/shares', fc.dictionary(names, fc.constantFrom(20, 60), { maxKeys: 2 })],
   [name => `/teams/${name}/account`, fc.record({ owner: names, tokens: fc.array(token, { maxLength: 1 }) })],
   [name => `/teams/${name}/settings/limits`, fc.constant({ maxConcurrent: 1, requestsPerSecond: 1 })],
-  [name => `/teams/${name}/settings/note`, fc.constantFrom('short', 'x'.repeat(16_380))]
+  [name => `/teams/${name}/settings/note`, fc.constantFrom('short', 'x'.repeat(16_300))]
 ]
 const pathAndValue = fc.constantFrom(...documents).chain(([pathOf, value]) =>
   fc.record({ path: names.map(pathOf), value: fc.option(value, { freq: 4 }), stale: fc.integer({ min: 0, max: 9 }) }))
@@ -258,7 +270,10 @@
   for (const { path, value } of edits) {
     const checked = value === null ? undefined : checkDocument(path, value)
     if (checked?.valid === false) return 'invalid_configuration'
-    tree.put(path, checked && { path, version: toOffset(0), value: checked.value, length: JSON.stringify(checked.value).length })
+    const document = checked && {
+      path, version: toOffset(0), changeId: 'c', author: 'a', at: 0, value: checked.value, length: JSON.stringify(checked.value).length
+    }
+    tree.put(path, document)
   }
   return validateTree(tree).length === 0 ? 'accepted' : 'invalid_configuration'
 }
--- a/src/entry/testing/TestHost.ts
+++ b/src/entry/testing/TestHost.ts
@@ -8,7 +8,7 @@
   type Clock, type Failure, type HostId, type Incarnation, loadHash, ManualClock, type Zone
 } from '../../common/index.js'
 import { FixedConfiguration } from '../../configuration/index.js'
-import { defaultAttemptLimits, type GenerationContext, RequestManager, RetryBudget } from '../../forwarding/index.js'
+import { defaultAttemptLimits, RequestManager, type RequestManagerOptions, RetryBudget } from '../../forwarding/index.js'
 import { IdempotencyManager, NoIssuerClient } from '../../idempotency/index.js'
 import { EventLog, HybridClock, Timeline } from '../../observability/index.js'
 import { RoundRobinPolicy, WordTokenizer } from '../../routing/index.js'
@@ -34,7 +34,7 @@
   /** Addresses of workers of the service pool `votes`. */
   services?: string[]
   limits?: Partial<EntryOptions['limits']>
-  generation?: Partial<GenerationContext>
+  generation?: Partial<RequestManagerOptions>
   maxConcurrent?: number
   documents?: Record<string, unknown>
 }
@@ -73,6 +73,8 @@
   return createHash('sha256').update(text).digest('hex')
 }
 
+let hash: ReturnType<typeof loadHash> | undefined
+
 /** Puts a host together. */
 export async function testHost (options: TestHostOptions = {}) {
   const clock = options.clock ?? new ManualClock()
@@ -81,8 +83,9 @@
   const configuration = new FixedConfiguration(documentsOf(options, clock))
   const hostId = 'host-1' as HostId
   const incarnation = '0123456789abcdef' as Incarnation
+  hash ??= loadHash()
   const upstreams = new UpstreamManager({
-    hostId, zone: 'a' as Zone, configuration, clock, events, hash: await loadHash(), loadPollMilliseconds: 500, subsetSize: 32
+    hostId, zone: 'a' as Zone, configuration, clock, events, hash: await hash, loadPollMilliseconds: 500, subsetSize: 32
   })
   const requests = new RequestManager({
     upstreams,
--- a/src/settings/HostSettings.ts
+++ b/src/settings/HostSettings.ts
@@ -42,7 +42,10 @@
      */
     bootstrapTokenSha256: z.string().regex(/^[0-9a-f]{64}$/, '64 hexadecimal digits').optional()
   }).prefault({}),
-  /** Mutual TLS between entry hosts. Absent: plain TCP. The files are read anew when they change. */
+  /**
+   * Mutual TLS between entry hosts. Absent: plain TCP. The files are read anew when they change. The certificate
+   * has to name the host id as a DNS name.
+   */
   peerTls: z.strictObject({
     certificateFile: z.string(),
     keyFile: z.string(),
