Test that a watch does not ask further servers in vain

Cause: returning a lasting error at once could be taken out without a failing test; the watch then asked every server before it gave up. Ruled out: a fault in the code.

--- a/src/commands/administrationCommands.test.ts
+++ b/src/commands/administrationCommands.test.ts
@@ -224,6 +224,18 @@
     expect(seen.slice(before).map(change => change.value)).toEqual([{ forum: 1 }, { forum: 2 }])
   })
 
+  test('an error that another try cannot mend is not tried at the next server', async () => {
+    const { address } = await exampleServer()
+    let asked = 0
+    const next = await listen(getRequestListener(() => {
+      asked += 1
+      return new Response(null, { status: 500 })
+    }))
+    const client = new AdministrationClient({ servers: [address, next], token: 'wrong' })
+    const ended = await client.watch('', 0, () => {}, new AbortController().signal)
+    expect([ended.isErr && ended.error.kind, asked]).toEqual(['unauthenticated', 0])
+  })
+
   test('a reader that leaves makes room for another', async () => {
     const { address } = await exampleServer({ maxWatches: 1 })
     const client = new AdministrationClient({ servers: [address], token: operatorToken })
