Close kept connections at a shutdown once their answer has ended

Cause: a host told to stop in the middle of streams did not end for up to 65 s (the keep-alive time) when callers kept their connections. The heads of these answers went out before the shutdown, so they cannot carry connection: close, and server.close() waits for the connections. Seen with the process test 'one SIGTERM ends open streams whole with exit status 0': no drain_ended 18 s after the last token.

Ruled out: streams or use that were left; the test has both whole once the connections close.

Change: while the server closes, the end of an answer closes idle connections.

--- a/src/entry/serve.ts
+++ b/src/entry/serve.ts
@@ -37,14 +37,23 @@
 /** Listens on all addresses, or on none if one of them cannot be used. */
 export async function serve (options: ServeOptions): Promise<ListeningServer> {
   const servers: Server[] = []
+  const closing = new Set<Server>()
   const close = async (): Promise<void> => {
     await Promise.all(servers.map(server => new Promise<void>(resolve => {
       server.close(() => { resolve() })
       server.closeIdleConnections()
+      // Heads that were sent before cannot say that the connection is not kept.
+      closing.add(server)
     })))
   }
   try {
-    for (const address of options.addresses) servers.push(await listen(options, address))
+    for (const address of options.addresses) {
+      const server = await listen(options, address)
+      servers.push(server)
+      server.on('request', (_request, response) => {
+        response.once('close', () => { if (closing.has(server)) server.closeIdleConnections() })
+      })
+    }
   } catch (caught) {
     await close()
     throw caught
