Let the time limit of a shutdown end the wait for a log that is out

Cause: UsageManager.flush waited for the acknowledgement of a batch without looking at its signal, and the own appender acknowledges only once the log has the batch. With the log out a host never ended: with a limit of 8 s there was no drain_ended after 24 s. The stop of the usage task then waited for the same acknowledgement, which comes from the stop of the appender after it.

Ruled out: the flush of the appender, which looks at its signal between tries.

Change: flush races the hand-over with its signal, both stop together, and a stopped appender refuses new batches.

--- a/src/host/RequestPart.ts
+++ b/src/host/RequestPart.ts
@@ -178,8 +178,8 @@
 
   /** Stops all tasks. */
   async stop (): Promise<void> {
-    await this.usage.stop()
-    await this.appender.stop()
+    // Together: a hand-over to the own appender ends only when the appender stops.
+    await Promise.all([this.usage.stop(), this.appender.stop()])
     await this.upstreams.stop()
     this.admission.close()
   }
--- a/src/usage/UsageAppender.ts
+++ b/src/usage/UsageAppender.ts
@@ -28,12 +28,17 @@
   settle: Array<(stored: Result<void, Failure>) => void>
 }
 
+function refusedAtStop<Value> (): Result<Value, Failure> {
+  return Result.err(failure('platform_unavailable', 'the host stopped before the append'))
+}
+
 /** The batches of a zone on their way into the log. */
 export class UsageAppender {
   private readonly waiting = new Map<string, WaitingBatch>()
   private keptRecords = 0
   private task: Task | undefined
   private appending = false
+  private stopped = false
 
   constructor (private readonly options: UsageAppenderOptions) {}
 
@@ -52,17 +57,17 @@
 
   /** Stops appending; batches that still wait get `platform_unavailable`. */
   async stop (): Promise<void> {
+    this.stopped = true
     await this.task?.stop()
     this.task = undefined
-    const refused = Result.err<void, Failure>(failure('platform_unavailable', 'the host stopped before the append'))
-    for (const { settle } of this.waiting.values()) settle.forEach(done => done(refused))
+    for (const { settle } of this.waiting.values()) settle.forEach(done => done(refusedAtStop<void>()))
     this.waiting.clear()
   }
 
   /** Resolves once the batch is in the log. Errors: `overloaded` (too much waits), `platform_unavailable` (stopped). */
   add (batch: UsageBatch): Promise<Result<void, Failure>> {
     return new Promise(resolve => {
-      const admitted = this.adopt(batch)
+      const admitted = this.stopped ? refusedAtStop<WaitingBatch>() : this.adopt(batch)
       if (admitted.isErr) resolve(Result.err(admitted.error))
       else admitted.value.settle.push(resolve)
     })
--- a/src/usage/UsageManager.ts
+++ b/src/usage/UsageManager.ts
@@ -72,9 +72,13 @@
 
   /** Hands everything over; returns false if the signal aborted before all was acknowledged. */
   async flush (signal: AbortSignal): Promise<boolean> {
+    // A batch can wait for its acknowledgement as long as the log is out.
+    const aborted = new Promise<false>(resolve => {
+      signal.addEventListener('abort', () => resolve(false), { once: true })
+    })
     while (!signal.aborted) {
       if (this.kept === 0) return true
-      if (await this.submitOldest()) continue
+      if (await Promise.race([this.submitOldest(), aborted])) continue
       await this.options.clock.sleep(retryMilliseconds, signal)
     }
     return this.kept === 0
