--- a/src/forwarding/Generation.ts
+++ b/src/forwarding/Generation.ts
@@ -169,7 +169,8 @@
     const attemptId = attemptIdOf(requestId, this.attempts)
     const resumeText = this.textSoFar.join('')
     const call: EngineCall = { requestId, attemptId, path, body, priority, resumeFrom: this.position, resumeText }
-    const work = this.context.upstreams.begin(upstream, routing.promptTokens)
+    const prefillTokens = this.context.policy.prefillTokens(routing, upstream) + this.position
+    const work = this.context.upstreams.begin(upstream, prefillTokens)
     this.context.policy.sent(routing, upstream)
     this.context.events.debug('attempt_started', { request: requestId, engine: upstream.id, position: this.position })
     const attempt = new EngineAttempt(upstream, call, this.context.clock, this.context.limits, async text => {
--- a/src/routing/RoutingPolicy.ts
+++ b/src/routing/RoutingPolicy.ts
@@ -31,8 +31,21 @@
     candidates: readonly Candidate[]
   ): Candidate | undefined
 
-  /** Called when a request was sent to a worker. */
+  /** Called when a request is sent to a worker. */
   sent (_request: RoutingRequest, _worker: RoutingCandidate): void {}
+
+  /** Prompt tokens that the worker will have to compute, without those that it probably has in its cache. */
+  prefillTokens (request: RoutingRequest, _worker: RoutingCandidate): number {
+    return request.promptTokens
+  }
+}
+
+/** Prompt tokens whose computation takes an engine about as long as one more stream does over its life. */
+const prefillTokensPerStream = 512
+
+/** Load of a worker in streams: this host's requests, the reported streams and the queued prompts. */
+export function pressureOf ({ load }: RoutingCandidate): number {
+  return load.outstanding + load.runningDecodes + load.queuedPrefillTokens / prefillTokensPerStream
 }
 
 /** The leading candidates that are in the own zone; all candidates if there are none in it. */
--- a/src/upstreams/UpstreamManager.test.ts
+++ b/src/upstreams/UpstreamManager.test.ts
@@ -16,7 +16,7 @@
 beforeAll(async () => { hash = await loadHash() })
 
 function worker (id: string, zone = 'a', address = '127.0.0.1:1', reportsLoad = true): WorkerDocument {
-  return { id: id as WorkerId, zone: zone as Zone, address, checksFencing: false, reportsLoad }
+  return { id: id as WorkerId, zone: zone as Zone, address, checksFencing: false, reportsLoad, draining: false }
 }
 
 describe('chooseSubset', () => {
--- a/src/upstreams/UpstreamManager.ts
+++ b/src/upstreams/UpstreamManager.ts
@@ -23,6 +23,8 @@
   loadPollMilliseconds: number
   /** Most workers of one pool that this host routes to. */
   subsetSize: number
+  /** A further task for each engine, e.g. one that follows its cache events. */
+  follow?: (upstream: Upstream, signal: AbortSignal) => Promise<void>
 }
 
 /** One worker for operators. */
@@ -46,7 +48,7 @@
 /** What a list of candidates is for. */
 export type CandidatePurpose = 'start' | 'decode'
 
-interface Entry { upstream: Upstream, task: Task | undefined }
+interface Entry { upstream: Upstream, tasks: Task[] }
 
 /** The upstreams of this host. */
 export class UpstreamManager {
@@ -66,14 +68,14 @@
   /** Starts the poll tasks. */
   start (): void {
     this.started = true
-    for (const entry of this.entries.values()) this.startTask(entry)
+    for (const entry of this.entries.values()) this.startTasks(entry)
   }
 
   /** Stops the poll tasks. Requests go on; connections close when the requests on them have ended. */
   async stop (): Promise<void> {
     this.started = false
     this.endListening()
-    await Promise.all([...this.entries.values()].map(({ task }) => task?.stop()))
+    await Promise.all([...this.entries.values()].flatMap(({ tasks }) => tasks.splice(0)).map(task => task.stop()))
     for (const { upstream } of this.entries.values()) upstream.close().catch(() => {})
   }
 
@@ -187,9 +189,9 @@
     }
     const upstream = new Upstream(description, this.options.clock)
     upstream.available = upstream.usable
-    const entry: Entry = { upstream, task: undefined }
+    const entry: Entry = { upstream, tasks: [] }
     this.entries.set(worker.id, entry)
-    if (this.started) this.startTask(entry)
+    if (this.started) this.startTasks(entry)
   }
 
   private remove (entry: Entry): void {
@@ -197,17 +199,21 @@
     entry.upstream.available = false
     this.entries.delete(entry.upstream.id)
     this.options.events.info('worker_removed', { worker: entry.upstream.id })
-    entry.task?.stop().catch(() => {})
+    for (const task of entry.tasks) task.stop().catch(() => {})
     entry.upstream.close().catch(() => {})
   }
 
-  private startTask (entry: Entry): void {
-    const { clock, events, loadPollMilliseconds } = this.options
-    const poll = { clock, intervalMilliseconds: loadPollMilliseconds, onPoll: (upstream: Upstream) => this.afterPoll(upstream) }
-    entry.task ??= Task.start(
-      signal => pollLoad(entry.upstream, poll, signal),
-      error => events.error('load_poll_ended', { worker: entry.upstream.id, reason: String(error) })
-    )
+  private startTasks (entry: Entry): void {
+    if (entry.tasks.length > 0) return
+    const { upstream } = entry
+    const { clock, events, loadPollMilliseconds, follow } = this.options
+    const onError = (error: unknown): void => {
+      events.error('worker_task_ended', { worker: upstream.id, reason: String(error) })
+    }
+    const poll = { clock, intervalMilliseconds: loadPollMilliseconds, onPoll: () => this.afterPoll(upstream) }
+    entry.tasks.push(Task.start(signal => pollLoad(upstream, poll, signal), onError))
+    if (follow === undefined || upstream.description.kind !== 'engines') return
+    entry.tasks.push(Task.start(signal => follow(upstream, signal), onError))
   }
 
   private readonly offered = new WeakMap<Upstream, string>()
