--- a/src/testing/ProcessGroup.ts
+++ b/src/testing/ProcessGroup.ts
@@ -31,8 +31,16 @@
   settings: Record<string, unknown>
   /** Further environment variables. */
   environment?: Record<string, string>
+  /** Arguments of node itself, e.g. `['--cpu-prof']`. */
+  nodeArguments?: string[]
 }
 
+/**
+ * Guards against a process that never becomes ready. A start takes 0.3 s on an idle machine; 20 s was too short
+ * when several test runs shared the machine.
+ */
+const readyLimitMilliseconds = 60_000
+
 /** Most processes that one group runs at a time; the machine's limit for all groups is a few hundred. */
 const maxProcesses = 300
 
@@ -74,13 +82,13 @@
     const file = join(await this.directory, `${options.name}.toml`)
     await writeFile(file, settingsTextOf(options.settings))
     const program = resolve(this.options.program ?? 'dist/dogwooddale.cjs')
-    const child = spawn(process.execPath, [program, ...options.command, '--settings', file], {
+    const child = spawn(process.execPath, [...options.nodeArguments ?? [], program, ...options.command, '--settings', file], {
       stdio: ['ignore', 'pipe', 'pipe'],
       env: { ...process.env, NODE_OPTIONS: '', ...options.environment }
     })
     const started = new StartedProcess(options.name, child)
     this.processes.set(options.name, started)
-    await started.becomeReady(this.options.readyMilliseconds ?? 20_000)
+    await started.becomeReady(this.options.readyMilliseconds ?? readyLimitMilliseconds)
     return started
   }
 
