Name the address of a failed TLS handshake only where it is known

Cause: in a trial with three host processes, one of them with an expired certificate, a log line said address=undefined:undefined: the socket of a broken handshake is already closed when the event arrives.

Change: such lines say address=unknown, and the reason starts with 'handshake:'.

--- a/src/peers/PeerListener.ts
+++ b/src/peers/PeerListener.ts
@@ -106,7 +106,7 @@
       if (!socket.authorized) this.refuse(socket)
       this.accept(socket)
     })
-    listener.on('tlsClientError', (error, socket) => this.logRefusal(peerOf(socket), error.message.trim()))
+    listener.on('tlsClientError', (error, socket) => this.logRefusal(peerOf(socket), `handshake: ${error.message.trim()}`))
     return listener
   }
 
@@ -129,7 +129,7 @@
   }
 
   private logRefusal (peer: string, reason: string): void {
-    const address = peer.slice(0, peer.lastIndexOf(':'))
+    const address = peer.replace(/:\d+$/, '')
     const key = `${address} ${reason}`
     if (this.logged.has(key)) return
     this.logged.add(key)
@@ -138,7 +138,9 @@
   }
 }
 
+/** `ip:port` of the other end; `unknown` when the socket is already closed. */
 function peerOf (socket: Socket): string {
+  if (socket.remoteAddress === undefined) return 'unknown'
   return `${socket.remoteAddress}:${socket.remotePort}`
 }
 
