Start the load of the version test only when the host serves

Ruled out: a cut stream; every such answer had a refusal's status. Conclusion: the property is the same; its start is no longer a race.

--- a/src/host/FleetPart.test.ts
+++ b/src/host/FleetPart.test.ts
@@ -59,7 +59,7 @@
   expect([response.status, await response.text()]).toEqual([200, expect.any(String)])
 }
 
-interface Streamed { text: string, isComplete: boolean }
+interface Streamed { text: string, isComplete: boolean, status: number }
 
 async function stream (prompt: string, tokens: number): Promise<Streamed> {
   const [origin] = deployment.callerOrigins()
@@ -70,7 +70,12 @@
   })
   const events = (await response.text()).split('\n').filter(line => line.startsWith('data: ')).map(line => line.slice(6))
   const chunks = events.filter(event => event !== '[DONE]').map(event => JSON.parse(event) as { choices?: Array<{ text?: string }> })
-  return { text: chunks.map(chunk => chunk.choices?.[0]?.text ?? '').join(''), isComplete: events.at(-1) === '[DONE]' }
+  return { text: chunks.map(chunk => chunk.choices?.[0]?.text ?? '').join(''), isComplete: events.at(-1) === '[DONE]', status: response.status }
+}
+
+/** A host learns of a loaded model with the next load report; until then it refuses requests as not run. */
+async function waitUntilServed (): Promise<void> {
+  while (!(await stream('first', 1)).isComplete) await sleep(100)
 }
 
 /** Sends streams one after the other in several lanes until told to stop; returns what went wrong. */
@@ -83,7 +88,7 @@
       sent += 1
       const prompt = `lane ${lane} request ${sent}`
       const answer = await stream(prompt, 60)
-      if (!answer.isComplete || answer.text.trim() !== expectedText(model, prompt, 60).trim()) wrong.push(prompt)
+      if (!answer.isComplete || answer.text.trim() !== expectedText(model, prompt, 60).trim()) wrong.push(`${prompt}: status ${answer.status}, complete ${answer.isComplete}`)
     }
   })
   return {
@@ -97,6 +102,7 @@
 
 test('engines load the configured model, and a new version replaces it without cutting a stream', async () => {
   await waitForEngines(hasVersion('1'))
+  await waitUntilServed()
   const load = runLoad(6)
   await putSetting(`/fleet/models/${model}`, { versions: ['1', '2'], defaultVersion: '2', contextTokens: 100_000 })
   await waitForEngines(hasVersion('2'))
