--- a/src/orders/OrderFold.test.ts
+++ b/src/orders/OrderFold.test.ts
@@ -50,6 +50,7 @@
     ['intent after the outcome', [takeover(5), intent('a', 5, 0), outcome('a', 5), intent('b', 5, 3)], [true, true, true, true]],
     ['intent that names an older record', [takeover(5), intent('a', 5, 0), outcome('a', 5), intent('b', 5, 2)], [true, true, true, false]],
     ['intent on another engine', [takeover(5), intent('a', 5, 0), intent('b', 5, 0, { engine: 'engine-2' })], [true, true, true]],
+    ['the id of an open order on another engine', [takeover(5), intent('a', 5, 0), intent('a', 5, 0, { engine: 'engine-2' })], [true, true, false]],
     ['outcome by the successor', [takeover(5), intent('a', 5, 0), takeover(9), outcome('a', 9)], [true, true, true, true]],
     ['outcome by the former holder', [takeover(5), intent('a', 5, 0), takeover(9), outcome('a', 5)], [true, true, true, false]],
     ['second outcome', [takeover(5), intent('a', 5, 0), outcome('a', 5), outcome('a', 5)], [true, true, true, false]],
@@ -81,5 +82,6 @@
     restored.restore(JSON.parse(JSON.stringify(fold.snapshot())), toOffset(lines.length))
     expect(numbers(restored)).toEqual(expected)
     expect(restored.snapshot()).toEqual(fold.snapshot())
+    expect(restored.openIntents()).toEqual(fold.openIntents())
   })
 })
--- a/src/orders/OrderFold.ts
+++ b/src/orders/OrderFold.ts
@@ -28,6 +28,8 @@
   readonly stream = 'orders'
   private leases = new Map<string, OrderTable['leases'][string]>()
   private engines = new Map<string, EngineRecord>()
+  /** The engine of each open order, so that an outcome needs no search through all engines. */
+  private openOrders = new Map<OrderId, WorkerId>()
 
   /** What the log says about an engine. */
   engineRecord (engine: WorkerId): EngineRecord {
@@ -41,7 +43,7 @@
 
   /** The orders that were decided and have no outcome yet. */
   openIntents (): OpenIntent[] {
-    return [...this.engines.values()].flatMap(({ open }) => open ?? [])
+    return [...this.openOrders.values()].flatMap(engine => this.engineRecord(engine).open ?? [])
   }
 
   /** The current fencing number of a lease in this stream; 0 if nobody took over yet. */
@@ -69,6 +71,8 @@
     if (!parsed.success) return Result.err(failure('bad_request', 'not a table of orders'))
     this.leases = new Map(Object.entries(parsed.data.leases))
     this.engines = new Map(Object.entries(parsed.data.engines))
+    const open = [...this.engines.values()].flatMap(record => record.open ?? [])
+    this.openOrders = new Map(open.map(intent => [intent.orderId, intent.engine]))
     return Result.ok(undefined)
   }
 
@@ -92,6 +96,8 @@
     const record = this.engineRecord(engine)
     if (record.open !== undefined) return refused('conflict', `engine ${engine} has the open order ${record.open.orderId}`)
     if (intent.succeeds !== record.lastOffset) return refused('conflict', `the last record of ${engine} is ${record.lastOffset}`)
+    if (this.openOrders.has(orderId)) return refused('conflict', `order ${orderId} is open for another engine`)
+    this.openOrders.set(orderId, engine)
     this.engines.set(engine, {
       ...record,
       lastOffset: offset,
@@ -103,12 +109,14 @@
 
   private applyOutcome (outcome: RecordOf<'outcome'>, offset: Offset): ApplyOutcome {
     const { orderId, result, detail, lease, fencingNumber } = outcome
-    const open = this.openIntents().find(intent => intent.orderId === orderId)
+    const engine = this.openOrders.get(orderId)
+    const open = engine === undefined ? undefined : this.engineRecord(engine).open
     if (open === undefined) return refused('conflict', `order ${orderId} is not open`)
     if (lease !== open.lease || fencingNumber !== this.currentFencingNumber(lease)) {
       return refused('lost_authority', `not the current holder of ${open.lease}`)
     }
     const { possibleSenders } = this.engineRecord(open.engine)
+    this.openOrders.delete(orderId)
     this.engines.set(open.engine, {
       lastOffset: offset,
       last: { orderId, order: open.order, result, detail },
