--- a/src/orders/OrderFold.ts
+++ b/src/orders/OrderFold.ts
@@ -30,6 +30,8 @@
   private leases = new Map<string, OrderTable['leases'][string]>()
   private engines = new Map<string, EngineRecord>()
   private drains = new Map<string, DrainMark>()
+  /** The engine of each open order, so that an outcome needs no search through all engines. */
+  private openOrders = new Map<OrderId, WorkerId>()
 
   /** What the log says about an engine. */
   engineRecord (engine: WorkerId): EngineRecord {
@@ -43,7 +45,7 @@
 
   /** The orders that were decided and have no outcome yet. */
   openIntents (): OpenIntent[] {
-    return [...this.engines.values()].flatMap(({ open }) => open ?? [])
+    return [...this.openOrders.values()].flatMap(engine => this.engineRecord(engine).open ?? [])
   }
 
   /** Marks that engines get no new work. They run out by the clock of each host, which the fold does not know. */
@@ -82,6 +84,8 @@
     this.leases = new Map(Object.entries(parsed.data.leases))
     this.engines = new Map(Object.entries(parsed.data.engines))
     this.drains = new Map(Object.entries(parsed.data.drains))
+    const open = [...this.engines.values()].flatMap(record => record.open ?? [])
+    this.openOrders = new Map(open.map(intent => [intent.orderId, intent.engine]))
     return Result.ok(undefined)
   }
 
@@ -105,6 +109,8 @@
     const record = this.engineRecord(engine)
     if (record.open !== undefined) return refused('conflict', `engine ${engine} has the open order ${record.open.orderId}`)
     if (intent.succeeds !== record.lastOffset) return refused('conflict', `the last record of ${engine} is ${record.lastOffset}`)
+    if (this.openOrders.has(orderId)) return refused('conflict', `order ${orderId} is open for another engine`)
+    this.openOrders.set(orderId, engine)
     this.engines.set(engine, {
       ...record,
       lastOffset: offset,
@@ -116,12 +122,14 @@
 
   private applyOutcome (outcome: RecordOf<'outcome'>, offset: Offset): ApplyOutcome {
     const { orderId, result, detail, lease, fencingNumber } = outcome
-    const open = this.openIntents().find(intent => intent.orderId === orderId)
+    const engine = this.openOrders.get(orderId)
+    const open = engine === undefined ? undefined : this.engineRecord(engine).open
     if (open === undefined) return refused('conflict', `order ${orderId} is not open`)
     if (lease !== open.lease || fencingNumber !== this.currentFencingNumber(lease)) {
       return refused('lost_authority', `not the current holder of ${open.lease}`)
     }
     const { possibleSenders } = this.engineRecord(open.engine)
+    this.openOrders.delete(orderId)
     this.engines.set(open.engine, {
       lastOffset: offset,
       last: { orderId, order: open.order, result, detail },
