Hand requests over from prefill to decode engines; never call a run "not run"

When the chosen engine only computes prompts, it generates the one token that comes with the prompt; KvHandover then moves the KV cache by /kv/export and /kv/import to an engine that generates, and the stream resumes there. If the cache cannot be moved, the prompt is computed anew elsewhere.

Whole requests over the engine stand-in found two faults. (1) The stream's last event can overtake late chunks; the attempt ended there and the engines were paused for failures that were none. The attempt now waits for the missing chunks as long as for any gap.

The host now makes the policy that its settings name and follows the cache events; before it always used round robin. Its retry burst is a quarter of the concurrent requests, at least 32, instead of 10: an engine that crashes breaks its part of the streams at once.

Checked by taking the mechanism out, with a test failing each time: waiting after the last event, the lost end mark, both conversions of "not run", the choice of the target, the one-token body, the cached tokens of the first engine.

--- a/src/forwarding/EngineAttempt.ts
+++ b/src/forwarding/EngineAttempt.ts
@@ -59,6 +59,7 @@
   private abandonReason = ''
   private heardAt = 0
   private gapSince: number | undefined
+  private sawLast = false
   private reading = true
   private unansweredChecks = 0
   private finishReason: string | undefined
@@ -117,7 +118,13 @@
       parser.feed(decoder.decode(bytes, { stream: true }))
       this.reading = false
       for (const data of events.splice(0)) {
-        if (data === '[DONE]') return this.endOfStream()
+        if (data === '[DONE]') {
+          if (this.finishReason !== undefined) return this.endOfStream()
+          // Late chunks may still follow the engine's last event.
+          this.sawLast = true
+          this.markMissing()
+          continue
+        }
         const problem = await this.takeEvent(data)
         if (problem !== undefined) return problem
       }
@@ -139,7 +146,8 @@
     const verdict = this.sequencer.take(sequenced, ready)
     if (verdict === 'overflow') return { kind: 'broken', reason: `token ${this.sequencer.position} is missing` }
     if (verdict === 'foreign' || verdict === 'duplicate') this.dropped[verdict] += 1
-    this.gapSince = this.sequencer.hasGap ? this.gapSince ?? this.clock.monotonic() : undefined
+    if (this.sequencer.hasGap) this.markMissing()
+    else if (!this.sawLast) this.gapSince = undefined
     for (const item of ready) {
       if (item.text !== undefined) await this.receive(item.text, item.position)
       this.finishReason = item.finishReason ?? this.finishReason
@@ -147,6 +155,11 @@
     return undefined
   }
 
+  /** Starts the wait for chunks that must come before one that arrived. */
+  private markMissing (): void {
+    this.gapSince ??= this.clock.monotonic()
+  }
+
   /** An engine may give up a request that it has not begun, which costs nothing to send elsewhere. */
   private problemOf (failed: Failure): AttemptOutcome {
     if (this.finishReason !== undefined) return this.finished(this.finishReason)
--- a/src/forwarding/Generation.test.ts
+++ b/src/forwarding/Generation.test.ts
@@ -2,6 +2,7 @@
  * Guards against answers that miss or double a token when an attempt breaks, streams that end silently, engines
  * that go on working for a caller that left, retries without limit, and a slow caller that takes memory.
  */
+import type { ServerResponse } from 'node:http'
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
 import {
   endEvents, type EngineScript, FakeEngine, plainScript, startStream, streamOf, textOf, tokenEvent
@@ -264,6 +265,32 @@
     expect(await recordsOf(host)).toEqual([])
   })
 
+  test.each([['status 503'], ['no engine left']])('after an attempt that ran, %s is not answered as not run', async last => {
+    if (last === 'no engine left') await Promise.all([engines[1]!.stop(), engines[2]!.stop()])
+    scripts((_request, response) => { response.destroy() }, ...Array(9).fill((_request: unknown, response: ServerResponse) => {
+      response.writeHead(503).end()
+    }) as EngineScript[])
+    const host = await newHost({ generation: { budget: new RetryBudget(0, last === 'status 503' ? 1 : 5) } })
+    const result = await passTime(host, stream(host))
+    expect(result).toMatchObject({ status: 502, error: { type: 'upstream_failed', not_run: false } })
+  })
+
+  test('a stream whose last event overtakes late chunks is complete', async () => {
+    scripts(sends(request => {
+      const events = streamOf(request).split(/(?<=\n\n)/)
+      return [...events.slice(0, 5), events.at(-1), ...events.slice(5, -1)].join('')
+    }, 'end'))
+    expectComplete(await stream(await newHost()))
+    expect(engines.flatMap(engine => engine.requests)).toHaveLength(1)
+  })
+
+  test('a stream whose end mark got lost on an open connection is completed', async () => {
+    for (const engine of engines) engine.progress = 3
+    scripts(sends(request => [0, 1, 2].map(position => tokenEvent(request, position)).join('') + 'data: [DONE]\n\n', 'keep'))
+    const host = await newHost()
+    expectComplete(await passTime(host, stream(host)))
+  })
+
   test('a caller that reads slowly holds back the engine at the limit of the buffer', async () => {
     const big = 1000
     const limit = 4096
--- a/src/forwarding/Generation.ts
+++ b/src/forwarding/Generation.ts
@@ -4,7 +4,8 @@
  */
 import { match } from 'ts-pattern'
 import {
-  type AttemptId, attemptIdOf, type Clock, type Failure, failure, type Model, type Owner, type RequestId, type Team, type WorkerId
+  type AttemptId, attemptIdOf, type Clock, errorAnswers, type Failure, failure, type Model, type Owner, type RequestId,
+  type Team, type WorkerId
 } from '../common/index.js'
 import type { EventLog } from '../observability/index.js'
 import type { RoutingPolicy, RoutingRequest } from '../routing/index.js'
@@ -13,6 +14,7 @@
 import { type AttemptLimits, type AttemptOutcome, EngineAttempt } from './EngineAttempt.js'
 import { cancelAttempt } from './EngineConnection.js'
 import type { EngineCall, EngineUsage } from './engineProtocol.js'
+import { KvHandover } from './KvHandover.js'
 import type { RetryBudget } from './RetryBudget.js'
 
 /** Urgency of a request. */
@@ -69,6 +71,7 @@
 /** One request to a model. */
 export class Generation {
   private readonly queue: BoundedQueue<GenerationEvent>
+  private readonly handover: KvHandover
   private readonly stop = new AbortController()
   private stopKind: 'cancelled' | 'deadline_exceeded' = 'cancelled'
   private readonly tried = new Set<WorkerId>()
@@ -81,6 +84,7 @@
 
   constructor (readonly request: GenerationRequest, private readonly context: GenerationContext) {
     this.queue = new BoundedQueue(context.maxBufferedBytes)
+    this.handover = new KvHandover(context)
   }
 
   /** The next event; undefined after `cancel`. */
@@ -132,15 +136,23 @@
   }
 
   private async runAttempts (): Promise<GenerationEvent> {
+    let handedTo: Upstream | undefined
     for (;;) {
-      const upstream = await this.choose()
+      const upstream: Upstream | undefined = handedTo ?? await this.choose()
       if (this.stop.signal.aborted) return this.stopped()
       if (upstream === undefined) return this.failed(failure('not_run', `no engine serves model ${this.request.model} now`))
-      const outcome = await this.attempt(upstream)
+      const computesPromptOnly = upstream.role === 'prefill'
+      const outcome = await this.attempt(upstream, computesPromptOnly)
       if (outcome.kind === 'finished') {
-        this.engineUsage = outcome.usage
-        return { kind: 'end', finishReason: outcome.finishReason }
+        // The engine that computed the prompt knows what was cached; at the next one all of it is.
+        this.engineUsage ??= outcome.usage
+        if (!computesPromptOnly || !this.wantsMore(outcome.finishReason)) return { kind: 'end', finishReason: outcome.finishReason }
+        const moved = await this.handover.move(this.request, upstream, this.stop.signal)
+        handedTo = moved.isOk ? moved.value : undefined
+        if (moved.isErr && !this.context.budget.tryTake()) return this.failed(moved.error)
+        continue
       }
+      handedTo = undefined
       if (outcome.kind === 'stopped') return this.stopped()
       if (outcome.kind === 'rejected') return this.failed(outcome.failure)
       // The engine has sent all tokens, only the end mark is missing.
@@ -161,11 +173,17 @@
     return this.context.policy.choose(this.request.routing, others.length > 0 ? others : usable)
   }
 
-  private async attempt (upstream: Upstream): Promise<AttemptOutcome> {
+  /** True if the answer goes on after the one token that an engine generated with the prompt. */
+  private wantsMore (finishReason: string): boolean {
+    return finishReason === 'length' && (this.request.maxTokens === undefined || this.position < this.request.maxTokens)
+  }
+
+  private async attempt (upstream: Upstream, computesPromptOnly: boolean): Promise<AttemptOutcome> {
     this.attempts += 1
     this.tried.delete(upstream.id)
     this.tried.add(upstream.id)
-    const { requestId, path, body, priority, routing } = this.request
+    const { requestId, path, priority, routing } = this.request
+    const body = computesPromptOnly ? oneTokenBodyOf(this.request.body, this.position) : this.request.body
     const attemptId = attemptIdOf(requestId, this.attempts)
     const resumeText = this.textSoFar.join('')
     const call: EngineCall = { requestId, attemptId, path, body, priority, resumeFrom: this.position, resumeText }
@@ -226,7 +244,7 @@
 
   /** Once tokens went out, whatever ends the answer early is an interrupted stream. */
   private failed (failed: Failure): GenerationEvent {
-    if (this.position === 0) return { kind: 'failed', failure: failed }
+    if (this.position === 0) return { kind: 'failed', failure: this.ran ? asRun(failed) : failed }
     const detail = { cause: failed.kind, position: this.position }
     return { kind: 'failed', failure: failure('stream_interrupted', failed.message, detail) }
   }
@@ -246,3 +264,15 @@
     .with('busy', 'stopped', () => 'left')
     .exhaustive()
 }
+
+/** The body for an engine that computes prompts: it generates the one token that the computation gives anyway. */
+function oneTokenBodyOf (body: Record<string, unknown>, position: number): Record<string, unknown> {
+  const { max_completion_tokens: _replaced, ...rest } = body
+  return { ...rest, max_tokens: position + 1 }
+}
+
+/** After an attempt that may have run, the failure of a later one must not say that the request did not run. */
+function asRun (failed: Failure): Failure {
+  if (!errorAnswers[failed.kind].notRun) return failed
+  return failure('upstream_failed', `an attempt failed and no other could complete the request: ${failed.message}`)
+}
--- a/src/forwarding/ServiceCall.test.ts
+++ b/src/forwarding/ServiceCall.test.ts
@@ -79,6 +79,19 @@
     expect(runs()).toEqual([0, 1, 1])
   })
 
+  test('after an attempt that ran, the call is not answered as not run', async () => {
+    for (const service of services) {
+      service.answer = async (_run, response) => {
+        await Promise.all(services.filter(other => other !== service).map(other => other.stop()))
+        response.destroy()
+      }
+    }
+    const answer = await host.requests.serviceCall(request(true)).run()
+    expect(answer.isErr && answer.error.kind).toBe('upstream_failed')
+    expect(runs()).toEqual([0, 0, 1])
+    services = services.filter(service => service.runs.length > 0)
+  })
+
   test('the deadline ends the call', async () => {
     answers(() => {})
     const answer = host.requests.serviceCall(request(true, 500)).run()
--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -102,9 +102,7 @@
       if (stop.aborted) return Result.err(this.stopFailure(last))
       const upstream = this.choose()
       if (upstream === undefined) {
-        return Result.err(last === undefined || last.notSent
-          ? failure('not_run', `no worker of pool ${this.request.pool} is available`)
-          : last.failure)
+        return Result.err(this.failureWithoutWorker(last))
       }
       const tried = await this.attempt(upstream, stop)
       if (tried.isOk && !this.shouldTryElsewhere(tried.value)) return Result.ok(tried.value)
@@ -118,6 +116,13 @@
     }
   }
 
+  /** Says "not run" only if no attempt was sent at all. */
+  private failureWithoutWorker (last: Tried | undefined): Failure {
+    const message = `no worker of pool ${this.request.pool} is available`
+    if (!this.hasRun) return failure('not_run', message)
+    return last === undefined || last.notSent ? failure('upstream_failed', message) : last.failure
+  }
+
   /** An idempotent call that a worker could not serve is sent to another one, if there is one. */
   private shouldTryElsewhere (answer: ServiceAnswer): boolean {
     if (!this.request.idempotent || answer.rest !== undefined || !busyStatuses.has(answer.status)) return false
--- a/src/host/RequestPart.ts
+++ b/src/host/RequestPart.ts
@@ -3,15 +3,13 @@
  * execution and the counting of use.
  */
 import { Result } from 'true-myth'
-import { match } from 'ts-pattern'
 import { AdmissionManager } from '../admission/index.js'
 import { loadHash } from '../common/index.js'
 import { entryApplication, type EntryOptions, onceExecutor } from '../entry/index.js'
 import { defaultAttemptLimits, RequestManager, RetryBudget } from '../forwarding/index.js'
 import { IdempotencyManager, onceAnswerMessageOf, PeerIssuerClient } from '../idempotency/index.js'
 import type { PeerHandlers } from '../peers/index.js'
-import { RoundRobinPolicy, type RoutingPolicy, WordTokenizer } from '../routing/index.js'
-import type { HostSettings } from '../settings/index.js'
+import { followCacheEvents, PrefixIndex, RoundRobinPolicy, routingPolicyOf, WordTokenizer } from '../routing/index.js'
 import { UpstreamManager } from '../upstreams/index.js'
 import {
   type UsageBatch, UsageAppender, usageBatchSchema, UsageManager, ZoneAppenderClient, ZoneUsageSink
@@ -20,22 +18,18 @@
 import type { ControlPart } from './ControlPart.js'
 import type { HostContext } from './HostContext.js'
 
-/** Most retries that may follow each other at once after a quiet time. */
-const retryBurst = 10
+/**
+ * Part of the concurrent requests that may be retried at once after a quiet time. An engine that crashes breaks
+ * its part of the streams at the same moment, and all of them are to go on elsewhere.
+ */
+const retryBurstFraction = 0.25
+
+/** Retries that are allowed at once on a small host. */
+const minRetryBurst = 32
 
 /** Largest answer of an at-most-once call that is kept for repeated calls. */
 const maxOnceAnswerBytes = 1_048_576
 
-function policyOf (name: HostSettings['routing']['policy']): RoutingPolicy {
-  return match(name)
-    .with('round_robin', () => new RoundRobinPolicy())
-    .with('least_outstanding', () => new RoundRobinPolicy())
-    .with('power_of_two', () => new RoundRobinPolicy())
-    .with('prefix_affinity', () => new RoundRobinPolicy())
-    .with('estimated_first_token', () => new RoundRobinPolicy())
-    .exhaustive()
-}
-
 /** Sends batches to the host that appends for the zone. */
 class PeerZoneAppenderClient extends ZoneAppenderClient {
   constructor (private readonly control: ControlPart) {
@@ -78,6 +72,8 @@
     const { context, control } = options
     const { settings, clock, events } = context
     const hash = await loadHash()
+    const index = new PrefixIndex()
+    const tokenizer = new WordTokenizer()
     const upstreams = new UpstreamManager({
       hostId: settings.host.id,
       zone: settings.host.zone,
@@ -86,7 +82,8 @@
       events,
       hash,
       loadPollMilliseconds: settings.upstreams.loadPollMilliseconds,
-      subsetSize: settings.upstreams.subsetSize
+      subsetSize: settings.upstreams.subsetSize,
+      follow: ({ id: worker, origin }, signal) => followCacheEvents({ worker, origin, index, clock, events }, signal)
     })
     const admission = new AdmissionManager({
       configuration: control.configuration,
@@ -96,11 +93,14 @@
     })
     const requests = new RequestManager({
       upstreams,
-      policy: policyOf(settings.routing.policy),
+      policy: routingPolicyOf(settings.routing.policy, { hash, index, tokenizer, seed: settings.host.id }),
       servicePolicy: new RoundRobinPolicy(),
       clock,
       events,
-      budget: new RetryBudget(settings.limits.retryBudget, retryBurst),
+      budget: new RetryBudget(
+        settings.limits.retryBudget,
+        Math.max(minRetryBurst, Math.ceil(settings.limits.maxConcurrent * retryBurstFraction))
+      ),
       limits: { ...defaultAttemptLimits, progressCheckMilliseconds: settings.upstreams.progressCheckMilliseconds },
       maxBufferedBytes: settings.limits.maxBufferedBytes,
       maxOnceAnswerBytes
@@ -123,7 +123,7 @@
       configuration: control.configuration,
       clock,
       events,
-      tokenizer: new WordTokenizer(),
+      tokenizer,
       admission,
       requests,
       idempotency,
