--- a/src/host/RequestPart.ts
+++ b/src/host/RequestPart.ts
@@ -12,7 +12,7 @@
 import { followCacheEvents, PrefixIndex, RoundRobinPolicy, routingPolicyOf, WordTokenizer } from '../routing/index.js'
 import { UpstreamManager } from '../upstreams/index.js'
 import {
-  type UsageBatch, UsageAppender, usageBatchSchema, UsageManager, ZoneAppenderClient, ZoneUsageSink
+  type UsageBatch, UsageAppender, usageBatchSchema, UsageManager, ZoneAppenderClient, type UsageRecord, ZoneUsageSink
 } from '../usage/index.js'
 import { failure, type Failure, type Pool, type Team } from '../common/index.js'
 import type { ControlPart } from './ControlPart.js'
@@ -53,6 +53,8 @@
   control: ControlPart
   ready: () => boolean
   draining: () => boolean
+  /** Called with the use of each request that ended. */
+  onUse: (record: UsageRecord) => void
 }
 
 /** The request part. */
@@ -110,7 +112,8 @@
       ...control.identity,
       sink: new ZoneUsageSink(new PeerZoneAppenderClient(control), appender),
       clock,
-      events
+      events,
+      onRecord: options.onUse
     })
     const idempotency = new IdempotencyManager({
       ...control.identity,
@@ -178,8 +181,8 @@
 
   /** Stops all tasks. */
   async stop (): Promise<void> {
-    await this.usage.stop()
-    await this.appender.stop()
+    // Together: a hand-over to the own appender ends only when the appender stops.
+    await Promise.all([this.usage.stop(), this.appender.stop()])
     await this.upstreams.stop()
     this.admission.close()
   }
