End an aborted sleep without making an error

Cause: the profile of the host under the closed loop has about 7% of the busy time in AbortError, DOMException and the abort of signals: each call aborts the sleep that watches its deadline and, for models, the one that watches the stream, and a sleep of node:timers/promises then rejects with a new error.

Ruled out: leaving the sleeps to run out, which would keep each call's memory for its whole deadline.

Change: SystemClock.sleep uses setTimeout and a listener.

The benchmark also shows what the host read from the engine, so that a bounded memory is told from streams that have not filled their buffers yet.

--- a/benchmarks/ProcessUse.ts
+++ b/benchmarks/ProcessUse.ts
@@ -19,3 +19,8 @@
   const kilobytes = /^VmRSS:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1]
   return Number(kilobytes) * 1024
 }
+
+/** Bytes that the process has read so far, from sockets above all. */
+export function readBytesOf (pid: number): number {
+  return Number(/^rchar: (\d+)$/m.exec(readFileSync(`/proc/${pid}/io`, 'utf8'))?.[1])
+}
--- a/benchmarks/StreamMemory.ts
+++ b/benchmarks/StreamMemory.ts
@@ -6,15 +6,17 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { Deployment } from '../src/testing/index.js'
 import { tokenOf } from '../src/testing/index.js'
-import { residentBytesOf } from './ProcessUse.js'
+import { readBytesOf, residentBytesOf } from './ProcessUse.js'
 
 /** Streams to open. */
 export interface StreamOptions {
   team: string
   streams: number
   maxTokens: number
-  /** True if the callers read nothing. */
+  /** True if the callers read nothing; the measurement then ends early when the host waits for all of them. */
   silent: boolean
+  /** Samples of the memory, one every 750 ms. */
+  maxSamples: number
 }
 
 /** Memory of the host in bytes. */
@@ -25,12 +27,15 @@
   openBytes: number[]
   /** After all callers left. */
   afterBytes: number
-  /** Tokens that the engines generated, summed over the streams. */
-  generatedTokens: number
+  /** Bytes that the host read while the streams were open. */
+  readBytes: number
+  /** Bytes per second that it read in the last sample; near 0 when all streams wait for their callers. */
+  lastReadRate: number
 }
 
-const samples = 8
 const sampleMilliseconds = 750
+/** A host that reads less than this, in bytes per second, only polls. */
+const idleReadRate = 100_000
 const settleMilliseconds = 1500
 
 /** Opens one stream on a connection of its own. Resolves when the request was written, or with the first bytes of the answer. */
@@ -57,29 +62,26 @@
   return socket.resume()
 }
 
-async function generatedTokensOf (deployment: Deployment): Promise<number> {
-  const lists = await Promise.all([...deployment.engines.values()].map(async engine => {
-    const answer = await fetch(`${engine.origin()}/requests`)
-    return (await answer.json() as { requests: Array<{ position: number }> }).requests
-  }))
-  return lists.flat().reduce((sum, { position }) => sum + position, 0)
-}
-
 /** Opens the streams, watches the host's memory and closes them. */
 export async function measureStreams (deployment: Deployment, options: StreamOptions): Promise<StreamMemory> {
   const [host] = deployment.hosts.values()
   const pid = host!.pid
   await sleep(settleMilliseconds)
   const idleBytes = residentBytesOf(pid)
-  const tokensBefore = await generatedTokensOf(deployment)
   const sockets = await Promise.all(Array.from({ length: options.streams }, (_, index) => openStream(deployment, options, index)))
   const openBytes: number[] = []
-  for (let sample = 0; sample < samples; sample += 1) {
+  const readBefore = readBytesOf(pid)
+  let readSoFar = readBefore
+  let lastReadRate = Infinity
+  while (openBytes.length < options.maxSamples && !(options.silent && lastReadRate < idleReadRate)) {
     await sleep(sampleMilliseconds)
     openBytes.push(residentBytesOf(pid))
+    const read = readBytesOf(pid)
+    lastReadRate = (read - readSoFar) / sampleMilliseconds * 1000
+    readSoFar = read
   }
-  const generatedTokens = await generatedTokensOf(deployment) - tokensBefore
   for (const socket of sockets) socket.destroy()
   await sleep(settleMilliseconds)
-  return { streams: options.streams, idleBytes, openBytes, afterBytes: residentBytesOf(pid), generatedTokens }
+  const afterBytes = residentBytesOf(pid)
+  return { streams: options.streams, idleBytes, openBytes, afterBytes, readBytes: readSoFar - readBefore, lastReadRate }
 }
--- a/benchmarks/entryHost.ts
+++ b/benchmarks/entryHost.ts
@@ -98,21 +98,24 @@
   const most = Math.max(...memory.openBytes)
   const cells = [
     name, memory.streams, megabytes(memory.idleBytes), megabytes(most), megabytes(memory.openBytes.at(-1)!),
-    megabytes(memory.afterBytes), Math.round((most - memory.idleBytes) / memory.streams / 1000), memory.generatedTokens
+    megabytes(memory.afterBytes), Math.round((most - memory.idleBytes) / memory.streams / 1000),
+    Math.round(memory.readBytes / memory.streams / 1000), Math.round(memory.lastReadRate / 1000)
   ]
   return `| ${cells.join(' | ')} |`
 }
 
 async function measureMemory (): Promise<void> {
-  say('| callers | streams | idle, MB | most while open, MB | last sample, MB | after, MB | most per stream, KB | tokens generated |')
-  say('| --- | --- | --- | --- | --- | --- | --- | --- |')
+  say('| callers | streams | idle, MB | most while open, MB | last sample, MB | after, MB | most per stream, KB | read from the engine per stream, KB | read in the last 0.75 s, KB/s |')
+  say('| --- | --- | --- | --- | --- | --- | --- | --- | --- |')
   const engineSettings = { maxSequences: 1000, kvCapacityTokens: 1_000_000_000 }
   await withDeployment({ ...engineSettings, cost: { stepMilliseconds: 300, sequenceMilliseconds: 0 } }, async deployment => {
-    say(memoryRowOf('read', await measureStreams(deployment, { team, streams: 1000, maxTokens: 1000, silent: false })))
-  })
-  await withDeployment({ ...engineSettings, timeScale: 0.001 }, async deployment => {
-    say(memoryRowOf('read nothing', await measureStreams(deployment, { team, streams: 200, maxTokens: 100_000, silent: true })))
+    say(memoryRowOf('read', await measureStreams(deployment, { team, streams: 1000, maxTokens: 1000, silent: false, maxSamples: 8 })))
   })
+  for (const [streams, maxTokens] of [[200, 20_000], [20, 40_000]] as const) {
+    await withDeployment({ ...engineSettings, timeScale: 0.001 }, async deployment => {
+      say(memoryRowOf('read nothing', await measureStreams(deployment, { team, streams, maxTokens, silent: true, maxSamples: 28 })))
+    })
+  }
   say()
 }
 
--- a/src/common/Clock.ts
+++ b/src/common/Clock.ts
@@ -2,8 +2,6 @@
  * Time as an interface, so that tests decide when it passes. Durations and deadlines use the monotonic
  * clock; the wall clock is only for display and for records that people read.
  */
-import { setTimeout as sleepFor } from 'node:timers/promises'
-
 /** Source of time. All values are in milliseconds. */
 export abstract class Clock {
   /** Time since an arbitrary start; never goes back, not even when the wall clock is set. */
@@ -26,7 +24,16 @@
 
   async sleep (milliseconds: number, signal?: AbortSignal): Promise<void> {
     if (signal?.aborted) return
-    await sleepFor(milliseconds, undefined, { ref: true, ...(signal === undefined ? {} : { signal }) }).catch(() => {})
+    // A sleep of node:timers/promises rejects when it is aborted; most sleeps are, and each would cost an error with its stack.
+    await new Promise<void>(resolve => {
+      const end = (): void => {
+        clearTimeout(timer)
+        signal?.removeEventListener('abort', end)
+        resolve()
+      }
+      const timer = setTimeout(end, milliseconds)
+      signal?.addEventListener('abort', end, { once: true })
+    })
   }
 }
 
