Test that a role change cuts no stream

Ruled out: testing only a change to decode. Conclusion: planned version and role changes are proved for one host and two engines; several hosts are not.

--- a/src/host/FleetPart.test.ts
+++ b/src/host/FleetPart.test.ts
@@ -111,3 +111,16 @@
   expect(wrong).toEqual([])
   expect((await engineStates()).map(engine => engine.interruptedRequests)).toEqual([0, 0])
 })
+
+test('a configured role is taken up without cutting a stream', async () => {
+  await waitForEngines(engine => engine.models.length > 0)
+  const load = runLoad(6)
+  const [engine = ''] = [...deployment.engines.keys()]
+  await putSetting(`/fleet/roles/${engine}`, { role: 'prefill' })
+  while (!(await engineStates()).some(({ role }) => role === 'prefill')) await sleep(100)
+  await putSetting(`/fleet/roles/${engine}`, { role: 'mixed' })
+  await waitForEngines(({ role }) => role === 'mixed')
+  const { wrong } = await load.stop()
+  expect(wrong).toEqual([])
+  expect((await engineStates()).map(({ interruptedRequests }) => interruptedRequests)).toEqual([0, 0])
+})
