--- a/src/streams/FollowerGroup.test.ts
+++ b/src/streams/FollowerGroup.test.ts
@@ -138,6 +138,18 @@
     expect(fold.count).toBe(4)
   })
 
+  test('the first change after one is accepted, although the log is read again only after its longest delay', async () => {
+    const source = new LogSource({ log: fixture.log, clock: fixture.clock, random: () => 0.999 })
+    const group = await fixture.ready(fixture.group([new ChainFold()], { directory: new FixedSourceDirectory([source]) }))
+    fixture.log.setOutage(true)
+    await fixture.clock.advance(60_000)
+    const reads = fixture.log.readCount
+    await advanceUntil(fixture.clock, () => fixture.log.readCount > reads)
+    fixture.log.setOutage(false)
+    const submitted = await advanceUntilSettled(fixture.clock, group.submit(stream, { kind: 'add', number: 1 }))
+    expect(submitted.isOk && submitted.value.outcome.accepted).toBe(true)
+  })
+
   test('a host that starts during one takes the newest state among its sources', async () => {
     append(2)
     const old = await fixture.ready(fixture.group([new ChainFold()]))
--- a/src/streams/FollowerGroup.ts
+++ b/src/streams/FollowerGroup.ts
@@ -29,7 +29,7 @@
   betterSourceMilliseconds?: number
   /** Time between heartbeats to a follower of this host. Default: 1,000. */
   heartbeatMilliseconds?: number
-  /** Time from an append until the record must have come back through the fold. Default: 4,000. */
+  /** Time from an append until the record must have come back through the fold. Default: 4,000; `configuration`: 8,000. */
   applyTimeoutMilliseconds?: number
   /** Limits of the relay buffer of each stream. Default: 10,000 records or 4 MB. */
   buffer?: RelayBufferOptions
@@ -42,6 +42,12 @@
 /** Two renewal periods of a lease; a renewal that is not back by then must be tried anew. */
 const defaultApplyTimeoutMilliseconds = 4000
 
+/**
+ * Operators' changes may wait longer: after an outage the log is read again up to 5 s later (see `LogSource`),
+ * and with 4 s the first change after an outage was answered as unknown although it was stored.
+ */
+const applyTimeouts: Partial<Record<StreamName, number>> = { configuration: 8000 }
+
 interface FollowedStream {
   follower: StreamFollower
   submitter: RecordSubmitter
@@ -128,7 +134,9 @@
   }
 
   private createStream (fold: StreamFold, countSkipped: (stream: StreamName, reason: string) => void): FollowedStream {
-    const { log, clock, applyTimeoutMilliseconds = defaultApplyTimeoutMilliseconds } = this.options
+    const { log, clock } = this.options
+    const applyTimeoutMilliseconds = this.options.applyTimeoutMilliseconds ??
+      applyTimeouts[fold.stream] ?? defaultApplyTimeoutMilliseconds
     const submitter = new RecordSubmitter({ stream: fold.stream, log, clock, applyTimeoutMilliseconds })
     const follower = new StreamFollower({
       ...this.options,
