Measure the processor time of a host per token

Cause: docs/CAPACITY.md needs the slope per token, since streams are nearly all of the work at the target. Ruled out: deriving it from the short completions of the entry host benchmark. Change: benchmarks/tokenCost.ts.

--- /dev/null
+++ b/benchmarks/tokenCost.ts
@@ -0,0 +1,95 @@
+/**
+ * Measures the processor time and the memory of an entry host per generated token: streams of several lengths
+ * go through one host, and a line is fitted through the processor time per stream.
+ * Run: npm run benchmark tokenCost
+ */
+import { readFileSync } from 'node:fs'
+import { Deployment, type StartedProcess, tokenOf } from '../src/testing/index.js'
+
+const lengths = [16, 64, 256, 512]
+const streamsPerLength = 96
+const lanes = 16
+
+/** Clock ticks per second of /proc; fixed on Linux. */
+const ticksPerSecond = 100
+
+function cpuSeconds ({ pid }: StartedProcess): number {
+  const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').replace(/^.*\) /, '').split(' ')
+  return (Number(fields[11]) + Number(fields[12])) / ticksPerSecond
+}
+
+async function stream (origin: string, tokens: number, number: number): Promise<void> {
+  const response = await fetch(`${origin}/v1/completions`, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${tokenOf('foro')}`, 'content-type': 'application/json' },
+    body: JSON.stringify({ model: 'pez', prompt: `question ${number}`, max_tokens: tokens, stream: true })
+  })
+  const text = await response.text()
+  if (!text.trimEnd().endsWith('[DONE]')) throw new Error(`a stream did not end: ${text.slice(-200)}`)
+}
+
+async function runStreams (origin: string, tokens: number): Promise<void> {
+  let next = 0
+  await Promise.all(Array.from({ length: lanes }, async () => {
+    while (next < streamsPerLength) {
+      next += 1
+      await stream(origin, tokens, next)
+    }
+  }))
+}
+
+/** Least squares: intercept, slope and the root mean square of the residuals. */
+function fit (points: Array<[number, number]>): { intercept: number, slope: number, residual: number } {
+  const mean = (values: number[]): number => values.reduce((sum, value) => sum + value, 0) / values.length
+  const meanX = mean(points.map(([x]) => x))
+  const meanY = mean(points.map(([, y]) => y))
+  const slope = points.reduce((sum, [x, y]) => sum + (x - meanX) * (y - meanY), 0) /
+    points.reduce((sum, [x]) => sum + (x - meanX) ** 2, 0)
+  const intercept = meanY - slope * meanX
+  const residual = Math.sqrt(mean(points.map(([x, y]) => (y - intercept - slope * x) ** 2)))
+  return { intercept, slope, residual }
+}
+
+async function main (): Promise<void> {
+  const say = (line: string): void => { process.stdout.write(`${line}\n`) }
+  const deployment = await Deployment.start({
+    region: 'costa',
+    zones: ['duran-c'],
+    hostsPerZone: 1,
+    enginesPerZone: 2,
+    servicesPerZone: 1,
+    model: 'pez',
+    enginePool: 'modelos-foro',
+    servicePool: 'app-foro',
+    teams: { foro: 'acuarios' },
+    engineSettings: { timeScale: 0.2 },
+    hostSettings: { log: { level: 'warn' } }
+  })
+  try {
+    const [host] = [...deployment.hosts.values()]
+    if (host === undefined) throw new Error('no host')
+    const origin = host.origin('callers')
+    await runStreams(origin, 64)
+    const points: Array<[number, number]> = []
+    say('| tokens per stream | processor time per stream, ms | tokens/s |')
+    say('| --- | --- | --- |')
+    for (const tokens of lengths) {
+      const before = cpuSeconds(host)
+      const startedAt = performance.now()
+      await runStreams(origin, tokens)
+      const milliseconds = (cpuSeconds(host) - before) * 1000 / streamsPerLength
+      const rate = tokens * streamsPerLength / ((performance.now() - startedAt) / 1000)
+      points.push([tokens, milliseconds])
+      say(`| ${tokens} | ${milliseconds.toFixed(2)} | ${rate.toFixed(0)} |`)
+    }
+    const { intercept, slope, residual } = fit(points)
+    say(`\nfit: ${intercept.toFixed(2)} ms per stream + ${(slope * 1000).toFixed(1)} µs per token, residual ${residual.toFixed(2)} ms`)
+  } finally {
+    await deployment.stop()
+  }
+}
+
+main().catch(error => {
+  process.stderr.write(`${String(error instanceof Error ? error.stack : error)}\n`)
+  process.exitCode = 1
+})
