--- a/src/usage/UsageAppender.test.ts
+++ b/src/usage/UsageAppender.test.ts
@@ -45,7 +45,7 @@
 
 function appenderFor (
   log: LogClient,
-  options: { maxKeptRecords?: number } = {}
+  options: { maxKeptRecords?: number, maxRecordsPerAppend?: number } = {}
 ): { appender: UsageAppender, clock: ManualClock } {
   const clock = new ManualClock()
   const events = new EventLog({ timeline: new Timeline('test', new HybridClock(clock)), level: 'error', write: () => {} })
@@ -87,6 +87,16 @@
     await appender.stop()
   })
 
+  test('appends more than fits into one append in the same round, so that a busy zone does not fall behind', async () => {
+    const log = new ScriptedLog([])
+    const { appender, clock } = appenderFor(log, { maxRecordsPerAppend: 10 })
+    appender.start()
+    for (let sequence = 1; sequence <= 35; sequence += 1) appender.takeCustody(batchOf(sequence))
+    await clock.advance(1000)
+    expect([log.values.length, appender.waitingBatches]).toEqual([4, 0])
+    await appender.stop()
+  })
+
   test('refuses batches beyond its limit instead of growing without bound', async () => {
     const { appender } = appenderFor(new ScriptedLog(['refuse']), { maxKeptRecords: 1 })
     expect(appender.takeCustody(batchOf(1)).isOk).toBe(true)
--- a/src/usage/UsageAppender.ts
+++ b/src/usage/UsageAppender.ts
@@ -1,7 +1,7 @@
 /**
- * Appends usage batches to the log's stream `use`, at most one append a second, whatever the number of hosts
- * that hand batches in. A batch is kept until its append was acknowledged; repeating an append whose answer
- * was lost is harmless, since a batch counts once by its identity.
+ * Appends usage batches to the log's stream `use` once a second, in as few appends as the record limit allows,
+ * whatever the number of hosts that hand batches in. A batch is kept until its append was acknowledged;
+ * repeating an append whose answer was lost is harmless, since a batch counts once by its identity.
  */
 import { Result } from 'true-myth'
 import { type Clock, type Failure, failure, newRecordId, Task } from '../common/index.js'
@@ -15,7 +15,7 @@
   log: LogClient
   clock: Clock
   events: EventLog
-  /** Shortest time between two appends; default 1000. */
+  /** Time between two rounds of appends; default 1000. */
   appendMilliseconds?: number
   /** Most usage records kept while the log does not answer; default 1,000,000. Batches beyond it are refused. */
   maxKeptRecords?: number
@@ -112,7 +112,8 @@
   private async appendRepeatedly (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.options.clock.sleep(this.interval, signal)
-      if (!signal.aborted && this.waiting.size > 0 && !this.appending) await this.appendOnce()
+      let mayGoOn = true
+      while (mayGoOn && !signal.aborted && this.waiting.size > 0 && !this.appending) mayGoOn = await this.appendOnce()
     }
   }
 
