Measure answers to callers; check settings of every kind of process

Cause: reading as a newcomer: the page of metrics had nothing about requests although the histograms exist, and `check` refused the stand-ins' files of the examples. Ruled out: one latency for all answers (a stream's first token and a vote are different things to watch).

--- a/src/commands/checkCommand.ts
+++ b/src/commands/checkCommand.ts
@@ -1,20 +1,41 @@
 /**
- * `dogwooddale check FILE...`: validates settings files of entry hosts without starting anything.
+ * `dogwooddale check FILE...`: validates settings files without starting anything.
  */
 import type { CommandModule } from 'yargs'
+import type { z } from 'zod'
 import { errorAnswers } from '../common/index.js'
 import { hostSettingsSchema, loadSettings } from '../settings/index.js'
+import {
+  engineStandInSettingsSchema, hostListStandInSettingsSchema, logStandInSettingsSchema, serviceStandInSettingsSchema,
+  weightStoreStandInSettingsSchema
+} from '../standins/index.js'
+
+/** Schema of the settings file of each kind of process. */
+const schemas = {
+  host: hostSettingsSchema,
+  engine: engineStandInSettingsSchema,
+  service: serviceStandInSettingsSchema,
+  log: logStandInSettingsSchema,
+  'host-list': hostListStandInSettingsSchema,
+  'weight-store': weightStoreStandInSettingsSchema
+} satisfies Record<string, z.ZodType>
 
 /** The `check` command. */
 export const checkCommand: CommandModule = {
   command: 'check <files..>',
-  describe: 'Check settings files of entry hosts',
+  describe: 'Check settings files',
   builder: parser => parser
     .positional('files', { type: 'string', array: true, describe: 'TOML settings files' })
+    .option('kind', {
+      choices: Object.keys(schemas) as Array<keyof typeof schemas>,
+      default: 'host' as const,
+      describe: 'Kind of process that the files are for'
+    })
     .option('json', { type: 'boolean', default: false, describe: 'Print the problems as JSON' }),
   handler: args => {
     const files = args.files as string[]
-    const results = files.map(file => ({ file, loaded: loadSettings(hostSettingsSchema, file) }))
+    const schema: z.ZodType = schemas[args.kind as keyof typeof schemas]
+    const results = files.map(file => ({ file, loaded: loadSettings(schema, file) }))
     const failed = results.filter(({ loaded }) => loaded.isErr)
     if (args.json === true) {
       const report = results.map(({ file, loaded }) => ({
--- a/src/entry/EntryContext.ts
+++ b/src/entry/EntryContext.ts
@@ -10,6 +10,7 @@
 import type { PromptTokenizer } from '../routing/index.js'
 import type { UsageManager } from '../usage/index.js'
 import type { CallLimits } from './callHeaders.js'
+import type { EntryMetrics } from './EntryMetrics.js'
 
 /** Options of `entryApplication`. */
 export interface EntryOptions {
@@ -22,6 +23,8 @@
   idempotency: IdempotencyManager
   usage: UsageManager
   limits: CallLimits
+  /** Absent: nothing is measured. */
+  metrics?: EntryMetrics
   /** True while the host may get traffic; answers `/health/ready`. */
   ready: () => boolean
   /** True once a graceful shutdown has begun: requests are still served, but connections are not kept. */
--- /dev/null
+++ b/src/entry/EntryMetrics.ts
@@ -0,0 +1,53 @@
+/**
+ * Metrics of the callers' HTTP: counts by kind and status, the time to the first byte of an answer (for a
+ * stream: to its first token) and to its end, and how much is open and waiting.
+ */
+import type { Counter } from 'prom-client'
+import type { LatencyRecorder, Metrics } from '../observability/index.js'
+
+/** Kinds of calls that are told apart. */
+export type CallKind = 'model' | 'service' | 'other'
+
+/** Present numbers of a host, read for each page of metrics. */
+export interface EntryGauges {
+  openRequests: () => number
+  runningRequests: () => number
+  queuedRequests: () => number
+}
+
+/** The kind of a call by its path. */
+export function callKindOf (path: string): CallKind {
+  if (path === '/v1/completions' || path === '/v1/chat/completions') return 'model'
+  return path.startsWith('/services/') ? 'service' : 'other'
+}
+
+/** Recorders of one host. */
+export class EntryMetrics {
+  private readonly answers: Counter<'kind' | 'status'>
+  private readonly firstByte: Record<CallKind, LatencyRecorder>
+  private readonly modelTotal: LatencyRecorder
+
+  constructor (metrics: Metrics, gauges: EntryGauges) {
+    this.answers = metrics.counter('answers_total', 'Answers to callers.', ['kind', 'status'])
+    this.firstByte = {
+      model: metrics.latency('model_first_byte', 'Time to the first byte of answers of models.'),
+      service: metrics.latency('service_first_byte', 'Time to the first byte of answers of services.'),
+      other: metrics.latency('other_first_byte', 'Time to the first byte of other answers.')
+    }
+    this.modelTotal = metrics.latency('model_total', 'Time to the end of answers of models.')
+    metrics.gauge('requests_open', 'Requests in progress, waiting ones not included.', [], gauge => gauge.set(gauges.openRequests()))
+    metrics.gauge('requests_running', 'Requests that admission let in.', [], gauge => gauge.set(gauges.runningRequests()))
+    metrics.gauge('requests_queued', 'Requests that wait for admission.', [], gauge => gauge.set(gauges.queuedRequests()))
+  }
+
+  /** Records that an answer began. */
+  answered (kind: CallKind, status: number, milliseconds: number): void {
+    this.answers.inc({ kind, status: String(status) })
+    this.firstByte[kind].record(milliseconds)
+  }
+
+  /** Records that a generation ended. */
+  modelEnded (milliseconds: number): void {
+    this.modelTotal.record(milliseconds)
+  }
+}
--- a/src/entry/entryApplication.ts
+++ b/src/entry/entryApplication.ts
@@ -8,6 +8,7 @@
 import { type AuthenticatedTeam, TeamAuthenticator } from '../configuration/index.js'
 import { callHeaderReader, type CallHeaders } from './callHeaders.js'
 import type { EntryOptions } from './EntryContext.js'
+import { callKindOf } from './EntryMetrics.js'
 import { handleGeneration } from './handleGeneration.js'
 import { handleService } from './handleService.js'
 
@@ -65,7 +66,12 @@
   application.use(createMiddleware<EntryEnvironment>(async (context, next) => {
     const requestId = newRequestId()
     context.set('requestId', requestId)
+    const startedAt = options.clock.monotonic()
     await next()
+    const { status } = context.res
+    const milliseconds = options.clock.monotonic() - startedAt
+    options.metrics?.answered(callKindOf(context.req.path), status, milliseconds)
+    options.events.debug('request_answered', { request: requestId, team: context.get('account')?.team, status, milliseconds })
     context.header('x-request-id', requestId)
     if (options.draining()) context.header('connection', 'close')
   }))
--- a/src/entry/handleGeneration.ts
+++ b/src/entry/handleGeneration.ts
@@ -37,6 +37,7 @@
   release: () => void
 ): Promise<Response> {
   const endRequest = options.requests.begin({ requestId: request.requestId, team: request.team, kind: 'generation' })
+  const startedAt = options.clock.monotonic()
   const { generation, ended } = options.requests.generate(request)
   const leave = (): void => { generation.cancel() }
   const left = context.get('callerLeft')
@@ -46,6 +47,7 @@
     left.removeEventListener('abort', leave)
     ended.then(() => {
       recordUsage(options, generation)
+      options.metrics?.modelEnded(options.clock.monotonic() - startedAt)
       release()
       endRequest()
     }, () => {})
--- a/src/entry/index.ts
+++ b/src/entry/index.ts
@@ -1,5 +1,6 @@
 export * from './EntryContext.js'
 export type { CallLimits } from './callHeaders.js'
+export { EntryMetrics } from './EntryMetrics.js'
 export { entryApplication } from './entryApplication.js'
 export { onceExecutor } from './handleService.js'
 export * from './serve.js'
--- a/src/host/RequestPart.ts
+++ b/src/host/RequestPart.ts
@@ -5,7 +5,7 @@
 import { Result } from 'true-myth'
 import { AdmissionManager } from '../admission/index.js'
 import { loadHash } from '../common/index.js'
-import { entryApplication, type EntryOptions, onceExecutor } from '../entry/index.js'
+import { entryApplication, EntryMetrics, type EntryOptions, onceExecutor } from '../entry/index.js'
 import { defaultAttemptLimits, RequestManager, RetryBudget } from '../forwarding/index.js'
 import { IdempotencyManager, onceAnswerMessageOf, PeerIssuerClient } from '../idempotency/index.js'
 import type { PeerHandlers } from '../peers/index.js'
@@ -132,6 +132,11 @@
       idempotency,
       usage,
       limits: settings.limits,
+      metrics: new EntryMetrics(context.metrics, {
+        openRequests: () => requests.view().length,
+        runningRequests: () => admission.runningCount,
+        queuedRequests: () => admission.queuedCount
+      }),
       ready: options.ready,
       draining: options.draining
     }
