Drop the first outputs of seeded random numbers; one rule for interruptions

Also: which orders interrupt an engine stood in two places and is now asked of the orders slice; a replay says that it does not carry out planned changes of the fleet.

--- a/src/commands/replayCommand.ts
+++ b/src/commands/replayCommand.ts
@@ -55,6 +55,8 @@
     if (loaded.isErr) return fail(loaded.error.message)
     stated = loaded.value
   }
+  const fleetEvents = trace.value.entries.filter(entry => entry.kind === 'fleet').length
+  if (fleetEvents > 0) process.stderr.write(`${fleetEvents} planned changes of the fleet in the trace are not carried out\n`)
   const showsProgress = process.stderr.isTTY && args.json !== true
   const runner = new ReplayRunner({
     trace: trace.value,
--- a/src/common/SeededRandom.ts
+++ b/src/common/SeededRandom.ts
@@ -1,16 +1,20 @@
 /**
  * Random numbers from a seed, for traces and policies whose runs have to be repeatable.
  */
-import { type RandomGenerator, unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand'
+import { type RandomGenerator, unsafeSkipN, unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand'
 
 const fractionSteps = 0x7fffffff
 
+/** Outputs that are dropped: the first ones of a small seed lie at the ends of the range. */
+const droppedOutputs = 32
+
 /** A seeded source of random numbers. */
 export class SeededRandom {
   private readonly generator: RandomGenerator
 
   constructor (seed: number) {
     this.generator = xoroshiro128plus(seed)
+    unsafeSkipN(this.generator, droppedOutputs)
   }
 
   /** An integer from `minimum` to `maximum`, both included. */
--- a/src/fleet/DrainMarks.ts
+++ b/src/fleet/DrainMarks.ts
@@ -4,10 +4,7 @@
  * work when the holder of the lease dies between marking and ordering.
  */
 import type { Clock, Offset, WorkerId } from '../common/index.js'
-import type { EngineOrder, OrderFold } from '../orders/index.js'
-
-/** Orders that end what runs on the engine. */
-const interruptingKinds: ReadonlySet<EngineOrder['kind']> = new Set(['change_role', 'load_version', 'unload_model'])
+import { interruptsEngine, type OrderFold } from '../orders/index.js'
 
 /** Reads the marks of the fold. */
 export class DrainMarks {
@@ -24,7 +21,7 @@
       if (now - this.firstSeen(engine, mark.offset, now) < mark.durationMilliseconds) drained.add(engine as WorkerId)
     }
     for (const { engine, order } of this.fold.openIntents()) {
-      if (interruptingKinds.has(order.kind)) drained.add(engine)
+      if (interruptsEngine(order.kind)) drained.add(engine)
     }
     return drained
   }
--- a/src/fleet/FleetReconciler.ts
+++ b/src/fleet/FleetReconciler.ts
@@ -6,7 +6,7 @@
 import { type Clock, failureOf, Task, type WorkerId } from '../common/index.js'
 import type { ConfigurationReader } from '../configuration/index.js'
 import type { EventLog } from '../observability/index.js'
-import type { EngineOrder, EngineOrderClient, EngineTarget, OrderManager } from '../orders/index.js'
+import { type EngineOrder, type EngineOrderClient, type EngineTarget, interruptsEngine, type OrderManager } from '../orders/index.js'
 import { nextOrder, wantedEngines } from './wantedOrders.js'
 
 /** Options of a `FleetReconciler`. Times are in milliseconds. */
@@ -30,9 +30,6 @@
   drainLimitMilliseconds?: number
 }
 
-/** Orders that end what runs on the engine. */
-const interrupting: ReadonlySet<EngineOrder['kind']> = new Set(['change_role', 'load_version', 'unload_model'])
-
 /** The comparison of one zone's engines with the configuration. */
 export class FleetReconciler {
   private task: Task | undefined
@@ -89,7 +86,7 @@
 
   /** Not awaited: loading weights takes long, and other engines go on meanwhile. */
   private startOrder (worker: WorkerId, order: EngineOrder): void {
-    if (interrupting.has(order.kind) && !this.mayInterrupt(worker)) return
+    if (interruptsEngine(order.kind) && !this.mayInterrupt(worker)) return
     this.working.set(worker, order.kind)
     this.carryOut(worker, order)
       .catch(caught => this.options.events.error('fleet_order_failed', { engine: worker, reason: failureOf(caught).message }))
@@ -99,7 +96,7 @@
   private async carryOut (worker: WorkerId, order: EngineOrder): Promise<void> {
     const { orders, events, drainLimitMilliseconds = 120_000 } = this.options
     events.info('fleet_order_started', { engine: worker, kind: order.kind })
-    const ended = interrupting.has(order.kind)
+    const ended = interruptsEngine(order.kind)
       ? await orders.executeDrained(worker, order, { drainLimitMilliseconds })
       : await orders.execute(worker, order)
     if (ended.isErr) events.warn('fleet_order_refused', { engine: worker, kind: ended.error.kind, reason: ended.error.message })
@@ -112,6 +109,6 @@
     const zoneEngines = new Set(this.options.engines().map(engine => engine.worker))
     const siblings = (pool?.workers ?? []).filter(({ id }) => id !== worker)
     if (siblings.length === 0) return false
-    return !siblings.some(({ id }) => zoneEngines.has(id) && interrupting.has(this.working.get(id) ?? 'load_model'))
+    return !siblings.some(({ id }) => zoneEngines.has(id) && interruptsEngine(this.working.get(id) ?? 'load_model'))
   }
 }
--- a/src/orders/targetOf.ts
+++ b/src/orders/targetOf.ts
@@ -20,3 +20,8 @@
 export function loadsWeights (order: EngineOrder): boolean {
   return order.kind === 'load_model' || order.kind === 'load_version' || order.kind === 'load_adapter'
 }
+
+/** True if the order ends what runs on the engine, so that the engine has to be drained first. */
+export function interruptsEngine (kind: EngineOrder['kind']): boolean {
+  return kind === 'change_role' || kind === 'load_version' || kind === 'unload_model'
+}
