--- a/src/host/EntryHost.test.ts
+++ b/src/host/EntryHost.test.ts
@@ -7,7 +7,7 @@
 import { text as textOfBody } from 'node:stream/consumers'
 import { afterAll, afterEach, beforeAll, describe, expect, test } from '@jest/globals'
 import { expectedText } from '../standins/index.js'
-import { Deployment, type DeploymentOptions, type StartedProcess, tokenOf } from '../testing/index.js'
+import { Deployment, type DeploymentOptions, operatorTeam, type StartedProcess, tokenOf } from '../testing/index.js'
 
 const model = 'pez'
 const zone = 'guayaquil-a'
@@ -123,6 +123,16 @@
     for (const stream of streams) expect(logged).toContain(stream.headers.get('x-request-id'))
   })
 
+  test('a drain ordered by an operator ends streams whole and the process with status 0', async () => {
+    const host = await deployment.startHost('drained-by-operator', zone)
+    const streams = await Promise.all(prompts.map(prompt => openStream(host, prompt, tokens)))
+    const authorization = `Bearer ${tokenOf(operatorTeam)}`
+    const ordered = await fetch(`${host.origin('administration')}/drain`, { method: 'POST', headers: { authorization } })
+    expect(ordered.status).toBe(202)
+    await expectWhole(streams)
+    expect(await host.exited).toEqual({ code: 0, signal: null })
+  })
+
   test('SIGTERM while the log is out ends streams whole and waits for the log to store their use', async () => {
     const log = deployment.platform('log')
     const host = await deployment.startHost('stopped-in-outage', zone)
--- a/src/host/EntryHost.ts
+++ b/src/host/EntryHost.ts
@@ -143,17 +143,24 @@
       return true
     }
     this.control?.membership.leave()
-    await this.fleet?.stop()
-    await this.control?.stopDuties()
+    // An order on its way can take minutes; requests drain meanwhile.
+    const dutiesEnded = this.endDuties()
     await clock.sleep(settings.drain.readinessDelayMilliseconds)
     const closed = this.callers?.close()
     const finished = await this.requests?.drain(AbortSignal.timeout(settings.drain.timeoutMilliseconds)) ?? true
     if (finished) await closed
+    await dutiesEnded
     events.info('drain_ended', { complete: finished })
     await this.close()
     return finished
   }
 
+  /** Ends the duties and hands them over. The lease is released last, so that no order is sent without it. */
+  private async endDuties (): Promise<void> {
+    await this.fleet?.stop()
+    await this.control?.stopDuties()
+  }
+
   /** Ends everything; the failed start and the shutdown during a start may both come here. */
   private close (): Promise<void> {
     this.closed ??= this.closeOnce()
--- a/src/routing/PowerOfTwoPolicy.ts
+++ b/src/routing/PowerOfTwoPolicy.ts
@@ -2,17 +2,17 @@
  * The less loaded of two workers chosen at random. The cost of a decision does not depend on their number, and
  * hosts with the same old load report do not all choose the same worker.
  */
-import { type RandomGenerator, unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand'
+import { SeededRandom } from '../common/index.js'
 import { preferOwnZone, pressureOf, type RoutingCandidate, RoutingPolicy, type RoutingRequest } from './RoutingPolicy.js'
 
 /** Compares two random workers of the own zone. */
 export class PowerOfTwoPolicy extends RoutingPolicy {
-  private readonly random: RandomGenerator
+  private readonly random: SeededRandom
 
   /** Hosts need different seeds; equal seeds give equal choices. */
   constructor (seed: number) {
     super()
-    this.random = xoroshiro128plus(seed)
+    this.random = new SeededRandom(seed)
   }
 
   choose<Candidate extends RoutingCandidate> (
@@ -21,8 +21,8 @@
   ): Candidate | undefined {
     const count = preferOwnZone(candidates)
     if (count <= 1) return candidates[0]
-    const first = unsafeUniformIntDistribution(0, count - 1, this.random)
-    const step = unsafeUniformIntDistribution(1, count - 1, this.random)
+    const first = this.random.integer(0, count - 1)
+    const step = this.random.integer(1, count - 1)
     const one = candidates[first]!
     const other = candidates[(first + step) % count]!
     return pressureOf(other) < pressureOf(one) ? other : one
