Read the use of processes in one place in the benchmarks

Cause: reading the whole change once more: controlPlane and tokenCost read processor time, memory and bytes from /proc again although ProcessUse does. Ruled out: merging the other pairs that look alike (two profiles as data, argument lists of two handlers, import lists); they share shape, not logic. Change: both benchmarks call ProcessUse, which also tells the bytes written; a field that held read and written bytes is named for both. Conclusion: no behaviour of the product changed.

--- a/benchmarks/ProcessUse.ts
+++ b/benchmarks/ProcessUse.ts
@@ -24,3 +24,8 @@
 export function readBytesOf (pid: number): number {
   return Number(/^rchar: (\d+)$/m.exec(readFileSync(`/proc/${pid}/io`, 'utf8'))?.[1])
 }
+
+/** Bytes that the process has written so far, to sockets above all. */
+export function writtenBytesOf (pid: number): number {
+  return Number(/^wchar: (\d+)$/m.exec(readFileSync(`/proc/${pid}/io`, 'utf8'))?.[1])
+}
--- a/benchmarks/controlPlane.ts
+++ b/benchmarks/controlPlane.ts
@@ -4,21 +4,18 @@
  * freeze and a planned stop, appends per second at rest and under changes, CPU and bytes of a host at rest.
  * Run: npm run benchmark controlPlane
  */
-import { readFileSync } from 'node:fs'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { build, type Histogram } from 'hdr-histogram-js'
+import { processorMillisecondsOf, readBytesOf, residentBytesOf, writtenBytesOf } from './ProcessUse.js'
 import { Deployment, operatorTeam, type StartedProcess, tokenOf } from '../src/testing/index.js'
 
 const changesPerSize = 40
 const restSeconds = 20
 const pollMilliseconds = 5
 
-/** Clock ticks per second of /proc; fixed on Linux. */
-const ticksPerSecond = 100
-
 const authorization = `Bearer ${tokenOf(operatorTeam)}`
 
-interface ProcessFigures { cpuSeconds: number, rssBytes: number, receivedBytes: number }
+interface ProcessFigures { processorMilliseconds: number, residentBytes: number, transferredBytes: number }
 
 function histogram (): Histogram {
   return build({ lowestDiscernibleValue: 1, highestTrackableValue: 600_000_000, numberOfSignificantValueDigits: 3 })
@@ -31,14 +28,10 @@
 
 /** CPU time and memory of a process, and the bytes that it read and wrote, sockets included. */
 function figuresOf ({ pid }: StartedProcess): ProcessFigures {
-  const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').replace(/^.*\) /, '').split(' ')
-  const io = readFileSync(`/proc/${pid}/io`, 'utf8')
-  const counter = (name: string): number => Number(new RegExp(`${name}: (\\d+)`).exec(io)?.[1] ?? 0)
-  const rss = /VmRSS:\s+(\d+) kB/.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1] ?? '0'
   return {
-    cpuSeconds: (Number(fields[11]) + Number(fields[12])) / ticksPerSecond,
-    rssBytes: Number(rss) * 1024,
-    receivedBytes: counter('rchar') + counter('wchar')
+    processorMilliseconds: processorMillisecondsOf(pid),
+    residentBytes: residentBytesOf(pid),
+    transferredBytes: readBytesOf(pid) + writtenBytesOf(pid)
   }
 }
 
@@ -144,9 +137,11 @@
   const after = hosts.map(figuresOf)
   const appends = (await appendsOf(deployment) - appendsBefore) / restSeconds
   const mean = (value: (index: number) => number): number => hosts.reduce((sum, _, index) => sum + value(index), 0) / hosts.length
-  const cpu = mean(index => ((after[index]?.cpuSeconds ?? 0) - (before[index]?.cpuSeconds ?? 0)) / restSeconds)
-  const bytes = mean(index => ((after[index]?.receivedBytes ?? 0) - (before[index]?.receivedBytes ?? 0)) / restSeconds)
-  const rss = mean(index => after[index]?.rssBytes ?? 0)
+  const busyMilliseconds = (index: number): number =>
+    (after[index]?.processorMilliseconds ?? 0) - (before[index]?.processorMilliseconds ?? 0)
+  const cpu = mean(busyMilliseconds) / 1000 / restSeconds
+  const bytes = mean(index => ((after[index]?.transferredBytes ?? 0) - (before[index]?.transferredBytes ?? 0)) / restSeconds)
+  const rss = mean(index => after[index]?.residentBytes ?? 0)
   return `${(cpu * 100).toFixed(2)} | ${(bytes / 1000).toFixed(1)} | ${(rss / 1e6).toFixed(0)} | ${appends.toFixed(1)}`
 }
 
--- a/benchmarks/tokenCost.ts
+++ b/benchmarks/tokenCost.ts
@@ -3,21 +3,13 @@
  * go through one host, and a line is fitted through the processor time per stream.
  * Run: npm run benchmark tokenCost
  */
-import { readFileSync } from 'node:fs'
-import { Deployment, type StartedProcess, tokenOf } from '../src/testing/index.js'
+import { processorMillisecondsOf } from './ProcessUse.js'
+import { Deployment, tokenOf } from '../src/testing/index.js'
 
 const lengths = [16, 64, 256, 512]
 const streamsPerLength = 96
 const lanes = 16
 
-/** Clock ticks per second of /proc; fixed on Linux. */
-const ticksPerSecond = 100
-
-function cpuSeconds ({ pid }: StartedProcess): number {
-  const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').replace(/^.*\) /, '').split(' ')
-  return (Number(fields[11]) + Number(fields[12])) / ticksPerSecond
-}
-
 async function stream (origin: string, tokens: number, number: number): Promise<void> {
   const response = await fetch(`${origin}/v1/completions`, {
     method: 'POST',
@@ -74,10 +66,10 @@
     say('| tokens per stream | processor time per stream, ms | tokens/s |')
     say('| --- | --- | --- |')
     for (const tokens of lengths) {
-      const before = cpuSeconds(host)
+      const before = processorMillisecondsOf(host.pid)
       const startedAt = performance.now()
       await runStreams(origin, tokens)
-      const milliseconds = (cpuSeconds(host) - before) * 1000 / streamsPerLength
+      const milliseconds = (processorMillisecondsOf(host.pid) - before) / streamsPerLength
       const rate = tokens * streamsPerLength / ((performance.now() - startedAt) / 1000)
       points.push([tokens, milliseconds])
       say(`| ${tokens} | ${milliseconds.toFixed(2)} | ${rate.toFixed(0)} |`)
