--- a/benchmarks/RelayHost.ts
+++ b/benchmarks/RelayHost.ts
@@ -7,7 +7,7 @@
 import { type HostHash, MembershipManager, RelayDirectory } from '../src/membership/index.js'
 import { EventLog, HybridClock, Timeline } from '../src/observability/index.js'
 import { type PeerIdentity, PeerPool, PeerRecordSource, PeerServer } from '../src/peers/index.js'
-import { HttpHostListClient, type ListedHost, type LogClient, type StreamName, streamNameSchema } from '../src/platform/index.js'
+import { HttpHostListClient, type ListedHost, type LogClient, type StreamName, streamNameSchema } from '../src/clients/index.js'
 import { hostSettingsSchema } from '../src/settings/index.js'
 import { type ApplyOutcome, FollowerGroup, LogSource, StreamFold } from '../src/streams/index.js'
 
--- a/benchmarks/streamFold.ts
+++ b/benchmarks/streamFold.ts
@@ -9,7 +9,7 @@
 import { LeaseFold, plannerLeaseOf, snapshotsLease } from '../src/leases/index.js'
 import { EventLog, HybridClock, Timeline } from '../src/observability/index.js'
 import { OrderFold } from '../src/orders/index.js'
-import type { LogRecord } from '../src/platform/index.js'
+import type { LogRecord } from '../src/clients/index.js'
 import { currentRecordVersion, type StreamFold, StreamReplica } from '../src/streams/index.js'
 
 const measuredRecords = 100_000
--- a/src/administration/administrationProcesses.test.ts
+++ b/src/administration/administrationProcesses.test.ts
@@ -7,7 +7,7 @@
 import { z } from 'zod'
 import { AdministrationClient, type WatchedChange } from '../commands/AdministrationClient.js'
 import { newRecordId } from '../common/index.js'
-import { HttpClient } from '../platform/index.js'
+import { HttpClient } from '../clients/index.js'
 import { Deployment, operatorTeam, tokenOf } from '../testing/index.js'
 
 const document = z.object({ version: z.number(), value: z.unknown() })
--- a/src/administration/reports.ts
+++ b/src/administration/reports.ts
@@ -7,7 +7,7 @@
   hostIdSchema, incarnationSchema, offsetSchema, ownerSchema, poolSchema, teamSchema, workerIdSchema, zoneSchema
 } from '../common/index.js'
 import { engineRoleSchema } from '../configuration/index.js'
-import { listedHostSchema } from '../platform/index.js'
+import { listedHostSchema } from '../clients/index.js'
 
 /** An entry host as another one sees it. */
 export const hostReportSchema = listedHostSchema.extend({
--- a/src/commands/AdministrationClient.ts
+++ b/src/commands/AdministrationClient.ts
@@ -8,7 +8,7 @@
 import { request } from 'undici'
 import { z } from 'zod'
 import { type Clock, errorAnswers, type Failure, failure, failureFromBody, failureOf, SystemClock } from '../common/index.js'
-import { type HttpCall, HttpClient } from '../platform/index.js'
+import { type HttpCall, HttpClient } from '../clients/index.js'
 
 /** Time for an answer, in milliseconds: an append and its way back through the log, with one retry of either. */
 const answerTimeoutMilliseconds = 15_000
--- a/src/configuration/DirectRecordWriter.ts
+++ b/src/configuration/DirectRecordWriter.ts
@@ -4,7 +4,7 @@
  */
 import { Result } from 'true-myth'
 import { type Clock, type Failure, failure, newRecordId, toOffset } from '../common/index.js'
-import type { StreamName } from '../platform/index.js'
+import type { StreamName } from '../clients/index.js'
 import {
   type ApplyOutcome, currentRecordVersion, type FoldRecord, type NewRecord, RecordWriter, type StreamFold, type SubmittedRecord
 } from '../streams/index.js'
--- a/src/forwarding/EngineAttempt.ts
+++ b/src/forwarding/EngineAttempt.ts
@@ -5,7 +5,7 @@
 import { createParser } from 'eventsource-parser'
 import type { Dispatcher } from 'undici'
 import { type Clock, errorAnswers, type Failure, failure, failureFromBody } from '../common/index.js'
-import { isNotSent } from '../platform/HttpClient.js'
+import { isNotSent } from '../clients/HttpClient.js'
 import type { Upstream } from '../upstreams/index.js'
 import { queryProgress } from './EngineConnection.js'
 import { type EngineCall, engineBodyOf, type EngineChunk, type EngineUsage, parseChunk, parseJson } from './engineProtocol.js'
--- a/src/forwarding/EngineConnection.ts
+++ b/src/forwarding/EngineConnection.ts
@@ -2,7 +2,7 @@
  * Short control calls to an engine. Each uses a connection of its own, since the ones in use may be silent.
  */
 import type { AttemptId, RequestId } from '../common/index.js'
-import { HttpClient } from '../platform/index.js'
+import { HttpClient } from '../clients/index.js'
 import { engineProgressSchema } from './engineProtocol.js'
 
 const answerTimeoutMilliseconds = 1000
--- a/src/forwarding/KvHandover.ts
+++ b/src/forwarding/KvHandover.ts
@@ -4,7 +4,7 @@
 import { Result } from 'true-myth'
 import { type Clock, type Failure, failure, type Model, type RequestId } from '../common/index.js'
 import type { EventLog } from '../observability/index.js'
-import { HttpClient } from '../platform/index.js'
+import { HttpClient } from '../clients/index.js'
 import type { RoutingPolicy } from '../routing/index.js'
 import type { Upstream, UpstreamManager } from '../upstreams/index.js'
 
--- a/src/host/ControlPart.ts
+++ b/src/host/ControlPart.ts
@@ -10,7 +10,7 @@
 import { LeaseManager, type LeaseName, leaseNameSchema } from '../leases/index.js'
 import { loadHostHash, MembershipManager, RelayDirectory } from '../membership/index.js'
 import { PeerCertificates, type PeerHandlers, PeerPool, PeerRecordSource, PeerServer, type PeerTarget } from '../peers/index.js'
-import type { ListedHost, StreamName } from '../platform/index.js'
+import type { ListedHost, StreamName } from '../clients/index.js'
 import {
   currentRecordVersion, FollowerGroup, LogSource, type NewRecord, RecordWriter, snapshotRecordOf, SnapshotWriter, type StreamFold,
   type SubmittedRecord
--- a/src/host/FleetPart.ts
+++ b/src/host/FleetPart.ts
@@ -17,7 +17,7 @@
   DemandCollector, DemandMeter, defaultPaybackOptions, type ModelDemand, PaybackRolePlanner, type RolePlanner, StaticRolePlanner,
   ThresholdRolePlanner
 } from '../roles/index.js'
-import { HttpClient } from '../platform/index.js'
+import { HttpClient } from '../clients/index.js'
 import type { HostSettings } from '../settings/index.js'
 import { loadReportSchema } from '../upstreams/index.js'
 import type { ControlPart } from './ControlPart.js'
--- a/src/host/HostContext.ts
+++ b/src/host/HostContext.ts
@@ -4,7 +4,7 @@
 import { Result } from 'true-myth'
 import { type Clock, type Failure, failureOf, type Incarnation, newIncarnation, SystemClock } from '../common/index.js'
 import { EventLog, HybridClock, Metrics, Timeline } from '../observability/index.js'
-import { HttpHostListClient, HttpLogClient } from '../platform/index.js'
+import { HttpHostListClient, HttpLogClient } from '../clients/index.js'
 import type { HostSettings } from '../settings/index.js'
 
 /** Shared parts of a host. */
--- a/src/host/UsageReader.ts
+++ b/src/host/UsageReader.ts
@@ -6,7 +6,7 @@
 import type { UsageStatement } from '../administration/index.js'
 import type { Clock, Failure, Owner, Team } from '../common/index.js'
 import type { EventLog } from '../observability/index.js'
-import type { LogClient } from '../platform/index.js'
+import type { LogClient } from '../clients/index.js'
 import { FollowerGroup, LogSource } from '../streams/index.js'
 import { UsageLedgerFold, type UsageTotal } from '../usage/index.js'
 
--- a/src/leases/testSupport.ts
+++ b/src/leases/testSupport.ts
@@ -4,7 +4,7 @@
  */
 import type { Result } from 'true-myth'
 import { type Clock, type Failure, type HostId, type Incarnation, type ManualClock, type Offset } from '../common/index.js'
-import { LogClient, type LogPage, type ReadOptions, type StreamName } from '../platform/index.js'
+import { LogClient, type LogPage, type ReadOptions, type StreamName } from '../clients/index.js'
 import type { FollowerGroup, StreamFold } from '../streams/index.js'
 import { silentEvents, type StreamFixture } from '../streams/testSupport.js'
 import { LeaseManager, type LeaseManagerOptions } from './LeaseManager.js'
--- a/src/membership/MembershipManager.ts
+++ b/src/membership/MembershipManager.ts
@@ -8,7 +8,7 @@
 import {
   type HeartbeatAnswer, type HeartbeatRequest, type IncomingCall, type PeerIdentity, peerIdentitySchema, type PeerPool
 } from '../peers/index.js'
-import type { HostListClient, ListedHost } from '../platform/index.js'
+import type { HostListClient, ListedHost } from '../clients/index.js'
 import type { HostSettings } from '../settings/index.js'
 import type { HostHash } from './hostHash.js'
 import type { MembershipChange, MembershipView, PeerState } from './MembershipView.js'
--- a/src/membership/MembershipView.ts
+++ b/src/membership/MembershipView.ts
@@ -2,7 +2,7 @@
  * What a host knows of the other hosts.
  */
 import type { HostId, Incarnation } from '../common/index.js'
-import type { ListedHost } from '../platform/index.js'
+import type { ListedHost } from '../clients/index.js'
 import type { RelayTree } from './RelayTree.js'
 
 /**
--- a/src/membership/PeerTable.ts
+++ b/src/membership/PeerTable.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, HostId, Incarnation } from '../common/index.js'
 import type { PeerIdentity } from '../peers/index.js'
-import type { HostList, ListedHost } from '../platform/index.js'
+import type { HostList, ListedHost } from '../clients/index.js'
 import type { MembershipChange, Peer, PeerState } from './MembershipView.js'
 
 /** Options of a `PeerTable`. */
--- a/src/membership/RelayDirectory.test.ts
+++ b/src/membership/RelayDirectory.test.ts
@@ -4,7 +4,7 @@
  */
 import { beforeAll, beforeEach, expect, test } from '@jest/globals'
 import { failure, FailureError, type HostId, ManualClock, type Offset, toOffset } from '../common/index.js'
-import type { ListedHost, StreamName } from '../platform/index.js'
+import type { ListedHost, StreamName } from '../clients/index.js'
 import { RecordSource, type SourceMessage } from '../streams/RecordSource.js'
 import { type HostHash, loadHostHash, type Peer, type PeerState, RelayDirectory, RelayTree } from './index.js'
 import { listedHost } from './membershipTestSupport.js'
--- a/src/membership/RelayDirectory.ts
+++ b/src/membership/RelayDirectory.ts
@@ -15,7 +15,7 @@
  */
 import type { Clock, HostId } from '../common/index.js'
 import type { PeerTarget } from '../peers/index.js'
-import type { ListedHost } from '../platform/index.js'
+import type { ListedHost } from '../clients/index.js'
 import { type RecordSource, SourceDirectory } from '../streams/RecordSource.js'
 import type { MembershipView } from './MembershipView.js'
 import { type LeaveReason, WatchedSource } from './WatchedSource.js'
--- a/src/membership/RelayOutage.test.ts
+++ b/src/membership/RelayOutage.test.ts
@@ -4,7 +4,7 @@
  */
 import { afterEach, beforeAll, expect, test } from '@jest/globals'
 import { failure, FailureError, type HostId } from '../common/index.js'
-import { InMemoryLogClient } from '../platform/index.js'
+import { InMemoryLogClient } from '../clients/index.js'
 import { type FollowerGroup, LogSource, RecordSource } from '../streams/index.js'
 import { addText, advanceUntil, ChainFold, StreamFixture } from '../streams/testSupport.js'
 import { type HostHash, loadHostHash, RelayDirectory, RelayTree } from './index.js'
--- a/src/membership/WatchedSource.ts
+++ b/src/membership/WatchedSource.ts
@@ -4,7 +4,7 @@
  * during an outage of the log, at one that gets nothing new while others have newer state.
  */
 import { type Clock, failure, FailureError, type Offset } from '../common/index.js'
-import type { StreamName } from '../platform/index.js'
+import type { StreamName } from '../clients/index.js'
 import { RecordSource, type SourceMessage } from '../streams/RecordSource.js'
 
 /** Why a follower left a source. */
--- a/src/membership/membershipTestSupport.ts
+++ b/src/membership/membershipTestSupport.ts
@@ -4,7 +4,7 @@
 import { Result } from 'true-myth'
 import { type Failure, failure, type HostId, type Incarnation, type Region, type Zone } from '../common/index.js'
 import type { HeartbeatAnswer, PeerCallOptions, PeerIdentity, PeerPool, PeerTarget } from '../peers/index.js'
-import { type HostList, HostListClient, type ListedHost } from '../platform/index.js'
+import { type HostList, HostListClient, type ListedHost } from '../clients/index.js'
 
 /** Makes an entry of the list. The digit tells incarnations apart. */
 export function listedHost (hostId: string, zone = 'z', digit = '1', region = 'r'): ListedHost {
--- a/src/orders/EngineOrderClient.ts
+++ b/src/orders/EngineOrderClient.ts
@@ -4,7 +4,7 @@
 import { Result } from 'true-myth'
 import { z } from 'zod'
 import { failure, type Failure, failureFromBody, type FencingNumber, type Incarnation, type WorkerId } from '../common/index.js'
-import { type HttpAnswer, HttpClient } from '../platform/index.js'
+import { type HttpAnswer, HttpClient } from '../clients/index.js'
 import { type EngineOrder, type EngineState, engineStateSchema } from './orderRecords.js'
 
 /** An engine to which orders are sent. */
--- a/src/peers/PeerPool.ts
+++ b/src/peers/PeerPool.ts
@@ -9,7 +9,7 @@
 import { Result } from 'true-myth'
 import { type Failure, failure, FailureError, type HostId, type Offset } from '../common/index.js'
 import { type EventLog, formatTimestamp, type HybridClock, hybridTimeHeader, parseTimestamp } from '../observability/index.js'
-import type { StreamName } from '../platform/index.js'
+import type { StreamName } from '../clients/index.js'
 import * as messages from './generated/peer.js'
 import { CertificateFeed, type PeerCertificates } from './PeerCertificates.js'
 import { PeerChannel } from './PeerChannel.js'
--- a/src/peers/PeerRecordSource.test.ts
+++ b/src/peers/PeerRecordSource.test.ts
@@ -5,7 +5,7 @@
 import { afterEach, expect, test } from '@jest/globals'
 import { Result } from 'true-myth'
 import { failure, FailureError, type Offset, toOffset } from '../common/index.js'
-import type { StreamName } from '../platform/index.js'
+import type { StreamName } from '../clients/index.js'
 import { RecordSource, type SourceMessage } from '../streams/RecordSource.js'
 import { PeerRecordSource } from './index.js'
 import { Cleanup, GrowingSource, identityOf, makePool, startServer, TcpForwarder } from './peerTestSupport.js'
--- a/src/peers/PeerRecordSource.ts
+++ b/src/peers/PeerRecordSource.ts
@@ -2,7 +2,7 @@
  * Another host as the source of a log stream's records: the `Follow` call of the relay tree.
  */
 import type { Offset } from '../common/index.js'
-import type { StreamName } from '../platform/index.js'
+import type { StreamName } from '../clients/index.js'
 import { RecordSource, type SourceMessage } from '../streams/RecordSource.js'
 import { decodeSourceMessage } from './followMessages.js'
 import type { PeerPool } from './PeerPool.js'
--- a/src/standins/HostListStandIn.ts
+++ b/src/standins/HostListStandIn.ts
@@ -4,7 +4,7 @@
  */
 import { z } from 'zod'
 import { errorResponseOf } from '../common/index.js'
-import { type HostList, type ListedHost, listedHostSchema } from '../platform/index.js'
+import { type HostList, type ListedHost, listedHostSchema } from '../clients/index.js'
 import { listenAddressSchema } from '../settings/index.js'
 import { LaggedValue } from './LaggedValue.js'
 import { readJson, StandIn, type StandInContext, type StandInOptions } from './StandIn.js'
--- a/src/standins/platformStandIns.test.ts
+++ b/src/standins/platformStandIns.test.ts
@@ -4,7 +4,7 @@
  */
 import { afterEach, describe, expect, test } from '@jest/globals'
 import { ManualClock, toOffset } from '../common/index.js'
-import { HttpHostListClient, HttpLogClient, type ListedHost } from '../platform/index.js'
+import { HttpHostListClient, HttpLogClient, type ListedHost } from '../clients/index.js'
 import { HostListStandIn } from './HostListStandIn.js'
 import { LogStandIn } from './LogStandIn.js'
 import type { FaultInput } from './Fault.js'
--- a/src/streams/FollowerGroup.test.ts
+++ b/src/streams/FollowerGroup.test.ts
@@ -4,7 +4,7 @@
  */
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
 import { failure, FailureError, type Offset, toOffset } from '../common/index.js'
-import type { StreamName } from '../platform/index.js'
+import type { StreamName } from '../clients/index.js'
 import { FollowerGroup } from './FollowerGroup.js'
 import { LogSource } from './LogSource.js'
 import { FixedSourceDirectory, RecordSource, type SourceMessage } from './RecordSource.js'
--- a/src/streams/FollowerGroup.ts
+++ b/src/streams/FollowerGroup.ts
@@ -5,7 +5,7 @@
 import type { Result } from 'true-myth'
 import { type Clock, failure, type Failure, FailureError, type Offset, toOffset } from '../common/index.js'
 import type { EventLog, Metrics } from '../observability/index.js'
-import type { LogClient, StreamName } from '../platform/index.js'
+import type { LogClient, StreamName } from '../clients/index.js'
 import { RecordSource, type SourceDirectory, type SourceMessage } from './RecordSource.js'
 import { RecordSubmitter } from './RecordSubmitter.js'
 import type { NewRecord, RecordWriter, SubmittedRecord } from './RecordWriter.js'
--- a/src/streams/LogSource.ts
+++ b/src/streams/LogSource.ts
@@ -2,7 +2,7 @@
  * The platform's log as a source of records, read by long poll.
  */
 import { Backoff, type Clock, failure, FailureError, type Offset, toOffset } from '../common/index.js'
-import type { LogClient, StreamName } from '../platform/index.js'
+import type { LogClient, StreamName } from '../clients/index.js'
 import { RecordSource, type SourceMessage } from './RecordSource.js'
 
 /** Name of the log as a source. */
--- a/src/streams/RecordSource.ts
+++ b/src/streams/RecordSource.ts
@@ -1,7 +1,7 @@
 /**
  * Where a follower of a log stream gets its records: the log itself, or another host that relays them.
  */
-import type { LogRecord, StreamName } from '../platform/index.js'
+import type { LogRecord, StreamName } from '../clients/index.js'
 import type { Offset } from '../common/index.js'
 
 /** What a source sends to a follower. */
--- a/src/streams/RecordSubmitter.ts
+++ b/src/streams/RecordSubmitter.ts
@@ -4,7 +4,7 @@
  */
 import { Result } from 'true-myth'
 import { ChangeNotifier, type Clock, failure, type Failure, newRecordId, type Offset } from '../common/index.js'
-import type { LogClient, StreamName } from '../platform/index.js'
+import type { LogClient, StreamName } from '../clients/index.js'
 import type { NewRecord, SubmittedRecord } from './RecordWriter.js'
 import { type ApplyOutcome, currentRecordVersion } from './StreamFold.js'
 import type { StreamReplica } from './StreamReplica.js'
--- a/src/streams/RecordWriter.ts
+++ b/src/streams/RecordWriter.ts
@@ -3,7 +3,7 @@
  */
 import type { Result } from 'true-myth'
 import type { Failure, Offset } from '../common/index.js'
-import type { StreamName } from '../platform/index.js'
+import type { StreamName } from '../clients/index.js'
 import type { ApplyOutcome, RecordHead } from './StreamFold.js'
 
 /** A record as its writer gives it; the writer class adds `version`, and `id` where it is absent. */
--- a/src/streams/RelayBuffer.ts
+++ b/src/streams/RelayBuffer.ts
@@ -3,7 +3,7 @@
  * snapshot. Offsets are contiguous; the oldest records are dropped when a limit is reached.
  */
 import { type Offset, toOffset } from '../common/index.js'
-import type { LogRecord } from '../platform/index.js'
+import type { LogRecord } from '../clients/index.js'
 
 /** Limits of a `RelayBuffer`. */
 export interface RelayBufferOptions {
--- a/src/streams/SnapshotWriter.ts
+++ b/src/streams/SnapshotWriter.ts
@@ -4,7 +4,7 @@
  */
 import { type Clock, failureOf, type FencingNumber, type Offset, Task } from '../common/index.js'
 import type { EventLog } from '../observability/index.js'
-import type { LogClient } from '../platform/index.js'
+import type { LogClient } from '../clients/index.js'
 import type { FollowerGroup } from './FollowerGroup.js'
 import type { StreamState } from './parseRecord.js'
 import type { NewRecord } from './RecordWriter.js'
--- a/src/streams/SourceConnection.ts
+++ b/src/streams/SourceConnection.ts
@@ -3,7 +3,7 @@
  * as failed, since a connection can go silent for good while new ones work.
  */
 import { type Clock, failure, FailureError, failureOf, type Offset } from '../common/index.js'
-import type { StreamName } from '../platform/index.js'
+import type { StreamName } from '../clients/index.js'
 import type { RecordSource, SourceMessage } from './RecordSource.js'
 
 /** What a subscription needs. */
--- a/src/streams/StreamFold.ts
+++ b/src/streams/StreamFold.ts
@@ -4,7 +4,7 @@
  */
 import type { Result } from 'true-myth'
 import type { Failure, Offset } from '../common/index.js'
-import type { StreamName } from '../platform/index.js'
+import type { StreamName } from '../clients/index.js'
 
 /** Version of the record format that this program writes and the newest that it understands. */
 export const currentRecordVersion = 1
--- a/src/streams/StreamFollower.ts
+++ b/src/streams/StreamFollower.ts
@@ -5,7 +5,7 @@
  */
 import { Backoff, ChangeNotifier, type Clock, failureOf, type Offset, Task } from '../common/index.js'
 import type { EventLog } from '../observability/index.js'
-import type { StreamName } from '../platform/index.js'
+import type { StreamName } from '../clients/index.js'
 import { logSourceName } from './LogSource.js'
 import type { RecordSource, SourceDirectory, SourceMessage } from './RecordSource.js'
 import type { RelayBufferOptions } from './RelayBuffer.js'
--- a/src/streams/StreamReplica.test.ts
+++ b/src/streams/StreamReplica.test.ts
@@ -5,7 +5,7 @@
 import { describe, expect, test } from '@jest/globals'
 import fc from 'fast-check'
 import { ManualClock, toOffset } from '../common/index.js'
-import { InMemoryLogClient, type LogPage } from '../platform/index.js'
+import { InMemoryLogClient, type LogPage } from '../clients/index.js'
 import { maxRecentIds } from './RecentIds.js'
 import { StreamReplica } from './StreamReplica.js'
 import { addText, ChainFold, recordText, silentEvents } from './testSupport.js'
--- a/src/testing/Deployment.ts
+++ b/src/testing/Deployment.ts
@@ -3,7 +3,7 @@
  * by tests of whole processes, the demo and benchmarks.
  */
 import { tokenHashOf } from '../configuration/index.js'
-import { HttpLogClient } from '../platform/index.js'
+import { HttpLogClient } from '../clients/index.js'
 import { currentRecordVersion } from '../streams/index.js'
 import { ProcessGroup, type ProcessGroupOptions } from './ProcessGroup.js'
 import type { StartedProcess } from './StartedProcess.js'
--- a/src/testing/ProcessGroup.test.ts
+++ b/src/testing/ProcessGroup.test.ts
@@ -4,7 +4,7 @@
  */
 import { afterEach, describe, expect, test } from '@jest/globals'
 import { toOffset } from '../common/index.js'
-import { HttpLogClient } from '../platform/index.js'
+import { HttpLogClient } from '../clients/index.js'
 import { ProcessGroup, settingsTextOf } from './ProcessGroup.js'
 
 const group = new ProcessGroup()
--- a/src/upstreams/pollLoad.ts
+++ b/src/upstreams/pollLoad.ts
@@ -2,7 +2,7 @@
  * The task of one upstream: polls its load and feeds the answers and their absence to load and health.
  */
 import type { Clock } from '../common/index.js'
-import { HttpClient } from '../platform/index.js'
+import { HttpClient } from '../clients/index.js'
 import { loadReportSchema } from './LoadReport.js'
 import type { Upstream } from './Upstream.js'
 
--- a/src/usage/UsageAppender.ts
+++ b/src/usage/UsageAppender.ts
@@ -6,7 +6,7 @@
 import { Result } from 'true-myth'
 import { type Clock, type Failure, failure, newRecordId, Task } from '../common/index.js'
 import type { EventLog } from '../observability/index.js'
-import type { LogClient } from '../platform/index.js'
+import type { LogClient } from '../clients/index.js'
 import { currentRecordVersion } from '../streams/index.js'
 import type { UsageBatch } from './UsageRecord.js'
 
