Take a reset within an answer without a length for an error

A test of the adapter found two more: a body over the limit destroyed the caller's connection before its 413, and reading the socket of an answered message threw. Ruled out: closing on FIN (that is how such an answer ends); refusing answers without a length (workers send them). Change: connectUpstream gives resets another code before the library looks; the body iterator leaves the message alone; tests of the request path over stand-ins of store and workers.

--- a/src/fleet/RoleDuty.ts
+++ b/src/fleet/RoleDuty.ts
@@ -14,7 +14,11 @@
 /** Carries out changes of roles. */
 export interface RoleChanger {
   /** Changes the role of an engine; resolves when the change has ended. */
-  changeRole: (worker: WorkerId, role: EngineRole, options: { drainLimitMilliseconds: number }) => Promise<Result<{ result: string }, Failure>>
+  changeRole: (
+    worker: WorkerId,
+    role: EngineRole,
+    options: { drainLimitMilliseconds: number }
+  ) => Promise<Result<{ result: string }, Failure>>
 }
 
 /** Options of a `RoleDuty`. Times are in milliseconds. */
--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -1,6 +1,6 @@
 /**
- * Computes the prompt of a call on a prefill worker before another worker generates the answer. A failed computation costs nothing but time: the worker that generates
- * the answer computes the prompt itself.
+ * Computes the prompt of a call on a prefill worker before another worker generates the answer. A failed computation
+ * costs nothing but time: the worker that generates the answer computes the prompt itself.
  */
 import type { Dispatcher } from 'undici'
 import { abortAfter, type Clock } from '../common/index.js'
--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -12,7 +12,7 @@
 import type { EventLog } from '../observability/index.js'
 import { isNotSent } from '../clients/HttpClient.js'
 import type { RoutingPolicy, RoutingRequest } from '../routing/index.js'
-import { connectTimeoutMilliseconds, type Upstream, type UpstreamManager, type UpstreamWork } from '../upstreams/index.js'
+import { connectTimeoutMilliseconds, connectUpstream, type Upstream, type UpstreamManager, type UpstreamWork } from '../upstreams/index.js'
 import type { AnswerHead, CallProtocol, KvSource } from './CallProtocol.js'
 import { EventSplitter } from './EventSplitter.js'
 import type { PromptComputation } from './PromptComputation.js'
@@ -228,7 +228,7 @@
     const { request } = this
     const remainingMilliseconds = Math.max(1, Math.ceil(request.deadline - clock.monotonic()))
     const fresh = protocol.usesFreshConnection(request)
-      ? new Client(upstream.origin, { connectTimeout: connectTimeoutMilliseconds, headersTimeout: 0, bodyTimeout: 0 })
+      ? new Client(upstream.origin, { connect: connectUpstream(connectTimeoutMilliseconds), headersTimeout: 0, bodyTimeout: 0 })
       : undefined
     const close = (): void => { fresh?.destroy().catch(() => {}) }
     const patience = this.patience()
--- a/src/platform/CallerListener.ts
+++ b/src/platform/CallerListener.ts
@@ -45,6 +45,18 @@
 /** Fractions of a hash that choose among the services of a route. */
 const hashRange = 2 ** 32
 
+/** How a request ended. */
+interface RequestEnd {
+  /** Its status, `broken` or `left`. */
+  outcome: string
+  result: Result<ServiceAnswer, Failure>
+  /** Monotonic time in milliseconds. */
+  startedAt: number
+  firstByteMilliseconds: number
+  /** True if the caller left before the end. */
+  left: boolean
+}
+
 /** Accepts callers and passes their requests on. */
 export class CallerListener {
   private readonly server: Server
@@ -99,6 +111,13 @@
     })
   }
 
+  /** Closes the listener and all connections at once. */
+  async closeAll (): Promise<void> {
+    const closed = this.close()
+    this.server.closeAllConnections()
+    await closed
+  }
+
   private async handle (message: IncomingMessage, response: ServerResponse): Promise<void> {
     const { clock, metrics } = this.options
     const startedAt = clock.monotonic()
@@ -167,7 +186,8 @@
       reason: failed.message
     })
     // What is left of the body cannot be told from a next request.
-    if (!message.complete) response.once('finish', () => message.socket.destroySoon())
+    const { socket } = message
+    if (!message.complete) response.once('finish', () => socket.destroySoon())
   }
 
   /** Answers a failure. Returns its status. */
@@ -194,7 +214,7 @@
   private note (
     { route, call: { requestId, pool, prompt } }: DecodedRequest,
     call: ServiceCall,
-    end: { outcome: string, result: Result<ServiceAnswer, Failure>, startedAt: number, firstByteMilliseconds: number, left: boolean }
+    end: RequestEnd
   ): void {
     const failed = end.result.isErr ? end.result.error : undefined
     this.options.events.info('request_ended', {
@@ -225,7 +245,7 @@
   const parts: Buffer[] = []
   let size = 0
   try {
-    for await (const part of message as AsyncIterable<Buffer>) {
+    for await (const part of message.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
       size += part.length
       if (size > limit) return Result.err(failure('body_too_large', `the body is larger than ${limit} bytes`))
       parts.push(part)
--- a/src/platform/PlatformDirectory.ts
+++ b/src/platform/PlatformDirectory.ts
@@ -65,7 +65,8 @@
     replace: records => {
       this.hasWorkers = true
       const present = new Set(records.map(({ key }) => key))
-      this.takeWorkers([...records, ...[...this.workers.keys()].filter(id => !present.has(id)).map(key => ({ key, value: undefined }))])
+      const missing = [...this.workers.keys()].filter(id => !present.has(id))
+      this.takeWorkers([...records, ...missing.map(key => ({ key, value: undefined }))])
     },
     apply: records => this.takeWorkers(records)
   }
--- /dev/null
+++ b/src/platform/PlatformHost.test.ts
@@ -0,0 +1,327 @@
+/**
+ * Guards the promises of the request path on the platform: answers that reach another request or look whole although
+ * they broke off, requests that run twice or are called "not run" after they ran, header fields that callers forge,
+ * workers that go on for callers who left, and stops that cut answers.
+ */
+import { afterEach, describe, expect, test } from '@jest/globals'
+import { ManualClock } from '../common/index.js'
+import type { FakeWorker, ReceivedRequest } from './testing/FakeWorker.js'
+import { configurationDocument, type PlatformTest, RawCaller, requestHeaders, startPlatform, until } from './testing/platformTestSupport.js'
+
+let platform: PlatformTest | undefined
+
+afterEach(async () => {
+  await platform?.stop()
+  platform = undefined
+})
+
+async function start (options: Parameters<typeof startPlatform>[0] = {}): Promise<PlatformTest> {
+  platform = await startPlatform(options)
+  return platform
+}
+
+async function caller (): Promise<RawCaller> {
+  return await RawCaller.connect(platform!.host.addresses.callers)
+}
+
+function runs (workers: FakeWorker[]): number {
+  return workers.reduce((sum, { requests }) => sum + requests.length, 0)
+}
+
+describe('a request', () => {
+  test('reaches a worker unchanged, without what only the system may set', async () => {
+    const { app } = await start({ appWorkers: 1 })
+    const client = await caller()
+    client.send('POST', '/votes/a%2Fb?x=1&y=%20', requestHeaders('r1', {
+      'x-note': 'kept',
+      connection: 'keep-alive, x-hop',
+      'x-hop': 'dropped',
+      'dogwooddale-expect-instance': 'forged',
+      'dogwooddale-kv-from': '1.2.3.4:5/abc',
+      'dogwooddale-kv-hold': 'forged',
+      'dogwooddale-pin-ms': '4000',
+      'dogwooddale-kv-backup': 'forged',
+      'dogwooddale-stage': 'prefill',
+      'kv-fetch': '1.2.3.4:5'
+    }), 'yes')
+    expect(await client.answer()).toMatchObject({ status: 200, body: 'app-0', headers: { 'dogwooddale-server-stamp': 'signed-by-app-0' } })
+    const [request] = app[0]!.requests
+    expect(request).toMatchObject({ method: 'POST', path: '/votes/a%2Fb?x=1&y=%20', body: 'yes' })
+    expect(request!.headers).toMatchObject({ host: 'forum.example', 'x-note': 'kept', 'dogwooddale-expect-instance': 'app-0' })
+    expect(Number(request!.headers['dogwooddale-deadline-ms'])).toBeLessThanOrEqual(4000)
+    for (const name of ['x-hop', 'dogwooddale-kv-from', 'dogwooddale-kv-hold', 'dogwooddale-pin-ms', 'dogwooddale-kv-backup', 'dogwooddale-stage', 'kv-fetch']) {
+      expect(request!.headers[name]).toBeUndefined()
+    }
+  })
+
+  test.each([
+    ['no route', 'GET', '/none/', requestHeaders('r1'), undefined, 404],
+    ['no id', 'GET', '/reads/1', {}, undefined, 400],
+    ['a body over the limit', 'POST', '/votes/1', requestHeaders('r1'), 'x'.repeat(10_001), 413],
+    ['a header over the limit', 'GET', '/reads/1', requestHeaders('r1', { 'x-long': 'x'.repeat(5000) }), undefined, 431]
+  ] as Array<[string, string, string, Record<string, string>, string | undefined, number]>)(
+    'with %s gets a clear answer and runs nowhere', async (_name, method, path, headers, body, status) => {
+      const { app, models } = await start()
+      const client = await caller()
+      client.send(method, path, headers, body)
+      expect((await client.answer()).status).toBe(status)
+      expect(runs([...app, ...models])).toBe(0)
+    })
+
+  test('in chunks arrives whole', async () => {
+    const { app } = await start({ appWorkers: 1 })
+    const client = await caller()
+    client.socket.write('POST /votes/1 HTTP/1.1\r\nhost: forum.example\r\ndogwooddale-request-id: r1\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n')
+    client.socket.write('2\r\nde\r\n0\r\n\r\n')
+    expect((await client.answer()).status).toBe(200)
+    expect(app[0]!.requests[0]!.body).toBe('abcde')
+  })
+
+  test('behind another on the same connection gets its own answer', async () => {
+    const { app } = await start({ appWorkers: 1 })
+    app[0]!.answer = request => { request.socket.write(app[0]!.answerTo(request, request.path)) }
+    const client = await caller()
+    client.send('GET', '/reads/1', requestHeaders('r1'))
+    client.send('GET', '/reads/2', requestHeaders('r2'))
+    expect((await client.answer()).body).toBe('/reads/1')
+    expect((await client.answer()).body).toBe('/reads/2')
+  })
+
+  test('before the first configuration is not run, and not unknown', async () => {
+    const { host } = await start({ configuration: null })
+    expect(host.isReady).toBe(false)
+    const client = await caller()
+    client.send('GET', '/reads/1', requestHeaders('r1'))
+    expect(await client.answer()).toMatchObject({ status: 503, headers: { 'retry-after': expect.any(String) } })
+  })
+})
+
+describe('an answer', () => {
+  const spoiled: Array<[string, (worker: FakeWorker, request: ReceivedRequest) => void]> = [
+    ['of another request', (worker, request) => {
+      request.socket.write(worker.answerTo(request, 'stale', { headers: { 'dogwooddale-request-id': 'another' } }))
+    }],
+    ['without a signature', (worker, request) => {
+      request.socket.write(worker.answerTo(request, 'unsigned', { headers: { 'dogwooddale-server-stamp': undefined } }))
+    }],
+    ['with an encoding that nobody asked for', (worker, request) => {
+      request.socket.write(worker.answerTo(request, 'coded', { headers: { 'content-encoding': 'br' } }))
+    }],
+    ['that ends early', (worker, request) => {
+      request.socket.end(worker.answerTo(request, 'short', { headers: { 'content-length': '50' } }))
+    }],
+    ['that is no HTTP', (_worker, request) => { request.socket.end('garbage\r\n\r\n') }]
+  ]
+
+  test.each(spoiled)('%s never reaches a caller whose request may run once', async (_name, spoil) => {
+    const { app } = await start({ appWorkers: 2 })
+    for (const worker of app) worker.answer = request => spoil(worker, request)
+    const client = await caller()
+    client.send('POST', '/votes/1', requestHeaders('r1'), 'yes')
+    expect((await client.answer()).status).toBe(502)
+    expect(runs(app)).toBe(1)
+  })
+
+  test.each(spoiled)('%s is replaced for a request that may be repeated', async (_name, spoil) => {
+    const { app } = await start({ appWorkers: 2 })
+    let first = true
+    for (const worker of app) {
+      worker.answer = request => {
+        if (first) spoil(worker, request)
+        else request.socket.write(worker.answerTo(request, 'fine'))
+        first = false
+      }
+    }
+    const client = await caller()
+    client.send('GET', '/reads/1', requestHeaders('r1'))
+    expect(await client.answer()).toMatchObject({ status: 200, body: 'fine' })
+    expect(runs(app)).toBe(2)
+  })
+
+  test('that comes a second time on a kept connection is not taken for the next one', async () => {
+    const { app } = await start({ appWorkers: 1 })
+    const worker = app[0]!
+    worker.answer = request => {
+      if (worker.requests.length === 1) request.socket.write(worker.answerTo(request, 'first') + worker.answerTo(request, 'twice'))
+      else request.socket.write(worker.answerTo(request, 'second'))
+    }
+    const client = await caller()
+    client.send('GET', '/reads/1', requestHeaders('r1'))
+    expect((await client.answer()).body).toBe('first')
+    client.send('GET', '/reads/2', requestHeaders('r2'))
+    expect((await client.answer()).body).toBe('second')
+    expect(worker.connections).toBe(2)
+  })
+
+  test('with a failure of the worker is passed on unchanged when no other may run the request', async () => {
+    const { app } = await start()
+    for (const worker of app) worker.answer = request => { request.socket.write(worker.answerTo(request, 'broken', { status: 500 })) }
+    const client = await caller()
+    client.send('POST', '/votes/1', requestHeaders('r1'), 'yes')
+    expect(await client.answer()).toMatchObject({ status: 500, body: 'broken', headers: { 'dogwooddale-server-stamp': expect.any(String) } })
+    expect(runs(app)).toBe(1)
+  })
+})
+
+describe('a refusal of a worker', () => {
+  const refusals: Array<[string, { status: number, headers: Record<string, string | undefined> }]> = [
+    ['503 with the mark', { status: 503, headers: { 'dogwooddale-not-run': '1', 'dogwooddale-server-stamp': undefined } }],
+    ['421', { status: 421, headers: { 'dogwooddale-server-stamp': undefined } }]
+  ]
+
+  test.each(refusals)('%s sends a vote to another worker', async (_name, refusal) => {
+    const { app } = await start()
+    let refused = false
+    for (const worker of app) {
+      worker.answer = request => {
+        request.socket.write(refused ? worker.answerTo(request, 'done') : worker.answerTo(request, '', refusal))
+        refused = true
+      }
+    }
+    const client = await caller()
+    client.send('POST', '/votes/1', requestHeaders('r1'), 'yes')
+    expect(await client.answer()).toMatchObject({ status: 200, body: 'done' })
+  })
+
+  test.each(refusals)('%s of all workers is answered as not run, with the time to come back', async (_name, refusal) => {
+    const { app } = await start()
+    for (const worker of app) worker.answer = request => { request.socket.write(worker.answerTo(request, '', refusal)) }
+    const client = await caller()
+    client.send('POST', '/votes/1', requestHeaders('r1'), 'yes')
+    expect(await client.answer()).toMatchObject({ status: 503, headers: { 'retry-after': expect.any(String) } })
+  })
+
+  test('after a run elsewhere does not make the request "not run"', async () => {
+    const { app } = await start()
+    let count = 0
+    for (const worker of app) {
+      worker.answer = request => {
+        count += 1
+        if (count === 1) request.socket.destroy()
+        else request.socket.write(worker.answerTo(request, '', refusals[0]![1]))
+      }
+    }
+    const client = await caller()
+    client.send('GET', '/reads/1', requestHeaders('r1'))
+    expect((await client.answer()).status).toBe(502)
+  })
+})
+
+describe('a stream', () => {
+  const head = (request: ReceivedRequest, worker: FakeWorker): string =>
+    `HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\ndogwooddale-request-id: ${request.headers['dogwooddale-request-id']}\r\ndogwooddale-server-stamp: ${worker.id}\r\n\r\n`
+  const chunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`
+  const event = (id: number): string => `id: ${id}\ndata: piece-${id}\n\n`
+
+  test('that breaks inside an event goes on at another worker behind the last whole event', async () => {
+    const { models } = await start()
+    const resumedAfter: Array<string | undefined> = []
+    for (const worker of models) {
+      worker.answer = request => {
+        resumedAfter.push(request.headers['last-event-id'])
+        if (resumedAfter.length === 1) request.socket.write(head(request, worker) + chunk(event(1)) + chunk(event(2) + 'id: 3\nda'), () => request.socket.destroy())
+        else request.socket.write(head(request, worker) + chunk(event(3)) + chunk(event(4)) + '0\r\n\r\n')
+      }
+    }
+    const client = await caller()
+    client.send('POST', '/answers/1', requestHeaders('r1'), 'why')
+    await until(() => client.received.endsWith('0\r\n\r\n'))
+    expect(client.received.match(/data: piece-\d/g)).toEqual([1, 2, 3, 4].map(id => `data: piece-${id}`))
+    expect(resumedAfter).toEqual([undefined, '2'])
+  })
+
+  test('that breaks and may not be resumed never looks complete', async () => {
+    const { models } = await start()
+    for (const worker of models) {
+      worker.answer = request => { request.socket.write(head(request, worker) + chunk(event(1)), () => request.socket.destroy()) }
+    }
+    const client = await caller()
+    client.send('POST', '/tags/1', requestHeaders('r1'), 'post')
+    await until(() => client.closed)
+    expect(client.received).toContain('piece-1')
+    expect(client.received.endsWith('0\r\n\r\n')).toBe(false)
+    expect(runs(models)).toBe(1)
+  })
+
+  test.each(['/tags/1', '/answers/1'])('%s of a caller that leaves ends at its worker', async path => {
+    const { models } = await start({ modelWorkers: 1 })
+    let workerClosed = false
+    models[0]!.answer = request => {
+      request.socket.on('close', () => { workerClosed = true })
+      request.socket.write(head(request, models[0]!) + chunk(event(1)))
+    }
+    const client = await caller()
+    client.send('POST', path, requestHeaders('r1'), 'post')
+    await until(() => client.received.includes('piece-1'))
+    client.socket.destroy()
+    await until(() => workerClosed)
+  })
+})
+
+describe('configuration and workers', () => {
+  test('an older version never comes back', async () => {
+    const { store } = await start({ configuration: configurationDocument(5) })
+    const added = { name: 'new', host: 'forum.example', 'path-prefix': '/new/', kind: 'safe', 'timeout-ms': 1000, service: 'app' }
+    store.write('keyed.op', 'config', configurationDocument(9, { routes: [added] }))
+    const client = await caller()
+    const statusOf = async (id: string): Promise<number> => {
+      client.send('GET', '/new/1', requestHeaders(id))
+      return (await client.answer()).status
+    }
+    let tries = 0
+    while (await statusOf(`try-${tries}`) !== 200) tries += 1
+    store.write('keyed.op', 'config', configurationDocument(7))
+    store.write('keyed.op', 'config', '{"version":12')
+    store.forget('keyed.op')
+    // Written last, so that its effect shows that all records before it were read.
+    store.write('keyed.servers', 'late', 'no entry')
+    for (let index = 0; index < 20; index += 1) expect(await statusOf(`after-${index}`)).toBe(200)
+  })
+
+  test('a worker that is leaving gets nothing more, and strange entries harm no other', async () => {
+    const { store, app } = await start()
+    store.write('keyed.servers', 'strange-1', '\u0000\u0001')
+    store.write('keyed.servers', 'strange-2', { service: 'app', address: 7, state: 'ready' })
+    store.write('keyed.servers', 'strange-3', { ...app[0]!.entry('app'), state: 'resting' })
+    store.write('keyed.servers', 'app-0', app[0]!.entry('app', { state: 'draining', sequence: 2 }))
+    // A delayed report from before the worker began to leave.
+    store.write('keyed.servers', 'app-0', app[0]!.entry('app', { sequence: 1 }))
+    const client = await caller()
+    let served = ''
+    for (let index = 0; served !== 'app-1' || index < 20; index += 1) {
+      client.send('GET', '/reads/1', requestHeaders(`r${index}`))
+      served = (await client.answer()).body
+    }
+    const before = app[0]!.requests.length
+    for (let index = 0; index < 20; index += 1) {
+      client.send('GET', '/reads/1', requestHeaders(`s${index}`))
+      await client.answer()
+    }
+    expect(app[0]!.requests.length).toBe(before)
+  })
+})
+
+describe('a stop', () => {
+  test('keeps the listener open while the balancer still sends, then ends when the last answer has ended', async () => {
+    const clock = new ManualClock()
+    const { host, app } = await start({ clock, appWorkers: 1 })
+    const open: ReceivedRequest[] = []
+    app[0]!.answer = request => {
+      if (request.path === '/reads/slow') open.push(request)
+      else request.socket.write(app[0]!.answerTo(request, 'fine'))
+    }
+    const slow = await caller()
+    slow.send('GET', '/reads/slow', requestHeaders('slow'))
+    await until(() => open.length === 1)
+    const stopped = host.stop()
+    expect(host.isReady).toBe(false)
+    await clock.advance(2000)
+    const late = await caller()
+    late.send('GET', '/reads/1', requestHeaders('late'))
+    expect(await late.answer()).toMatchObject({ status: 200, headers: { connection: 'close' } })
+    await clock.advance(1500)
+    open[0]!.socket.write(app[0]!.answerTo(open[0]!, 'slow but whole'))
+    expect(await slow.answer()).toMatchObject({ status: 200, body: 'slow but whole' })
+    expect(await stopped).toBe(true)
+  })
+})
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -3,7 +3,7 @@
  * the balancer when it is ready, and stops without cutting an answer.
  */
 import { Hono } from 'hono'
-import { type Hash, loadHash, newIncarnation, SystemClock } from '../common/index.js'
+import { type Clock, type Hash, loadHash, newIncarnation, SystemClock } from '../common/index.js'
 import { type ListeningServer, serve } from '../entry/index.js'
 import { defaultAttemptLimits, PromptComputation, RequestManager, type RequestManagerOptions, RetryBudget } from '../forwarding/index.js'
 import { type ObservedEngine, RoleDuty } from '../fleet/index.js'
@@ -65,6 +65,9 @@
   otherZoneMillisecondsPerToken: 0.0005
 }
 
+/** Largest header of a question about readiness or metrics, in bytes. */
+const maxHeaderBytes = 16_384
+
 /** Renewals of the membership between two hand-overs of a duty by the store; one may be lost. */
 const renewalsPerLease = 3
 
@@ -76,7 +79,7 @@
 
   private constructor (
     private readonly settings: PlatformSettings,
-    private readonly clock: SystemClock,
+    private readonly clock: Clock,
     private readonly events: EventLog,
     private readonly lines: LineWriter,
     private readonly metrics: Metrics,
@@ -102,8 +105,7 @@
   private readonly roleDuty: RoleDuty
 
   /** Builds a host that does not listen yet. */
-  static async create (settings: PlatformSettings): Promise<PlatformHost> {
-    const clock = new SystemClock()
+  static async create (settings: PlatformSettings, clock: Clock = new SystemClock()): Promise<PlatformHost> {
     const lines = new LineWriter()
     const timeline = new Timeline(settings.host.id, new HybridClock(clock))
     const events = new EventLog({ timeline, level: settings.log.level, write: lines.writeLine })
@@ -167,13 +169,30 @@
     this.upstreams.start()
     this.lease.start()
     this.roleDuty.start()
-    this.readiness = await serve({ application: this.readinessApplication(), addresses: [listen.readiness], maxHeaderBytes: 16_384 })
+    this.readiness = await serve({ application: this.readinessApplication(), addresses: [listen.readiness], maxHeaderBytes })
     if (listen.metrics !== undefined) {
-      this.metricsServer = await serve({ application: this.metricsApplication(), addresses: [listen.metrics], maxHeaderBytes: 16_384 })
+      this.metricsServer = await serve({ application: this.metricsApplication(), addresses: [listen.metrics], maxHeaderBytes })
     }
     await this.listener.listen()
   }
 
+  /** Actual addresses of the listeners. */
+  get addresses (): { callers: string, readiness: string } {
+    return { callers: this.listener.address, readiness: this.readiness?.addresses[0] ?? '' }
+  }
+
+  /** Ends everything at once, without regard to open requests. */
+  async close (): Promise<void> {
+    await this.roleDuty.stop()
+    await this.lease.stop()
+    await Promise.all(this.followers.map(async follower => await follower.stop()))
+    await this.upstreams.stop()
+    await this.readiness?.close()
+    await this.metricsServer?.close()
+    await this.listener.closeAll()
+    this.lines.flush()
+  }
+
   /** Notes that the settings file has changed. Addresses and bounds of a running process stay as they are. */
   reload (): void {
     this.events.info('settings_changed', { reason: 'the file is read at the next start' })
@@ -236,7 +255,7 @@
 /** The planner of a fixed split does not look at capacities. */
 const unusedCapacity = { prefillTokensPerSecond: 1, decodeTokensPerSecond: 1, changeSeconds: 0, mixedEfficiency: 1 }
 
-function leaseOf ({ host, store, bounds }: PlatformSettings, clock: SystemClock, events: EventLog): GroupLease {
+function leaseOf ({ host, store, bounds }: PlatformSettings, clock: Clock, events: EventLog): GroupLease {
   const durationMilliseconds = bounds.leaseMilliseconds
   const group = new StoreDutyGroup({
     store: new StoreClient(store.address),
@@ -255,14 +274,15 @@
   })
 }
 
-interface RequestParts { clock: SystemClock, events: EventLog, hash: Hash, index: PrefixIndex, upstreams: UpstreamManager }
+interface RequestParts { clock: Clock, events: EventLog, hash: Hash, index: PrefixIndex, upstreams: UpstreamManager }
 
 function requestOptions (
   { host, bounds }: PlatformSettings,
   { clock, events, hash, index, upstreams }: RequestParts
 ): RequestManagerOptions {
   const protocol = new WorkerProtocol()
-  const policy = new PromptPlacementPolicy({ index, hash, costs: placementCosts, withoutPrompt: new PowerOfTwoPolicy(hash.h32(host.id)) })
+  const withoutPrompt = new PowerOfTwoPolicy(hash.h32(host.id))
+  const policy = new PromptPlacementPolicy({ index, hash, costs: placementCosts, withoutPrompt })
   return {
     upstreams,
     policy,
--- a/src/platform/PlatformSettings.ts
+++ b/src/platform/PlatformSettings.ts
@@ -37,7 +37,7 @@
     leaseMilliseconds: positive
   }),
   roles: z.strictObject({
-    /** Share of the engines of a model that computes prompts: the owners' mix has about 60 prompt tokens to one that is generated. */
+    /** Share of the engines of a model that computes prompts: the owners' mix has 60 prompt tokens to a generated one. */
     prefillShare: z.number().min(0).max(1).default(0.75)
   }).prefault({}),
   log: z.strictObject({ level: z.enum(['debug', 'info', 'warn', 'error']).default('info') }).prefault({})
--- a/src/platform/StoreClient.ts
+++ b/src/platform/StoreClient.ts
@@ -92,7 +92,12 @@
   }
 
   /** Records from an offset; waits for one at most the given time. Errors: `platform_unavailable`. */
-  async read (topic: string, from: number, waitMilliseconds: number, signal?: AbortSignal): Promise<Result<ReadOutcome, Failure>> {
+  async read (
+    topic: string,
+    from: number,
+    waitMilliseconds: number,
+    signal?: AbortSignal
+  ): Promise<Result<ReadOutcome, Failure>> {
     const query = new URLSearchParams({ topic, part: '0', from: String(from), 'wait-ms': String(waitMilliseconds) })
     const answer = await this.call({ method: 'GET', path: `/v1/log-read?${query}`, waitMilliseconds, signal })
     if (answer.isErr) return Result.err(answer.error)
@@ -100,14 +105,15 @@
     if (status === 410) return Result.ok('expired')
     if (status !== 200) return Result.err(unexpected('a read', status))
     const page = parseRecords(body, from)
-    return page === undefined ? Result.err(failure('platform_unavailable', 'the store answered a read with malformed records')) : Result.ok(page)
+    if (page === undefined) return Result.err(failure('platform_unavailable', 'the store answered a read with malformed records'))
+    return Result.ok(page)
   }
 
   /** Joins a group or stays in it. Errors: `platform_unavailable`. */
   async join (
     group: string,
     member: string,
-    options: { topics: string[], timeToLiveMilliseconds: number, generation: number, signal?: AbortSignal }
+    options: { topics: string[], timeToLiveMilliseconds: number, generation: number, signal?: AbortSignal | undefined }
   ): Promise<Result<JoinAnswer, Failure>> {
     const { topics, timeToLiveMilliseconds, generation, signal } = options
     const body = { group, member, topics, 'ttl-ms': timeToLiveMilliseconds, generation }
--- a/src/platform/StoreDutyGroup.ts
+++ b/src/platform/StoreDutyGroup.ts
@@ -35,7 +35,7 @@
 
   async join (generation: number, signal?: AbortSignal): Promise<Result<GroupMembership, Failure>> {
     const { store, timeToLiveMilliseconds } = this.options
-    const joined = await store.join(group, this.member, { topics: [topic], timeToLiveMilliseconds, generation, ...(signal === undefined ? {} : { signal }) })
+    const joined = await store.join(group, this.member, { topics: [topic], timeToLiveMilliseconds, generation, signal })
     return joined.map(answer => ({
       generation: answer.generation,
       holdsDuty: answer.partitions.some(row => row.topic === topic && row.partition === orderPartition)
--- a/src/platform/WorkerProtocol.ts
+++ b/src/platform/WorkerProtocol.ts
@@ -49,7 +49,8 @@
 
 /** Calls to the platform's workers. */
 export class WorkerProtocol extends CallProtocol {
-  requestHeaders ({ request, upstream, remainingMilliseconds, resumeAfter, kvSource }: CallAttempt): Record<string, string | string[]> {
+  requestHeaders (attempt: CallAttempt): Record<string, string | string[]> {
+    const { request, upstream, remainingMilliseconds, resumeAfter, kvSource } = attempt
     const headers: Record<string, string | string[]> = {
       ...request.headers,
       [headerNames.remainingTime]: String(remainingMilliseconds),
--- /dev/null
+++ b/src/platform/testing/FakeStore.ts
@@ -0,0 +1,141 @@
+/**
+ * A small stand-in of the platform's store for tests: topics that keep the newest record of each key, long polls, and
+ * one group whose first member holds the duty.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+
+interface StoredRecord { key: string, value: string | undefined }
+
+interface Topic { records: StoredRecord[], first: number }
+
+/** A fake store. */
+export class FakeStore {
+  /** `ip:port` */
+  readonly address: string
+  /** Calls so far, as method and path without the query. */
+  readonly calls: string[] = []
+  /** How calls are answered: `silent` never, `refused` with 503. */
+  mode: 'normal' | 'silent' | 'refused' = 'normal'
+  generation = 1
+  /** The member that holds the duty; undefined: whoever asks. */
+  dutyMember: string | undefined
+  private readonly topics = new Map<string, Topic>()
+  private waiters: Array<() => void> = []
+
+  private constructor (private readonly server: Server) {
+    this.address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+  }
+
+  static async start (): Promise<FakeStore> {
+    const server = createServer()
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    const store = new FakeStore(server)
+    server.on('request', (request, response) => {
+      store.handle(request, response).catch(() => { response.destroy() })
+    })
+    return store
+  }
+
+  async stop (): Promise<void> {
+    this.wake()
+    this.server.closeAllConnections()
+    await new Promise<void>(resolve => { this.server.close(() => { resolve() }) })
+  }
+
+  /** Writes a record; without a value the key is deleted. */
+  write (topic: string, key: string, value: unknown): void {
+    this.topicOf(topic).records.push({ key, value: value === undefined ? undefined : typeof value === 'string' ? value : JSON.stringify(value) })
+    this.wake()
+  }
+
+  /** Drops the history of a topic; the newest record of each key stays. */
+  forget (topic: string): void {
+    const { records } = this.topicOf(topic)
+    this.topics.set(topic, { records, first: records.length })
+    this.wake()
+  }
+
+  private wake (): void {
+    for (const waiter of this.waiters.splice(0)) waiter()
+  }
+
+  private topicOf (name: string): Topic {
+    const known = this.topics.get(name) ?? { records: [], first: 0 }
+    this.topics.set(name, known)
+    return known
+  }
+
+  private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://store')
+    this.calls.push(`${request.method} ${url.pathname}`)
+    if (this.mode === 'silent') return
+    if (this.mode === 'refused') {
+      response.writeHead(503).end()
+      return
+    }
+    const parts: Buffer[] = []
+    for await (const part of request) parts.push(part as Buffer)
+    const body = parts.length === 0 ? {} : JSON.parse(Buffer.concat(parts).toString()) as Record<string, unknown>
+    if (url.pathname === '/v1/log-newest') return this.newest(url, response)
+    if (url.pathname === '/v1/log-read') return await this.read(url, response)
+    if (url.pathname === '/v1/log-join') return this.join(body, response)
+    if (url.pathname === '/v1/log-commit') {
+      const holds = this.holds(body.member) && body.generation === this.generation
+      response.writeHead(holds ? 200 : 409).end('{}')
+      return
+    }
+    response.end('{}')
+  }
+
+  private holds (member: unknown): boolean {
+    return this.dutyMember === undefined || this.dutyMember === member
+  }
+
+  private join (body: Record<string, unknown>, response: ServerResponse): void {
+    response.end(JSON.stringify({
+      generation: this.generation, 'ttl-ms': body['ttl-ms'], parts: this.holds(body.member) ? [['duties', 0, 0]] : []
+    }))
+  }
+
+  private newest (url: URL, response: ServerResponse): void {
+    const { records } = this.topicOf(url.searchParams.get('topic') ?? '')
+    const latest = new Map(records.map(({ key, value }, offset) => [key, { value, offset }]))
+    const items = [...latest].flatMap(([key, { value, offset }]) =>
+      value === undefined ? [] : [{ key, value: Buffer.from(value).toString('base64'), offset }])
+    response.end(JSON.stringify({ items, truncated: false, end: records.length }))
+  }
+
+  private async read (url: URL, response: ServerResponse): Promise<void> {
+    const name = url.searchParams.get('topic') ?? ''
+    const from = Number(url.searchParams.get('from'))
+    const until = Date.now() + Number(url.searchParams.get('wait-ms'))
+    while (this.topicOf(name).records.length <= from && this.topicOf(name).first <= from && Date.now() < until) {
+      await new Promise<void>(resolve => {
+        const timer = setTimeout(resolve, until - Date.now())
+        this.waiters.push(() => { clearTimeout(timer); resolve() })
+      })
+      if (this.mode === 'silent' || response.destroyed) return
+    }
+    const { records, first } = this.topicOf(name)
+    if (from < first) {
+      response.writeHead(410).end(JSON.stringify({ first }))
+      return
+    }
+    response.end(encodeRecords(records.slice(from), records.length, first))
+  }
+}
+
+/** The bytes of a read: the end, the first retained offset, and the records with their lengths. */
+export function encodeRecords (records: StoredRecord[], end: number, first: number): Buffer {
+  const head = Buffer.alloc(16)
+  head.writeBigUInt64BE(BigInt(end), 0)
+  head.writeBigUInt64BE(BigInt(first), 8)
+  const parts = records.map(({ key, value }) => {
+    const record = Buffer.concat([Buffer.from([key.length]), Buffer.from(key), Buffer.from(value ?? '')])
+    const length = Buffer.alloc(4)
+    length.writeUInt32BE(record.length)
+    return Buffer.concat([length, record])
+  })
+  return Buffer.concat([head, ...parts])
+}
--- /dev/null
+++ b/src/platform/testing/FakeWorker.ts
@@ -0,0 +1,90 @@
+/**
+ * A small stand-in of a worker of the platform. It answers over bare connections, so that it can also send what no
+ * HTTP library would: second answers, answers without an end, bytes that are no answer.
+ */
+import { createServer, type Server, type Socket } from 'node:net'
+import type { AddressInfo } from 'node:net'
+
+/** A request as it arrived. */
+export interface ReceivedRequest {
+  method: string
+  path: string
+  headers: Record<string, string>
+  body: string
+  socket: Socket
+}
+
+/** A fake worker. */
+export class FakeWorker {
+  readonly requests: ReceivedRequest[] = []
+  /** Answers a request; default: status 200 with the worker's id as body. */
+  answer: (request: ReceivedRequest) => void = request => { request.socket.write(this.answerTo(request, this.id)) }
+  readonly address: string
+  connections = 0
+  private readonly sockets = new Set<Socket>()
+  private waiters: Array<() => void> = []
+
+  private constructor (readonly id: string, private readonly server: Server) {
+    this.address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+  }
+
+  static async start (id: string): Promise<FakeWorker> {
+    const server = createServer()
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    const worker = new FakeWorker(id, server)
+    server.on('connection', socket => worker.serve(socket))
+    return worker
+  }
+
+  /** What the worker writes about itself in the store. */
+  entry (service: string, more: Record<string, unknown> = {}): Record<string, unknown> {
+    return { service, address: this.address, zone: 'zone-a', version: 'v1', slots: 8, state: 'ready', 'cold-left-ms': 0, sequence: 1, ...more }
+  }
+
+  /** A whole answer to a request. */
+  answerTo (request: ReceivedRequest, body: string, more: { status?: number, headers?: Record<string, string | undefined> } = {}): string {
+    const headers: Record<string, string | undefined> = {
+      'content-length': String(body.length),
+      'dogwooddale-request-id': request.headers['dogwooddale-request-id'] ?? '',
+      'dogwooddale-server-stamp': `signed-by-${this.id}`,
+      ...more.headers
+    }
+    const lines = Object.entries(headers).filter(([, value]) => value !== undefined).map(([name, value]) => `${name}: ${value}\r\n`)
+    return `HTTP/1.1 ${more.status ?? 200} X\r\n${lines.join('')}\r\n${body}`
+  }
+
+  async untilRequests (count: number): Promise<void> {
+    while (this.requests.length < count) await new Promise<void>(resolve => { this.waiters.push(resolve) })
+  }
+
+  async stop (): Promise<void> {
+    for (const socket of this.sockets) socket.destroy()
+    await new Promise<void>(resolve => { this.server.close(() => { resolve() }) })
+  }
+
+  private serve (socket: Socket): void {
+    this.connections += 1
+    this.sockets.add(socket)
+    let held = ''
+    socket.on('error', () => {})
+    socket.on('close', () => { this.sockets.delete(socket) })
+    socket.on('data', bytes => {
+      held += bytes.toString('latin1')
+      for (;;) {
+        const end = held.indexOf('\r\n\r\n')
+        if (end < 0) return
+        const [first = '', ...lines] = held.slice(0, end).split('\r\n')
+        const headers = Object.fromEntries(lines.map(line => [line.slice(0, line.indexOf(':')).toLowerCase(), line.slice(line.indexOf(':') + 1).trim()]))
+        const length = Number(headers['content-length'] ?? 0)
+        if (held.length < end + 4 + length) return
+        const body = held.slice(end + 4, end + 4 + length)
+        held = held.slice(end + 4 + length)
+        const [method = '', path = ''] = first.split(' ')
+        const request = { method, path, headers, body, socket }
+        this.requests.push(request)
+        for (const wake of this.waiters.splice(0)) wake()
+        this.answer(request)
+      }
+    })
+  }
+}
--- /dev/null
+++ b/src/platform/testing/platformTestSupport.ts
@@ -0,0 +1,134 @@
+/**
+ * A host on a fake store with fake workers, for tests of the adapter.
+ */
+import { connect, type Socket } from 'node:net'
+import type { Clock } from '../../common/index.js'
+import { PlatformHost } from '../PlatformHost.js'
+import { platformSettingsSchema } from '../PlatformSettings.js'
+import { FakeStore } from './FakeStore.js'
+import { FakeWorker } from './FakeWorker.js'
+
+/** The operators' configuration of the tests. */
+export function configurationDocument (version: number, more: { routes?: unknown[], limits?: Record<string, number> } = {}) {
+  const route = (name: string, prefix: string, kind: string, rest: Record<string, unknown> = {}) => ({
+    name, host: 'forum.example', 'path-prefix': prefix, kind, 'timeout-ms': 5000, 'target-latency-ms': 500, service: 'app', 'max-attempts': 2, ...rest
+  })
+  return {
+    version,
+    routes: [
+      route('reads', '/reads/', 'safe'),
+      route('votes', '/votes/', 'non_idempotent', { 'max-attempts': 1 }),
+      route('answers', '/answers/', 'streaming', { resumable: true, service: 'llm' }),
+      route('tags', '/tags/', 'streaming', { resumable: false, service: 'llm', 'max-attempts': 1 }),
+      ...more.routes ?? []
+    ],
+    services: [{ name: 'app' }, { name: 'llm', engine: { models: [{ name: 'm' }] } }],
+    limits: {
+      'max-header-bytes': 4096, 'max-body-bytes': 10_000, 'header-timeout-ms': 3000, 'idle-timeout-ms': 15_000, ...more.limits
+    }
+  }
+}
+
+/** Options of `startPlatform`. */
+export interface PlatformTestOptions {
+  clock?: Clock
+  /** Workers of the service without models. */
+  appWorkers?: number
+  /** Workers of the service with a model. */
+  modelWorkers?: number
+  configuration?: unknown
+}
+
+/** A host with its store and workers. */
+export interface PlatformTest {
+  host: PlatformHost
+  store: FakeStore
+  app: FakeWorker[]
+  models: FakeWorker[]
+  stop: () => Promise<void>
+}
+
+/** Starts everything and waits until the host is ready. */
+export async function startPlatform (options: PlatformTestOptions = {}): Promise<PlatformTest> {
+  const store = await FakeStore.start()
+  const workers = async (prefix: string, count: number): Promise<FakeWorker[]> =>
+    await Promise.all(Array.from({ length: count }, (_, index) => FakeWorker.start(`${prefix}-${index}`)))
+  const app = await workers('app', options.appWorkers ?? 2)
+  const models = await workers('llm', options.modelWorkers ?? 2)
+  for (const worker of app) store.write('keyed.servers', worker.id, worker.entry('app'))
+  for (const worker of models) store.write('keyed.servers', worker.id, worker.entry('llm', { stage: 'colocated' }))
+  if (options.configuration !== null) store.write('keyed.op', 'config', options.configuration ?? configurationDocument(1))
+  const host = await PlatformHost.create(platformSettingsSchema.parse({
+    host: { id: 'host-1', zone: 'zone-a', region: 'coast' },
+    listen: { callers: '127.0.0.1:0', readiness: '127.0.0.1:0' },
+    store: { address: store.address },
+    bounds: { graceSeconds: 8, retryRatio: 0.2, retrySlack: 1000, leaseMilliseconds: 3000 },
+    log: { level: 'error' }
+  }), options.clock)
+  await host.start()
+  if (options.configuration !== null) await until(() => host.isReady)
+  const stop = async (): Promise<void> => {
+    await host.close()
+    await Promise.all([...app, ...models].map(async worker => await worker.stop()))
+    await store.stop()
+  }
+  return { host, store, app, models, stop }
+}
+
+/** Waits for a condition that other tasks bring about. */
+export async function until (condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise(resolve => setTimeout(resolve, 5))
+}
+
+/** An answer as its bytes arrived. */
+export interface RawAnswer { status: number, headers: Record<string, string>, body: string }
+
+/** A caller's connection that shows each byte. */
+export class RawCaller {
+  received = ''
+  closed = false
+  private constructor (readonly socket: Socket) {
+    socket.on('data', bytes => { this.received += bytes.toString('latin1') })
+    socket.on('close', () => { this.closed = true })
+    socket.on('error', () => {})
+  }
+
+  static async connect (address: string): Promise<RawCaller> {
+    const separator = address.lastIndexOf(':')
+    const socket = connect(Number(address.slice(separator + 1)), address.slice(0, separator))
+    await new Promise<void>((resolve, reject) => {
+      socket.once('connect', resolve)
+      socket.once('error', reject)
+    })
+    return new RawCaller(socket)
+  }
+
+  /** Sends a request. */
+  send (method: string, path: string, headers: Record<string, string> = {}, body?: string): void {
+    const all = { host: 'forum.example', ...headers, ...(body === undefined ? {} : { 'content-length': String(body.length) }) }
+    const lines = Object.entries(all).map(([name, value]) => `${name}: ${value}\r\n`).join('')
+    this.socket.write(`${method} ${path} HTTP/1.1\r\n${lines}\r\n${body ?? ''}`)
+  }
+
+  /** Takes the next answer with a length from what was received. */
+  async answer (): Promise<RawAnswer> {
+    for (;;) {
+      const end = this.received.indexOf('\r\n\r\n')
+      const [first = '', ...lines] = this.received.slice(0, Math.max(0, end)).split('\r\n')
+      const headers = Object.fromEntries(lines.map(line => [line.slice(0, line.indexOf(':')).toLowerCase(), line.slice(line.indexOf(':') + 1).trim()]))
+      const length = Number(headers['content-length'] ?? 0)
+      if (end >= 0 && this.received.length >= end + 4 + length) {
+        const body = this.received.slice(end + 4, end + 4 + length)
+        this.received = this.received.slice(end + 4 + length)
+        return { status: Number(first.split(' ')[1]), headers, body }
+      }
+      if (this.closed) throw new Error(`the connection was closed after ${JSON.stringify(this.received)}`)
+      await new Promise(resolve => setTimeout(resolve, 2))
+    }
+  }
+}
+
+/** Header fields of a request with the given id. */
+export function requestHeaders (id: string, more: Record<string, string> = {}): Record<string, string> {
+  return { 'dogwooddale-request-id': id, 'dogwooddale-deadline-ms': '4000', ...more }
+}
--- a/src/routing/PromptPlacementPolicy.ts
+++ b/src/routing/PromptPlacementPolicy.ts
@@ -1,8 +1,9 @@
 /**
  * Places prompts whose parts are named by the caller. Prompts are computed on prefill workers where there are any,
- * since each piece of a prompt delays the tokens of all streams of a generating worker. The prefill worker fetches the parts that it lacks from another one that holds them, so load decides where a prompt
- * is computed, not its parts. Hosts do not tell each other what they sent: rendezvous hashing over the shared parts
- * names for each part one worker, its home, where all hosts expect it.
+ * since each piece of a prompt delays the tokens of all streams of a generating worker. The prefill worker fetches
+ * the parts that it lacks from another one that holds them, so load decides where a prompt is computed, not its parts.
+ * Hosts do not tell each other what they sent: rendezvous hashing over the shared parts names for each part one
+ * worker, its home, where all hosts expect it.
  */
 import type { Hash } from '../common/index.js'
 import type { PrefixIndex } from './PrefixIndex.js'
@@ -88,7 +89,10 @@
   }
 
   /** Decisions start at different candidates, so that equal ones take turns. */
-  private cheapest<Candidate> (candidates: readonly Candidate[], costOf: (candidate: Candidate) => number): Candidate | undefined {
+  private cheapest<Candidate> (
+    candidates: readonly Candidate[],
+    costOf: (candidate: Candidate) => number
+  ): Candidate | undefined {
     this.turn += 1
     let best: Candidate | undefined
     let bestCost = Infinity
--- a/src/upstreams/Upstream.ts
+++ b/src/upstreams/Upstream.ts
@@ -5,6 +5,7 @@
 import { Pool as ConnectionPool } from 'undici'
 import type { Clock, Model, Pool, WorkerId, Zone } from '../common/index.js'
 import type { EngineRole, WorkerDocument } from '../configuration/index.js'
+import { connectUpstream } from './connectUpstream.js'
 import { LoadEstimate } from './LoadEstimate.js'
 import { UpstreamHealth } from './UpstreamHealth.js'
 
@@ -82,7 +83,7 @@
   get http (): ConnectionPool {
     this.connections ??= new ConnectionPool(this.origin, {
       pipelining: 1,
-      connectTimeout: connectTimeoutMilliseconds,
+      connect: connectUpstream(connectTimeoutMilliseconds),
       keepAliveTimeout: this.keepAliveMilliseconds,
       keepAliveMaxTimeout: this.keepAliveMilliseconds,
       headersTimeout: 0,
