--- a/src/platform/StoreDutyGroup.ts
+++ b/src/platform/StoreDutyGroup.ts
@@ -50,5 +50,6 @@
   async leave (): Promise<void> {
     const left = await this.options.store.leave(group, this.member)
     if (left.isErr) this.options.events.warn('group_leave_failed', { reason: left.error.message })
+    await this.options.store.close()
   }
 }
--- a/src/platform/testing/FakeWorker.ts
+++ b/src/platform/testing/FakeWorker.ts
@@ -2,8 +2,7 @@
  * A small stand-in of a worker of the platform. It answers over bare connections, so that it can also send what no
  * HTTP library would: second answers, answers without an end, bytes that are no answer.
  */
-import { createServer, type Server, type Socket } from 'node:net'
-import type { AddressInfo } from 'node:net'
+import { type AddressInfo, createServer, type Server, type Socket } from 'node:net'
 
 /** A request as it arrived. */
 export interface ReceivedRequest {
@@ -14,6 +13,9 @@
   socket: Socket
 }
 
+/** What differs from an ordinary answer; a field that is undefined is left out. */
+export interface AnswerChanges { status?: number, headers?: Record<string, string | undefined> }
+
 /** A fake worker. */
 export class FakeWorker {
   readonly requests: ReceivedRequest[] = []
@@ -38,11 +40,12 @@
 
   /** What the worker writes about itself in the store. */
   entry (service: string, more: Record<string, unknown> = {}): Record<string, unknown> {
-    return { service, address: this.address, zone: 'zone-a', version: 'v1', slots: 8, state: 'ready', 'cold-left-ms': 0, sequence: 1, ...more }
+    const self = { address: this.address, zone: 'zone-a', version: 'v1', slots: 8, 'cold-left-ms': 0 }
+    return { service, ...self, state: 'ready', sequence: 1, ...more }
   }
 
   /** A whole answer to a request. */
-  answerTo (request: ReceivedRequest, body: string, more: { status?: number, headers?: Record<string, string | undefined> } = {}): string {
+  answerTo (request: ReceivedRequest, body: string, more: AnswerChanges = {}): string {
     const headers: Record<string, string | undefined> = {
       'content-length': String(body.length),
       'dogwooddale-request-id': request.headers['dogwooddale-request-id'] ?? '',
@@ -74,7 +77,7 @@
         const end = held.indexOf('\r\n\r\n')
         if (end < 0) return
         const [first = '', ...lines] = held.slice(0, end).split('\r\n')
-        const headers = Object.fromEntries(lines.map(line => [line.slice(0, line.indexOf(':')).toLowerCase(), line.slice(line.indexOf(':') + 1).trim()]))
+        const headers = parseHeaders(lines)
         const length = Number(headers['content-length'] ?? 0)
         if (held.length < end + 4 + length) return
         const body = held.slice(end + 4, end + 4 + length)
@@ -88,3 +91,11 @@
     })
   }
 }
+
+/** Header fields by lower-case name. */
+export function parseHeaders (lines: string[]): Record<string, string> {
+  return Object.fromEntries(lines.map(line => {
+    const colon = line.indexOf(':')
+    return [line.slice(0, colon).toLowerCase(), line.slice(colon + 1).trim()]
+  }))
+}
--- a/src/platform/testing/platformTestSupport.ts
+++ b/src/platform/testing/platformTestSupport.ts
@@ -6,12 +6,20 @@
 import { PlatformHost } from '../PlatformHost.js'
 import { platformSettingsSchema } from '../PlatformSettings.js'
 import { FakeStore } from './FakeStore.js'
-import { FakeWorker } from './FakeWorker.js'
+import { FakeWorker, parseHeaders } from './FakeWorker.js'
 
 /** The operators' configuration of the tests. */
 export function configurationDocument (version: number, more: { routes?: unknown[], limits?: Record<string, number> } = {}) {
   const route = (name: string, prefix: string, kind: string, rest: Record<string, unknown> = {}) => ({
-    name, host: 'forum.example', 'path-prefix': prefix, kind, 'timeout-ms': 5000, 'target-latency-ms': 500, service: 'app', 'max-attempts': 2, ...rest
+    name,
+    host: 'forum.example',
+    'path-prefix': prefix,
+    kind,
+    'timeout-ms': 5000,
+    'target-latency-ms': 500,
+    service: 'app',
+    'max-attempts': 2,
+    ...rest
   })
   return {
     version,
@@ -115,7 +123,7 @@
     for (;;) {
       const end = this.received.indexOf('\r\n\r\n')
       const [first = '', ...lines] = this.received.slice(0, Math.max(0, end)).split('\r\n')
-      const headers = Object.fromEntries(lines.map(line => [line.slice(0, line.indexOf(':')).toLowerCase(), line.slice(line.indexOf(':') + 1).trim()]))
+      const headers = parseHeaders(lines)
       const length = Number(headers['content-length'] ?? 0)
       if (end >= 0 && this.received.length >= end + 4 + length) {
         const body = this.received.slice(end + 4, end + 4 + length)
--- /dev/null
+++ b/src/roles/SplitRolePlanner.test.ts
@@ -0,0 +1,42 @@
+/**
+ * Guards against a split that leaves too few engines generating, changes more engines than needed while earlier
+ * changes are on their way, or takes most engines away at once.
+ */
+import { expect, test } from '@jest/globals'
+import type { Model, WorkerId } from '../common/index.js'
+import type { EngineRole } from '../configuration/index.js'
+import type { PlannedEngine } from './RolePlanner.js'
+import { SplitRolePlanner } from './SplitRolePlanner.js'
+
+/** Engines as text: `p` prefill, `d` decode, `m` mixed; upper case is out of service. */
+function engines (text: string): PlannedEngine[] {
+  const roles: Record<string, EngineRole> = { p: 'prefill', d: 'decode', m: 'mixed' }
+  return [...text].map((letter, index) => ({
+    worker: `w-${index}` as WorkerId,
+    model: 'm' as Model,
+    role: roles[letter.toLowerCase()]!,
+    roleSince: 0,
+    unavailable: letter !== letter.toLowerCase(),
+    isBeingReplaced: false
+  }))
+}
+
+test.each([
+  ['the wanted split', 'ppppppdd', []],
+  ['too few engines on prompts', 'pppddddd', ['w-3', 'w-4', 'w-5']],
+  ['a large pool changes in steps', 'dddddddd', ['w-0', 'w-1', 'w-2']],
+  ['a change on its way', 'ppppDddd', ['w-5']],
+  ['enough changes on their way', 'pppDDDdd', []],
+  ['too many engines on prompts', 'pppppppp', ['w-0', 'w-1']],
+  ['two go on generating', 'dddd', ['w-0']],
+  ['a small pool stays as it is', 'dd', []],
+  ['mixed engines stay as they are', 'mmmm', []]
+])('%s: %s', (_name, text, changed) => {
+  const changes = new SplitRolePlanner(0.75).plan({
+    now: 0,
+    engines: engines(text),
+    demand: new Map(),
+    capacity: { prefillTokensPerSecond: 1, decodeTokensPerSecond: 1, changeSeconds: 0, mixedEfficiency: 1 }
+  })
+  expect(changes.map(({ worker }) => worker as string)).toEqual(changed)
+})
