--- a/src/platform/PlatformHost.test.ts
+++ b/src/platform/PlatformHost.test.ts
@@ -110,6 +110,10 @@
     ['that ends early', (worker, request) => {
       request.socket.end(worker.answerTo(request, 'short', { headers: { 'content-length': '50' } }))
     }],
+    ['without a length that is reset', (worker, request) => {
+      const answer = worker.answerTo(request, 'part', { headers: { 'content-length': undefined } })
+      request.socket.write(answer, () => request.socket.resetAndDestroy())
+    }],
     ['that is no HTTP', (_worker, request) => { request.socket.end('garbage\r\n\r\n') }]
   ]
 
