Count further computations of a prompt against the retry budget

Ruled out: the hosts' own shares (at most 0.15 of the requests plus 31). Change: the first computation is free only if it is accepted; a worker that refuses the call leaves the computed prompt for the next; one that nobody fetches is freed.

--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -8,6 +8,7 @@
 import type { PromptPlacement, PromptPlacementPolicy } from '../routing/index.js'
 import type { Upstream, UpstreamManager } from '../upstreams/index.js'
 import type { CallProtocol, KvSource } from './CallProtocol.js'
+import type { RetryBudget } from './RetryBudget.js'
 import type { ServiceRequest } from './ServiceCall.js'
 
 /** What the computation needs of its host. */
@@ -15,6 +16,7 @@
   upstreams: UpstreamManager
   policy: PromptPlacementPolicy
   protocol: CallProtocol
+  budget: RetryBudget
   clock: Clock
   events: EventLog
 }
@@ -26,14 +28,36 @@
 export class PromptComputation {
   constructor (private readonly context: PromptComputationContext) {}
 
-  /** Where the computed prompt waits; undefined if the worker that generates the answer is to compute it. */
-  async compute (request: ServiceRequest, stop: AbortSignal): Promise<KvSource | undefined> {
+  /**
+   * Where the computed prompt waits; undefined if the worker that generates the answer is to compute it. The first
+   * computation of a call that a worker accepts is free, all others draw on the retry budget.
+   */
+  async compute (request: ServiceRequest, isFirst: boolean, stop: AbortSignal): Promise<KvSource | undefined> {
     const { prompt } = request
     if (prompt === undefined) return undefined
     const candidates = this.context.upstreams.candidatesForPool(request.pool, 'prefill').filter(({ role }) => role === 'prefill')
     const placement = this.context.policy.chooseForPrompt(prompt, candidates)
     if (placement === undefined) return undefined
-    return await this.send(request, placement, stop)
+    const { budget } = this.context
+    // A refused first computation is charged afterwards, so it needs a retry that is left.
+    const mayCompute = isFirst ? budget.hasRetry(request.pool) : budget.tryTake(request.pool)
+    if (!mayCompute) return undefined
+    const source = await this.send(request, placement, stop)
+    if (source === undefined && isFirst) budget.charge(request.pool)
+    return source
+  }
+
+  /** Frees a computed prompt that no worker will fetch. */
+  async release (request: ServiceRequest, { upstream, handle }: KvSource): Promise<void> {
+    const call = this.context.protocol.releaseOf(handle)
+    if (call === undefined) return
+    try {
+      const answer = await upstream.http.request(call)
+      await answer.body.dump()
+    } catch (caught) {
+      // The worker frees it by itself a few seconds later.
+      this.note(request, upstream, `the computed prompt was not freed: ${(caught as Error).message}`)
+    }
   }
 
   private async send (
--- a/src/forwarding/RetryBudget.ts
+++ b/src/forwarding/RetryBudget.ts
@@ -16,14 +16,23 @@
     this.tokens.set(pool, Math.min(this.burst, this.available(pool) + this.ratio))
   }
 
+  /** True if a retry is left. */
+  hasRetry (pool?: Pool): boolean {
+    return this.available(pool) >= 1
+  }
+
   /** Takes one retry out of the budget; false if there is none left. */
   tryTake (pool?: Pool): boolean {
-    const tokens = this.available(pool)
-    if (tokens < 1) return false
-    this.tokens.set(pool, tokens - 1)
+    if (!this.hasRetry(pool)) return false
+    this.charge(pool)
     return true
   }
 
+  /** Counts a retry that could not be foreseen, such as a call that a worker refused; later ones wait for it. */
+  charge (pool?: Pool): void {
+    this.tokens.set(pool, this.available(pool) - 1)
+  }
+
   private available (pool: Pool | undefined): number {
     return this.tokens.get(pool) ?? this.burst
   }
--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -97,6 +97,9 @@
 export class ServiceCall {
   private readonly tried = new Set<WorkerId>()
   private ranOn = 0
+  /** A computed prompt that no worker has fetched yet. */
+  private kvSource: KvSource | undefined
+  private hasComputedPrompt = false
   private refusals = 0
   /** Time that the service spent on the call, in milliseconds. */
   upstreamMilliseconds = 0
@@ -125,6 +128,7 @@
     if (this.stopsWithCaller) signal?.addEventListener('abort', leave, { once: true })
     if (this.stopsWithCaller && signal?.aborted) leave()
     const result = await this.runAttempts(stop.signal)
+    this.releasePrompt()
     const finish = async (): Promise<void> => {
       timer.end()
       signal?.removeEventListener('abort', leave)
@@ -210,12 +214,31 @@
     this.tried.add(upstream.id)
     this.worker = upstream.id
     const prompt = this.request.prompt ?? emptyPrompt
-    const kvSource = await this.context.promptComputation?.compute(this.request, stop)
+    const kvSource = await this.computedPrompt(stop)
     if (stop.aborted) return Result.err({ kind: 'not_sent', failure: this.stopFailure(stop) })
     const { servicePolicy, upstreams } = this.context
     const work = upstreams.begin(upstream, kvSource === undefined ? servicePolicy.prefillTokens(prompt, upstream) : 0)
     servicePolicy.sent(prompt, upstream)
-    return await this.send(upstream, work, stop, { resumeAfter, kvSource })
+    const sent = await this.send(upstream, work, stop, { resumeAfter, kvSource })
+    const isLeft = sent.isErr && (sent.error.kind === 'not_sent' || (sent.error.kind === 'not_run' && this.refusals === 1))
+    if (!isLeft) this.kvSource = undefined
+    return sent
+  }
+
+  /** A worker that refuses a call has mostly not fetched its prompt, so the next one is told to fetch it. */
+  private async computedPrompt (stop: AbortSignal): Promise<KvSource | undefined> {
+    if (this.kvSource !== undefined) return this.kvSource
+    const isFirst = !this.hasComputedPrompt
+    this.hasComputedPrompt = true
+    this.kvSource = await this.context.promptComputation?.compute(this.request, isFirst, stop)
+    return this.kvSource
+  }
+
+  /** Frees a computed prompt that was not fetched. */
+  private releasePrompt (): void {
+    const source = this.kvSource
+    this.kvSource = undefined
+    if (source !== undefined) this.context.promptComputation?.release(this.request, source).catch(() => {})
   }
 
   private async send (
--- a/src/platform/PlatformHost.test.ts
+++ b/src/platform/PlatformHost.test.ts
@@ -329,3 +329,70 @@
     expect(await stopped).toBe(true)
   })
 })
+
+describe('a prompt that is computed apart', () => {
+  const prompt = { 'dogwooddale-model': 'm', 'dogwooddale-token-counts': '1500,20', 'dogwooddale-prompt-prefix': 'aa:1000,bb:500' }
+  const isPrompt = ({ headers }: ReceivedRequest): boolean => headers['dogwooddale-stage'] === 'prefill'
+
+  /** One worker computes prompts, the others generate. */
+  async function startSplit (generating: number): Promise<{ prefill: FakeWorker, decode: FakeWorker[] }> {
+    const { host, store, models } = await start({ modelWorkers: generating + 1 })
+    const [prefill, ...decode] = models as [FakeWorker, ...FakeWorker[]]
+    store.write('keyed.servers', prefill.id, prefill.entry('llm', { stage: 'prefill', sequence: 2 }))
+    for (const worker of decode) store.write('keyed.servers', worker.id, worker.entry('llm', { stage: 'decode', sequence: 2 }))
+    prefill.answer = request => { request.socket.write(prefill.answerTo(request, '{"kv-handle":"h1","tokens":1500,"version":1}')) }
+    await until(() => host.workerRoles().filter(role => role === 'decode').length === generating)
+    return { prefill, decode }
+  }
+
+  test('is continued by a generating worker from its handle', async () => {
+    const { prefill, decode } = await startSplit(1)
+    const client = await caller()
+    client.send('POST', '/tags/1', requestHeaders('r1', prompt), 'post')
+    expect((await client.answer()).status).toBe(200)
+    expect(prefill.requests).toHaveLength(1)
+    expect(decode[0]!.requests[0]!.headers['dogwooddale-kv-from']).toBe(`${prefill.address}/h1`)
+  })
+
+  test('is not computed again when the generating worker refuses the call', async () => {
+    const { prefill, decode } = await startSplit(2)
+    let refused = false
+    for (const worker of decode) {
+      worker.answer = request => {
+        const refusal = { status: 503, headers: { 'dogwooddale-not-run': '1' } }
+        request.socket.write(refused ? worker.answerTo(request, 'done') : worker.answerTo(request, '', refusal))
+        refused = true
+      }
+    }
+    const client = await caller()
+    client.send('POST', '/tags/1', requestHeaders('r1', prompt), 'post')
+    expect((await client.answer()).body).toBe('done')
+    expect(prefill.requests.filter(isPrompt)).toHaveLength(1)
+  })
+
+  test('is freed when no worker generates the answer', async () => {
+    const { prefill, decode } = await startSplit(1)
+    decode[0]!.answer = request => {
+      request.socket.write(decode[0]!.answerTo(request, '', { status: 503, headers: { 'dogwooddale-not-run': '1' } }))
+    }
+    const client = await caller()
+    client.send('POST', '/tags/1', requestHeaders('r1', prompt), 'post')
+    expect((await client.answer()).status).toBe(503)
+    await until(() => prefill.requests.some(({ method, path }) => method === 'DELETE' && path === '/v1/kv-handle/h1'))
+  })
+
+  test('draws on the retry budget when a worker refuses it', async () => {
+    const { prefill, decode } = await startSplit(1)
+    prefill.answer = request => {
+      request.socket.write(prefill.answerTo(request, '', { status: 503, headers: { 'dogwooddale-not-run': '1' } }))
+    }
+    const client = await caller()
+    const computations = 200
+    for (let index = 0; index < computations; index += 1) {
+      client.send('POST', '/tags/1', requestHeaders(`r${index}`, prompt), 'post')
+      expect((await client.answer()).status).toBe(200)
+    }
+    expect(decode[0]!.requests).toHaveLength(computations)
+    expect(prefill.requests.length).toBeLessThan(computations / 2)
+  })
+})
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -4,6 +4,7 @@
  */
 import { Hono } from 'hono'
 import { type Clock, type Hash, loadHash, newIncarnation, SystemClock } from '../common/index.js'
+import type { EngineRole } from '../configuration/index.js'
 import { type ListeningServer, serve } from '../entry/index.js'
 import { defaultAttemptLimits, PromptComputation, RequestManager, type RequestManagerOptions, RetryBudget } from '../forwarding/index.js'
 import { type ObservedEngine, RoleDuty } from '../fleet/index.js'
@@ -181,6 +182,11 @@
     return { callers: this.listener.address, readiness: this.readiness?.addresses[0] ?? '' }
   }
 
+  /** Roles of the known workers, as the router sees them. */
+  workerRoles (): EngineRole[] {
+    return this.upstreams.view().map(({ role }) => role)
+  }
+
   /** Ends everything at once, without regard to open requests. */
   async close (): Promise<void> {
     await this.roleDuty.stop()
@@ -281,6 +287,7 @@
   { clock, events, hash, index, upstreams }: RequestParts
 ): RequestManagerOptions {
   const protocol = new WorkerProtocol()
+  const budget = new RetryBudget(bounds.retryRatio * retryRatioPart, 1 + bounds.retrySlack / hostsSharingSlack)
   const withoutPrompt = new PowerOfTwoPolicy(hash.h32(host.id))
   const policy = new PromptPlacementPolicy({ index, hash, costs: placementCosts, withoutPrompt })
   return {
@@ -288,11 +295,11 @@
     policy,
     servicePolicy: policy,
     protocol,
-    promptComputation: new PromptComputation({ upstreams, policy, protocol, clock, events }),
+    promptComputation: new PromptComputation({ upstreams, policy, protocol, budget, clock, events }),
     limits: defaultAttemptLimits,
     clock,
     events,
-    budget: new RetryBudget(bounds.retryRatio * retryRatioPart, 1 + bounds.retrySlack / hostsSharingSlack),
+    budget,
     maxBufferedBytes,
     maxOnceAnswerBytes
   }
--- a/src/platform/testing/platformTestSupport.ts
+++ b/src/platform/testing/platformTestSupport.ts
@@ -118,13 +118,18 @@
     this.socket.write(`${method} ${path} HTTP/1.1\r\n${lines}\r\n${body ?? ''}`)
   }
 
-  /** Takes the next answer with a length from what was received. */
+  /** Takes the next whole answer from what was received. */
   async answer (): Promise<RawAnswer> {
     for (;;) {
       const end = this.received.indexOf('\r\n\r\n')
       const [first = '', ...lines] = this.received.slice(0, Math.max(0, end)).split('\r\n')
       const headers = parseHeaders(lines)
-      const length = Number(headers['content-length'] ?? 0)
+      if (headers['transfer-encoding'] === 'chunked' && this.received.endsWith('0\r\n\r\n')) {
+        const chunks = this.received.slice(end + 4)
+        this.received = ''
+        return { status: Number(first.split(' ')[1]), headers, body: chunks.replace(/(^|\r\n)[0-9a-f]+\r\n/g, '').trimEnd() }
+      }
+      const length = headers['transfer-encoding'] === 'chunked' ? Infinity : Number(headers['content-length'] ?? 0)
       if (end >= 0 && this.received.length >= end + 4 + length) {
         const body = this.received.slice(end + 4, end + 4 + length)
         this.received = this.received.slice(end + 4 + length)
