Charge only refused computations of prompts to the retry budget

Change: compute tells refused from not sent; first computations stop only when the budget is overdrawn; two of four and more engines go on generating.

--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -4,6 +4,7 @@
  */
 import type { Dispatcher } from 'undici'
 import { abortAfter, type Clock } from '../common/index.js'
+import { isNotSent } from '../clients/HttpClient.js'
 import type { EventLog } from '../observability/index.js'
 import type { PromptPlacement, PromptPlacementPolicy } from '../routing/index.js'
 import type { Upstream, UpstreamManager } from '../upstreams/index.js'
@@ -24,6 +25,9 @@
 /** Part of a call's remaining time that the computation may take; the rest is left for generating the answer. */
 const longestPartOfRemainingTime = 0.5
 
+/** How a computation ended. `refused`: a worker got the call and did not compute the prompt. */
+interface Computation { outcome: 'computed' | 'refused' | 'not_sent', source?: KvSource }
+
 /** Computes prompts on prefill workers. */
 export class PromptComputation {
   constructor (private readonly context: PromptComputationContext) {}
@@ -36,15 +40,15 @@
     const { prompt } = request
     if (prompt === undefined) return undefined
     const candidates = this.context.upstreams.candidatesForPool(request.pool, 'prefill').filter(({ role }) => role === 'prefill')
-    const placement = this.context.policy.chooseForPrompt(prompt, candidates)
+    const holders = [...candidates, ...this.context.upstreams.candidatesForPool(request.pool)]
+    const placement = this.context.policy.chooseForPrompt(prompt, candidates, holders)
     if (placement === undefined) return undefined
     const { budget } = this.context
-    // A refused first computation is charged afterwards, so it needs a retry that is left.
-    const mayCompute = isFirst ? budget.hasRetry(request.pool) : budget.tryTake(request.pool)
+    const mayCompute = isFirst ? !budget.isOverdrawn(request.pool) : budget.tryTake(request.pool)
     if (!mayCompute) return undefined
-    const source = await this.send(request, placement, stop)
-    if (source === undefined && isFirst) budget.charge(request.pool)
-    return source
+    const sent = await this.send(request, placement, stop)
+    if (sent.outcome === 'refused' && isFirst) budget.charge(request.pool)
+    return sent.source
   }
 
   /** Frees a computed prompt that no worker will fetch. */
@@ -64,13 +68,13 @@
     request: ServiceRequest,
     { worker: upstream, partsFrom }: PromptPlacement<Upstream>,
     stop: AbortSignal
-  ): Promise<KvSource | undefined> {
+  ): Promise<Computation> {
     const { clock, policy, protocol, upstreams } = this.context
     const remaining = request.deadline - clock.monotonic()
     const limit = remaining * longestPartOfRemainingTime
     const attempt = { request, upstream, remainingMilliseconds: Math.ceil(limit), resumeAfter: undefined, kvSource: undefined }
     const headers = protocol.promptHeaders(attempt, partsFrom)
-    if (headers === undefined || request.prompt === undefined) return undefined
+    if (headers === undefined || request.prompt === undefined) return { outcome: 'not_sent' }
     const work = upstreams.begin(upstream, policy.prefillTokens(request.prompt, upstream))
     policy.sent(request.prompt, upstream)
     const timer = abortAfter(clock, limit, new Error(`the prompt was not computed within ${Math.round(limit)} ms`))
@@ -87,15 +91,16 @@
       const body = Buffer.from(await answer.body.arrayBuffer())
       const handle = head.status === 200 ? protocol.promptHandle(body) : undefined
       work.end(handle === undefined ? 'left' : 'answered')
-      if (handle !== undefined) return { upstream, handle }
+      if (handle !== undefined) return { outcome: 'computed', source: { upstream, handle } }
       this.note(request, upstream, `status ${head.status}`)
+      return { outcome: 'refused' }
     } catch (caught) {
       work.end(stop.aborted ? 'left' : 'failed')
       this.note(request, upstream, (caught as Error).message)
+      return { outcome: stop.aborted || isNotSent(caught) ? 'not_sent' : 'refused' }
     } finally {
       timer.end()
     }
-    return undefined
   }
 
   private note (request: ServiceRequest, upstream: Upstream, reason: string): void {
--- a/src/forwarding/RetryBudget.ts
+++ b/src/forwarding/RetryBudget.ts
@@ -16,14 +16,14 @@
     this.tokens.set(pool, Math.min(this.burst, this.available(pool) + this.ratio))
   }
 
-  /** True if a retry is left. */
-  hasRetry (pool?: Pool): boolean {
-    return this.available(pool) >= 1
+  /** True if more was charged than the retries that are allowed at once. */
+  isOverdrawn (pool?: Pool): boolean {
+    return this.available(pool) < -this.burst
   }
 
   /** Takes one retry out of the budget; false if there is none left. */
   tryTake (pool?: Pool): boolean {
-    if (!this.hasRetry(pool)) return false
+    if (this.available(pool) < 1) return false
     this.charge(pool)
     return true
   }
--- a/src/platform/WorkerProtocol.ts
+++ b/src/platform/WorkerProtocol.ts
@@ -44,7 +44,7 @@
   'transfer-encoding', 'upgrade', 'expect', 'content-length'
 ])
 
-/** Statuses by which a worker states that it did not run a request, whatever else the answer says. */
+/** Status of a worker that is not the wanted one, or does not do such work in its present stage. */
 const misdirectedStatus = 421
 
 /** Calls to the platform's workers. */
--- a/src/platform/decodeRequest.ts
+++ b/src/platform/decodeRequest.ts
@@ -24,7 +24,10 @@
   fractionOf: (requestId: RequestId) => number
 }
 
-/** A repeatable request without an answer is given to another worker after this many target times. */
+/**
+ * A repeatable request without an answer is given to another worker after this many target times. Requests with a
+ * prompt are not: they wait in queues for longer, and a second computation lengthens these.
+ */
 const patienceTargets = 2
 
 /** Decodes a request. Errors: `bad_request`, `not_found`. */
@@ -62,8 +65,7 @@
     idempotent: route.kind === 'safe' || (route.kind === 'stream' && route.resumable),
     delivery: route.kind === 'stream' ? 'stream' : 'whole',
     maxAttempts: route.maxAttempts,
-    patienceMilliseconds: route.targetMilliseconds * patienceTargets,
-    ...(prompt === undefined ? {} : { prompt })
+    ...(prompt === undefined ? { patienceMilliseconds: route.targetMilliseconds * patienceTargets } : { prompt })
   }
 }
 
--- a/src/roles/SplitRolePlanner.test.ts
+++ b/src/roles/SplitRolePlanner.test.ts
@@ -28,8 +28,11 @@
   ['a change on its way', 'ppppDddd', ['w-5']],
   ['enough changes on their way', 'pppDDDdd', []],
   ['too many engines on prompts', 'pppppppp', ['w-0', 'w-1']],
-  ['two go on generating', 'dddd', ['w-0']],
-  ['a small pool stays as it is', 'dd', []],
+  ['two of six go on generating', 'pppppd', ['w-0']],
+  ['two of four go on generating', 'pppd', ['w-0']],
+  ['one of three goes on generating', 'pdd', ['w-1']],
+  ['a pool of two has one of each', 'dd', ['w-0']],
+  ['a single engine stays as it is', 'd', []],
   ['mixed engines stay as they are', 'mmmm', []]
 ])('%s: %s', (_name, text, changed) => {
   const changes = new SplitRolePlanner(0.75).plan({
--- a/src/roles/SplitRolePlanner.ts
+++ b/src/roles/SplitRolePlanner.ts
@@ -8,8 +8,8 @@
 /** Share of a model's engines that may be out of service for changes at once. */
 const maxChangingShare = 0.4
 
-/** Engines that go on generating at least, so that the loss of one does not end all streams. */
-const minGeneratingEngines = 2
+/** Engines of a pool of which two go on generating: one alone cannot carry the streams of the others' prompts. */
+const enginesForTwoGenerating = 4
 
 /** Keeps a share of the engines on prompts. */
 export class SplitRolePlanner extends RolePlanner {
@@ -27,7 +27,8 @@
   }
 
   private changesOf (engines: PlannedEngine[]): RoleChange[] {
-    const wanted = Math.min(engines.length - minGeneratingEngines, Math.max(1, Math.round(this.prefillShare * engines.length)))
+    const minGenerating = engines.length < enginesForTwoGenerating ? 1 : 2
+    const wanted = Math.min(engines.length - minGenerating, Math.max(1, Math.round(this.prefillShare * engines.length)))
     if (wanted < 1) return []
     const changing = engines.filter(({ unavailable }) => unavailable).length
     const missing = wanted - engines.filter(({ role }) => role === 'prefill').length
--- a/src/routing/PromptPlacementPolicy.test.ts
+++ b/src/routing/PromptPlacementPolicy.test.ts
@@ -38,7 +38,7 @@
   test('with the same shared part go to the same worker on all hosts, and different parts to different ones', () => {
     const homes = Array.from({ length: 40 }, (_, thread) => {
       const chosen = [policy(), policy(), policy()].map((host, index) =>
-        host.chooseForPrompt(prompt(`thread-${thread}`, `own-${index}`), workers)?.worker.id)
+        host.chooseForPrompt(prompt(`thread-${thread}`, `own-${index}`), workers, workers)?.worker.id)
       expect(new Set(chosen).size).toBe(1)
       return chosen[0]
     })
@@ -47,23 +47,23 @@
 
   test('go elsewhere when their home is busy, and fetch the shared part from there', () => {
     const host = policy()
-    const home = host.chooseForPrompt(prompt('thread', 'own'), workers)!.worker
+    const home = host.chooseForPrompt(prompt('thread', 'own'), workers, workers)!.worker
     const busy = workers.map(worker => worker === home ? candidate(home.id, { queuedPrefillTokens: 50_000 }) : worker)
-    const placed = host.chooseForPrompt(prompt('thread', 'own-2'), busy)!
+    const placed = host.chooseForPrompt(prompt('thread', 'own-2'), busy, busy)!
     expect(placed.worker.id).not.toBe(home.id)
     expect(placed.partsFrom?.id).toBe(home.id)
   })
 
   test('at their home fetch the shared part from another worker that is known to hold it', () => {
     const host = policy()
-    const home = host.chooseForPrompt(prompt('thread', 'own'), workers)!.worker
+    const home = host.chooseForPrompt(prompt('thread', 'own'), workers, workers)!.worker
     const other = workers.find(worker => worker !== home)!
     host.sent(prompt('thread', 'own'), other)
-    expect(host.chooseForPrompt(prompt('thread', 'own-2'), workers)).toEqual({ worker: home, partsFrom: other })
+    expect(host.chooseForPrompt(prompt('thread', 'own-2'), workers, workers)).toEqual({ worker: home, partsFrom: other })
   })
 
   test('are not computed apart where no worker does that', () => {
-    expect(policy().chooseForPrompt(prompt('thread', 'own'), [])).toBeUndefined()
+    expect(policy().chooseForPrompt(prompt('thread', 'own'), [], [])).toBeUndefined()
   })
 })
 
--- a/src/routing/PromptPlacementPolicy.ts
+++ b/src/routing/PromptPlacementPolicy.ts
@@ -54,10 +54,11 @@
     return this.cheapest(candidates, worker => this.generationCost(request, worker))
   }
 
-  /** The worker that computes the prompt; undefined if there is none. */
+  /** The worker that computes the prompt, undefined if there is none. `holders`: workers that may hold parts of it. */
   chooseForPrompt<Candidate extends RoutingCandidate> (
     request: RoutingRequest,
-    candidates: readonly Candidate[]
+    candidates: readonly Candidate[],
+    holders: readonly Candidate[]
   ): PromptPlacement<Candidate> | undefined {
     const home = this.homeOf(request, candidates)
     const shared = sharedTokens(request)
@@ -67,7 +68,7 @@
       return computed / this.costs.prefillTokensPerMillisecond + fetch + this.zoneCost(request, candidate)
     })
     if (worker === undefined) return undefined
-    return { worker, partsFrom: worker === home ? this.knownHolder(request, candidates, worker) : home }
+    return { worker, partsFrom: worker === home ? this.knownHolder(request, holders, worker) : home }
   }
 
   override sent (request: RoutingRequest, worker: RoutingCandidate): void {
