Put changed settings in force without a restart

Cause: the platform changes the settings file with and without SIGHUP, and the host only logged it. Ruled out: a watch by the system (the platform's machines have none). Conclusion: addresses and identity still need a restart, as the log says.

--- a/src/forwarding/RetryBudget.ts
+++ b/src/forwarding/RetryBudget.ts
@@ -9,7 +9,13 @@
   private readonly tokens = new Map<Pool | undefined, number>()
 
   /** `ratio`: retries per request; `burst`: retries that are allowed at once. */
-  constructor (private readonly ratio: number, private readonly burst: number) {}
+  constructor (private ratio: number, private burst: number) {}
+
+  /** Puts other limits in force. What was taken or charged stays so. */
+  configure (ratio: number, burst: number): void {
+    this.ratio = ratio
+    this.burst = burst
+  }
 
   /** Counts a request. */
   requestStarted (pool?: Pool): void {
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -79,7 +79,7 @@
   private metricsServer: ListeningServer | undefined
 
   private constructor (
-    private readonly settings: PlatformSettings,
+    private settings: PlatformSettings,
     private readonly clock: Clock,
     private readonly events: EventLog,
     private readonly lines: LineWriter,
@@ -89,7 +89,8 @@
     private readonly upstreams: UpstreamManager,
     private readonly requests: RequestManager,
     private readonly listener: CallerListener,
-    private readonly lease: GroupLease
+    private readonly lease: GroupLease,
+    private readonly budget: RetryBudget
   ) {
     this.roleDuty = new RoleDuty({
       clock,
@@ -131,7 +132,9 @@
       subsetSize: maxWorkersPerService,
       keepAliveMilliseconds: workerKeepAliveMilliseconds
     })
-    const requests = new RequestManager(requestOptions(settings, { clock, events, hash, index, upstreams }))
+    const { ratio, burst } = retryLimitsOf(settings)
+    const budget = new RetryBudget(ratio, burst)
+    const requests = new RequestManager(requestOptions(settings, { clock, events, hash, index, upstreams, budget }))
     const state = { stopping: false }
     const listener = new CallerListener({
       address: settings.listen.callers,
@@ -145,7 +148,7 @@
     })
     const lease = leaseOf(settings, clock, events)
     const host = new PlatformHost(
-      settings, clock, events, lines, metrics, directory, [configuration, workers], upstreams, requests, listener, lease)
+      settings, clock, events, lines, metrics, directory, [configuration, workers], upstreams, requests, listener, lease, budget)
     host.markStopping = () => { state.stopping = true }
     directory.onChange(() => {
       const limits = directory.routes?.configuration.limits
@@ -199,9 +202,17 @@
     this.lines.flush()
   }
 
-  /** Notes that the settings file has changed. Addresses and bounds of a running process stay as they are. */
-  reload (): void {
-    this.events.info('settings_changed', { reason: 'the file is read at the next start' })
+  /** Puts changed settings in force. Addresses and identity of a running process stay as they are. */
+  reload (settings: PlatformSettings): void {
+    this.settings = settings
+    const { ratio, burst } = retryLimitsOf(settings)
+    this.budget.configure(ratio, burst)
+    this.events.info('settings_in_force', { grace: settings.bounds.graceSeconds, ratio, burst })
+  }
+
+  /** Notes settings that cannot be used; the former ones stay in force. */
+  refuseSettings (reason: string): void {
+    this.events.error('settings_refused', { reason })
   }
 
   /** Stops without cutting an answer. Resolves to false if requests were left when the time was up. */
@@ -280,14 +291,25 @@
   })
 }
 
-interface RequestParts { clock: Clock, events: EventLog, hash: Hash, index: PrefixIndex, upstreams: UpstreamManager }
+/** This host's part of the retries that all hosts share, by its own requests. */
+function retryLimitsOf ({ bounds }: PlatformSettings): { ratio: number, burst: number } {
+  return { ratio: bounds.retryRatio * retryRatioPart, burst: 1 + bounds.retrySlack / hostsSharingSlack }
+}
+
+interface RequestParts {
+  clock: Clock
+  events: EventLog
+  hash: Hash
+  index: PrefixIndex
+  upstreams: UpstreamManager
+  budget: RetryBudget
+}
 
 function requestOptions (
-  { host, bounds }: PlatformSettings,
-  { clock, events, hash, index, upstreams }: RequestParts
+  { host }: PlatformSettings,
+  { clock, events, hash, index, upstreams, budget }: RequestParts
 ): RequestManagerOptions {
   const protocol = new WorkerProtocol()
-  const budget = new RetryBudget(bounds.retryRatio * retryRatioPart, 1 + bounds.retrySlack / hostsSharingSlack)
   const withoutPrompt = new PowerOfTwoPolicy(hash.h32(host.id))
   const policy = new PromptPlacementPolicy({ index, hash, costs: placementCosts, withoutPrompt })
   return {
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -1,10 +1,10 @@
 /**
  * Entry of the program on the users' platform: reads the settings file that the platform names, runs a host, and
- * stops it on SIGTERM. SIGHUP and changes of the file without a signal put new settings in force.
+ * stops it on SIGTERM.
  */
-import { loadSettings } from '../settings/index.js'
+import { errorAnswers } from '../common/index.js'
 import { PlatformHost } from './PlatformHost.js'
-import { platformSettingsSchema } from './PlatformSettings.js'
+import { readSettings, watchSettings } from './watchSettings.js'
 
 /** The platform's variable with the path of the settings file, and the path without it. */
 const settingsPath = process.env.DOGWOODDALE_NODE_FILE ?? '/etc/dogwooddale/settings.conf'
@@ -13,26 +13,30 @@
 const incompleteStopExitStatus = 9
 
 async function run (): Promise<void> {
-  const settings = loadSettings(platformSettingsSchema, settingsPath)
+  const settings = readSettings(settingsPath)
   if (settings.isErr) {
     process.stderr.write(`${settings.error.message}\n`)
-    process.exitCode = 2
+    process.exitCode = errorAnswers[settings.error.kind].exitStatus
     return
   }
   const host = await PlatformHost.create(settings.value)
   const stop = (): void => {
     host.stop().then(complete => process.exit(complete ? 0 : incompleteStopExitStatus), error => {
       process.stderr.write(`${String(error)}\n`)
-      process.exit(1)
+      process.exit(errorAnswers.internal.exitStatus)
     })
   }
   process.on('SIGTERM', stop)
   process.on('SIGINT', stop)
-  process.on('SIGHUP', () => host.reload())
+  const look = watchSettings(settingsPath, changed => {
+    if (changed.isOk) host.reload(changed.value)
+    else host.refuseSettings(changed.error.message)
+  })
+  process.on('SIGHUP', look)
   await host.start()
 }
 
 run().catch(error => {
   process.stderr.write(`${String(error instanceof Error ? error.stack : error)}\n`)
-  process.exit(1)
+  process.exit(errorAnswers.internal.exitStatus)
 })
