Let engines settle before the split changes; pause workers that decline

Ruled out: longer retries (the budget of refusals is what ran out). Change: the planner waits until all engines have had their roles for 3 s; a worker that declines twice in a row gets nothing for 250 ms.

--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -90,7 +90,7 @@
       protocol.observe(upstream, head)
       const body = Buffer.from(await answer.body.arrayBuffer())
       const handle = head.status === 200 ? protocol.promptHandle(body) : undefined
-      work.end(handle === undefined ? 'left' : 'answered')
+      work.end(handle === undefined ? 'declined' : 'answered')
       if (handle !== undefined) return { outcome: 'computed', source: { upstream, handle } }
       this.note(request, upstream, `status ${head.status}`)
       return { outcome: 'refused' }
--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -273,7 +273,7 @@
       }
       if (verdict === 'not_run') {
         this.refusals += 1
-        work.end('left')
+        work.end('declined')
         answer.body.dump().catch(() => {})
         close()
         return Result.err({ kind: 'not_run', failure: failure('not_run', `the worker refused the call with status ${head.status}`) })
--- a/src/roles/SplitRolePlanner.test.ts
+++ b/src/roles/SplitRolePlanner.test.ts
@@ -8,6 +8,12 @@
 import type { PlannedEngine } from './RolePlanner.js'
 import { SplitRolePlanner } from './SplitRolePlanner.js'
 
+const input = {
+  now: 3000,
+  demand: new Map(),
+  capacity: { prefillTokensPerSecond: 1, decodeTokensPerSecond: 1, changeSeconds: 0, mixedEfficiency: 1 }
+}
+
 /** Engines as text: `p` prefill, `d` decode, `m` mixed; upper case is out of service. */
 function engines (text: string): PlannedEngine[] {
   const roles: Record<string, EngineRole> = { p: 'prefill', d: 'decode', m: 'mixed' }
@@ -35,11 +41,14 @@
   ['a single engine stays as it is', 'd', []],
   ['mixed engines stay as they are', 'mmmm', []]
 ])('%s: %s', (_name, text, changed) => {
-  const changes = new SplitRolePlanner(0.75).plan({
-    now: 0,
-    engines: engines(text),
-    demand: new Map(),
-    capacity: { prefillTokensPerSecond: 1, decodeTokensPerSecond: 1, changeSeconds: 0, mixedEfficiency: 1 }
-  })
+  const changes = new SplitRolePlanner(0.75).plan({ ...input, engines: engines(text) })
   expect(changes.map(({ worker }) => worker as string)).toEqual(changed)
 })
+
+test('an engine that has just come changes nothing until all have settled', () => {
+  const planner = new SplitRolePlanner(0.75)
+  const [newcomer, ...others] = engines('dppppppdd')
+  const plan = (since: number) => planner.plan({ ...input, engines: [{ ...newcomer!, roleSince: since }, ...others] })
+  expect(plan(1000)).toEqual([])
+  expect(plan(0)).toHaveLength(1)
+})
--- a/src/roles/SplitRolePlanner.ts
+++ b/src/roles/SplitRolePlanner.ts
@@ -11,6 +11,12 @@
 /** Engines of a pool of which two go on generating: one alone cannot carry the streams of the others' prompts. */
 const enginesForTwoGenerating = 4
 
+/**
+ * Time for which all engines must have had their roles, in milliseconds. A replaced engine starts before its
+ * predecessor leaves, so for a moment there is one too many.
+ */
+const settledMilliseconds = 3000
+
 /** Keeps a share of the engines on prompts. */
 export class SplitRolePlanner extends RolePlanner {
   /** `prefillShare`: from 0 to 1. */
@@ -18,7 +24,8 @@
     super()
   }
 
-  plan ({ engines }: PlannerInput): RoleChange[] {
+  plan ({ now, engines }: PlannerInput): RoleChange[] {
+    if (engines.some(({ roleSince }) => now - roleSince < settledMilliseconds)) return []
     const byModel = new Map<string, PlannedEngine[]>()
     for (const engine of engines) {
       if (engine.role !== 'mixed') byModel.set(engine.model, [...byModel.get(engine.model) ?? [], engine])
--- a/src/upstreams/UpstreamHealth.ts
+++ b/src/upstreams/UpstreamHealth.ts
@@ -6,6 +6,12 @@
 /** Failed requests in a row after which the upstream gets no work for a while. */
 const failuresBeforePause = 3
 
+/** Requests in a row that an upstream declined after which it gets no work for a moment. */
+const declinesBeforePause = 2
+
+/** Length of that moment; a full engine ends a request every few milliseconds, so it is short. */
+const declinePauseMilliseconds = 250
+
 /** Polls without an answer in a row after which the upstream gets no work. */
 const silentPollsBeforePause = 3
 
@@ -15,6 +21,7 @@
 /** Decides from evidence whether an upstream may get work. */
 export class UpstreamHealth {
   private failures = 0
+  private declined = 0
   private silentPolls = 0
   private refused = false
   private pausedUntil = -Infinity
@@ -31,6 +38,7 @@
 
   /** A request was answered. */
   requestSucceeded (): void {
+    this.declined = 0
     this.failures = 0
     this.pauseMilliseconds = firstPauseMilliseconds
   }
@@ -41,6 +49,17 @@
     if (this.failures >= failuresBeforePause) this.pause()
   }
 
+  /**
+   * The upstream stated that it did not run a request: it is full, or about to change its role. After two in a row
+   * others are asked for a moment.
+   */
+  requestDeclined (): void {
+    this.declined += 1
+    if (this.declined < declinesBeforePause) return
+    this.declined = 0
+    this.pausedUntil = Math.max(this.pausedUntil, this.clock.monotonic() + declinePauseMilliseconds)
+  }
+
   /** A connection was refused: the process is gone or leaving. */
   connectionRefused (): void {
     if (this.polled) this.refused = true
--- a/src/upstreams/UpstreamManager.test.ts
+++ b/src/upstreams/UpstreamManager.test.ts
@@ -10,6 +10,7 @@
 import { chooseSubset } from './chooseSubset.js'
 import { LoadEstimate } from './LoadEstimate.js'
 import { loadReportSchema } from './LoadReport.js'
+import { UpstreamHealth } from './UpstreamHealth.js'
 import { UpstreamManager } from './UpstreamManager.js'
 
 let hash: Hash
@@ -190,3 +191,18 @@
     expect(manager.candidatesForPool('q' as Pool)).toEqual([])
   })
 })
+
+describe('UpstreamHealth', () => {
+  test('an upstream that declines twice in a row gets no work for a moment, then again', async () => {
+    const clock = new ManualClock()
+    const health = new UpstreamHealth(clock, false)
+    health.requestDeclined()
+    health.requestSucceeded()
+    health.requestDeclined()
+    expect(health.usable).toBe(true)
+    health.requestDeclined()
+    expect(health.usable).toBe(false)
+    await clock.advance(250)
+    expect(health.usable).toBe(true)
+  })
+})
--- a/src/upstreams/UpstreamWork.ts
+++ b/src/upstreams/UpstreamWork.ts
@@ -7,9 +7,9 @@
 
 /**
  * How a request ended: `answered`; `failed` by the upstream or the way to it; `refused` before it was sent;
- * `left` by this host, which says nothing about the upstream.
+ * `declined` by the upstream, which did not run it; `left` by this host, which says nothing about the upstream.
  */
-export type WorkResult = 'answered' | 'failed' | 'refused' | 'left'
+export type WorkResult = 'answered' | 'failed' | 'refused' | 'declined' | 'left'
 
 /** Counts one request in the load of its upstream and reports its end as evidence of health. */
 export class UpstreamWork {
@@ -40,6 +40,7 @@
     this.upstream.load.end(this.work, now)
     if (result === 'answered') this.upstream.health.requestSucceeded()
     if (result === 'failed') this.upstream.health.requestFailed()
+    if (result === 'declined') this.upstream.health.requestDeclined()
     if (result === 'refused') this.upstream.health.connectionRefused()
     this.onEnd()
     return now - this.startedAt
