--- a/src/forwarding/CallProtocol.ts
+++ b/src/forwarding/CallProtocol.ts
@@ -3,7 +3,7 @@
  * answer says. Choice of workers, attempts, budget and deadline are the same for all and stand in `ServiceCall`.
  */
 import type { Upstream } from '../upstreams/index.js'
-import type { ServiceRequest } from './ServiceCall.js'
+import type { ServiceRequest } from './ServiceRequest.js'
 
 /** Header fields by lower-case name. */
 export type HeaderFields = Record<string, string | string[] | undefined>
--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -10,7 +10,7 @@
 import type { Upstream, UpstreamManager } from '../upstreams/index.js'
 import type { CallProtocol, KvSource } from './CallProtocol.js'
 import type { RetryBudget } from './RetryBudget.js'
-import type { ServiceRequest } from './ServiceCall.js'
+import type { ServiceRequest } from './ServiceRequest.js'
 
 /** What the computation needs of its host. */
 export interface PromptComputationContext {
--- a/src/forwarding/RequestManager.ts
+++ b/src/forwarding/RequestManager.ts
@@ -3,7 +3,8 @@
  */
 import type { RequestId, Team } from '../common/index.js'
 import { Generation, type GenerationContext, type GenerationRequest } from './Generation.js'
-import { ServiceCall, type ServiceContext, type ServiceRequest } from './ServiceCall.js'
+import { ServiceCall } from './ServiceCall.js'
+import type { ServiceContext, ServiceRequest } from './ServiceRequest.js'
 
 /** One open request, for operators. */
 export interface OpenRequest {
--- a/src/forwarding/ServiceCall.test.ts
+++ b/src/forwarding/ServiceCall.test.ts
@@ -8,7 +8,7 @@
 import { FakeService } from '../entry/testing/FakeService.js'
 import { type TestHost, testHost } from '../entry/testing/TestHost.js'
 import { RetryBudget } from './RetryBudget.js'
-import type { ServiceRequest } from './ServiceCall.js'
+import type { ServiceRequest } from './ServiceRequest.js'
 
 let services: FakeService[]
 let host: TestHost
--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -6,65 +6,14 @@
  */
 import { Result } from 'true-myth'
 import { Client, type Dispatcher } from 'undici'
-import {
-  abortAfter, type AbortTimer, type Clock, type Failure, failure, type Pool, type RequestId, type WorkerId
-} from '../common/index.js'
-import type { EventLog } from '../observability/index.js'
 import { isNotSent } from '../clients/HttpClient.js'
-import type { RoutingPolicy, RoutingRequest } from '../routing/index.js'
-import { connectTimeoutMilliseconds, connectUpstream, type Upstream, type UpstreamManager, type UpstreamWork } from '../upstreams/index.js'
-import type { AnswerHead, CallProtocol, KvSource } from './CallProtocol.js'
+import { abortAfter, type AbortTimer, type Failure, failure, type WorkerId } from '../common/index.js'
+import type { RoutingRequest } from '../routing/index.js'
+import { connectTimeoutMilliseconds, connectUpstream, type Upstream, type UpstreamWork } from '../upstreams/index.js'
+import { abandon, type AnswerBody, endingWith, isRepeated } from './answerBodies.js'
+import type { AnswerHead, KvSource } from './CallProtocol.js'
 import { EventSplitter } from './EventSplitter.js'
-import type { PromptComputation } from './PromptComputation.js'
-import type { RetryBudget } from './RetryBudget.js'
-
-/** A call to a service. */
-export interface ServiceRequest {
-  requestId: RequestId
-  pool: Pool
-  method: string
-  /** Path and query at the service. */
-  path: string
-  /** Headers for the service, already reduced to the allowed ones. */
-  headers: Record<string, string | string[]>
-  body: Uint8Array | undefined
-  /** Monotonic time in milliseconds. */
-  deadline: number
-  /** True if running the call more than once does no harm. */
-  idempotent: boolean
-  /** `whole`: the answer is held until it is known to be whole; `stream`: it is passed on as it arrives. Default: `whole`. */
-  delivery?: 'whole' | 'stream'
-  /** Workers that may run the call at most. Default: no limit. */
-  maxAttempts?: number
-  /** Prompt of the call; default: none. */
-  prompt?: RoutingRequest
-  /** A call that may be repeated and got no answer for this long is given to another worker. Default: only at its end. */
-  patienceMilliseconds?: number
-}
-
-/** The answer of a service. What is not held in `body` follows in `rest`, which throws if the answer breaks off. */
-export interface ServiceAnswer {
-  status: number
-  headers: Record<string, string>
-  body: Uint8Array
-  rest: AsyncIterable<Uint8Array> | undefined
-}
-
-/** What a call needs of its host. */
-export interface ServiceContext {
-  upstreams: UpstreamManager
-  servicePolicy: RoutingPolicy
-  protocol: CallProtocol
-  clock: Clock
-  events: EventLog
-  budget: RetryBudget
-  /** Bytes of an answer that are held back so that the call can be tried again. */
-  maxBufferedBytes: number
-  /** Largest answer of a call that runs at most once; it is kept whole. */
-  maxOnceAnswerBytes: number
-  /** Computes long prompts on separate workers; absent where no worker does. */
-  promptComputation?: PromptComputation
-}
+import type { ServiceAnswer, ServiceContext, ServiceRequest } from './ServiceRequest.js'
 
 /**
  * Why an attempt did not end the call: `not_sent`; `not_run`, stated by the worker; `broken`, it may have run.
@@ -82,8 +31,6 @@
   close: () => void
 }
 
-type AnswerBody = Dispatcher.ResponseData['body']
-
 /** Why a call is stopped. */
 const deadlinePassed = new Error('the deadline passed')
 const callerLeft = new Error('the caller left')
@@ -448,22 +395,3 @@
       : failure('cancelled', 'the caller left')
   }
 }
-
-/** Closes the connection of an answer that nobody reads on. A stream reports that as an error, to nobody here. */
-function abandon (body: AnswerBody): void {
-  body.on('error', () => {}).destroy()
-}
-
-/** Events carry increasing numbers as ids; a worker that resumes too early repeats some. */
-function isRepeated (id: string | undefined, lastId: string | undefined): boolean {
-  if (id === undefined || lastId === undefined) return false
-  return Number(id) <= Number(lastId)
-}
-
-async function * endingWith (source: AsyncIterable<Uint8Array>, finish: () => Promise<void>): AsyncGenerator<Uint8Array> {
-  try {
-    yield * source
-  } finally {
-    await finish()
-  }
-}
--- a/src/forwarding/ServiceProtocol.ts
+++ b/src/forwarding/ServiceProtocol.ts
@@ -4,7 +4,7 @@
  */
 import { answerHeadersOf } from './headers.js'
 import { type AnswerHead, type CallAttempt, CallProtocol, type HeaderFields, type Verdict } from './CallProtocol.js'
-import type { ServiceRequest } from './ServiceCall.js'
+import type { ServiceRequest } from './ServiceRequest.js'
 import type { Upstream } from '../upstreams/index.js'
 
 /** Statuses by which a service or the way to it says that it could not do its work. */
--- a/src/platform/PlatformDirectory.ts
+++ b/src/platform/PlatformDirectory.ts
@@ -49,11 +49,6 @@
     return this.table !== undefined && this.hasWorkers
   }
 
-  /** Number of known workers. */
-  get workerCount (): number {
-    return this.workers.size
-  }
-
   /** Receives the operators' records. */
   readonly configurationReceiver: TopicReceiver = {
     replace: records => this.takeConfigurations(records),
--- a/src/platform/TopicFollower.ts
+++ b/src/platform/TopicFollower.ts
@@ -42,11 +42,6 @@
 
   constructor (private readonly options: TopicFollowerOptions) {}
 
-  /** True if the last call was answered. */
-  get isConnected (): boolean {
-    return this.next !== undefined && this.lostAt === undefined
-  }
-
   /** Monotonic time in milliseconds at which the store answered again after a loss. */
   get connectedSince (): number {
     return this.regainedAt
