--- a/src/admission/AdmissionManager.test.ts
+++ b/src/admission/AdmissionManager.test.ts
@@ -5,7 +5,8 @@
 import { beforeEach, describe, expect, test } from '@jest/globals'
 import { type Failure, ManualClock, type Team } from '../common/index.js'
 import { FixedConfiguration } from '../configuration/index.js'
-import { type Admission, AdmissionManager, type AdmissionPriority } from './AdmissionManager.js'
+import type { Admission, AdmissionPriority } from './Admission.js'
+import { AdmissionManager } from './AdmissionManager.js'
 
 let clock: ManualClock
 let configuration: FixedConfiguration
--- a/src/admission/AdmissionManager.ts
+++ b/src/admission/AdmissionManager.ts
@@ -5,25 +5,10 @@
 import { Result } from 'true-myth'
 import { type Clock, type Failure, failure, type Team } from '../common/index.js'
 import type { ConfigurationReader } from '../configuration/index.js'
+import type { Admission, AdmissionPriority, AdmissionRequest } from './Admission.js'
 import { TeamQueue, type Waiter } from './TeamQueue.js'
 import { TokenBucket } from './TokenBucket.js'
 
-/** Urgency of a request. Within a team interactive requests go first. */
-export type AdmissionPriority = 'interactive' | 'batch'
-
-/** A request that asks to run. */
-export interface AdmissionRequest {
-  team: Team
-  priority: AdmissionPriority
-  /** Monotonic time in milliseconds. */
-  deadline: number
-  /** Aborts when the caller leaves. */
-  signal: AbortSignal
-}
-
-/** The right to run until `release` is called. */
-export interface Admission { release: () => void }
-
 /** Options of an `AdmissionManager`. */
 export interface AdmissionManagerOptions {
   configuration: ConfigurationReader
--- a/src/admission/TeamQueue.ts
+++ b/src/admission/TeamQueue.ts
@@ -3,7 +3,7 @@
  */
 import type { Result } from 'true-myth'
 import type { Failure, Team } from '../common/index.js'
-import type { Admission, AdmissionPriority } from './AdmissionManager.js'
+import type { Admission, AdmissionPriority } from './Admission.js'
 import type { TokenBucket } from './TokenBucket.js'
 
 /** A request that waits. */
--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -1,2 +1,3 @@
+export * from './Admission.js'
 export * from './AdmissionManager.js'
 export * from './TokenBucket.js'
--- a/src/commands/checkCommand.ts
+++ b/src/commands/checkCommand.ts
@@ -4,6 +4,7 @@
 import type { CommandModule } from 'yargs'
 import type { z } from 'zod'
 import { errorAnswers } from '../common/index.js'
+import { platformSettingsSchema } from '../platform/index.js'
 import { hostSettingsSchema, loadSettings } from '../settings/index.js'
 import {
   engineStandInSettingsSchema, hostListStandInSettingsSchema, logStandInSettingsSchema, serviceStandInSettingsSchema,
@@ -13,6 +14,7 @@
 /** Schema of the settings file of each kind of process. */
 const schemas = {
   host: hostSettingsSchema,
+  'platform-host': platformSettingsSchema,
   engine: engineStandInSettingsSchema,
   service: serviceStandInSettingsSchema,
   log: logStandInSettingsSchema,
--- a/src/entry/entryApplication.ts
+++ b/src/entry/entryApplication.ts
@@ -1,47 +1,17 @@
 /**
  * The callers' HTTP interface of an entry host.
  */
-import type { HttpBindings } from '@hono/node-server'
-import { type Context, Hono } from 'hono'
+import { Hono } from 'hono'
 import { createMiddleware } from 'hono/factory'
-import { errorAnswers, errorResponseOf, type Failure, failure, newRequestId, type RequestId } from '../common/index.js'
-import { type AuthenticatedTeam, TeamAuthenticator } from '../configuration/index.js'
-import { callHeaderReader, type CallHeaders } from './callHeaders.js'
+import { failure, newRequestId } from '../common/index.js'
+import { TeamAuthenticator } from '../configuration/index.js'
+import { callHeaderReader } from './callHeaders.js'
+import { answerFailure, type EntryCall, type EntryEnvironment } from './EntryCall.js'
 import type { EntryOptions } from './EntryContext.js'
 import { callKindOf } from './EntryMetrics.js'
 import { handleGeneration } from './handleGeneration.js'
 import { handleService } from './handleService.js'
 
-/** What the middleware has found out about a call. */
-export interface CallVariables {
-  requestId: RequestId
-  account: AuthenticatedTeam
-  call: CallHeaders
-  /** Monotonic time in milliseconds. */
-  deadline: number
-  /** Aborts when the caller closes its connection. */
-  callerLeft: AbortSignal
-}
-
-/** Environment of the handlers. */
-export interface EntryEnvironment {
-  Bindings: Partial<HttpBindings>
-  Variables: CallVariables
-}
-
-/** Context of a call. */
-export type EntryCall = Context<EntryEnvironment>
-
-/** Answers a failure. A `retryAfterSeconds` in the detail overrides the table. */
-export function answerFailure (failed: Failure): Response {
-  const response = errorResponseOf(failed)
-  const retryAfter = failed.detail?.retryAfterSeconds
-  if (typeof retryAfter === 'number' && errorAnswers[failed.kind].retryAfterSeconds !== undefined) {
-    response.headers.set('retry-after', String(retryAfter))
-  }
-  return response
-}
-
 function callerSignalOf (context: EntryCall): AbortSignal {
   const outgoing = context.env?.outgoing
   if (outgoing === undefined) return context.req.raw.signal
--- a/src/entry/handleGeneration.ts
+++ b/src/entry/handleGeneration.ts
@@ -6,7 +6,7 @@
 import type { AdapterDocument } from '../configuration/index.js'
 import type { Generation, GenerationEvent, GenerationRequest } from '../forwarding/index.js'
 import { readBody } from './callHeaders.js'
-import { answerFailure, type EntryCall } from './entryApplication.js'
+import { answerFailure, type EntryCall } from './EntryCall.js'
 import type { EntryOptions } from './EntryContext.js'
 import { type AnswerShape, streamedBody, wholeBody } from './generationAnswer.js'
 import { type ChatBody, chatBodySchema, type CompletionBody, completionBodySchema, parseBody, promptOfChat } from './generationBody.js'
--- a/src/entry/handleService.ts
+++ b/src/entry/handleService.ts
@@ -9,7 +9,7 @@
 import { requestHeadersOf, type ServiceAnswer, type ServiceCall, type ServiceRequest } from '../forwarding/index.js'
 import { claimNotAvailable, type OnceCall, type OnceExecutor, type OnceOutcome } from '../idempotency/index.js'
 import { readBody } from './callHeaders.js'
-import { answerFailure, type EntryCall } from './entryApplication.js'
+import { answerFailure, type EntryCall } from './EntryCall.js'
 import type { EntryOptions } from './EntryContext.js'
 
 type ServicePool = Extract<PoolDocument, { kind: 'service' }>
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -146,6 +146,9 @@
       metrics: new RequestMetrics(metrics),
       isStopping: () => state.stopping
     })
+    metrics.gauge('log_lines_dropped_total', 'Log lines for which the reader was too slow.', [], gauge => {
+      gauge.set(lines.droppedLines)
+    })
     const lease = leaseOf(settings, clock, events)
     const host = new PlatformHost(
       settings, clock, events, lines, metrics, directory, [configuration, workers], upstreams, requests, listener, lease, budget)
@@ -251,7 +254,7 @@
       return pool.workers.flatMap(({ id }) => {
         const upstream = this.upstreams.worker(id)
         if (upstream === undefined || upstream.description.worker.draining) return []
-        return [{ worker: id, model, role: upstream.role, unavailable: !upstream.usable }]
+        return [{ worker: id, model, role: upstream.role, zone: upstream.zone, unavailable: !upstream.usable }]
       })
     })
   }
--- /dev/null
+++ b/src/platform/index.ts
@@ -0,0 +1,2 @@
+export * from './PlatformSettings.js'
+export * from './PlatformHost.js'
