--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -254,7 +254,7 @@
       return pool.workers.flatMap(({ id }) => {
         const upstream = this.upstreams.worker(id)
         if (upstream === undefined || upstream.description.worker.draining) return []
-        return [{ worker: id, model, role: upstream.role, zone: upstream.zone, unavailable: !upstream.usable }]
+        return [{ worker: id, model, role: upstream.role, unavailable: !upstream.usable }]
       })
     })
   }
--- a/src/roles/SplitRolePlanner.ts
+++ b/src/roles/SplitRolePlanner.ts
@@ -42,21 +42,9 @@
     const [from, to]: [EngineRole, EngineRole] = missing > 0 ? ['decode', 'prefill'] : ['prefill', 'decode']
     // An engine that is being changed still shows its former role.
     const count = Math.min(Math.abs(missing) - changing, Math.max(1, Math.floor(maxChangingShare * engines.length)) - changing)
-    const reason = `${wanted} of ${engines.length} engines compute prompts`
-    return this.spreadOverZones(engines.filter(({ role, unavailable }) => role === from && !unavailable))
+    return engines
+      .filter(({ role, unavailable }) => role === from && !unavailable)
       .slice(0, Math.max(0, count))
-      .map(({ worker }) => ({ worker, from, to, reason }))
-  }
-
-  /** Engines of zones with many come first, so that a zone that is cut off keeps one of each kind if it can. */
-  private spreadOverZones (engines: PlannedEngine[]): PlannedEngine[] {
-    const byZone = new Map<PlannedEngine['zone'], PlannedEngine[]>()
-    for (const engine of engines) byZone.set(engine.zone, [...byZone.get(engine.zone) ?? [], engine])
-    const ordered: PlannedEngine[] = []
-    while (ordered.length < engines.length) {
-      const [largest] = [...byZone.values()].sort((left, right) => right.length - left.length)
-      ordered.push(...largest!.splice(0, 1))
-    }
-    return ordered
+      .map(({ worker }) => ({ worker, from, to, reason: `${wanted} of ${engines.length} engines compute prompts` }))
   }
 }
