--- /dev/null
+++ b/src/platform/WorkerOrders.test.ts
@@ -0,0 +1,110 @@
+/**
+ * Guards against orders without authority, orders that a worker of another life could take, and orders that are sent
+ * twice because their answer was lost.
+ */
+import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
+import { Result } from 'true-myth'
+import { type Failure, type HostId, ManualClock, type WorkerId } from '../common/index.js'
+import type { EngineRole } from '../configuration/index.js'
+import { DutyGroup, GroupLease, type GroupMembership } from '../leases/index.js'
+import { EventLog, HybridClock, Timeline } from '../observability/index.js'
+import type { Upstream, UpstreamManager } from '../upstreams/index.js'
+import { FakeWorker, type ReceivedRequest } from './testing/FakeWorker.js'
+import { until } from './testing/platformTestSupport.js'
+import { WorkerOrders } from './WorkerOrders.js'
+
+class ConfirmingGroup extends DutyGroup {
+  confirms = true
+
+  async join (): Promise<Result<GroupMembership, Failure>> { return Result.ok({ generation: 7, holdsDuty: true }) }
+  async confirm (): Promise<Result<boolean, Failure>> { return Result.ok(this.confirms) }
+  async leave (): Promise<void> {}
+}
+
+let clock: ManualClock
+let group: ConfirmingGroup
+let lease: GroupLease
+let worker: FakeWorker
+let upstream: { id: WorkerId, origin: string, role: EngineRole, removed: boolean }
+let orders: WorkerOrders
+let busy: boolean
+let onOrder: (request: ReceivedRequest) => void
+
+beforeEach(async () => {
+  clock = new ManualClock()
+  group = new ConfirmingGroup()
+  const events = new EventLog({ timeline: new Timeline('host-1', new HybridClock(clock)), level: 'error', write: () => {} })
+  lease = new GroupLease({
+    group, clock, events, durationMilliseconds: 3000, renewMilliseconds: 1000, handoverMilliseconds: 0
+  })
+  lease.start()
+  await clock.advance(0)
+  worker = await FakeWorker.start('llm-1')
+  busy = false
+  onOrder = request => { request.socket.write(worker.answerTo(request, '{}', { status: 202 })) }
+  worker.answer = request => {
+    if (request.path === '/v1/order') onOrder(request)
+    else request.socket.write(worker.answerTo(request, JSON.stringify({ sequence: 4, busy })))
+  }
+  upstream = { id: 'llm-1' as WorkerId, origin: `http://${worker.address}`, role: 'decode', removed: false }
+  const upstreams = { worker: () => upstream as Upstream } as unknown as UpstreamManager
+  orders = new WorkerOrders({ lease, upstreams, hostId: 'host-1' as HostId, clock, events })
+})
+
+afterEach(async () => {
+  await lease.stop()
+  await worker.stop()
+})
+
+function sentOrders (): ReceivedRequest[] {
+  return worker.requests.filter(({ path }) => path === '/v1/order')
+}
+
+async function change (): Promise<Result<{ result: string }, Failure>> {
+  return await orders.changeRole('llm-1' as WorkerId, 'prefill')
+}
+
+test('an order names the worker, the number of its orders and the fencing number', async () => {
+  upstream.role = 'decode'
+  onOrder = request => {
+    upstream.role = 'prefill'
+    request.socket.write(worker.answerTo(request, '{}', { status: 202 }))
+  }
+  expect((await change()).isOk).toBe(true)
+  expect(sentOrders()).toHaveLength(1)
+  expect(sentOrders()[0]!.headers['dogwooddale-expect-instance']).toBe('llm-1')
+  expect(JSON.parse(sentOrders()[0]!.body)).toEqual({
+    operation: 'stage', stage: 'prefill', holder: 'host-1', 'fencing-token': 7, expect: 4
+  })
+})
+
+describe('nothing is sent', () => {
+  test.each([
+    ['when the store does not confirm the duty', () => { group.confirms = false }, 'lost_authority'],
+    ['while the worker carries out another order', () => { busy = true }, 'conflict'],
+    ['without the duty', () => { lease.noteRefusal(lease.authority()!) }, 'lost_authority']
+  ])('%s', async (_name, spoil, kind) => {
+    spoil()
+    const changed = await change()
+    expect(changed.isErr && changed.error.kind).toBe(kind)
+    expect(sentOrders()).toHaveLength(0)
+  })
+})
+
+test('a worker that has seen a greater number ends the authority', async () => {
+  onOrder = request => { request.socket.write(worker.answerTo(request, '{}', { status: 412 })) }
+  expect((await change()).isErr).toBe(true)
+  expect(lease.authority()).toBeUndefined()
+})
+
+test('an order without an answer is not sent again; its effect decides', async () => {
+  onOrder = request => { request.socket.destroy() }
+  const changing = change()
+  await until(() => sentOrders().length === 1)
+  await clock.advance(1000)
+  upstream.role = 'prefill'
+  const settled = changing.then(result => result.isOk)
+  while (await Promise.race([settled, Promise.resolve('pending')]) === 'pending') await clock.advance(250)
+  expect(await settled).toBe(true)
+  expect(sentOrders()).toHaveLength(1)
+})
