Choose the generating worker after the prompt was computed

Ruled out: a late notice of the leaving (the entry was read in time). Change: the prompt is computed first, the generating worker chosen then.

--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -95,7 +95,8 @@
     let last: Tried | undefined
     for (;;) {
       if (stop.aborted) return Result.err(this.stopFailure(stop, last))
-      const upstream = this.choose()
+      const upstream = await this.choose(stop)
+      if (stop.aborted) return Result.err(this.stopFailure(stop, last))
       if (upstream === undefined) {
         return Result.err(this.failureWithoutWorker(last))
       }
@@ -147,8 +148,12 @@
     return this.untried().length > 0 && this.context.budget.tryTake(this.request.pool)
   }
 
-  /** A worker is not tried twice, since a call that failed on all workers has no better chance on one of them. */
-  private choose (): Upstream | undefined {
+  /**
+   * A worker is not tried twice, since a call that failed on all workers has no better chance on one of them. The
+   * choice comes after the computation of the prompt, which can take seconds: workers leave meanwhile.
+   */
+  private async choose (stop: AbortSignal): Promise<Upstream | undefined> {
+    if (this.untried().length > 0) await this.computePrompt(stop)
     return this.context.servicePolicy.choose(this.request.prompt ?? emptyPrompt, this.untried())
   }
 
@@ -161,8 +166,7 @@
     this.tried.add(upstream.id)
     this.worker = upstream.id
     const prompt = this.request.prompt ?? emptyPrompt
-    const kvSource = await this.computedPrompt(stop)
-    if (stop.aborted) return Result.err({ kind: 'not_sent', failure: this.stopFailure(stop) })
+    const { kvSource } = this
     const { servicePolicy, upstreams } = this.context
     const work = upstreams.begin(upstream, kvSource === undefined ? servicePolicy.prefillTokens(prompt, upstream) : 0)
     servicePolicy.sent(prompt, upstream)
@@ -173,12 +177,11 @@
   }
 
   /** A worker that refuses a call has mostly not fetched its prompt, so the next one is told to fetch it. */
-  private async computedPrompt (stop: AbortSignal): Promise<KvSource | undefined> {
-    if (this.kvSource !== undefined) return this.kvSource
+  private async computePrompt (stop: AbortSignal): Promise<void> {
+    if (this.kvSource !== undefined) return
     const isFirst = !this.hasComputedPrompt
     this.hasComputedPrompt = true
     this.kvSource = await this.context.promptComputation?.compute(this.request, isFirst, stop)
-    return this.kvSource
   }
 
   /** Frees a computed prompt that was not fetched. */
@@ -363,8 +366,8 @@
 
   private async resume (lastId: string | undefined, stop: AbortSignal, cause: Error): Promise<OpenAnswer> {
     for (;;) {
-      const upstream = this.choose()
-      if (upstream === undefined) throw cause
+      const upstream = await this.choose(stop)
+      if (upstream === undefined || stop.aborted) throw cause
       const next = await this.attempt(upstream, stop, lastId)
       if (next.isOk && next.value.head.status === 200) return next.value
       if (next.isOk) {
--- a/src/platform/PlatformHost.test.ts
+++ b/src/platform/PlatformHost.test.ts
@@ -335,14 +335,14 @@
   const isPrompt = ({ headers }: ReceivedRequest): boolean => headers['dogwooddale-stage'] === 'prefill'
 
   /** One worker computes prompts, the others generate. */
-  async function startSplit (generating: number): Promise<{ prefill: FakeWorker, decode: FakeWorker[] }> {
+  async function startSplit (generating: number): Promise<PlatformTest & { prefill: FakeWorker, decode: FakeWorker[] }> {
     const { host, store, models } = await start({ modelWorkers: generating + 1 })
     const [prefill, ...decode] = models as [FakeWorker, ...FakeWorker[]]
     store.write('keyed.servers', prefill.id, prefill.entry('llm', { stage: 'prefill', sequence: 2 }))
     for (const worker of decode) store.write('keyed.servers', worker.id, worker.entry('llm', { stage: 'decode', sequence: 2 }))
     prefill.answer = request => { request.socket.write(prefill.answerTo(request, '{"kv-handle":"h1","tokens":1500,"version":1}')) }
-    await until(() => host.workerRoles().filter(role => role === 'decode').length === generating)
-    return { prefill, decode }
+    await until(() => host.workers().filter(({ role }) => role === 'decode').length === generating)
+    return { ...platform!, prefill, decode }
   }
 
   test('is continued by a generating worker from its handle', async () => {
@@ -370,6 +370,20 @@
     expect(prefill.requests.filter(isPrompt)).toHaveLength(1)
   })
 
+  test('is not continued by a worker that began to leave meanwhile', async () => {
+    const { host, store, prefill, decode } = await startSplit(2)
+    const held: ReceivedRequest[] = []
+    prefill.answer = request => { held.push(request) }
+    const clients = await Promise.all(Array.from({ length: 8 }, caller))
+    for (const [index, client] of clients.entries()) client.send('POST', '/tags/1', requestHeaders(`r${index}`, prompt), 'post')
+    await until(() => held.length === clients.length)
+    store.write('keyed.servers', 'llm-1', decode[0]!.entry('llm', { stage: 'decode', state: 'draining', sequence: 3 }))
+    await until(() => host.workers().some(({ id, draining }) => id === 'llm-1' && draining))
+    for (const request of held) request.socket.write(prefill.answerTo(request, '{"kv-handle":"h1","tokens":1500,"version":1}'))
+    for (const client of clients) expect((await client.answer()).body).toBe('llm-2')
+    expect(decode[0]!.requests).toHaveLength(0)
+  })
+
   test('is freed when no worker generates the answer', async () => {
     const { prefill, decode } = await startSplit(1)
     decode[0]!.answer = request => {
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -4,7 +4,6 @@
  */
 import { Hono } from 'hono'
 import { type Clock, type Hash, loadHash, newIncarnation, SystemClock } from '../common/index.js'
-import type { EngineRole } from '../configuration/index.js'
 import { type ListeningServer, serve } from '../entry/index.js'
 import { defaultAttemptLimits, PromptComputation, RequestManager, type RequestManagerOptions, RetryBudget } from '../forwarding/index.js'
 import { type ObservedEngine, RoleDuty } from '../fleet/index.js'
@@ -12,7 +11,7 @@
 import { EventLog, HybridClock, LineWriter, Metrics, Timeline } from '../observability/index.js'
 import { DemandCollector, SplitRolePlanner } from '../roles/index.js'
 import { PowerOfTwoPolicy, PrefixIndex, PromptPlacementPolicy } from '../routing/index.js'
-import { UpstreamManager } from '../upstreams/index.js'
+import { UpstreamManager, type UpstreamView } from '../upstreams/index.js'
 import { CallerListener } from './CallerListener.js'
 import { PlatformDirectory } from './PlatformDirectory.js'
 import type { PlatformSettings } from './PlatformSettings.js'
@@ -188,9 +187,9 @@
     return { callers: this.listener.address, readiness: this.readiness?.addresses[0] ?? '' }
   }
 
-  /** Roles of the known workers, as the router sees them. */
-  workerRoles (): EngineRole[] {
-    return this.upstreams.view().map(({ role }) => role)
+  /** The known workers, as the router sees them. */
+  workers (): UpstreamView[] {
+    return this.upstreams.view()
   }
 
   /** Ends everything at once, without regard to open requests. */
