Never answer "not run" after an attempt that may have run

Cause: reading the loop once more: when the retry budget was used up right after a refusal, the refusal was the answer, although an earlier attempt of the same request had been sent and had broken off. Ruled out: requests that may run once (they are not sent again after a break). Change: one place turns such failures into 502; the special cases go.

--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -7,7 +7,7 @@
 import { Result } from 'true-myth'
 import { Client, type Dispatcher } from 'undici'
 import { isNotSent } from '../clients/HttpClient.js'
-import { abortAfter, type AbortTimer, type Failure, failure, type WorkerId } from '../common/index.js'
+import { abortAfter, type AbortTimer, errorAnswers, type Failure, failure, type WorkerId } from '../common/index.js'
 import type { RoutingRequest } from '../routing/index.js'
 import { connectTimeoutMilliseconds, connectUpstream, type Upstream, type UpstreamWork } from '../upstreams/index.js'
 import { abandon, type AnswerBody, endingWith, isRepeated } from './answerBodies.js'
@@ -74,7 +74,7 @@
     const leave = (): void => { stop.abort(callerLeft) }
     if (this.stopsWithCaller) signal?.addEventListener('abort', leave, { once: true })
     if (this.stopsWithCaller && signal?.aborted) leave()
-    const result = await this.runAttempts(stop.signal)
+    const result = (await this.runAttempts(stop.signal)).mapErr(failed => this.asRun(failed))
     this.releasePrompt()
     const finish = async (): Promise<void> => {
       timer.end()
@@ -135,11 +135,14 @@
     return this.request.idempotent && this.ranOn < (this.request.maxAttempts ?? Infinity)
   }
 
-  /** Says "not run" only if no attempt was sent to a worker that may have run it. */
   private failureWithoutWorker (last: Tried | undefined): Failure {
-    const message = `no worker of pool ${this.request.pool} is available`
-    if (!this.hasRun) return failure('not_run', message)
-    return last?.kind === 'broken' ? last.failure : failure('upstream_failed', message)
+    return last?.kind === 'broken' ? last.failure : failure('not_run', `no worker of pool ${this.request.pool} is available`)
+  }
+
+  /** After an attempt that may have run, the failure of a later one must not say that the call did not run. */
+  private asRun (failed: Failure): Failure {
+    if (!this.hasRun || !errorAnswers[failed.kind].notRun) return failed
+    return failure('upstream_failed', `an attempt failed and no other could complete the call: ${failed.message}`)
   }
 
   /** A call that a worker could not serve is sent to another one, if it may run again and there is one. */
@@ -266,8 +269,7 @@
       open.close()
       this.noteFailure(open.work.upstream, tried)
       if (!this.mayTryAgain(tried)) return Result.err(tried.failure)
-      const next = await this.runAttempts(stop)
-      return next.isErr && next.error.kind === 'not_run' ? Result.err(tried.failure) : next
+      return await this.runAttempts(stop)
     }
   }
 
--- a/src/platform/PlatformHost.test.ts
+++ b/src/platform/PlatformHost.test.ts
@@ -195,8 +195,11 @@
     expect(await client.answer()).toMatchObject({ status: 503, headers: { 'retry-after': expect.any(String) } })
   })
 
-  test('after a run elsewhere does not make the request "not run"', async () => {
-    const { app } = await start()
+  test.each([
+    ['no worker is left', 2, 1000],
+    ['no retry is left', 3, 0]
+  ])('after a run elsewhere does not make the request "not run" when %s', async (_name, appWorkers, retrySlack) => {
+    const { app } = await start({ appWorkers, retrySlack })
     let count = 0
     for (const worker of app) {
       worker.answer = request => {
