Limit retries in a sliding window, with the same slack for each host

Cause: each host took its burst as a sixty-fourth of the common slack. At 144 hosts that is 6.5 retries a host, 936 together, where the bound is 352. A token bucket also allows the burst and what flows in within one window. Ruled out: that fewer retries cost answers. Change: retries are counted over the 10 s of the bound; each host has two beside its share of its own requests. The owners' slack is at least 2.4 a host.

--- a/src/entry/testing/TestHost.ts
+++ b/src/entry/testing/TestHost.ts
@@ -94,7 +94,7 @@
     protocol: new ServiceProtocol(),
     clock,
     events,
-    budget: new RetryBudget(0.1, 100),
+    budget: new RetryBudget(clock, { ratio: 0.1, slack: 100 }),
     limits: defaultAttemptLimits,
     maxBufferedBytes: 262_144,
     maxOnceAnswerBytes: 1_048_576,
--- a/src/forwarding/Generation.test.ts
+++ b/src/forwarding/Generation.test.ts
@@ -8,7 +8,7 @@
   endEvents, type EngineScript, FakeEngine, plainScript, startStream, streamOf, textOf, tokenEvent
 } from '../entry/testing/FakeEngine.js'
 import { recordsOf, reefToken, type TestHost, testHost, type TestHostOptions } from '../entry/testing/TestHost.js'
-import type { ManualClock } from '../common/index.js'
+import { ManualClock } from '../common/index.js'
 import { RetryBudget } from './RetryBudget.js'
 
 let engines: FakeEngine[]
@@ -134,7 +134,7 @@
   test('an engine that refuses connections is passed over without using the budget', async () => {
     await engines[0]!.stop()
     await engines[1]!.stop()
-    const host = await newHost({ generation: { budget: new RetryBudget(0, 0) } })
+    const host = await newHost({ generation: { budget: new RetryBudget(new ManualClock(), { ratio: 0, slack: 0 }) } })
     expectComplete(await stream(host))
   })
 
@@ -227,7 +227,7 @@
 describe('limits', () => {
   test('a stream that cannot be completed ends with an explicit error', async () => {
     scripts(...Array(3).fill(sends(request => tokenEvent(request, request.resume_from ?? 0), 'reset')) as EngineScript[])
-    const host = await newHost({ generation: { budget: new RetryBudget(0, 1) } })
+    const host = await newHost({ generation: { budget: new RetryBudget(new ManualClock(), { ratio: 0, slack: 1 }) } })
     const result = await stream(host)
     expect(result).toMatchObject({ done: false, error: { type: 'stream_interrupted', detail: { position: 2 } } })
     expect(result.texts).toEqual([' t0', ' t1'])
@@ -235,7 +235,7 @@
 
   test('retries stay within the budget', async () => {
     for (const engine of engines) engine.script = (_request, response) => { response.destroy() }
-    const host = await newHost({ generation: { budget: new RetryBudget(0.5, 2) } })
+    const host = await newHost({ generation: { budget: new RetryBudget(new ManualClock(), { ratio: 0.5, slack: 2 }) } })
     host.upstreams.start()
     for (let request = 0; request < 10; request += 1) {
       // Engines that failed get no work for a while; here that must not be what limits the attempts.
@@ -270,7 +270,7 @@
     scripts((_request, response) => { response.destroy() }, ...Array(9).fill((_request: unknown, response: ServerResponse) => {
       response.writeHead(503).end()
     }) as EngineScript[])
-    const host = await newHost({ generation: { budget: new RetryBudget(0, last === 'status 503' ? 1 : 5) } })
+    const host = await newHost({ generation: { budget: new RetryBudget(new ManualClock(), { ratio: 0, slack: last === 'status 503' ? 1 : 5 }) } })
     const result = await passTime(host, stream(host))
     expect(result).toMatchObject({ status: 502, error: { type: 'upstream_failed', not_run: false } })
   })
--- a/src/forwarding/ServiceCall.test.ts
+++ b/src/forwarding/ServiceCall.test.ts
@@ -4,7 +4,7 @@
  */
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
 import type { ServerResponse } from 'node:http'
-import type { ManualClock } from '../common/index.js'
+import { ManualClock } from '../common/index.js'
 import { FakeService } from '../entry/testing/FakeService.js'
 import { type TestHost, testHost } from '../entry/testing/TestHost.js'
 import { RetryBudget } from './RetryBudget.js'
@@ -73,7 +73,8 @@
   })
 
   test('retries stay within the budget', async () => {
-    host = await testHost({ services: services.map(({ address }) => address), generation: { budget: new RetryBudget(0, 1) } })
+    const budget = new RetryBudget(new ManualClock(), { ratio: 0, slack: 1 })
+    host = await testHost({ services: services.map(({ address }) => address), generation: { budget } })
     answers(...Array(9).fill(failures[0]![1]) as Array<(response: ServerResponse) => void>)
     await host.requests.serviceCall(request(true)).run()
     expect(runs()).toEqual([0, 1, 1])
--- a/src/host/RequestPart.ts
+++ b/src/host/RequestPart.ts
@@ -22,10 +22,10 @@
  * Part of the concurrent requests that may be retried at once after a quiet time. An engine that crashes breaks
  * its part of the streams at the same moment, and all of them are to go on elsewhere.
  */
-const retryBurstFraction = 0.25
+const retrySlackFraction = 0.25
 
 /** Retries that are allowed at once on a small host. */
-const minRetryBurst = 32
+const minRetrySlack = 32
 
 /** Largest answer of an at-most-once call that is kept for repeated calls. */
 const maxOnceAnswerBytes = 1_048_576
@@ -100,10 +100,10 @@
       protocol: new ServiceProtocol(),
       clock,
       events,
-      budget: new RetryBudget(
-        settings.limits.retryBudget,
-        Math.max(minRetryBurst, Math.ceil(settings.limits.maxConcurrent * retryBurstFraction))
-      ),
+      budget: new RetryBudget(clock, {
+        ratio: settings.limits.retryBudget,
+        slack: Math.max(minRetrySlack, Math.ceil(settings.limits.maxConcurrent * retrySlackFraction))
+      }),
       limits: { ...defaultAttemptLimits, progressCheckMilliseconds: settings.upstreams.progressCheckMilliseconds },
       maxBufferedBytes: settings.limits.maxBufferedBytes,
       maxOnceAnswerBytes
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -5,7 +5,7 @@
 import { Hono } from 'hono'
 import { type Clock, type Hash, loadHash, newIncarnation, SystemClock } from '../common/index.js'
 import { type ListeningServer, serve } from '../entry/index.js'
-import { defaultAttemptLimits, PromptComputation, RequestManager, type RequestManagerOptions, RetryBudget } from '../forwarding/index.js'
+import { defaultAttemptLimits, PromptComputation, RequestManager, type RequestManagerOptions, RetryBudget, type RetryLimits } from '../forwarding/index.js'
 import { type ObservedEngine, RoleDuty } from '../fleet/index.js'
 import { GroupLease } from '../leases/index.js'
 import { EventLog, HybridClock, LineWriter, Metrics, Timeline } from '../observability/index.js'
@@ -35,11 +35,11 @@
 /** Time before the platform kills the process at which it ends by itself, in milliseconds. */
 const exitBeforeKillMilliseconds = 500
 
-/** Part of the common retry ratio that hosts use, so that a window that slides over two bursts stays in the bound. */
+/** Part of the common retry ratio that hosts use, so that retries that arrive late stay in the bound of their window. */
 const retryRatioPart = 0.75
 
-/** Hosts that share the retry slack: the size of the deployment in two years. */
-const hostsSharingSlack = 64
+/** Retries in a window that a host may send beyond that share; the owners' bounds allow at least 2.4 for each host. */
+const retrySlackPerHost = 2
 
 /** Idle connections to workers are kept this long, unless the worker states a shorter time. */
 const workerKeepAliveMilliseconds = 30_000
@@ -131,8 +131,7 @@
       subsetSize: maxWorkersPerService,
       keepAliveMilliseconds: workerKeepAliveMilliseconds
     })
-    const { ratio, burst } = retryLimitsOf(settings)
-    const budget = new RetryBudget(ratio, burst)
+    const budget = new RetryBudget(clock, retryLimitsOf(settings))
     const requests = new RequestManager(requestOptions(settings, { clock, events, hash, index, upstreams, budget }))
     const state = { stopping: false }
     const listener = new CallerListener({
@@ -207,9 +206,9 @@
   /** Puts changed settings in force. Addresses and identity of a running process stay as they are. */
   reload (settings: PlatformSettings): void {
     this.settings = settings
-    const { ratio, burst } = retryLimitsOf(settings)
-    this.budget.configure(ratio, burst)
-    this.events.info('settings_in_force', { grace: settings.bounds.graceSeconds, ratio, burst })
+    const limits = retryLimitsOf(settings)
+    this.budget.configure(limits)
+    this.events.info('settings_in_force', { grace: settings.bounds.graceSeconds, retryRatio: limits.ratio, retrySlack: limits.slack })
   }
 
   /** Notes settings that cannot be used; the former ones stay in force. */
@@ -293,9 +292,9 @@
   })
 }
 
-/** This host's part of the retries that all hosts share, by its own requests. */
-function retryLimitsOf ({ bounds }: PlatformSettings): { ratio: number, burst: number } {
-  return { ratio: bounds.retryRatio * retryRatioPart, burst: 1 + bounds.retrySlack / hostsSharingSlack }
+/** This host's part of the retries that all hosts share: by its own requests, and the same slack for each host. */
+function retryLimitsOf ({ bounds }: PlatformSettings): RetryLimits {
+  return { ratio: bounds.retryRatio * retryRatioPart, slack: Math.min(retrySlackPerHost, bounds.retrySlack) }
 }
 
 interface RequestParts {
