Choose among equal workers at random

Cause: placement walked around the workers from a point that moved on with each choice. Ruled out: the homes of shared parts (rendezvous hashing is even), the retry budget, lack of prefill capacity (38 % in use). Change: a random one of the cheapest. A line prompt_computed tells where and how long, service_attempt_started with which inputs a worker was chosen.

--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -69,12 +69,20 @@
     { worker: upstream, partsFrom }: PromptPlacement<Upstream>,
     stop: AbortSignal
   ): Promise<Computation> {
-    const { clock, policy, protocol, upstreams } = this.context
+    const { clock, events, policy, protocol, upstreams } = this.context
     const remaining = request.deadline - clock.monotonic()
     const limit = remaining * longestPartOfRemainingTime
     const attempt = { request, upstream, remainingMilliseconds: Math.ceil(limit), resumeAfter: undefined, kvSource: undefined }
     const headers = protocol.promptHeaders(attempt, partsFrom)
     if (headers === undefined || request.prompt === undefined) return { outcome: 'not_sent' }
+    const placed = {
+      request: request.requestId,
+      worker: upstream.id,
+      parts_from: partsFrom?.id,
+      own_zone: upstream.ownZone,
+      queued: upstream.load.queuedPrefillTokens
+    }
+    const startedAt = clock.monotonic()
     const work = upstreams.begin(upstream, policy.prefillTokens(request.prompt, upstream))
     policy.sent(request.prompt, upstream)
     const timer = abortAfter(clock, limit, new Error(`the prompt was not computed within ${Math.round(limit)} ms`))
@@ -89,7 +97,10 @@
       const body = Buffer.from(await answer.body.arrayBuffer())
       const handle = answer.statusCode === 200 ? protocol.promptHandle(body) : undefined
       work.end(handle === undefined ? 'declined' : 'answered')
-      if (handle !== undefined) return { outcome: 'computed', source: { upstream, handle } }
+      if (handle !== undefined) {
+        events.info('prompt_computed', { ...placed, milliseconds: Math.round(clock.monotonic() - startedAt) })
+        return { outcome: 'computed', source: { upstream, handle } }
+      }
       this.note(request, upstream, `status ${answer.statusCode}`)
       return { outcome: 'refused' }
     } catch (caught) {
--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -171,6 +171,17 @@
     const prompt = this.request.prompt ?? emptyPrompt
     const { kvSource } = this
     const { servicePolicy, upstreams } = this.context
+    const { outstanding, runningDecodes, queuedPrefillTokens } = upstream.load
+    this.context.events.info('service_attempt_started', {
+      request: this.request.requestId,
+      worker: upstream.id,
+      own_zone: upstream.ownZone,
+      outstanding,
+      streams: runningDecodes,
+      queued: queuedPrefillTokens,
+      prompt_at: kvSource?.upstream.id,
+      resumed_after: resumeAfter
+    })
     const work = upstreams.begin(upstream, kvSource === undefined ? servicePolicy.prefillTokens(prompt, upstream) : 0)
     servicePolicy.sent(prompt, upstream)
     const sent = await this.send(upstream, work, stop, { resumeAfter, kvSource })
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -314,7 +314,7 @@
 ): RequestManagerOptions {
   const protocol = new WorkerProtocol()
   const withoutPrompt = new PowerOfTwoPolicy(hash.h32(host.id))
-  const policy = new PromptPlacementPolicy({ index, hash, costs: placementCosts, withoutPrompt })
+  const policy = new PromptPlacementPolicy({ index, hash, costs: placementCosts, withoutPrompt, seed: hash.h32(host.id) })
   return {
     upstreams,
     policy,
--- a/src/routing/PromptPlacementPolicy.test.ts
+++ b/src/routing/PromptPlacementPolicy.test.ts
@@ -25,7 +25,7 @@
     streamMilliseconds: 2,
     otherZoneMillisecondsPerToken: 0.0005
   }
-  return new PromptPlacementPolicy({ index: new PrefixIndex(), hash, costs, withoutPrompt: new RoundRobinPolicy() })
+  return new PromptPlacementPolicy({ index: new PrefixIndex(), hash, costs, withoutPrompt: new RoundRobinPolicy(), seed: 1 })
 }
 
 function prompt (thread: string, own: string) {
@@ -67,6 +67,27 @@
   })
 })
 
+test('without knowledge of the load, workers of the own zone get even shares', () => {
+  const candidates = ['w-1', 'w-2', 'w-3', 'w-4', 'w-5', 'w-6'].map((id, index) => candidate(id, {}, index < 3))
+  const host = policy()
+  const prompts = Array.from({ length: 300 }, (_, index) => ({
+    promptTokens: 1000, promptBlocks: [`m/own-${index}`], blockTokens: [1000]
+  }))
+  const counts = new Map<string, { computes: number, generates: number }>()
+  const countOf = (id: string) => counts.get(id) ?? { computes: 0, generates: 0 }
+  for (const request of prompts) {
+    const computes = host.chooseForPrompt(request, candidates, candidates)!.worker.id
+    counts.set(computes, { ...countOf(computes), computes: countOf(computes).computes + 1 })
+    const generates = host.choose(request, candidates)!.id
+    counts.set(generates, { ...countOf(generates), generates: countOf(generates).generates + 1 })
+  }
+  expect([...counts.keys()].sort()).toEqual(['w-1', 'w-2', 'w-3'])
+  for (const { computes, generates } of counts.values()) {
+    // Four standard deviations below a third of the requests.
+    expect(Math.min(computes, generates)).toBeGreaterThan(100 - 4 * Math.sqrt(300 * 1 / 3 * 2 / 3))
+  }
+})
+
 test.each([
   ['fewer streams', [candidate('w-1', { runningDecodes: 9 }), candidate('w-2', { runningDecodes: 3 })], 'w-2'],
   ['fewer waiting tokens', [candidate('w-1', { queuedPrefillTokens: 5000 }), candidate('w-2')], 'w-2'],
--- a/src/routing/PromptPlacementPolicy.ts
+++ b/src/routing/PromptPlacementPolicy.ts
@@ -5,7 +5,7 @@
  * Hosts do not tell each other what they sent: rendezvous hashing over the shared parts names for each part one
  * worker, its home, where all hosts expect it.
  */
-import type { Hash } from '../common/index.js'
+import { type Hash, SeededRandom } from '../common/index.js'
 import type { PrefixIndex } from './PrefixIndex.js'
 import { type RoutingCandidate, RoutingPolicy, type RoutingRequest } from './RoutingPolicy.js'
 
@@ -30,6 +30,8 @@
   costs: PlacementCosts
   /** Chooses workers for requests without a prompt. */
   withoutPrompt: RoutingPolicy
+  /** Decides between workers of equal cost. Hosts need different seeds. */
+  seed: number
 }
 
 /** Where a prompt is computed, and the worker from which missing parts are fetched. */
@@ -38,11 +40,12 @@
 /** Chooses workers for prompts and for their answers. */
 export class PromptPlacementPolicy extends RoutingPolicy {
   private readonly costs: PlacementCosts
-  private turn = 0
+  private readonly random: SeededRandom
 
   constructor (private readonly options: PlacementOptions) {
     super()
     this.costs = options.costs
+    this.random = new SeededRandom(options.seed)
   }
 
   /** The worker that generates the answer. */
@@ -89,22 +92,24 @@
     return worker.ownZone ? 0 : request.promptTokens * this.costs.otherZoneMillisecondsPerToken
   }
 
-  /** Decisions start at different candidates, so that equal ones take turns. */
+  /**
+   * One of the candidates with the lowest cost, at random: without knowledge of the load most costs are equal, and the
+   * first of the own zone would get the requests of all hosts.
+   */
   private cheapest<Candidate> (
     candidates: readonly Candidate[],
     costOf: (candidate: Candidate) => number
   ): Candidate | undefined {
-    this.turn += 1
-    let best: Candidate | undefined
+    let best: Candidate[] = []
     let bestCost = Infinity
-    for (let offset = 0; offset < candidates.length; offset += 1) {
-      const candidate = candidates[(this.turn + offset) % candidates.length]!
+    for (const candidate of candidates) {
       const cost = costOf(candidate)
-      if (cost >= bestCost) continue
-      best = candidate
+      if (cost > bestCost) continue
+      if (cost < bestCost) best = []
+      best.push(candidate)
       bestCost = cost
     }
-    return best
+    return best.length <= 1 ? best[0] : best[this.random.integer(0, best.length - 1)]
   }
 
   /** Tokens at the start of the prompt that each worker holds, as far as this host knows. */
