Log the first bytes and the longest pause of an answer

Cause: request_ended told the time of the head, which comes before the first event; whether an answer is late is decided by the first event and by the longest pause between events, which no line told.

--- a/src/platform/CallerListener.ts
+++ b/src/platform/CallerListener.ts
@@ -53,6 +53,7 @@
   /** Monotonic time in milliseconds. */
   startedAt: number
   firstByteMilliseconds: number
+  longestPauseMilliseconds: number
   /** True if the caller left before the end. */
   left: boolean
 }
@@ -121,23 +122,26 @@
   private async handle (message: IncomingMessage, response: ServerResponse): Promise<void> {
     const { clock, metrics } = this.options
     const startedAt = clock.monotonic()
-    const left = callerLeft(response)
+    const callerLeft = leftSignalOf(response)
     const decoded = this.decode(message, startedAt)
     if (decoded.isErr) return this.refuse(message, response, decoded.error, startedAt)
     const body = await readBody(message, this.limits?.maxBodyBytes ?? Infinity)
     if (body.isErr) return this.refuse(message, response, body.error, startedAt)
-    if (left.aborted) return
+    if (callerLeft.aborted) return
     const { route, call: head } = decoded.value
     const call = this.options.requests.serviceCall({ ...head, body: body.value })
     const end = this.options.requests.begin({ requestId: head.requestId, kind: 'service' })
     try {
-      const result = await call.run(left)
-      const firstByteMilliseconds = clock.monotonic() - startedAt
+      const result = await call.run(callerLeft)
+      const pace = new AnswerPace(clock)
       const outcome = result.isOk
-        ? await this.deliver(response, result.value)
+        ? await this.deliver(response, result.value, pace)
         : this.answerFailure(message, response, result.error)
+      const firstByteMilliseconds = pace.firstAt - startedAt
       metrics.answered(route.name, head.pool, outcome, firstByteMilliseconds)
-      this.note(decoded.value, call, { outcome, result, startedAt, firstByteMilliseconds, left: left.aborted })
+      const { longestPauseMilliseconds } = pace
+      const left = callerLeft.aborted
+      this.note(decoded.value, call, { outcome, result, startedAt, firstByteMilliseconds, longestPauseMilliseconds, left })
     } finally {
       end()
     }
@@ -153,7 +157,7 @@
   }
 
   /** Passes an answer on. Returns its status, or `broken` if it ended early. */
-  private async deliver (response: ServerResponse, answer: ServiceAnswer): Promise<string> {
+  private async deliver (response: ServerResponse, answer: ServiceAnswer, pace: AnswerPace): Promise<string> {
     this.closeIfStopping(response)
     if (answer.rest === undefined) {
       response.writeHead(answer.status, { ...answer.headers, 'content-length': answer.body.length }).end(answer.body)
@@ -164,6 +168,7 @@
     if (answer.body.length > 0) response.write(answer.body)
     try {
       for await (const piece of answer.rest) {
+        pace.note()
         if (!response.write(piece)) await drained(response)
       }
       response.end()
@@ -229,13 +234,38 @@
       reason: failed?.message,
       tokens: prompt?.promptTokens,
       first: Math.round(end.firstByteMilliseconds),
+      pause: Math.round(end.longestPauseMilliseconds),
       total: Math.round(this.options.clock.monotonic() - end.startedAt)
     })
   }
 }
 
+/** When the bytes of an answer came. */
+class AnswerPace {
+  private first: number | undefined
+  private lastAt: number
+  longestPauseMilliseconds = 0
+
+  constructor (private readonly clock: Clock) {
+    this.lastAt = clock.monotonic()
+  }
+
+  /** Monotonic time in milliseconds of the first bytes after the head; of the head if there are none. */
+  get firstAt (): number {
+    return this.first ?? this.lastAt
+  }
+
+  /** Notes a piece of the body. */
+  note (): void {
+    const now = this.clock.monotonic()
+    if (this.first !== undefined) this.longestPauseMilliseconds = Math.max(this.longestPauseMilliseconds, now - this.lastAt)
+    this.first ??= now
+    this.lastAt = now
+  }
+}
+
 /** Aborts when the caller closes the connection before its answer has ended. */
-function callerLeft (response: ServerResponse): AbortSignal {
+function leftSignalOf (response: ServerResponse): AbortSignal {
   const left = new AbortController()
   response.once('close', () => { if (!response.writableFinished) left.abort() })
   return left.signal
