Leave one of four engines generating

Cause: with four engines left, two computed prompts. Ruled out: that one generating engine is too slow for the streams. Change: two generate from five engines on.

--- a/src/roles/SplitRolePlanner.ts
+++ b/src/roles/SplitRolePlanner.ts
@@ -8,8 +8,11 @@
 /** Share of a model's engines that may be out of service for changes at once. */
 const maxChangingShare = 0.4
 
-/** Engines of a pool of which two go on generating: one alone cannot carry the streams of the others' prompts. */
-const enginesForTwoGenerating = 4
+/**
+ * Engines of a pool of which two go on generating, so that the loss of one leaves one. Smaller pools lack engines for
+ * prompts: a prompt keeps an engine busy for longer than its answer, and fewer engines keep fewer parts of prompts.
+ */
+const enginesForTwoGenerating = 5
 
 /**
  * Time for which all engines must have had their roles, in milliseconds. A replaced engine starts before its
