Give prompts a second home among the generating workers

Cause: when a worker that computes prompts was lost or dropped parts, the next one read them again, 13,300 tokens where the request has 3,700 of its own. Change: answers that share a part are generated by one worker (rendezvous hashing, unless it is busier than a fetch takes), which keeps the part; the home of the part fetches from there what it lacks.

--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -40,8 +40,8 @@
     const { prompt } = request
     if (prompt === undefined) return undefined
     const candidates = this.context.upstreams.candidatesForPool(request.pool, 'prefill').filter(({ role }) => role === 'prefill')
-    const holders = [...candidates, ...this.context.upstreams.candidatesForPool(request.pool)]
-    const placement = this.context.policy.chooseForPrompt(prompt, candidates, holders)
+    const generating = this.context.upstreams.candidatesForPool(request.pool)
+    const placement = this.context.policy.chooseForPrompt(prompt, candidates, generating)
     if (placement === undefined) return undefined
     const { budget } = this.context
     const mayCompute = isFirst ? !budget.isOverdrawn(request.pool) : budget.tryTake(request.pool)
--- a/src/routing/PromptPlacementPolicy.ts
+++ b/src/routing/PromptPlacementPolicy.ts
@@ -3,7 +3,8 @@
  * since each piece of a prompt delays the tokens of all streams of a generating worker. The prefill worker fetches
  * the parts that it lacks from another one that holds them, so load decides where a prompt is computed, not its parts.
  * Hosts do not tell each other what they sent: rendezvous hashing over the shared parts names for each part one
- * worker, its home, where all hosts expect it.
+ * worker, its home, where all hosts expect it. There is a second home among the workers that generate answers, which
+ * keep the parts that they fetched: from there the parts come back after the first home was lost or dropped them.
  */
 import { type Hash, SeededRandom } from '../common/index.js'
 import type { PrefixIndex } from './PrefixIndex.js'
@@ -48,20 +49,25 @@
     this.random = new SeededRandom(options.seed)
   }
 
-  /** The worker that generates the answer. */
+  /** The worker that generates the answer. It keeps the parts of the prompt, so those that share parts go to the same one. */
   choose<Candidate extends RoutingCandidate> (
     request: RoutingRequest,
     candidates: readonly Candidate[]
   ): Candidate | undefined {
     if (request.promptBlocks.length === 0) return this.options.withoutPrompt.choose(request, candidates)
-    return this.cheapest(candidates, worker => this.generationCost(request, worker))
+    const home = this.homeOf(request, candidates)
+    const fetch = sharedTokens(request) / this.costs.fetchedTokensPerMillisecond
+    return this.cheapest(candidates, worker => this.generationCost(request, worker) + (worker === home ? 0 : fetch))
   }
 
-  /** The worker that computes the prompt, undefined if there is none. `holders`: workers that may hold parts of it. */
+  /**
+   * The worker that computes the prompt, undefined if there is none. `generating`: workers that generate answers and
+   * so may hold parts of the prompt.
+   */
   chooseForPrompt<Candidate extends RoutingCandidate> (
     request: RoutingRequest,
     candidates: readonly Candidate[],
-    holders: readonly Candidate[]
+    generating: readonly Candidate[]
   ): PromptPlacement<Candidate> | undefined {
     const home = this.homeOf(request, candidates)
     const shared = sharedTokens(request)
@@ -71,7 +77,9 @@
       return computed / this.costs.prefillTokensPerMillisecond + fetch + this.zoneCost(request, candidate)
     })
     if (worker === undefined) return undefined
-    return { worker, partsFrom: worker === home ? this.knownHolder(request, holders, worker) : home }
+    if (worker !== home) return { worker, partsFrom: home }
+    const holder = this.knownHolder(request, [...candidates, ...generating], worker)
+    return { worker, partsFrom: holder ?? this.homeOf(request, generating) }
   }
 
   override sent (request: RoutingRequest, worker: RoutingCandidate): void {
