Spread the urgency of requests of one rank

Cause: when workers are lost, prompts of the least urgent kind wait in the order of their arrival until nearly all are late, and those that wait longest are left by their callers. Ruled out: refusing some of them early, which needs an estimate that hosts do not have; the spread costs nothing while there is no queue. Change: the levels of urgency are divided among the ranks of the configuration, and requests of one rank are spread over the levels of their rank by their id. No request is put behind one of a later rank.

--- a/src/platform/RouteConfiguration.ts
+++ b/src/platform/RouteConfiguration.ts
@@ -97,7 +97,7 @@
     timeoutMilliseconds: route['timeout-ms'],
     targetMilliseconds: route['target-latency-ms'] ?? route['timeout-ms'],
     maxAttempts: route['max-attempts'],
-    rank: route.priority,
+    rank: Math.max(0, Math.round(route.priority)),
     resumable: route.resumable,
     targets: split.map(({ service, weight }) => ({ pool: service as Pool, weight }))
   }
@@ -130,9 +130,14 @@
   })
 }
 
+/** Levels of urgency that workers know; 0 is the most urgent. */
+const urgencyLevels = 10
+
 /** Finds routes by host and path. */
 export class RouteTable {
   private readonly byHost = new Map<string, Route[]>()
+  /** Levels of urgency for each rank of a route. */
+  private readonly levelsPerRank: number
 
   constructor (readonly configuration: RouteConfiguration) {
     for (const route of configuration.routes) {
@@ -140,6 +145,8 @@
       routes.push(route)
       this.byHost.set(route.host, routes)
     }
+    const ranks = configuration.routes.map(({ rank }) => rank)
+    this.levelsPerRank = Math.max(1, Math.floor(urgencyLevels / (Math.max(0, ...ranks) + 1)))
     for (const routes of this.byHost.values()) routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length)
   }
 
@@ -148,6 +155,14 @@
     const routes = this.byHost.get(host.toLowerCase()) ?? this.byHost.get(host.toLowerCase().replace(/:\d+$/, ''))
     return routes?.find(({ pathPrefix }) => path.startsWith(pathPrefix))
   }
+
+  /**
+   * Urgency of a request at a worker. Those of one rank are spread over several levels: when a worker cannot serve all
+   * of them, some are served in time and the rest wait, instead of all being late. `fraction`: as for `targetOf`.
+   */
+  urgencyOf ({ rank }: Route, fraction: number): number {
+    return Math.min(urgencyLevels - 1, rank * this.levelsPerRank + Math.floor(fraction * this.levelsPerRank))
+  }
 }
 
 /** The service that gets a request, by weight. `fraction`: from 0 (included) to 1, evenly distributed over requests. */
--- a/src/platform/decodeRequest.ts
+++ b/src/platform/decodeRequest.ts
@@ -20,8 +20,8 @@
   routes: RouteTable
   /** Monotonic time in milliseconds. */
   now: number
-  /** Evenly distributed number from 0 (included) to 1 for the choice among the services of a route. */
-  fractionOf: (requestId: RequestId) => number
+  /** Number from 0 (included) to 1 for a text, evenly distributed over texts. */
+  fractionOf: (text: string) => number
 }
 
 /**
@@ -40,7 +40,7 @@
   if (route === undefined) return Result.err(failure('not_found', 'no route matches host and path'))
   const pool = targetOf(route, context.fractionOf(id.data))
   if (pool === undefined) return Result.err(failure('not_run', `route ${route.name} has no service`))
-  return Result.ok({ route, call: callOf(route, pool, id.data, method, url, message, context.now) })
+  return Result.ok({ route, call: callOf(route, pool, id.data, method, url, message, context) })
 }
 
 function callOf (
@@ -50,17 +50,18 @@
   method: string,
   path: string,
   message: IncomingMessage,
-  now: number
+  { routes, now, fractionOf }: DecodeContext
 ): Omit<ServiceRequest, 'body'> {
   const callerMilliseconds = Number(message.headers[headerNames.remainingTime] ?? Infinity)
   const remaining = Math.min(route.timeoutMilliseconds, callerMilliseconds > 0 ? callerMilliseconds : Infinity)
   const prompt = promptOf(message)
+  const urgency = String(routes.urgencyOf(route, fractionOf(`${requestId}/urgency`)))
   return {
     requestId,
     pool,
     method,
     path,
-    headers: { ...forwardedHeaders(message), ...(prompt === undefined ? {} : { [headerNames.urgency]: urgencyOf(route) }) },
+    headers: { ...forwardedHeaders(message), ...(prompt === undefined ? {} : { [headerNames.urgency]: urgency }) },
     deadline: now + remaining,
     idempotent: route.kind === 'safe' || (route.kind === 'stream' && route.resumable),
     delivery: route.kind === 'stream' ? 'stream' : 'whole',
@@ -69,11 +70,6 @@
   }
 }
 
-/** Workers know ranks from 0 to 9. */
-function urgencyOf ({ rank }: Route): string {
-  return String(Math.min(9, Math.max(0, Math.round(rank))))
-}
-
 function pathOf (target: string): string {
   const query = target.indexOf('?')
   return query < 0 ? target : target.slice(0, query)
--- a/src/platform/decoding.test.ts
+++ b/src/platform/decoding.test.ts
@@ -75,6 +75,25 @@
   })
 })
 
+describe('urgency', () => {
+  const ranked = (rank: number) => ({ ...inner, name: `rank-${rank}`, 'path-prefix': `/rank-${rank}/`, kind: 'streaming', priority: rank })
+  const fractions = [0, 0.2, 0.4, 0.6, 0.8, 0.999]
+  const levels = (ranks: number[], rank: number): number[] => {
+    const routes = table(ranks.map(ranked))
+    return fractions.map(fraction => routes.urgencyOf(routes.find('forum.example', `/rank-${rank}/x`)!, fraction))
+  }
+
+  test('of requests of one rank is spread, so that not all of them are late together', () => {
+    expect(levels([0, 1, 2], 2)).toEqual([6, 6, 7, 7, 8, 8])
+  })
+
+  test.each([[[0, 1]], [[0, 1, 2]], [[0, 3, 9]]])('never puts a request behind one of a later rank (%j)', ranks => {
+    const all = ranks.map(rank => levels(ranks, rank))
+    for (const [index, later] of all.slice(1).entries()) expect(Math.min(...later)).toBeGreaterThan(Math.max(...all[index]!))
+    expect(Math.max(...all.flat())).toBeLessThanOrEqual(9)
+  })
+})
+
 describe('records of a read', () => {
   const page = encodeRecords([{ key: 'a', value: '1' }, { key: 'b', value: undefined }], 9, 0)
 
