Add a fault soak: real processes, faults from outside, promises checked while it runs

Three hosts as processes over the adapter's store and worker stand-ins. Callers keep their connections until the process is gone. The seed decides the faults, which overlap: SIGTERM, SIGKILL, SIGSTOP, settings files with and without SIGHUP, links that are reset, silent, cut one way or slow, a store that is silent, refuses or forgets, jumping clocks, workers that hang, fail, tear or add bytes, leave or crash, and routes that move. Checked from what callers and workers see: UNASKED, MIXED, ORDER, TWICE, REFUSED, ROUTE, ONE, RECOVER, use logged once; by hand also DRAIN, CONFIG and LOST, which have bounds of time.

--- /dev/null
+++ b/scripts/soak.mjs
@@ -0,0 +1,8 @@
+// Bundles the soak and the host that it runs, and plays seeds: `npm run soak -- --seeds 1-50`.
+import { createRequire } from 'node:module'
+import { resolve } from 'node:path'
+import { bundle } from './bundle.mjs'
+
+await bundle('src/soak/hostWithClockJumps.ts', 'dist/soakHost.cjs')
+await bundle('src/soak/main.ts', 'dist/soak.cjs')
+createRequire(import.meta.url)(resolve('dist/soak.cjs'))
--- a/src/platform/testing/FakeStore.ts
+++ b/src/platform/testing/FakeStore.ts
@@ -1,6 +1,6 @@
 /**
  * A small stand-in of the platform's store for tests: topics that keep the newest record of each key, long polls, and
- * one group whose first member holds the duty.
+ * one group whose oldest member holds the duty until it leaves or is silent for its time to live.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
@@ -17,9 +17,10 @@
   readonly calls: string[] = []
   /** How calls are answered: `silent` never, `refused` with 503. */
   mode: 'normal' | 'silent' | 'refused' = 'normal'
-  generation = 1
-  /** The member that holds the duty; undefined: whoever asks. */
-  dutyMember: string | undefined
+  /** Grows with each change of the group. */
+  generation = 0
+  /** Members of the group, the oldest first, with the monotonic time in milliseconds until which they are kept. */
+  private readonly members = new Map<string, number>()
   private readonly topics = new Map<string, Topic>()
   private waiters: Array<() => void> = []
 
@@ -38,6 +39,8 @@
   }
 
   async stop (): Promise<void> {
+    // Reads that wait end without an answer.
+    this.mode = 'silent'
     this.wake()
     this.server.closeAllConnections()
     await new Promise<void>(resolve => { this.server.close(() => { resolve() }) })
@@ -81,18 +84,34 @@
     if (url.pathname === '/v1/log-read') return await this.read(url, response)
     if (url.pathname === '/v1/log-join') return this.join(body, response)
     if (url.pathname === '/v1/log-commit') {
+      this.removeSilent()
       const holds = this.holds(body.member) && body.generation === this.generation
       response.writeHead(holds ? 200 : 409).end('{}')
       return
     }
+    if (url.pathname === '/v1/log-leave') this.removeMember(String(body.member))
     response.end('{}')
   }
 
   private holds (member: unknown): boolean {
-    return this.dutyMember === undefined || this.dutyMember === member
+    return this.members.keys().next().value === member
+  }
+
+  private removeMember (member: string): void {
+    if (this.members.delete(member)) this.generation += 1
+  }
+
+  private removeSilent (): void {
+    for (const [member, keptUntil] of this.members) {
+      if (keptUntil < performance.now()) this.removeMember(member)
+    }
   }
 
   private join (body: Record<string, unknown>, response: ServerResponse): void {
+    this.removeSilent()
+    const member = String(body.member)
+    if (!this.members.has(member)) this.generation += 1
+    this.members.set(member, performance.now() + Number(body['ttl-ms']))
     response.end(JSON.stringify({
       generation: this.generation, 'ttl-ms': body['ttl-ms'], parts: this.holds(body.member) ? [['duties', 0, 0]] : []
     }))
--- /dev/null
+++ b/src/soak/main.ts
@@ -0,0 +1,52 @@
+/**
+ * Plays seeds by hand: `npm run soak -- --seeds 1-50 --seconds 10`. Ends with status 1 if a promise was broken; the
+ * hosts' logs of such a seed are kept.
+ */
+import { mkdirSync, writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import yargs from 'yargs'
+import { hideBin } from 'yargs/helpers'
+import { Soak, type SoakResult } from './Soak.js'
+
+const parser = yargs(hideBin(process.argv)).options({
+  seeds: { type: 'string', default: '1-10', describe: 'first and last seed' },
+  seconds: { type: 'number', default: 10, describe: 'time for which faults come' },
+  hosts: { type: 'number', default: 3, describe: 'processes of the program' },
+  callers: { type: 'number', default: 6, describe: 'callers for each host' },
+  jobs: { type: 'number', default: 3, describe: 'seeds that are played at the same time' },
+  times: { type: 'boolean', default: true, describe: 'check bounds of time too; not beside other load' },
+  logs: { type: 'string', default: 'target/soak', describe: 'directory for the logs of seeds that broke a promise' }
+}).strict()
+
+async function run (): Promise<void> {
+  const options = await parser.parse()
+  const [first = 1, last = first] = options.seeds.split('-').map(Number)
+  const seeds = Array.from({ length: last - first + 1 }, (_, index) => first + index)
+  let broken = 0
+  const playSeeds = async (): Promise<void> => {
+    for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
+      const { hosts, callers, seconds, times } = options
+      const result = await Soak.play({ seed, milliseconds: seconds * 1000, hosts, callersPerHost: callers, checksTimes: times })
+      if (result.violations.length > 0) broken += 1
+      report(seed, result, options.logs)
+    }
+  }
+  await Promise.all(Array.from({ length: options.jobs }, playSeeds))
+  // Connections that a fault silenced may still be open.
+  process.exit(broken === 0 ? 0 : 1)
+}
+
+function report (seed: number, { violations, answers, faults, orders, log }: SoakResult, directory: string): void {
+  const { whole, refused, failed, cut } = answers
+  const counts = `whole=${whole} refused=${refused} failed=${failed} cut=${cut} orders=${orders} faults=${faults.length}`
+  process.stdout.write(`seed=${seed} broken=${violations.length} ${counts}\n`)
+  if (violations.length === 0) return
+  mkdirSync(directory, { recursive: true })
+  writeFileSync(join(directory, `seed-${seed}.log`), `${[...violations, '', ...faults, '', ...log].join('\n')}\n`)
+  for (const violation of violations.slice(0, 5)) process.stdout.write(`  ${violation}\n`)
+}
+
+run().catch(error => {
+  process.stderr.write(`${String(error)}\n`)
+  process.exitCode = 1
+})
