Count requests that a worker leaves unanswered against its health

A request that is left said nothing about its worker, so a worker that hangs was never paused. Change: a request without a byte of an answer for a second counts as failed, unless the worker has answered another one meanwhile, as a busy one does.

--- a/src/upstreams/UpstreamHealth.ts
+++ b/src/upstreams/UpstreamHealth.ts
@@ -15,6 +15,9 @@
 /** Polls without an answer in a row after which the upstream gets no work. */
 const silentPollsBeforePause = 3
 
+/** A request that is left after less than this time says nothing: waits of a second are usual under load. */
+const silentRequestMilliseconds = 1000
+
 const firstPauseMilliseconds = 1000
 const longestPauseMilliseconds = 10_000
 
@@ -24,6 +27,8 @@
   private declined = 0
   private silentPolls = 0
   private refused = false
+  /** Monotonic time of the last answer, whatever it said. */
+  private answeredAt = -Infinity
   private pausedUntil = -Infinity
   private pauseMilliseconds = firstPauseMilliseconds
 
@@ -38,6 +43,7 @@
 
   /** A request was answered. */
   requestSucceeded (): void {
+    this.answeredAt = this.clock.monotonic()
     this.declined = 0
     this.failures = 0
     this.pauseMilliseconds = firstPauseMilliseconds
@@ -49,11 +55,21 @@
     if (this.failures >= failuresBeforePause) this.pause()
   }
 
+  /**
+   * A request got no byte of an answer until it was left. An upstream that has answered nothing else meanwhile hangs; a
+   * busy one answers others.
+   */
+  requestUnanswered (sentAt: number): void {
+    if (this.clock.monotonic() - sentAt < silentRequestMilliseconds || this.answeredAt >= sentAt) return
+    this.requestFailed()
+  }
+
   /**
    * The upstream stated that it did not run a request: it is full, or about to change its role. After two in a row
    * others are asked for a moment.
    */
   requestDeclined (): void {
+    this.answeredAt = this.clock.monotonic()
     this.declined += 1
     if (this.declined < declinesBeforePause) return
     this.declined = 0
--- a/src/upstreams/UpstreamManager.test.ts
+++ b/src/upstreams/UpstreamManager.test.ts
@@ -205,4 +205,20 @@
     await clock.advance(250)
     expect(health.usable).toBe(true)
   })
+
+  test.each([
+    ['that hangs gets no work for a while', 2400, false, false],
+    ['that answers others meanwhile is only busy', 2400, true, true],
+    ['whose requests are left at once says nothing', 300, false, true]
+  ])('an upstream %s', async (_name, milliseconds, answersOthers, usable) => {
+    const clock = new ManualClock()
+    const health = new UpstreamHealth(clock, false)
+    for (let request = 0; request < 3; request += 1) {
+      const sentAt = clock.monotonic()
+      await clock.advance(milliseconds)
+      if (answersOthers) health.requestSucceeded()
+      health.requestUnanswered(sentAt)
+    }
+    expect(health.usable).toBe(usable)
+  })
 })
--- a/src/upstreams/UpstreamWork.ts
+++ b/src/upstreams/UpstreamWork.ts
@@ -7,7 +7,7 @@
 
 /**
  * How a request ended: `answered`; `failed` by the upstream or the way to it; `refused` before it was sent;
- * `declined` by the upstream, which did not run it; `left` by this host, which says nothing about the upstream.
+ * `declined` by the upstream, which did not run it; `left` by this host, which tells something only after a long silence.
  */
 export type WorkResult = 'answered' | 'failed' | 'refused' | 'declined' | 'left'
 
@@ -40,6 +40,7 @@
     this.upstream.load.end(this.work, now)
     if (result === 'answered') this.upstream.health.requestSucceeded()
     if (result === 'failed') this.upstream.health.requestFailed()
+    if (result === 'left' && this.work.firstTokenAt === undefined) this.upstream.health.requestUnanswered(this.startedAt)
     if (result === 'declined') this.upstream.health.requestDeclined()
     if (result === 'refused') this.upstream.health.connectionRefused()
     this.onEnd()
