Spread generating engines over the zones in large pools

Change: with two or more generating engines a zone, engines of the zone that has most are changed first.

--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -181,6 +181,7 @@
       this.metricsServer = await serve({ application: this.metricsApplication(), addresses: [listen.metrics], maxHeaderBytes })
     }
     await this.listener.listen()
+    events.info('host_listening', this.addresses)
   }
 
   /** Actual addresses of the listeners. */
@@ -254,7 +255,7 @@
       return pool.workers.flatMap(({ id }) => {
         const upstream = this.upstreams.worker(id)
         if (upstream === undefined || upstream.description.worker.draining) return []
-        return [{ worker: id, model, role: upstream.role, unavailable: !upstream.usable }]
+        return [{ worker: id, model, role: upstream.role, zone: upstream.zone, unavailable: !upstream.usable }]
       })
     })
   }
--- a/src/roles/RolePlanner.ts
+++ b/src/roles/RolePlanner.ts
@@ -3,7 +3,7 @@
  * engines should change their role. It runs at the holder of the zone's planner lease only.
  */
 import type { EngineRole } from '../configuration/index.js'
-import type { Model, WorkerId } from '../common/index.js'
+import type { Model, WorkerId, Zone } from '../common/index.js'
 
 /** An engine as the planner sees it. */
 export interface PlannedEngine {
@@ -11,6 +11,8 @@
   /** The model that the engine serves. */
   model: Model
   role: EngineRole
+  /** Undefined where zones do not matter, such as in a zone's own planning. */
+  zone?: Zone
   /** Monotonic time in milliseconds since which the engine has its role. */
   roleSince: number
   /** True while an order to the engine is open, or the engine takes no work for another reason. */
--- a/src/roles/SplitRolePlanner.test.ts
+++ b/src/roles/SplitRolePlanner.test.ts
@@ -3,7 +3,7 @@
  * changes are on their way, or takes most engines away at once.
  */
 import { expect, test } from '@jest/globals'
-import type { Model, WorkerId } from '../common/index.js'
+import type { Model, WorkerId, Zone } from '../common/index.js'
 import type { EngineRole } from '../configuration/index.js'
 import type { PlannedEngine } from './RolePlanner.js'
 import { SplitRolePlanner } from './SplitRolePlanner.js'
@@ -46,6 +46,18 @@
   expect(changes.map(({ worker }) => worker as string)).toEqual(changed)
 })
 
+test('in a large pool the generating engines are spread over the zones', () => {
+  const placed = engines('d'.repeat(24)).map((engine, index) => ({ ...engine, zone: (index < 12 ? 'a' : index < 18 ? 'b' : 'c') as Zone }))
+  const planner = new SplitRolePlanner(0.75)
+  let left = placed
+  for (let round = 0; round < 4; round += 1) {
+    const changed = new Set(planner.plan({ ...input, engines: left }).map(({ worker }) => worker))
+    left = left.map(engine => changed.has(engine.worker) ? { ...engine, role: 'prefill' as const } : engine)
+  }
+  const generating = left.filter(({ role }) => role === 'decode').map(({ zone }) => zone as string)
+  expect(generating.sort()).toEqual(['a', 'a', 'b', 'b', 'c', 'c'])
+})
+
 test('an engine that has just come changes nothing until all have settled', () => {
   const planner = new SplitRolePlanner(0.75)
   const [newcomer, ...others] = engines('dppppppdd')
--- a/src/roles/SplitRolePlanner.ts
+++ b/src/roles/SplitRolePlanner.ts
@@ -20,6 +20,12 @@
  */
 const settledMilliseconds = 3000
 
+/**
+ * Generating engines for each zone from which on they are spread over the zones. With fewer the zones would get shares
+ * that differ by half, and a zone's callers would use the others all the same.
+ */
+const generatingPerZone = 2
+
 /** Keeps a share of the engines on prompts. */
 export class SplitRolePlanner extends RolePlanner {
   /** `prefillShare`: from 0 to 1. */
@@ -45,9 +51,23 @@
     const [from, to]: [EngineRole, EngineRole] = missing > 0 ? ['decode', 'prefill'] : ['prefill', 'decode']
     // An engine that is being changed still shows its former role.
     const count = Math.min(Math.abs(missing) - changing, Math.max(1, Math.floor(maxChangingShare * engines.length)) - changing)
-    return engines
-      .filter(({ role, unavailable }) => role === from && !unavailable)
+    const able = engines.filter(({ role, unavailable }) => role === from && !unavailable)
+    const zones = new Set(engines.map(({ zone }) => zone)).size
+    const isSpread = engines.length - wanted >= generatingPerZone * zones
+    return (isSpread ? spreadOverZones(able) : able)
       .slice(0, Math.max(0, count))
       .map(({ worker }) => ({ worker, from, to, reason: `${wanted} of ${engines.length} engines compute prompts` }))
   }
 }
+
+/** Engines of the zone that has most of them come first, so that all zones keep about as many. */
+function spreadOverZones (engines: PlannedEngine[]): PlannedEngine[] {
+  const byZone = new Map<PlannedEngine['zone'], PlannedEngine[]>()
+  for (const engine of engines) byZone.set(engine.zone, [...byZone.get(engine.zone) ?? [], engine])
+  const ordered: PlannedEngine[] = []
+  while (ordered.length < engines.length) {
+    const [largest] = [...byZone.values()].sort((left, right) => right.length - left.length)
+    ordered.push(...largest!.splice(0, 1))
+  }
+  return ordered
+}
