--- a/src/soak/Soak.ts
+++ b/src/soak/Soak.ts
@@ -31,6 +31,8 @@
   answers: SoakJournal['answers']
   faults: string[]
   orders: number
+  /** Requests that were held to bounds of time. */
+  timed: number
   /** Log lines of all hosts. */
   log: string[]
 }
@@ -157,8 +159,8 @@
   }
 
   private result (): SoakResult {
-    const { violations, answers, orders } = this.journal
-    return { violations, answers, faults: this.faults, orders: orders.length, log: this.hosts.flatMap(({ log }) => log) }
+    const { violations, answers, orders, timed } = this.journal
+    return { violations, answers, faults: this.faults, orders: orders.length, timed, log: this.hosts.flatMap(({ log }) => log) }
   }
 
   private startFault (): void {
--- a/src/soak/SoakJournal.ts
+++ b/src/soak/SoakJournal.ts
@@ -45,6 +45,8 @@
   readonly orders: AcceptedOrder[] = []
   /** Requests whose computed prompts wait at workers, by `ip:port/handle`. */
   readonly prompts = new Map<string, string>()
+  /** Requests that were held to a bound of time. */
+  timed = 0
   readonly answers = { whole: 0, refused: 0, failed: 0, cut: 0 }
   /** True if nothing has disturbed a host for long enough before a monotonic time. */
   isCalm: (host: string, since: number) => boolean = () => false
@@ -77,10 +79,7 @@
     if (path !== sent.path || body !== sent.body || method !== 'POST') {
       this.violate('UNASKED', `${run.worker} got ${run.id} as ${method} ${path} with a body of ${body.length} bytes`)
     }
-    const leavingFor = run.leavingSince === undefined ? 0 : run.at - run.leavingSince
-    if (leavingFor > drainMilliseconds && this.isCalm(sent.host, sent.sentAt)) {
-      this.violate('DRAIN', `${run.id} reaches ${run.worker} ${Math.round(leavingFor)} ms after it said that it leaves`)
-    }
+    this.checkLeaving(run, sent)
     const until = this.allowed.get(sent.kind)?.get(run.service)
     if (until === undefined) this.violate('ROUTE', `${run.id} (${sent.kind}) is run by ${run.service}`)
     const runs = [...this.runs.get(run.id) ?? [], run]
@@ -90,6 +89,13 @@
     if (this.refusedOnce.has(run.id)) this.violate('REFUSED', `${run.id} runs at ${run.worker} after it was refused as not run`)
   }
 
+  private checkLeaving ({ id, worker, at, leavingSince }: Run, sent: SentRequest): void {
+    if (!this.isCalm(sent.host, sent.sentAt)) return
+    this.timed += 1
+    if (leavingSince === undefined || at - leavingSince <= drainMilliseconds) return
+    this.violate('DRAIN', `${id} reaches ${worker} ${Math.round(at - leavingSince)} ms after it said that it leaves`)
+  }
+
   /** The service that answered a request, and since when no configuration sends its kind there; undefined if one does. */
   revokedSince (kind: RequestKind, service: string): number | undefined {
     const until = this.allowed.get(kind)?.get(service)
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -36,9 +36,9 @@
   process.exit(broken === 0 ? 0 : 1)
 }
 
-function report (seed: number, { violations, answers, faults, orders, log }: SoakResult, directory: string): void {
+function report (seed: number, { violations, answers, faults, orders, timed, log }: SoakResult, directory: string): void {
   const { whole, refused, failed, cut } = answers
-  const counts = `whole=${whole} refused=${refused} failed=${failed} cut=${cut} orders=${orders} faults=${faults.length}`
+  const counts = `whole=${whole} refused=${refused} failed=${failed} cut=${cut} orders=${orders} timed=${timed} faults=${faults.length}`
   process.stdout.write(`seed=${seed} broken=${violations.length} ${counts}\n`)
   if (violations.length === 0) return
   mkdirSync(directory, { recursive: true })
