--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 export default [
   ...neostandard({
     ts: true,
-    ignores: ['dist/**', 'node_modules/**', 'src/peers/generated/**']
+    ignores: ['dist/**', 'target/**', 'node_modules/**', 'src/peers/generated/**']
   }),
   {
     files: ['src/**/*.ts', 'benchmarks/**/*.ts'],
