--- a/src/soak/Soak.ts
+++ b/src/soak/Soak.ts
@@ -185,12 +185,14 @@
   private async signalHost (): Promise<void> {
     const host = this.random.pick(this.hosts)
     const signal = this.random.pick(['SIGTERM', 'SIGKILL'] as const)
-    if (!host.isRunning || host.stoppedAt !== undefined) return
+    if (!host.isServing) return
     this.note(`${signal} to ${host.name}`)
     if (signal === 'SIGKILL') host.disturb(0)
     host.signal(signal)
+    const signalledAt = performance.now()
     const kill = setTimeout(() => {
-      this.journal.violate('LOST', `${host.name} has not ended ${killMilliseconds} ms after ${signal}`)
+      const isLate = this.options.checksTimes && host.disturbedUntil < signalledAt
+      if (isLate) this.journal.violate('LOST', `${host.name} has not ended ${killMilliseconds} ms after ${signal}`)
       host.signal('SIGKILL')
     }, killMilliseconds)
     await host.whenExited()
@@ -201,7 +203,7 @@
 
   private async pauseHost (milliseconds: number): Promise<void> {
     const host = this.random.pick(this.hosts)
-    if (!host.isRunning || host.stoppedAt !== undefined) return
+    if (!host.isServing) return
     this.note(`${host.name} stands still for ${milliseconds} ms`)
     host.disturb(milliseconds)
     host.signal('SIGSTOP')
--- a/src/soak/SoakCaller.ts
+++ b/src/soak/SoakCaller.ts
@@ -5,7 +5,7 @@
 import { Agent, type IncomingMessage, request as startRequest } from 'node:http'
 import type { SeededRandom } from '../common/index.js'
 import type { SoakHost } from './SoakHost.js'
-import { bodyOf, requestKinds, repeatableKinds, type RequestKind, type SentRequest, type SoakJournal } from './SoakJournal.js'
+import { bodyOf, requestKinds, type RequestKind, type SentRequest, type SoakJournal } from './SoakJournal.js'
 import { answerOf, streamOf } from './SoakWorker.js'
 
 /** Time that a caller waits for an answer, in milliseconds. */
@@ -69,22 +69,19 @@
     const id = `${name}-${this.count}`
     const sent: SentRequest = { id, kind, path: `/${kind}/${id}?x=1`, body: bodyOf(id), host: host.name, sentAt: performance.now() }
     journal.noteSent(sent)
-    const { lives, stoppedAt } = host
+    const life = host.lives
     const leavesAfter = random.fraction() < leavingShare ? random.integer(0, 60) : undefined
     const outcome = await this.exchange(sent, address, leavesAfter)
     if (leavesAfter !== undefined) return
     this.judge(sent, outcome, host)
-    const isCut = outcome.status === undefined || !outcome.isWhole
-    const wasStopped = (host.stoppedAt ?? stoppedAt) !== undefined && (host.stoppedAt ?? stoppedAt)! >= sent.sentAt - 3000
-    if (isCut && wasStopped && host.lives === lives && this.wasCutBySystem(sent, host)) {
-      journal.violate('LOST', `${id} is cut after a planned stop of ${host.name}`)
-    }
+    if (outcome.status === undefined || !outcome.isWhole) this.judgeCut(sent, host, life)
   }
 
-  /** True if a worker got the request and nothing outside disturbed the host. */
-  private wasCutBySystem (sent: SentRequest, host: SoakHost): boolean {
-    const runs = this.options.journal.runs.get(sent.id) ?? []
-    return this.options.checksTimes && runs.length > 0 && host.disturbedUntil < sent.sentAt && !repeatableKinds.has(sent.kind)
+  /** A planned stop of a host that nothing disturbed cuts no request that a worker got. */
+  private judgeCut (sent: SentRequest, host: SoakHost, life: number): void {
+    const { journal, checksTimes } = this.options
+    if (!checksTimes || !host.stoppedLives.has(life) || host.disturbedUntil >= sent.sentAt) return
+    if (journal.runs.has(sent.id)) journal.violate('LOST', `${sent.id} is cut by a planned stop of ${host.name}`)
   }
 
   private judge (sent: SentRequest, { status, headers, body, isWhole }: Outcome, host: SoakHost): void {
--- a/src/soak/SoakHost.ts
+++ b/src/soak/SoakHost.ts
@@ -31,10 +31,10 @@
   readonly log: string[] = []
   /** Requests that the log says have ended, with how often it says so. */
   readonly ended = new Map<string, number>()
-  /** Monotonic time of the last SIGTERM to the present process. */
-  stoppedAt: number | undefined
-  /** Counts the processes that this host had. */
+  /** Counts the processes that this host had; the present one has this number. */
   lives = 0
+  /** Processes that were told to stop as planned, by number. */
+  readonly stoppedLives = new Set<number>()
   /** Monotonic time until which something outside disturbs the host. */
   disturbedUntil = 0
   private child: ChildProcess | undefined
@@ -52,15 +52,15 @@
     return this.options.name
   }
 
-  get isRunning (): boolean {
-    return this.child !== undefined
+  /** True while a process runs that nobody told to stop. */
+  get isServing (): boolean {
+    return this.child !== undefined && !this.stoppedLives.has(this.lives)
   }
 
   /** Starts a process. Resolves when it listens. */
   async launch (): Promise<void> {
     this.writeSettings(0)
     this.lives += 1
-    this.stoppedAt = undefined
     const { directory, name, clockJumps } = this.options
     const child = spawn(process.execPath, [resolve('dist/soakHost.cjs')], {
       stdio: ['ignore', 'pipe', 'pipe'],
@@ -84,7 +84,7 @@
   }
 
   signal (signal: NodeJS.Signals): void {
-    if (signal === 'SIGTERM') this.stoppedAt = performance.now()
+    if (signal === 'SIGTERM') this.stoppedLives.add(this.lives)
     this.child?.kill(signal)
   }
 
