Compute the time of a fetch of shared parts in one place

Cause: choose and chooseForPrompt each divided the shared tokens by the speed of a fetch, the latter once for each candidate. Change: fetchMilliseconds, called once a choice. No change of behaviour.

--- a/src/routing/PromptPlacementPolicy.ts
+++ b/src/routing/PromptPlacementPolicy.ts
@@ -56,7 +56,7 @@
   ): Candidate | undefined {
     if (request.promptBlocks.length === 0) return this.options.withoutPrompt.choose(request, candidates)
     const home = this.homeOf(request, candidates)
-    const fetch = sharedTokens(request) / this.costs.fetchedTokensPerMillisecond
+    const fetch = this.fetchMilliseconds(request)
     return this.cheapest(candidates, worker => this.generationCost(request, worker) + (worker === home ? 0 : fetch))
   }
 
@@ -71,10 +71,11 @@
   ): PromptPlacement<Candidate> | undefined {
     const home = this.homeOf(request, candidates)
     const shared = sharedTokens(request)
+    const fetch = this.fetchMilliseconds(request)
     const worker = this.cheapest(candidates, candidate => {
-      const fetch = candidate === home ? 0 : shared / this.costs.fetchedTokensPerMillisecond
       const computed = candidate.load.queuedPrefillTokens + request.promptTokens - shared
-      return computed / this.costs.prefillTokensPerMillisecond + fetch + this.zoneCost(request, candidate)
+      const away = candidate === home ? 0 : fetch
+      return computed / this.costs.prefillTokensPerMillisecond + away + this.zoneCost(request, candidate)
     })
     if (worker === undefined) return undefined
     if (worker !== home) return { worker, partsFrom: home }
@@ -96,6 +97,11 @@
       worker.load.runningDecodes * this.costs.streamMilliseconds + this.zoneCost(request, worker)
   }
 
+  /** Time for fetching the shared parts from another worker. */
+  private fetchMilliseconds (request: RoutingRequest): number {
+    return sharedTokens(request) / this.costs.fetchedTokensPerMillisecond
+  }
+
   private zoneCost (request: RoutingRequest, worker: RoutingCandidate): number {
     return worker.ownZone ? 0 : request.promptTokens * this.costs.otherZoneMillisecondsPerToken
   }
