Move the soak into the adapter and remove what it said twice

Cause: the soak knows names of the platform's wire, which belong in src/platform/ only. Change: src/platform/soak/; isCalm for both bounds of time, its edge included; streamKinds; the waits of node:timers/promises; unused fields are gone.

--- a/scripts/buildForTests.mjs
+++ b/scripts/buildForTests.mjs
@@ -3,5 +3,5 @@
 
 export default async function buildForTests () {
   await bundle('src/main.ts', 'dist/dogwooddale.cjs')
-  await bundle('src/soak/hostWithClockJumps.ts', 'dist/soakHost.cjs')
+  await bundle('src/platform/soak/hostWithClockJumps.ts', 'dist/soakHost.cjs')
 }
--- a/scripts/soak.mjs
+++ b/scripts/soak.mjs
@@ -3,6 +3,6 @@
 import { resolve } from 'node:path'
 import { bundle } from './bundle.mjs'
 
-await bundle('src/soak/hostWithClockJumps.ts', 'dist/soakHost.cjs')
-await bundle('src/soak/main.ts', 'dist/soak.cjs')
+await bundle('src/platform/soak/hostWithClockJumps.ts', 'dist/soakHost.cjs')
+await bundle('src/platform/soak/main.ts', 'dist/soak.cjs')
 createRequire(import.meta.url)(resolve('dist/soak.cjs'))
--- a/src/platform/soak/Soak.ts
+++ b/src/platform/soak/Soak.ts
@@ -6,13 +6,14 @@
 import { mkdtemp, rm } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { SeededRandom } from '../common/index.js'
-import { FakeStore } from '../platform/testing/FakeStore.js'
-import { configurationDocument } from '../platform/testing/platformTestSupport.js'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { SeededRandom } from '../../common/index.js'
+import { FakeStore } from '../testing/FakeStore.js'
+import { configurationDocument } from '../testing/platformTestSupport.js'
 import { linkStates, type LoopbackProxy } from './LoopbackProxy.js'
 import { SoakCaller } from './SoakCaller.js'
 import { SoakHost } from './SoakHost.js'
-import { requestKinds, SoakJournal } from './SoakJournal.js'
+import { requestKinds, SoakJournal, streamKinds } from './SoakJournal.js'
 import { SoakWorker, workerMoods } from './SoakWorker.js'
 
 /** Options of a soak. */
@@ -77,7 +78,6 @@
   private hosts: SoakHost[] = []
   private version = 1
   private workerCount = 0
-  private service: typeof services[number] = 'app'
 
   private constructor (private readonly options: SoakOptions, private readonly store: FakeStore) {
     this.random = new SeededRandom(options.seed)
@@ -112,7 +112,7 @@
     })))
     this.journal.isCalm = (name, since) => {
       const host = this.hosts.find(candidate => candidate.name === name)
-      return this.options.checksTimes && host !== undefined && host.disturbedUntil + stableWindowMilliseconds < since
+      return this.options.checksTimes && host !== undefined && host.disturbedUntil + stableWindowMilliseconds <= since
     }
   }
 
@@ -172,7 +172,6 @@
       () => this.changeConfiguration()
     ]
     const fault = this.random.pick(faults)()
-    if (fault === undefined) return
     this.open.add(fault)
     fault.then(() => { this.open.delete(fault) }, error => { this.journal.violate('SOAK', String(error)) })
   }
@@ -281,12 +280,11 @@
   }
 
   private configure (service: typeof services[number]): void {
-    this.service = service
     this.version += this.random.integer(1, 3)
     const document = configurationDocument(this.version)
     const routes = (document.routes as Array<Record<string, unknown>>).map(route => route.service === 'app' ? { ...route, service } : route)
     this.store.write('keyed.op', 'config', { ...document, routes, services: [...document.services, { name: 'app-next' }] })
-    for (const kind of requestKinds) this.journal.allow(kind, [kind === 'reads' || kind === 'votes' ? service : 'llm'])
+    for (const kind of requestKinds) this.journal.allow(kind, [streamKinds.has(kind) ? 'llm' : service])
   }
 
   private async addWorker (service: string): Promise<void> {
@@ -297,13 +295,8 @@
       zone: this.random.pick(zones),
       stage: service === 'llm' ? 'decode' : undefined,
       journal: this.journal,
-      random: this.random,
       leaseMilliseconds,
       report: (id, entry) => { this.store.write('keyed.servers', id, entry) }
     }))
   }
 }
-
-async function sleep (milliseconds: number): Promise<void> {
-  await new Promise(resolve => { setTimeout(resolve, milliseconds) })
-}
--- a/src/platform/soak/SoakCaller.ts
+++ b/src/platform/soak/SoakCaller.ts
@@ -3,9 +3,10 @@
  * does, and compares each answer with what the worker must have sent.
  */
 import { Agent, type IncomingMessage, request as startRequest } from 'node:http'
-import type { SeededRandom } from '../common/index.js'
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { SeededRandom } from '../../common/index.js'
 import type { SoakHost } from './SoakHost.js'
-import { bodyOf, requestKinds, type RequestKind, type SentRequest, type SoakJournal } from './SoakJournal.js'
+import { bodyOf, requestKinds, type RequestKind, type SentRequest, type SoakJournal, streamKinds } from './SoakJournal.js'
 import { answerOf, streamOf } from './SoakWorker.js'
 
 /** Time that a caller waits for an answer, in milliseconds. */
@@ -20,9 +21,6 @@
 /** Longest pause between two requests of a caller, in milliseconds. */
 const longestPauseMilliseconds = 40
 
-/** Time from the end of an undisturbed spell to the time at which a host must know what was written, in milliseconds. */
-const stableWindowMilliseconds = 3000
-
 /** Longest time from a change of the configuration to its effect, in milliseconds, on the owners' sheets. */
 const configurationMilliseconds = 2000
 
@@ -57,7 +55,7 @@
         this.agent = new Agent({ keepAlive: true, maxSockets: 1 })
       }
       if (host.callers !== undefined) await this.send(host, host.callers)
-      await new Promise(resolve => { setTimeout(resolve, random.integer(0, longestPauseMilliseconds)) })
+      await sleep(random.integer(0, longestPauseMilliseconds))
     }
     this.agent.destroy()
   }
@@ -73,7 +71,7 @@
     const leavesAfter = random.fraction() < leavingShare ? random.integer(0, 60) : undefined
     const outcome = await this.exchange(sent, address, leavesAfter)
     if (leavesAfter !== undefined) return
-    this.judge(sent, outcome, host)
+    this.judge(sent, outcome)
     if (outcome.status === undefined || !outcome.isWhole) this.judgeCut(sent, host, life)
   }
 
@@ -84,7 +82,7 @@
     if (journal.runs.has(sent.id)) journal.violate('LOST', `${sent.id} is cut by a planned stop of ${host.name}`)
   }
 
-  private judge (sent: SentRequest, { status, headers, body, isWhole }: Outcome, host: SoakHost): void {
+  private judge (sent: SentRequest, { status, headers, body, isWhole }: Outcome): void {
     const { journal } = this.options
     if (status === undefined) {
       journal.answers.cut += 1
@@ -101,23 +99,22 @@
     }
     const worker = /^signed-by-(.+)$/.exec(String(headers['dogwooddale-server-stamp']))?.[1] ?? ''
     const wanted = this.wanted(sent.kind, worker, sent.id)
-    const isStream = sent.kind === 'answers' || sent.kind === 'tags'
     if (isWhole && body !== wanted) journal.violate('MIXED', `${sent.id} gets a whole answer of ${worker} that is not its own: ${body.slice(0, 60)}`)
-    if (isStream && !wanted.startsWith(body)) journal.violate('ORDER', `${sent.id} gets events out of order: ${body.slice(-60)}`)
+    if (streamKinds.has(sent.kind) && !wanted.startsWith(body)) journal.violate('ORDER', `${sent.id} gets events out of order: ${body.slice(-60)}`)
     journal.answers[isWhole ? 'whole' : 'cut'] += 1
-    this.judgeService(sent, worker, host)
+    this.judgeService(sent, worker)
   }
 
   private wanted (kind: RequestKind, worker: string, id: string): string {
-    return kind === 'answers' || kind === 'tags' ? streamOf(id) : answerOf(worker, id)
+    return streamKinds.has(kind) ? streamOf(id) : answerOf(worker, id)
   }
 
   /** A configuration that sends the kind elsewhere is in force 2 s after the store has taken it. */
-  private judgeService (sent: SentRequest, worker: string, host: SoakHost): void {
-    const { journal, checksTimes } = this.options
+  private judgeService (sent: SentRequest, worker: string): void {
+    const { journal } = this.options
     const service = journal.runs.get(sent.id)?.find(run => run.worker === worker)?.service
     const revokedAt = service === undefined ? undefined : journal.revokedSince(sent.kind, service)
-    if (!checksTimes || revokedAt === undefined || host.disturbedUntil + stableWindowMilliseconds > sent.sentAt) return
+    if (revokedAt === undefined || !journal.isCalm(sent.host, sent.sentAt)) return
     if (sent.sentAt > revokedAt + configurationMilliseconds) {
       journal.violate('CONFIG', `${sent.id} goes to ${service} ${Math.round(sent.sentAt - revokedAt)} ms after the change`)
     }
@@ -125,7 +122,6 @@
 
   private async exchange (sent: SentRequest, address: string, leavesAfter: number | undefined): Promise<Outcome> {
     const [host, port] = address.split(':')
-    const isPrompt = sent.kind === 'answers' || sent.kind === 'tags'
     const call = startRequest({
       host,
       port,
@@ -137,7 +133,7 @@
         'content-length': Buffer.byteLength(sent.body),
         'dogwooddale-request-id': sent.id,
         'dogwooddale-deadline-ms': String(patienceMilliseconds),
-        ...(isPrompt ? { 'dogwooddale-model': 'm', 'dogwooddale-token-counts': '30,5', 'dogwooddale-prompt-prefix': `a1:20,${sent.id}:10` } : {})
+        ...(streamKinds.has(sent.kind) ? { 'dogwooddale-model': 'm', 'dogwooddale-token-counts': '30,5', 'dogwooddale-prompt-prefix': `a1:20,${sent.id}:10` } : {})
       }
     })
     const timer = setTimeout(() => { call.destroy() }, leavesAfter ?? patienceMilliseconds + lateMilliseconds)
--- a/src/platform/soak/SoakHost.ts
+++ b/src/platform/soak/SoakHost.ts
@@ -7,7 +7,7 @@
 import { join, resolve } from 'node:path'
 import { createInterface } from 'node:readline'
 import type { Readable } from 'node:stream'
-import { settingsTextOf } from '../testing/index.js'
+import { settingsTextOf } from '../../testing/index.js'
 import { LoopbackProxy } from './LoopbackProxy.js'
 
 /** Options of a host. */
@@ -26,7 +26,6 @@
 export class SoakHost {
   /** `ip:port` for callers; undefined while no process listens. */
   callers: string | undefined
-  readiness: string | undefined
   /** Lines of all processes that this host had. */
   readonly log: string[] = []
   /** Requests that the log says have ended, with how often it says so. */
@@ -69,7 +68,6 @@
     this.child = child
     this.exited = new Promise(resolve => child.once('exit', () => {
       this.callers = undefined
-      this.readiness = undefined
       this.child = undefined
       resolve()
     }))
@@ -120,11 +118,8 @@
 
   private takeLine (line: string): void {
     this.log.push(line)
-    const listening = /event=host_listening callers=(\S+) readiness=(\S+)/.exec(line)
-    if (listening !== null) {
-      this.callers = listening[1]
-      this.readiness = listening[2]
-    }
+    const listening = /event=host_listening callers=(\S+)/.exec(line)
+    if (listening !== null) this.callers = listening[1]
     const ended = /event=request_ended request=(\S+)/.exec(line)?.[1]
     if (ended !== undefined) this.ended.set(ended, (this.ended.get(ended) ?? 0) + 1)
   }
--- a/src/platform/soak/SoakJournal.ts
+++ b/src/platform/soak/SoakJournal.ts
@@ -11,6 +11,9 @@
 /** Kinds whose requests may run more than once. */
 export const repeatableKinds: ReadonlySet<RequestKind> = new Set(['reads', 'answers'])
 
+/** Kinds that are answered with a stream, by workers with a model. */
+export const streamKinds: ReadonlySet<RequestKind> = new Set(['answers', 'tags'])
+
 /** Statuses that state that a request has not run and will not. */
 const notRunStatuses = new Set([408, 421, 429, 503])
 
--- a/src/platform/soak/SoakWorker.ts
+++ b/src/platform/soak/SoakWorker.ts
@@ -2,8 +2,8 @@
  * A worker of a soak: it runs requests as the platform's workers do, notes each run in the journal, and shows faults
  * when it is told to.
  */
-import type { SeededRandom } from '../common/index.js'
-import { FakeWorker, type ReceivedRequest } from '../platform/testing/FakeWorker.js'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { FakeWorker, type ReceivedRequest } from '../testing/FakeWorker.js'
 import { LoopbackProxy } from './LoopbackProxy.js'
 import { bodyOf, type SoakJournal } from './SoakJournal.js'
 
@@ -32,7 +32,6 @@
   /** Workers with a stage serve prompts. */
   stage: 'prefill' | 'decode' | undefined
   journal: SoakJournal
-  random: SeededRandom
   leaseMilliseconds: number
   /** Writes the worker's entry. */
   report: (id: string, entry: Record<string, unknown>) => void
@@ -52,7 +51,7 @@
   private fencing = 0
   private changing = false
   private readonly born = Date.now()
-  private readonly handles = new Map<string, string>()
+  private handles = 0
 
   private constructor (readonly options: SoakWorkerOptions, private readonly server: FakeWorker, readonly link: LoopbackProxy) {
     this.stage = options.stage
@@ -137,14 +136,14 @@
         return
       }
       socket.write(`${text.length.toString(16)}\r\n${text}\r\n`)
-      await new Promise(resolve => { setTimeout(resolve, eventMilliseconds) })
+      await sleep(eventMilliseconds)
     }
     socket.write('0\r\n\r\n')
   }
 
   private computePrompt (request: ReceivedRequest): void {
-    const handle = `handle-${this.handles.size + 1}`
-    this.handles.set(handle, request.headers['dogwooddale-request-id'] ?? '')
+    this.handles += 1
+    const handle = `handle-${this.handles}`
     this.options.journal.prompts.set(`${this.link.address}/${handle}`, request.headers['dogwooddale-request-id'] ?? '')
     setTimeout(() => { this.send(request, JSON.stringify({ 'kv-handle': handle, tokens: 10, version: 1 })) }, workMilliseconds)
   }
--- a/src/platform/soak/hostWithClockJumps.ts
+++ b/src/platform/soak/hostWithClockJumps.ts
@@ -10,7 +10,7 @@
 Date.now = () => jumps.reduce((now, [second, milliseconds]) =>
   performance.now() - startedAt >= second * 1000 ? now + milliseconds : now, trueNow())
 
-import('../platform/main.js').catch(error => {
+import('../main.js').catch(error => {
   process.stderr.write(`${String(error)}\n`)
   process.exit(1)
 })
