--- a/src/host/AdministrationPart.ts
+++ b/src/host/AdministrationPart.ts
@@ -37,7 +37,13 @@
   constructor (private readonly options: AdministrationPartOptions) {
     const { context, control } = options
     const { settings, clock, events, metrics, log } = context
-    this.usage = new UsageReader({ log, clock, events })
+    this.usage = new UsageReader({
+      log,
+      clock,
+      events,
+      snapshotAuthority: () => control.snapshotAuthority(),
+      retentionMilliseconds: settings.platform.logRetentionSeconds * 1000
+    })
     const administrationOptions: AdministrationOptions = {
       configuration: control.configuration,
       authenticator: new TeamAuthenticator(control.configuration, clock, settings.administration.bootstrapTokenSha256),
--- a/src/host/ControlPart.ts
+++ b/src/host/ControlPart.ts
@@ -4,7 +4,7 @@
  */
 import { Result } from 'true-myth'
 import {
-  failure, type Failure, type HostId, type Incarnation, newRecordId, noOffset, type Offset, toOffset
+  failure, type Failure, type FencingNumber, type HostId, type Incarnation, newRecordId, noOffset, type Offset, toOffset
 } from '../common/index.js'
 import { ConfigurationProjection, ConfigurationManager } from '../configuration/index.js'
 import { LeaseManager, type LeaseName, leaseNameSchema } from '../leases/index.js'
@@ -110,7 +110,7 @@
     this.snapshotWriter = new SnapshotWriter({
       followers: this.followers,
       log,
-      authority: () => this.leases.authority(snapshotLease),
+      authority: () => this.snapshotAuthority(),
       clock,
       events,
       retentionMilliseconds: settings.platform.logRetentionSeconds * 1000
@@ -122,6 +122,11 @@
     return leaseNameSchema.parse(`zone/${this.options.context.settings.host.zone}/planner`)
   }
 
+  /** This host's authority to write snapshots; undefined if it does not hold the lease. */
+  snapshotAuthority (): { fencingNumber: FencingNumber } | undefined {
+    return this.leases.authority(snapshotLease)
+  }
+
   /** Identity of this incarnation of the host. */
   get identity (): { hostId: HostId, incarnation: Incarnation } {
     const { settings, incarnation } = this.options.context
--- a/src/host/EntryHost.ts
+++ b/src/host/EntryHost.ts
@@ -131,6 +131,7 @@
     await control.followers.waitUntilReady(this.closing.signal)
     if (this.state !== 'starting') return Result.err(failure('draining', 'the host was stopped before it was ready'))
     control.startLeaseTasks()
+    administration.usage.startSnapshots()
     fleet.start()
     this.state = 'ready'
     events.info('host_ready', { zone: settings.host.zone, incarnation: context.incarnation, through: control.configuration.through })
@@ -162,6 +163,7 @@
   /** Stops sending orders to engines before it releases the leases, so that no order is sent without the lease. */
   private async stopLeaseTasks (): Promise<void> {
     await this.fleet?.stop()
+    await this.administration?.usage.stopSnapshots()
     await this.control?.stopLeaseTasks()
   }
 
