Test that a streamed response releases its timer and listener

A rename had once dropped the clean-up of streamed responses without any test or type error. The test fails in all three cases (read to its end, broken off, abandoned) when ServiceCall.run returns the response without the clean-up. ManualClock counts its pending sleeps for it.

--- a/src/common/Clock.ts
+++ b/src/common/Clock.ts
@@ -52,6 +52,11 @@
     super()
   }
 
+  /** Number of calls of `sleep` that have neither ended nor been aborted. */
+  get pendingSleepCount (): number {
+    return this.sleepers.size
+  }
+
   monotonic (): number {
     return this.now
   }
--- a/src/forwarding/ServiceCall.test.ts
+++ b/src/forwarding/ServiceCall.test.ts
@@ -3,6 +3,7 @@
  * that fail although another worker could have answered.
  */
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
+import { getEventListeners } from 'node:events'
 import type { ServerResponse } from 'node:http'
 import { ManualClock } from '../common/index.js'
 import { FakeService } from '../entry/testing/FakeService.js'
@@ -144,3 +145,31 @@
     expect(runCounts()).toEqual([0, 0, 1])
   })
 })
+
+describe('a streamed response', () => {
+  const sendWhole = (response: ServerResponse): void => { response.end('event one, event two') }
+  const readAll = async (body: AsyncIterable<Uint8Array>): Promise<void> => {
+    for await (const piece of body) expect(piece.length).toBeGreaterThan(0)
+  }
+
+  // Guards against a host that keeps a timer and a listener for each stream until its deadline, long after it ended.
+  test.each([
+    ['is read to its end', sendWhole, readAll],
+    ['breaks off', brokenResponses[1]![1], (body: AsyncIterable<Uint8Array>) => expect(readAll(body)).rejects.toThrow()],
+    ['is abandoned by its reader', sendWhole, async (body: AsyncIterable<Uint8Array>) => {
+      for await (const piece of body) if (piece.length > 0) break
+    }]
+  ] as Array<[string, typeof sendWhole, typeof readAll]>)('that %s releases its deadline timer and its listener', async (_name, send, read) => {
+    const clock = host.clock as ManualClock
+    const sleepsBefore = clock.pendingSleepCount
+    const caller = new AbortController()
+    respondInOrder(send)
+    const result = await host.requests.serviceCall({ ...createRequest(false), delivery: 'stream' }).run(caller.signal)
+    if (result.isErr || result.value.remainingBody === undefined) throw new Error('the response is not streamed')
+    expect(clock.pendingSleepCount).toBe(sleepsBefore + 1)
+    expect(getEventListeners(caller.signal, 'abort')).toHaveLength(1)
+    await read(result.value.remainingBody)
+    expect(clock.pendingSleepCount).toBe(sleepsBefore)
+    expect(getEventListeners(caller.signal, 'abort')).toHaveLength(0)
+  })
+})
