--- a/src/common/abortAfter.ts
+++ b/src/common/abortAfter.ts
@@ -10,6 +10,9 @@
   cancel: () => void
 }
 
+/** Reason of cancelled timers. One object for all, because an abort without a reason creates an error with its stack. */
+const timerCancelled = new Error('the timer was cancelled')
+
 /** Starts a timer that aborts its signal with the reason after the given time. */
 export function abortAfter (clock: Clock, milliseconds: number, reason: Error): AbortTimer {
   const timeoutController = new AbortController()
@@ -17,5 +20,5 @@
   clock.sleep(milliseconds, endController.signal).then(() => {
     if (!endController.signal.aborted) timeoutController.abort(reason)
   }, () => {})
-  return { signal: timeoutController.signal, cancel: () => endController.abort() }
+  return { signal: timeoutController.signal, cancel: () => endController.abort(timerCancelled) }
 }
--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -2,11 +2,13 @@
  * Computes the prompt of a call on a prefill worker before a decode worker generates the answer. A failed computation
  * costs only time, since the decode worker then computes the prompt itself.
  */
+import { Result } from 'true-myth'
 import type { Dispatcher } from 'undici'
-import { abortAfter, type Clock } from '../common/index.js'
+import { abortAfter, type Clock, type Failure } from '../common/index.js'
 import { isNotSent } from '../clients/HttpClient.js'
 import type { EventLog } from '../observability/index.js'
-import type { PromptPlacement, PromptPlacementPolicy } from '../routing/index.js'
+import type { PlacedPrompt, PromptOutcome, PromptPlacer } from '../placement/index.js'
+import type { PromptPlacementPolicy } from '../routing/index.js'
 import type { Upstream, UpstreamManager } from '../upstreams/index.js'
 import type { CallProtocol, KvSource } from './CallProtocol.js'
 import type { RetryBudget } from './RetryBudget.js'
@@ -16,6 +18,7 @@
 export interface PromptComputationContext {
   upstreams: UpstreamManager
   policy: PromptPlacementPolicy
+  placer: PromptPlacer
   protocol: CallProtocol
   budget: RetryBudget
   clock: Clock
@@ -28,33 +31,48 @@
 const maxRemainingTimeFraction = 0.5
 
 /**
- * Result of a computation. `refused`: the worker may have received the call but returned no computed prompt;
- * `not_sent`: the call was not sent, or this host stopped it.
+ * Result of a computation. `takesRetry`: the worker may have received the call although it returned no computed prompt.
  */
-interface ComputationResult { outcome: 'computed' | 'refused' | 'not_sent', source?: KvSource }
+interface ComputationResult { outcome: PromptOutcome, source?: KvSource, takesRetry: boolean }
+
+/** Statuses with which a worker declines a prompt: it is another worker, full, or has another role now. */
+const declinedStatuses: ReadonlySet<number> = new Set([421, 429, 503])
 
 /** Computes prompts on prefill workers. */
 export class PromptComputation {
+  private computations = 0
+
   constructor (private readonly context: PromptComputationContext) {}
 
   /**
    * Returns the source of the computed prompt; undefined if the decode worker has to compute the prompt itself. The
-   * first computation of a call takes a retry from the budget only if the result is `refused`, every further one in
-   * advance.
+   * first computation of a call takes a retry from the budget only if the worker may have received it in vain, every
+   * further one in advance. Errors: those of `PromptPlacer.place`.
    */
-  async compute (request: ServiceRequest, isFirst: boolean, stop: AbortSignal): Promise<KvSource | undefined> {
-    const { prompt } = request
-    if (prompt === undefined) return undefined
-    const prefillCandidates = this.context.upstreams.candidatesForPool(request.pool, 'prefill').filter(({ role }) => role === 'prefill')
-    const decodeCandidates = this.context.upstreams.candidatesForPool(request.pool)
-    const placement = this.context.policy.chooseForPrompt(prompt, prefillCandidates, decodeCandidates)
-    if (placement === undefined) return undefined
-    const { budget } = this.context
-    const mayCompute = isFirst ? !budget.isOverdrawn(request.pool) : budget.tryTake(request.pool)
-    if (!mayCompute) return undefined
-    const computation = await this.send(request, placement, stop)
-    if (computation.outcome === 'refused' && isFirst) budget.charge(request.pool)
-    return computation.source
+  async compute (request: ServiceRequest, isFirst: boolean, stop: AbortSignal): Promise<Result<KvSource | undefined, Failure>> {
+    const { prompt, pool, requestId, deadline } = request
+    const { upstreams, budget, placer } = this.context
+    if (prompt === undefined) return Result.ok(undefined)
+    const candidates = upstreams.candidatesForPool(pool, 'prefill').filter(({ role }) => role === 'prefill')
+    if (candidates.length === 0) return Result.ok(undefined)
+    const mayCompute = isFirst ? !budget.isOverdrawn(pool) : budget.tryTake(pool)
+    if (!mayCompute) return Result.ok(undefined)
+    this.computations += 1
+    const placement = await placer.place({
+      id: `${requestId}.${this.computations}`,
+      pool,
+      prompt,
+      dueAt: request.startDueAt ?? deadline,
+      lostAt: request.startLostAt ?? deadline,
+      candidates,
+      decodeCandidates: upstreams.candidatesForPool(pool)
+    }, stop)
+    if (placement.isErr) return Result.err(placement.error)
+    if (placement.value === undefined) return Result.ok(undefined)
+    const computation = await this.send(request, placement.value, stop)
+    placement.value.end(computation.outcome)
+    if (computation.takesRetry && isFirst) budget.charge(pool)
+    return Result.ok(computation.source)
   }
 
   /** Frees a computed prompt that no worker will fetch. */
@@ -72,7 +90,7 @@
 
   private async send (
     request: ServiceRequest,
-    { worker: upstream, sharedPartsSource }: PromptPlacement<Upstream>,
+    { worker: upstream, sharedPartsSource }: PlacedPrompt,
     stop: AbortSignal
   ): Promise<ComputationResult> {
     const { clock, events, policy, protocol, upstreams } = this.context
@@ -86,7 +104,7 @@
       kvSource: undefined
     }
     const headers = protocol.promptHeaders(attempt, sharedPartsSource)
-    if (headers === undefined || request.prompt === undefined) return { outcome: 'not_sent' }
+    if (headers === undefined || request.prompt === undefined) return { outcome: 'abandoned', takesRetry: false }
     const placementFields = {
       request: request.requestId,
       worker: upstream.id,
@@ -111,14 +129,14 @@
       tracker.end(handle === undefined ? 'declined' : 'answered')
       if (handle !== undefined) {
         events.info('prompt_computed', { ...placementFields, milliseconds: Math.round(clock.monotonic() - startedAt) })
-        return { outcome: 'computed', source: { upstream, handle } }
+        return { outcome: 'computed', source: { upstream, handle }, takesRetry: false }
       }
       this.logFailure(request, upstream, `the worker answered with status ${response.statusCode}`)
-      return { outcome: 'refused' }
+      return { outcome: declinedStatuses.has(response.statusCode) ? 'declined' : 'failed', takesRetry: true }
     } catch (caught) {
       tracker.end(stop.aborted ? 'left' : 'failed')
       this.logFailure(request, upstream, (caught as Error).message)
-      return { outcome: stop.aborted || isNotSent(caught) ? 'not_sent' : 'refused' }
+      return { outcome: stop.aborted ? 'abandoned' : 'failed', takesRetry: !stop.aborted && !isNotSent(caught) }
     } finally {
       timer.cancel()
     }
--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -68,8 +68,9 @@
   }
 
   /**
-   * Makes the call. Errors: `not_run`, `outcome_unknown`, `upstream_failed`, `deadline_exceeded`, `cancelled`. The
-   * signal aborts when the caller disconnects; it does not stop a non-idempotent call, unless its response is streamed.
+   * Makes the call. Errors: `not_run`, `overloaded`, `outcome_unknown`, `upstream_failed`, `deadline_exceeded`,
+   * `cancelled`. The signal aborts when the caller disconnects; it does not stop a non-idempotent call, unless its
+   * response is streamed.
    */
   async run (signal?: AbortSignal): Promise<Result<ServiceResponse, Failure>> {
     const { clock } = this.context
@@ -100,11 +101,11 @@
     let lastFailedAttempt: FailedAttempt | undefined
     for (;;) {
       if (stop.aborted) return Result.err(this.stopFailure(stop, lastFailedAttempt))
-      const upstream = await this.choose(stop)
+      const chosen = await this.choose(stop)
       if (stop.aborted) return Result.err(this.stopFailure(stop, lastFailedAttempt))
-      if (upstream === undefined) {
-        return Result.err(this.failureWithoutWorker(lastFailedAttempt))
-      }
+      if (chosen.isErr) return Result.err(chosen.error)
+      const upstream = chosen.value
+      if (upstream === undefined) return Result.err(this.failureWithoutWorker(lastFailedAttempt))
       const result = await this.attempt(upstream, stop)
       if (result.isOk && !this.tryTakeRetryAfterResponse(result.value)) return await this.deliver(result.value, stop)
       if (result.isOk) {
@@ -160,11 +161,11 @@
   /**
    * Chooses a worker. No worker is tried twice, since a call that failed on all workers has no better chance on one of
    * them. The prompt is computed before the choice, since workers may leave during the seconds that the computation can
-   * take.
+   * take. Errors: those of `PromptComputation.compute`.
    */
-  private async choose (stop: AbortSignal): Promise<Upstream | undefined> {
-    if (this.untriedWorkers().length > 0) await this.computePrompt(stop)
-    return this.context.servicePolicy.choose(this.request.prompt ?? emptyPrompt, this.untriedWorkers())
+  private async choose (stop: AbortSignal): Promise<Result<Upstream | undefined, Failure>> {
+    const computed = this.untriedWorkers().length > 0 ? await this.computePrompt(stop) : Result.ok<void, Failure>(undefined)
+    return computed.map(() => this.context.servicePolicy.choose(this.request.prompt ?? emptyPrompt, this.untriedWorkers()))
   }
 
   private untriedWorkers (): readonly Upstream[] {
@@ -205,11 +206,15 @@
    * Computes the prompt unless a computed one is still unfetched: a worker that declines a call has usually not fetched
    * the computed prompt, so the next worker is told to fetch it.
    */
-  private async computePrompt (stop: AbortSignal): Promise<void> {
-    if (this.kvSource !== undefined) return
+  private async computePrompt (stop: AbortSignal): Promise<Result<void, Failure>> {
+    const { promptComputation } = this.context
+    if (this.kvSource !== undefined || promptComputation === undefined) return Result.ok(undefined)
     const isFirst = !this.hasComputedPrompt
     this.hasComputedPrompt = true
-    this.kvSource = await this.context.promptComputation?.compute(this.request, isFirst, stop)
+    const computed = await promptComputation.compute(this.request, isFirst, stop)
+    if (computed.isErr) return Result.err(computed.error)
+    this.kvSource = computed.value
+    return Result.ok(undefined)
   }
 
   /** Frees a computed prompt that no worker has fetched. */
@@ -397,8 +402,9 @@
 
   private async resume (lastId: string | undefined, stop: AbortSignal, cause: Error): Promise<OpenResponse> {
     for (;;) {
-      const upstream = await this.choose(stop)
-      if (upstream === undefined || stop.aborted) throw cause
+      const chosen = await this.choose(stop)
+      if (chosen.isErr || chosen.value === undefined || stop.aborted) throw cause
+      const upstream = chosen.value
       const result = await this.attempt(upstream, stop, lastId)
       if (result.isOk && result.value.head.status === 200) return result.value
       if (result.isOk) {
--- a/src/forwarding/ServiceRequest.ts
+++ b/src/forwarding/ServiceRequest.ts
@@ -32,6 +32,10 @@
   maxAttempts?: number
   /** Prompt of the call; default: none. */
   prompt?: RoutingRequest
+  /** Monotonic time in milliseconds by which the response has to start to meet its latency target. */
+  startDueAt?: number
+  /** Monotonic time in milliseconds at which the caller gives up if the response has not started. Default: the deadline. */
+  startLostAt?: number
   /** Time without a response after which an idempotent call is sent to another worker. Default: until the deadline. */
   attemptTimeoutMilliseconds?: number
 }
--- a/src/observability/EventLog.ts
+++ b/src/observability/EventLog.ts
@@ -47,6 +47,8 @@
     this.logger = new Logger<LogLine>({
       type: 'hidden',
       minLevel: tslogLevels[options.level],
+      // Without this, tslog parses a stack trace for each line, which takes a tenth of the time of a request.
+      hideLogPositionForProduction: true,
       overwrite: {
         // Passes the line through unchanged; tslog's default would collect the call stack for each line.
         toLogObj: parts => ({ line: parts[0] })
--- /dev/null
+++ b/src/placement/PromptPlacer.ts
@@ -0,0 +1,54 @@
+/**
+ * Chooses the worker that computes the prompt of a request, on the side of the host that sends it.
+ */
+import { Result } from 'true-myth'
+import type { Failure, Pool } from '../common/index.js'
+import type { PromptPlacementPolicy, RoutingRequest } from '../routing/index.js'
+import type { Upstream } from '../upstreams/index.js'
+import type { PromptOutcome } from './PromptTask.js'
+
+/** A prompt to place, with the workers that this host may use. */
+export interface PromptToPlace {
+  /** Unique among the prompts of this host. */
+  id: string
+  pool: Pool
+  prompt: RoutingRequest
+  /** Monotonic time in milliseconds by which the answer has to start to be in time. */
+  dueAt: number
+  /** Monotonic time in milliseconds at which the caller gives up. */
+  lostAt: number
+  /** Workers that may compute the prompt. */
+  candidates: readonly Upstream[]
+  /** Workers that generate answers, which may hold shared parts. */
+  decodeCandidates: readonly Upstream[]
+}
+
+/** A worker for a prompt. */
+export interface PlacedPrompt {
+  worker: Upstream
+  /** Worker from which `worker` fetches the shared parts that it does not hold. */
+  sharedPartsSource: Upstream | undefined
+  /** Must be called once when the computation has ended. */
+  end: (outcome: PromptOutcome) => void
+}
+
+/** Places prompts on workers. */
+export abstract class PromptPlacer {
+  /**
+   * Returns the worker for a prompt; undefined if no worker computes prompts. May wait until one has room. Errors:
+   * `overloaded` if the prompt cannot be computed before its caller gives up, `cancelled` if the signal aborts.
+   */
+  abstract place (prompt: PromptToPlace, signal: AbortSignal): Promise<Result<PlacedPrompt | undefined, Failure>>
+}
+
+/** Places prompts by what this host alone knows. */
+export class LocalPromptPlacer extends PromptPlacer {
+  constructor (private readonly policy: PromptPlacementPolicy) {
+    super()
+  }
+
+  async place ({ prompt, candidates, decodeCandidates }: PromptToPlace): Promise<Result<PlacedPrompt | undefined, Failure>> {
+    const placement = this.policy.chooseForPrompt(prompt, candidates, decodeCandidates)
+    return Result.ok(placement === undefined ? undefined : { ...placement, end: () => {} })
+  }
+}
--- /dev/null
+++ b/src/placement/PromptSchedule.ts
@@ -0,0 +1,405 @@
+/**
+ * The prompts of one pool: decides which worker computes each prompt, and when it is sent there.
+ *
+ * A prompt is sent only when its worker is about to finish the prompts before it. Prompts that wait are held here in
+ * order of urgency, so that a short prompt does not stand behind long ones at a worker. Prompts that can still be in
+ * time come first, ordered by the latest time at which their computation has to start; then those that are late already,
+ * the short ones and those about to be given up first. A prompt is refused as soon as it is clear that it cannot be
+ * computed before its caller gives up.
+ *
+ * Each prompt goes to the worker on which it is expected to be computed first. A worker that holds the shared parts of
+ * the prompt is preferred: another one fetches them, and its copy displaces other parts.
+ */
+import { type Clock, type WorkerId } from '../common/index.js'
+import type { EventLog } from '../observability/index.js'
+import type { HeldParts } from './HeldParts.js'
+import { PrefillSpeed } from './PrefillSpeed.js'
+import { type PlacementDecision, type PromptOutcome, type PromptTask, promptTokensOf } from './PromptTask.js'
+import { WorkerBacklog } from './WorkerBacklog.js'
+
+/** Speeds of a deployment's engines until they are measured, and of its links. */
+export interface PromptScheduleCosts {
+  tokensPerMillisecond: number
+  /** Constant part of a response time, in milliseconds. */
+  baseMilliseconds: number
+  /** Tokens that a worker fetches from another one per millisecond. */
+  fetchedTokensPerMillisecond: number
+}
+
+/** Options of a `PromptSchedule`. */
+export interface PromptScheduleOptions {
+  clock: Clock
+  events: EventLog
+  held: HeldParts
+  /** Workers that may compute prompts at the moment. */
+  workers: () => ReadonlyArray<{ readonly id: WorkerId }>
+  /** Workers from which parts of prompts may be fetched; contains `workers`. */
+  holders: () => ReadonlyArray<{ readonly id: WorkerId }>
+  /** Number of workers that generate answers at the moment. */
+  decodeWorkerCount: () => number
+  costs: PromptScheduleCosts
+}
+
+/**
+ * Work that a worker may have left when it is sent the next prompt, in milliseconds. It covers the way of the decision
+ * and of the prompt, so that the worker does not fall idle.
+ */
+const dispatchAheadMilliseconds = 40
+
+/** Time that a worker needs to start a fetch of parts, in milliseconds. */
+const fetchSetupMilliseconds = 10
+
+/**
+ * Cost of a copy of shared parts on another worker, as a fraction of the time to compute them: the copy displaces other
+ * parts, some of which have to be computed again.
+ */
+const copyCostFraction = 0.5
+
+/** Interval of the log lines about the state of a schedule that is in use, in milliseconds. */
+const stateLogMilliseconds = 2000
+
+/** Longest time between two looks at a queue that has waiting prompts, in milliseconds. */
+const maxRecheckMilliseconds = 50
+
+interface WaitingPrompt {
+  task: PromptTask
+  decide: (decision: PlacementDecision) => void
+  /** Shortest time from the dispatch to the response, in milliseconds. */
+  neededMilliseconds: number
+  /** Usual time from the dispatch to the response, in milliseconds. */
+  usualMilliseconds: number
+  /** Part of both times for which the worker is occupied. */
+  computeMilliseconds: number
+}
+
+/**
+ * Largest prompt, in tokens to compute, that a worker computes between the tokens of its streams while more workers
+ * generate than compute prompts.
+ */
+const maxTokensWithAnswer = 1000
+
+/** Interval of the looks for prompts that have become hopeless, in milliseconds. */
+const hopelessCheckMilliseconds = 50
+
+/**
+ * Maximum number of waiting prompts that one dispatch looks at. Further ones are less urgent, and a longer look would
+ * delay the answers to other hosts.
+ */
+const maxDispatchedAtOnce = 32
+
+/** Expected course of a prompt on one worker. */
+interface Estimate {
+  backlog: WorkerBacklog
+  computedTokens: number
+  computeMilliseconds: number
+  fetchMilliseconds: number
+  partsSource: WorkerId | undefined
+  /** Time until the prompt is computed plus the cost of copies, in milliseconds. */
+  cost: number
+}
+
+/** Queue, backlogs and speed of one pool. */
+export class PromptSchedule {
+  private readonly waiting = new Map<string, WaitingPrompt>()
+  /** Workers of the placed prompts that have not ended, by prompt id. */
+  private readonly placed = new Map<string, WorkerBacklog>()
+  private readonly backlogs = new Map<WorkerId, WorkerBacklog>()
+  private readonly speed: PrefillSpeed
+  private isDispatchDue = false
+  private recheck: AbortController | undefined
+  private stateLoggedAt = -Infinity
+  private staleRemovedAt = -Infinity
+
+  constructor (private readonly options: PromptScheduleOptions) {
+    this.speed = new PrefillSpeed(options.costs)
+  }
+
+  /** Number of prompts that wait for a worker. */
+  get waitingCount (): number {
+    return this.waiting.size
+  }
+
+  /** Decides about a prompt; resolves when a worker has room for it, or when it is clear that it must be refused. */
+  async place (task: PromptTask): Promise<PlacementDecision> {
+    if (this.options.workers().length === 0) return { kind: 'no_worker' }
+    const computeMilliseconds = this.shortestCompute(task)
+    const neededMilliseconds = computeMilliseconds + this.speed.baseMilliseconds
+    const usualMilliseconds = computeMilliseconds + this.speed.usualMilliseconds
+    const times = { computeMilliseconds, neededMilliseconds, usualMilliseconds }
+    const now = this.options.clock.monotonic()
+    const ahead = this.waitingAhead({ task, ...times }, now)
+    const refusal = this.refusalOf({ task, ...times }, ahead, now)
+    if (refusal !== undefined) return refusal
+    return await new Promise(resolve => {
+      this.waiting.set(task.id, { task, decide: resolve, ...times })
+      this.dispatchSoon()
+    })
+  }
+
+  /** Records that a placed prompt ended, or that a waiting one is no longer needed; its `place` then never resolves. */
+  end (id: string, outcome: PromptOutcome): void {
+    this.removeWaiting(id)
+    const backlog = this.placed.get(id)
+    this.placed.delete(id)
+    if (backlog === undefined) return
+    const now = this.options.clock.monotonic()
+    const prompt = backlog.remove(id, now, this.speed.baseMilliseconds)
+    if (prompt === undefined) return
+    if (outcome === 'computed') {
+      backlog.recordSuccess()
+      for (const [position, part] of prompt.parts.entries()) {
+        this.options.held.record(backlog.worker, part, prompt.partTokens[position] ?? 0)
+      }
+      this.speed.record(prompt.computedTokens, now - prompt.dispatchedAt, prompt.ahead === 0)
+    }
+    if (outcome === 'failed') backlog.recordFailure(now)
+    if (outcome === 'declined') backlog.recordDecline(now)
+    this.dispatchSoon()
+  }
+
+  private removeWaiting (id: string): WaitingPrompt | undefined {
+    const entry = this.waiting.get(id)
+    if (entry === undefined) return undefined
+    this.waiting.delete(id)
+    return entry
+  }
+
+  /** Times for which the waiting prompts that are more urgent occupy workers, in milliseconds. */
+  private waitingAhead (entry: Omit<WaitingPrompt, 'decide'>, now: number): number[] {
+    const rank = rankOf(entry, now)
+    return [...this.waiting.values()]
+      .filter(other => compareRanks(rankOf(other, now), rank) <= 0)
+      .map(other => other.computeMilliseconds)
+  }
+
+  /** The refusal of a prompt that cannot be computed before its caller gives up; undefined if it can. */
+  private refusalOf (entry: Omit<WaitingPrompt, 'decide'>, ahead: number[], now: number): PlacementDecision | undefined {
+    const workers = this.acceptingBacklogs(now)
+    if (workers.length === 0) return undefined
+    const waitMilliseconds = waitBehind(ahead, workers.map(worker => worker.milliseconds(now)))
+    if (now + waitMilliseconds + entry.neededMilliseconds <= entry.task.lostAt) return undefined
+    return { kind: 'refused', retryAfterMilliseconds: Math.ceil(waitMilliseconds) }
+  }
+
+  /** Dispatches once for all messages that arrive in one turn of the event loop. */
+  private dispatchSoon (): void {
+    if (this.isDispatchDue) return
+    this.isDispatchDue = true
+    setImmediate(() => {
+      this.isDispatchDue = false
+      this.dispatch()
+    })
+  }
+
+  /** Sends waiting prompts to workers that have room, the most urgent first. */
+  private dispatch (): void {
+    const now = this.options.clock.monotonic()
+    this.removeStale(now)
+    this.logState(now)
+    if (this.hasRoom(now)) {
+      for (const { task } of this.inOrder(now).slice(0, maxDispatchedAtOnce)) {
+        const estimate = this.bestEstimate(task, now)
+        if (estimate === undefined || estimate.backlog.milliseconds(now) > dispatchAheadMilliseconds) continue
+        this.send(task, estimate, now)
+        if (!this.hasRoom(now)) break
+      }
+    }
+    this.scheduleRecheck()
+  }
+
+  private hasRoom (now: number): boolean {
+    return this.acceptingBacklogs(now).some(backlog => backlog.milliseconds(now) <= dispatchAheadMilliseconds)
+  }
+
+  private send (task: PromptTask, estimate: Estimate, now: number): void {
+    const { backlog, partsSource, computeMilliseconds, computedTokens, fetchMilliseconds } = estimate
+    const expectedAt = now + backlog.milliseconds(now) + fetchMilliseconds + computeMilliseconds + this.speed.baseMilliseconds
+    backlog.add({
+      id: task.id,
+      computeMilliseconds,
+      expectedAt,
+      dispatchedAt: now,
+      ahead: backlog.size,
+      computedTokens,
+      parts: task.parts,
+      partTokens: task.partTokens
+    })
+    this.placed.set(task.id, backlog)
+    this.removeWaiting(task.id)?.decide({ kind: 'placed', worker: backlog.worker, partsSource })
+  }
+
+  /**
+   * Decides about prompts that are no longer expected to be computed in time: refuses those that cannot be computed before
+   * their callers give up, and leaves short ones to the workers that generate the answers if there are enough of these.
+   * Forgets prompts whose hosts stopped.
+   */
+  private removeStale (now: number): void {
+    if (now - this.staleRemovedAt < hopelessCheckMilliseconds) return
+    this.staleRemovedAt = now
+    for (const backlog of this.backlogs.values()) {
+      for (const id of backlog.forgetLost(now)) this.placed.delete(id)
+    }
+    const workers = this.acceptingBacklogs(now)
+    const computeWithAnswer = this.options.decodeWorkerCount() > this.options.workers().length
+    const ahead: number[] = []
+    const backlogs = workers.map(worker => worker.milliseconds(now))
+    for (const entry of this.inOrder(now)) {
+      const { task, computeMilliseconds, neededMilliseconds } = entry
+      const isLate = rankOf(entry, now).isLate
+      if (isLate && computeWithAnswer && this.tokensToCompute(task) <= maxTokensWithAnswer) {
+        this.removeWaiting(task.id)?.decide({ kind: 'with_answer' })
+        continue
+      }
+      const waitMilliseconds = workers.length === 0 ? 0 : waitBehind(ahead, backlogs)
+      if (now + waitMilliseconds + neededMilliseconds > task.lostAt) {
+        this.removeWaiting(task.id)?.decide({ kind: 'refused', retryAfterMilliseconds: Math.ceil(waitMilliseconds) })
+        continue
+      }
+      ahead.push(computeMilliseconds)
+    }
+  }
+
+  private logState (now: number): void {
+    if (now - this.stateLoggedAt < stateLogMilliseconds) return
+    this.stateLoggedAt = now
+    this.options.events.info('prompt_schedule', {
+      waiting: this.waiting.size,
+      placed: this.placed.size,
+      workers: this.options.workers().length,
+      accepting: this.acceptingBacklogs(now).length,
+      backlogs: [...this.backlogs.values()].map(backlog => Math.round(backlog.milliseconds(now))).join(','),
+      tokens_per_millisecond: Math.round(this.speed.tokensPerMillisecond * 10) / 10,
+      base: Math.round(this.speed.baseMilliseconds),
+      usual: Math.round(this.speed.usualMilliseconds)
+    })
+  }
+
+  private inOrder (now: number): WaitingPrompt[] {
+    return [...this.waiting.values()]
+      .map(entry => ({ entry, rank: rankOf(entry, now) }))
+      .sort((left, right) => compareRanks(left.rank, right.rank))
+      .map(({ entry }) => entry)
+  }
+
+  private acceptingBacklogs (now: number): WorkerBacklog[] {
+    return this.options.workers().map(({ id }) => this.backlogOf(id)).filter(backlog => backlog.accepts(now))
+  }
+
+  private backlogOf (worker: WorkerId): WorkerBacklog {
+    const backlog = this.backlogs.get(worker) ?? new WorkerBacklog(worker)
+    this.backlogs.set(worker, backlog)
+    return backlog
+  }
+
+  /** The worker with the lowest cost; undefined if no worker accepts prompts. */
+  private bestEstimate (task: PromptTask, now: number): Estimate | undefined {
+    const heldTokens = this.heldTokens(task)
+    return this.acceptingBacklogs(now)
+      .map(backlog => this.estimate(task, backlog, heldTokens, now))
+      .reduce<Estimate | undefined>((best, other) => best === undefined || other.cost < best.cost ? other : best, undefined)
+  }
+
+  private estimate (task: PromptTask, backlog: WorkerBacklog, heldTokens: ReadonlyMap<WorkerId, number>, now: number): Estimate {
+    const promptTokens = promptTokensOf(task)
+    const sharedTokens = promptTokens - (task.partTokens.at(-1) ?? 0)
+    const isComputing = sharedTokens > 0 && backlog.isComputing(task.parts.slice(0, -1))
+    const ownTokens = isComputing ? sharedTokens : heldTokens.get(backlog.worker) ?? 0
+    const [partsSource, sourceTokens] = longestOf(heldTokens, backlog.worker)
+    const fetchedTokens = Math.max(0, sourceTokens - ownTokens)
+    const computedTokens = promptTokens - ownTokens - fetchedTokens
+    const computeMilliseconds = this.speed.computeMilliseconds(computedTokens)
+    const fetchMilliseconds = fetchedTokens === 0
+      ? 0
+      : fetchSetupMilliseconds + fetchedTokens / this.options.costs.fetchedTokensPerMillisecond
+    const isComputedElsewhere = !isComputing && sharedTokens > 0 && this.isComputing(task)
+    const repeatedTokens = isComputedElsewhere ? Math.max(0, sharedTokens - ownTokens - fetchedTokens) : 0
+    const copyMilliseconds = copyCostFraction * this.speed.computeMilliseconds(fetchedTokens + repeatedTokens)
+    return {
+      backlog,
+      computedTokens,
+      computeMilliseconds,
+      fetchMilliseconds,
+      partsSource: fetchedTokens > 0 ? partsSource : undefined,
+      cost: backlog.milliseconds(now) + fetchMilliseconds + computeMilliseconds + copyMilliseconds
+    }
+  }
+
+  /** True if some worker computes a prompt with the same shared parts. */
+  private isComputing (task: PromptTask): boolean {
+    const sharedParts = task.parts.slice(0, -1)
+    return [...this.backlogs.values()].some(backlog => backlog.isComputing(sharedParts))
+  }
+
+  /** Number of leading tokens of the prompt that each worker holds. */
+  private heldTokens ({ parts, partTokens }: PromptTask): Map<WorkerId, number> {
+    const { held, holders } = this.options
+    return new Map(holders().map(({ id }) => [id, held.leadingTokens(id, parts, partTokens)]))
+  }
+
+  /** Time for which the prompt occupies a worker if its parts are fetched or held as far as any worker holds them. */
+  private shortestCompute (task: PromptTask): number {
+    return this.speed.computeMilliseconds(this.tokensToCompute(task))
+  }
+
+  /** Number of tokens of the prompt that no worker holds. */
+  private tokensToCompute (task: PromptTask): number {
+    return promptTokensOf(task) - Math.max(0, ...this.heldTokens(task).values())
+  }
+
+  /** Looks at the queue again when the first worker is about to have room. */
+  private scheduleRecheck (): void {
+    this.recheck?.abort()
+    this.recheck = undefined
+    if (this.waiting.size === 0) return
+    const { clock } = this.options
+    const now = clock.monotonic()
+    const untilRoom = this.acceptingBacklogs(now)
+      .map(backlog => backlog.milliseconds(now) - dispatchAheadMilliseconds)
+      .filter(milliseconds => milliseconds > 0)
+    const recheck = new AbortController()
+    this.recheck = recheck
+    clock.sleep(Math.max(1, Math.min(maxRecheckMilliseconds, ...untilRoom)), recheck.signal).then(() => {
+      if (!recheck.signal.aborted) this.dispatch()
+    }, () => {})
+  }
+}
+
+/** Urgency of a waiting prompt, see the head of this file: first by `isLate`, then by `order`. */
+interface PromptRank { isLate: boolean, order: number }
+
+/**
+ * Weight of the time that is left until a late prompt has to start, against the time for which it occupies a worker. The
+ * weight lets long prompts pass short ones before their callers give up.
+ */
+const remainingTimeWeight = 0.2
+
+function rankOf (entry: Omit<WaitingPrompt, 'decide'>, now: number): PromptRank {
+  const { task, neededMilliseconds, usualMilliseconds, computeMilliseconds } = entry
+  const latestStart = task.dueAt - usualMilliseconds
+  if (latestStart >= now) return { isLate: false, order: latestStart }
+  const remaining = task.lostAt - neededMilliseconds - now
+  return { isLate: true, order: computeMilliseconds + remaining * remainingTimeWeight }
+}
+
+function compareRanks (left: PromptRank, right: PromptRank): number {
+  return Number(left.isLate) - Number(right.isLate) || left.order - right.order
+}
+
+/**
+ * Time until one of the workers is free, if each of the prompts ahead goes to the worker that is free first. All times
+ * are in milliseconds.
+ */
+function waitBehind (computeMilliseconds: readonly number[], backlogs: number[]): number {
+  const freeAfter = [...backlogs]
+  for (const milliseconds of computeMilliseconds) freeAfter[freeAfter.indexOf(Math.min(...freeAfter))]! += milliseconds
+  return Math.min(...freeAfter)
+}
+
+/** The worker other than `excluded` that holds most tokens, and their number. */
+function longestOf (heldTokens: ReadonlyMap<WorkerId, number>, excluded: WorkerId): [WorkerId | undefined, number] {
+  let longest: [WorkerId | undefined, number] = [undefined, 0]
+  for (const [worker, tokens] of heldTokens) {
+    if (worker !== excluded && tokens > longest[1]) longest = [worker, tokens]
+  }
+  return longest
+}
--- /dev/null
+++ b/src/placement/PromptScheduler.ts
@@ -0,0 +1,100 @@
+/**
+ * The schedules of all pools and cells for which this host decides where prompts are computed. The state is built from
+ * the questions of hosts and the ends that they report, so a new scheduler needs nothing from its predecessor: two
+ * schedulers at the same time place prompts worse, but never wrongly.
+ */
+import type { Clock, Pool, WorkerId, Zone } from '../common/index.js'
+import type { EventLog } from '../observability/index.js'
+import type { HeldParts } from './HeldParts.js'
+import { PromptSchedule, type PromptScheduleCosts } from './PromptSchedule.js'
+import type { PlacementDecision, PromptOutcome, PromptTask } from './PromptTask.js'
+
+/** The workers for which one schedule decides: those of a pool in one zone, or in all zones. */
+export interface PlacementCell { pool: Pool, zone: Zone | undefined }
+
+/** What a scheduler knows of a worker. */
+export interface PlacementWorker { readonly id: WorkerId, readonly zone: Zone }
+
+/** Options of a `PromptScheduler`. */
+export interface PromptSchedulerOptions {
+  clock: Clock
+  events: EventLog
+  held: HeldParts
+  /** Workers of a pool that may compute prompts at the moment. */
+  workers: (pool: Pool) => readonly PlacementWorker[]
+  /** Workers of a pool from which parts of prompts may be fetched; contains `workers`. */
+  holders: (pool: Pool) => readonly PlacementWorker[]
+  /** Workers of a pool that generate answers at the moment. */
+  decodeWorkers: (pool: Pool) => readonly PlacementWorker[]
+  costs: PromptScheduleCosts
+}
+
+/** Maximum number of workers in a cell; a larger pool has a cell in each zone. */
+const maxCellWorkers = 24
+
+/**
+ * The cell of a host's prompts. `workers`: the workers of the pool that compute prompts. A pool that fits one cell has
+ * only one, in which the load of all zones is balanced.
+ */
+export function cellOf (pool: Pool, zone: Zone, workers: ReadonlyArray<{ readonly zone: Zone }>): PlacementCell {
+  const hasWorkersInZone = workers.some(worker => worker.zone === zone)
+  return { pool, zone: workers.length > maxCellWorkers && hasWorkersInZone ? zone : undefined }
+}
+
+/** Text that identifies a cell. */
+export function cellName ({ pool, zone }: PlacementCell): string {
+  return zone === undefined ? pool : `${pool}/${zone}`
+}
+
+/** The workers that belong to a cell. */
+export function workersOfCell<Worker extends PlacementWorker> (
+  cell: PlacementCell,
+  workers: readonly Worker[]
+): readonly Worker[] {
+  return cell.zone === undefined ? workers : workers.filter(({ zone }) => zone === cell.zone)
+}
+
+/** Decides about the prompts of the cells that this host is asked about. */
+export class PromptScheduler {
+  private readonly schedules = new Map<string, { cell: PlacementCell, schedule: PromptSchedule }>()
+
+  constructor (private readonly options: PromptSchedulerOptions) {}
+
+  /** Decides about a prompt; see `PromptSchedule.place`. */
+  async place (cell: PlacementCell, task: PromptTask): Promise<PlacementDecision> {
+    return await this.scheduleOf(cell).place(task)
+  }
+
+  /** Records that a prompt ended. */
+  end (cell: PlacementCell, id: string, outcome: PromptOutcome): void {
+    this.scheduleOf(cell).end(id, outcome)
+  }
+
+  /** Number of prompts that wait in all cells. */
+  get waitingCount (): number {
+    return [...this.schedules.values()].reduce((sum, { schedule }) => sum + schedule.waitingCount, 0)
+  }
+
+  /** The cells that this host was asked about. */
+  get cells (): PlacementCell[] {
+    return [...this.schedules.values()].map(({ cell }) => cell)
+  }
+
+  private scheduleOf (cell: PlacementCell): PromptSchedule {
+    const name = cellName(cell)
+    const known = this.schedules.get(name)
+    if (known !== undefined) return known.schedule
+    const { clock, events, held, workers, holders, decodeWorkers, costs } = this.options
+    const schedule = new PromptSchedule({
+      clock,
+      events,
+      held,
+      costs,
+      workers: () => workersOfCell(cell, workers(cell.pool)),
+      holders: () => workersOfCell(cell, holders(cell.pool)),
+      decodeWorkerCount: () => workersOfCell(cell, decodeWorkers(cell.pool)).length
+    })
+    this.schedules.set(name, { cell, schedule })
+    return schedule
+  }
+}
--- /dev/null
+++ b/src/placement/SchedulerListener.ts
@@ -0,0 +1,132 @@
+/**
+ * Listens for the questions of other hosts and answers them from the scheduler of this host. A connection that sends
+ * anything but questions and reports is closed.
+ */
+import { type AddressInfo, createServer, type Server, type Socket } from 'node:net'
+import type { Clock } from '../common/index.js'
+import type { EventLog } from '../observability/index.js'
+import type { PlacementCell, PromptScheduler } from './PromptScheduler.js'
+import type { PlacementDecision } from './PromptTask.js'
+import { encodeLine, LineDecoder, type SchedulerAnswer, type SchedulerRequest, schedulerRequestSchema } from './schedulerMessages.js'
+import { writeCorked } from './writeCorked.js'
+
+/** Options of a `SchedulerListener`. */
+export interface SchedulerListenerOptions {
+  /** `ip:port` */
+  address: string
+  scheduler: PromptScheduler
+  /** True if this host schedules the cell. */
+  schedules: (cell: PlacementCell) => boolean
+  clock: Clock
+  events: EventLog
+}
+
+/** Interval of the messages that tell a host with open questions that the scheduler is alive, in milliseconds. */
+export const aliveMilliseconds = 100
+
+/** Maximum number of open questions of one connection; a host that sends more is closed. */
+const maxOpenQuestions = 5000
+
+type Question = Extract<SchedulerRequest, { kind: 'place' }>
+
+/** Serves the scheduler of this host to other hosts. */
+export class SchedulerListener {
+  private readonly server: Server
+  private readonly sockets = new Set<Socket>()
+
+  constructor (private readonly options: SchedulerListenerOptions) {
+    this.server = createServer({ noDelay: true }, socket => { this.serve(socket) })
+  }
+
+  /** Starts to listen. Rejects if the address cannot be bound. */
+  async listen (): Promise<void> {
+    const separator = this.options.address.lastIndexOf(':')
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject)
+      this.server.listen(Number(this.options.address.slice(separator + 1)), this.options.address.slice(0, separator), () => {
+        this.server.off('error', reject)
+        resolve()
+      })
+    })
+  }
+
+  /** `ip:port` with the port that was bound. */
+  get address (): string {
+    const { address, port } = this.server.address() as AddressInfo
+    return `${address}:${port}`
+  }
+
+  async stop (): Promise<void> {
+    const closed = new Promise<void>(resolve => { this.server.close(() => { resolve() }) })
+    for (const socket of this.sockets) socket.destroy()
+    await closed
+  }
+
+  private serve (socket: Socket): void {
+    const { events } = this.options
+    const decoder = new LineDecoder(schedulerRequestSchema)
+    const openQuestions = new Map<string, PlacementCell>()
+    const closed = new AbortController()
+    this.sockets.add(socket)
+    socket.on('error', () => {})
+    socket.on('close', () => {
+      this.sockets.delete(socket)
+      closed.abort()
+      for (const [id, cell] of openQuestions) this.options.scheduler.end(cell, id, 'abandoned')
+    })
+    socket.on('data', bytes => {
+      const requests = decoder.add(bytes)
+      if (requests.isErr || openQuestions.size > maxOpenQuestions) {
+        events.warn('scheduler_connection_closed', {
+          address: socket.remoteAddress, reason: requests.isErr ? requests.error.message : 'too many open questions'
+        })
+        socket.destroy()
+        return
+      }
+      for (const request of requests.value) this.handle(request, socket, openQuestions)
+    })
+    this.keepAlive(socket, openQuestions, closed.signal).catch(() => {})
+  }
+
+  private handle (request: SchedulerRequest, socket: Socket, openQuestions: Map<string, PlacementCell>): void {
+    const cell = { pool: request.pool, zone: request.zone }
+    if (request.kind === 'end') {
+      openQuestions.delete(request.id)
+      this.options.scheduler.end(cell, request.id, request.outcome)
+      return
+    }
+    if (!this.options.schedules(cell)) return writeCorked(socket, encodeLine({ kind: 'not_scheduler', id: request.id }))
+    openQuestions.set(request.id, cell)
+    this.decide(request, cell).then(decision => {
+      if (!openQuestions.delete(request.id)) return
+      writeCorked(socket, encodeLine(answerOf(request.id, decision)))
+    }, error => {
+      this.options.events.error('placement_failed', { request: request.id, reason: String(error) })
+    })
+  }
+
+  private async decide ({ id, parts, due, lost }: Question, cell: PlacementCell): Promise<PlacementDecision> {
+    const now = this.options.clock.monotonic()
+    return await this.options.scheduler.place(cell, {
+      id,
+      parts: parts.map(([part]) => part),
+      partTokens: parts.map(([, tokens]) => tokens),
+      dueAt: now + due,
+      lostAt: now + lost
+    })
+  }
+
+  private async keepAlive (socket: Socket, openQuestions: ReadonlyMap<string, unknown>, closed: AbortSignal): Promise<void> {
+    while (!closed.aborted) {
+      await this.options.clock.sleep(aliveMilliseconds, closed)
+      if (openQuestions.size > 0 && !closed.aborted) writeCorked(socket, encodeLine({ kind: 'alive' }))
+    }
+  }
+}
+
+function answerOf (id: string, decision: PlacementDecision): SchedulerAnswer {
+  if (decision.kind === 'refused') return { kind: 'refused', id, retryAfter: decision.retryAfterMilliseconds }
+  if (decision.kind !== 'placed') return { kind: decision.kind, id }
+  const { worker, partsSource } = decision
+  return { kind: 'placed', id, worker, ...(partsSource === undefined ? {} : { source: partsSource }) }
+}
--- /dev/null
+++ b/src/placement/schedulerMessages.ts
@@ -0,0 +1,69 @@
+/**
+ * Messages between a scheduler and the hosts that ask it, one JSON document a line. They do not use gRPC: a unary call
+ * costs both sides over a millisecond of processor time, and a scheduler answers hundreds of questions a second.
+ */
+import { Result } from 'true-myth'
+import { z } from 'zod'
+import { type Failure, failure, parseJson, poolSchema, workerIdSchema, zoneSchema } from '../common/index.js'
+import { promptOutcomes } from './PromptTask.js'
+
+/** Maximum length of a line, in bytes. A prompt of 500 parts takes about 20 KB. */
+export const maxLineBytes = 65_536
+
+const id = z.string().min(1).max(100)
+const cell = { pool: poolSchema, zone: zoneSchema.optional() }
+
+/** What hosts send to a scheduler. */
+export const schedulerRequestSchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('place'),
+    ...cell,
+    id,
+    /** Id and number of tokens of each part. */
+    parts: z.array(z.tuple([z.string(), z.number().nonnegative()])),
+    /** Milliseconds until the prompt has to be computed; negative if it is late already. */
+    due: z.number(),
+    /** Milliseconds until the caller gives up. */
+    lost: z.number()
+  }),
+  z.object({ kind: z.literal('end'), ...cell, id, outcome: z.enum(promptOutcomes) })
+])
+export type SchedulerRequest = z.infer<typeof schedulerRequestSchema>
+
+/** What a scheduler sends to hosts. */
+export const schedulerAnswerSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('placed'), id, worker: workerIdSchema, source: workerIdSchema.optional() }),
+  z.object({ kind: z.literal('refused'), id, retryAfter: z.number().nonnegative() }),
+  z.object({ kind: z.enum(['with_answer', 'no_worker']), id }),
+  /** The host that was asked does not schedule the cell. */
+  z.object({ kind: z.literal('not_scheduler'), id }),
+  /** Sent while questions wait for their decision. */
+  z.object({ kind: z.literal('alive') })
+])
+export type SchedulerAnswer = z.infer<typeof schedulerAnswerSchema>
+
+/** Encodes a message as a line. */
+export function encodeLine (message: SchedulerRequest | SchedulerAnswer): string {
+  return `${JSON.stringify(message)}\n`
+}
+
+/** Splits received bytes into lines. */
+export class LineDecoder<Message> {
+  private rest = ''
+
+  constructor (private readonly schema: z.ZodType<Message>) {}
+
+  /** The complete messages so far. Errors: `bad_request` if a line is too long or is no message; reading must then end. */
+  add (bytes: Buffer): Result<Message[], Failure> {
+    const lines = (this.rest + bytes.toString('utf8')).split('\n')
+    this.rest = lines.pop()!
+    if (this.rest.length > maxLineBytes) return Result.err(failure('bad_request', `a line is longer than ${maxLineBytes} bytes`))
+    const messages: Message[] = []
+    for (const line of lines) {
+      const parsed = this.schema.safeParse(parseJson(line))
+      if (!parsed.success) return Result.err(failure('bad_request', `a line is no message: ${line.slice(0, 100)}`))
+      messages.push(parsed.data)
+    }
+    return Result.ok(messages)
+  }
+}
--- a/src/platform/CallerListener.ts
+++ b/src/platform/CallerListener.ts
@@ -218,7 +218,7 @@
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(body),
       ...(typeof id === 'string' ? { [headerNames.requestId]: id } : {}),
-      ...(retryAfterOfKind === undefined ? {} : { [headerNames.retryAfter]: String(retryAfterSeconds) }),
+      ...(retryAfterOfKind === undefined ? {} : { [headerNames.retryAfter]: String(retryAfterSecondsOf(failed)) }),
       ...(message.complete ? {} : { connection: 'close' })
     }).end(body)
     return String(status)
@@ -286,6 +286,12 @@
   return disconnected.signal
 }
 
+/** Time after which a caller should come back, in seconds: that of the failure if it states one, at least the usual one. */
+function retryAfterSecondsOf ({ detail }: Failure): number {
+  const milliseconds = detail?.retryAfterMilliseconds
+  return typeof milliseconds === 'number' ? Math.max(retryAfterSeconds, milliseconds / 1000) : retryAfterSeconds
+}
+
 async function readBody (message: IncomingMessage, limit: number): Promise<Result<Buffer | undefined, Failure>> {
   const chunks: Buffer[] = []
   let size = 0
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -9,10 +9,12 @@
 import { type ObservedEngine, RolePlannerTask } from '../fleet/index.js'
 import { GroupLease } from '../leases/index.js'
 import { EventLog, HybridClock, LineWriter, Metrics, Timeline } from '../observability/index.js'
+import { LocalPromptPlacer, type PromptPlacer } from '../placement/index.js'
 import { DemandCollector, SplitRolePlanner } from '../roles/index.js'
 import { PowerOfTwoPolicy, PrefixIndex, PromptPlacementPolicy } from '../routing/index.js'
 import { UpstreamManager, type UpstreamView } from '../upstreams/index.js'
 import { CallerListener } from './CallerListener.js'
+import { PlacementPart } from './PlacementPart.js'
 import { PlatformDirectory } from './PlatformDirectory.js'
 import type { PlatformSettings } from './PlatformSettings.js'
 import { RequestMetrics } from './RequestMetrics.js'
@@ -75,6 +77,9 @@
   otherZoneMillisecondsPerToken: 0.0005
 }
 
+/** Constant part of the response time of a computed prompt until it is measured, in milliseconds. */
+const promptBaseMilliseconds = 70
+
 /** Maximum header size of a request to the readiness or metrics address, in bytes. */
 const maxHeaderBytes = 16_384
 
@@ -99,7 +104,8 @@
     private readonly requests: RequestManager,
     private readonly listener: CallerListener,
     private readonly lease: GroupLease,
-    private readonly budget: RetryBudget
+    private readonly budget: RetryBudget,
+    private readonly placement: PlacementPart
   ) {
     this.rolePlannerTask = new RolePlannerTask({
       clock,
@@ -124,7 +130,13 @@
     const hash = await loadHash()
     const index = new PrefixIndex()
     const directory: PlatformDirectory = new PlatformDirectory({
-      clock, events, workersConnectedSince: () => workerFollower.connectedSince, onWorkerRestarted: id => index.removeWorker(id)
+      clock,
+      events,
+      workersConnectedSince: () => workerFollower.connectedSince,
+      onWorkerRestarted: id => {
+        index.removeWorker(id)
+        placement.held.removeWorker(id)
+      }
     })
     const { stableWindowMilliseconds } = settings.bounds
     const createFollower = (topic: string, receiver: TopicReceiver): TopicFollower => new TopicFollower({
@@ -144,7 +156,25 @@
       keepAliveMilliseconds: workerKeepAliveMilliseconds
     })
     const budget = new RetryBudget(clock, retryLimitsOf(settings))
-    const requests = new RequestManager(requestManagerOptions(settings, { clock, events, hash, index, upstreams, budget }))
+    const policy = createPlacementPolicy(settings, hash, index)
+    const group = createDutyGroup(settings, events)
+    const placement = new PlacementPart({
+      settings,
+      clock,
+      events,
+      hash,
+      upstreams,
+      group,
+      costs: {
+        tokensPerMillisecond: placementCosts.prefillTokensPerMillisecond,
+        baseMilliseconds: promptBaseMilliseconds,
+        fetchedTokensPerMillisecond: placementCosts.fetchedTokensPerMillisecond
+      },
+      fallback: new LocalPromptPlacer(policy)
+    })
+    const requests = new RequestManager(requestManagerOptions({
+      clock, events, upstreams, budget, policy, placer: placement.placer
+    }))
     const state = { stopping: false }
     const listener = new CallerListener({
       address: settings.listen.callers,
@@ -159,10 +189,10 @@
     metrics.gauge('log_lines_dropped_total', 'Log lines for which the reader was too slow.', [], gauge => {
       gauge.set(lines.droppedLines)
     })
-    const lease = createLease(settings, clock, events)
+    const lease = createLease(settings, group, clock, events)
     const host = new PlatformHost(
       settings, clock, events, lines, metrics, directory, [configurationFollower, workerFollower], upstreams, requests,
-      listener, lease, budget)
+      listener, lease, budget, placement)
     host.markStopping = () => { state.stopping = true }
     directory.onChange(() => {
       const limits = directory.routes?.configuration.limits
@@ -186,6 +216,7 @@
     events.info('host_started', { zone, callers: listen.callers, readiness: listen.readiness, store: settings.store.address })
     for (const follower of this.followers) follower.start()
     this.upstreams.start()
+    await this.placement.start()
     this.lease.start()
     this.rolePlannerTask.start()
     this.readinessServer = await serve({
@@ -212,6 +243,7 @@
   async close (): Promise<void> {
     await this.rolePlannerTask.stop()
     await this.lease.stop()
+    await this.placement.stop()
     await Promise.all(this.followers.map(async follower => await follower.stop()))
     await this.upstreams.stop()
     await this.readinessServer?.close()
@@ -290,15 +322,19 @@
 /** Required by `RolePlannerTask`; `SplitRolePlanner` plans a fixed split and ignores capacities. */
 const placeholderCapacity = { prefillTokensPerSecond: 1, decodeTokensPerSecond: 1, changeSeconds: 0, mixedEfficiency: 1 }
 
-function createLease ({ host, store, bounds }: PlatformSettings, clock: Clock, events: EventLog): GroupLease {
-  const durationMilliseconds = bounds.leaseMilliseconds
-  const group = new StoreDutyGroup({
+function createDutyGroup ({ host, store, bounds, listen }: PlatformSettings, events: EventLog): StoreDutyGroup {
+  return new StoreDutyGroup({
     store: new StoreClient(store.address),
     events,
     hostId: host.id,
     incarnation: newIncarnation(),
-    timeToLiveMilliseconds: durationMilliseconds
+    timeToLiveMilliseconds: bounds.leaseMilliseconds,
+    peerAddress: listen.peers
   })
+}
+
+function createLease ({ bounds }: PlatformSettings, group: StoreDutyGroup, clock: Clock, events: EventLog): GroupLease {
+  const durationMilliseconds = bounds.leaseMilliseconds
   return new GroupLease({
     group,
     clock,
@@ -317,25 +353,27 @@
 interface RequestDependencies {
   clock: Clock
   events: EventLog
-  hash: Hash
-  index: PrefixIndex
   upstreams: UpstreamManager
   budget: RetryBudget
+  policy: PromptPlacementPolicy
+  placer: PromptPlacer
+}
+
+function createPlacementPolicy ({ host }: PlatformSettings, hash: Hash, index: PrefixIndex): PromptPlacementPolicy {
+  const seed = hash.h32(host.id)
+  return new PromptPlacementPolicy({ index, hash, costs: placementCosts, policyWithoutPrompt: new PowerOfTwoPolicy(seed), seed })
 }
 
 function requestManagerOptions (
-  { host }: PlatformSettings,
-  { clock, events, hash, index, upstreams, budget }: RequestDependencies
+  { clock, events, upstreams, budget, policy, placer }: RequestDependencies
 ): RequestManagerOptions {
   const protocol = new WorkerProtocol()
-  const policyWithoutPrompt = new PowerOfTwoPolicy(hash.h32(host.id))
-  const policy = new PromptPlacementPolicy({ index, hash, costs: placementCosts, policyWithoutPrompt, seed: hash.h32(host.id) })
   return {
     upstreams,
     policy,
     servicePolicy: policy,
     protocol,
-    promptComputation: new PromptComputation({ upstreams, policy, protocol, budget, clock, events }),
+    promptComputation: new PromptComputation({ upstreams, policy, placer, protocol, budget, clock, events }),
     limits: defaultAttemptLimits,
     clock,
     events,
--- a/src/platform/PlatformSettings.ts
+++ b/src/platform/PlatformSettings.ts
@@ -20,7 +20,9 @@
     /** Address at which the load balancer checks readiness. */
     readiness: listenAddressSchema,
     /** Address for metrics; absent if the host's role on the platform has no control address. */
-    metrics: listenAddressSchema.optional()
+    metrics: listenAddressSchema.optional(),
+    /** Address for the other hosts; absent if this host works without them. */
+    peers: listenAddressSchema.optional()
   }),
   store: z.strictObject({
     /** `ip:port` of the platform's metadata store. */
--- a/src/platform/RouteConfiguration.ts
+++ b/src/platform/RouteConfiguration.ts
@@ -24,6 +24,8 @@
   timeoutMilliseconds: number
   /** Latency target within which a response has its full value; for a stream, the latency of its first event. */
   targetMilliseconds: number
+  /** Longest time for which a caller waits for the first event of a stream. */
+  patienceMilliseconds: number
   /** Maximum number of workers that may run one request. */
   maxAttempts: number
   /** Priority of the requests; 0 is the most urgent. */
@@ -65,6 +67,7 @@
   kind: z.enum(['safe', 'non_idempotent', 'streaming']),
   'timeout-ms': positive,
   'target-latency-ms': positive.optional(),
+  'gap-aim-ms': positive.optional(),
   'max-attempts': z.number().int().positive().default(1),
   priority: z.number().default(0),
   resumable: z.boolean().default(false),
@@ -87,9 +90,22 @@
   })
 })
 
+/**
+ * Callers abandon a stream after a gap of 2 s, four times the latency target or eight times the longest pause that is
+ * still in time, whichever is longest.
+ */
+const minPatienceMilliseconds = 2000
+const patienceInTargets = 4
+const patienceInPauses = 8
+
+function patienceMillisecondsOf (targetMilliseconds: number, longestPauseMilliseconds: number): number {
+  return Math.max(minPatienceMilliseconds, patienceInTargets * targetMilliseconds, patienceInPauses * longestPauseMilliseconds)
+}
+
 const routeKinds = { safe: 'safe', non_idempotent: 'once', streaming: 'stream' } as const
 
 function decodeRoute (route: z.infer<typeof routeSchema>): Route {
+  const targetMilliseconds = route['target-latency-ms'] ?? route['timeout-ms']
   const split = route['traffic-split'] ?? (route.service === undefined ? [] : [{ service: route.service, weight: 1 }])
   return {
     name: route.name,
@@ -97,7 +113,8 @@
     pathPrefix: route['path-prefix'],
     kind: routeKinds[route.kind],
     timeoutMilliseconds: route['timeout-ms'],
-    targetMilliseconds: route['target-latency-ms'] ?? route['timeout-ms'],
+    targetMilliseconds,
+    patienceMilliseconds: patienceMillisecondsOf(targetMilliseconds, route['gap-aim-ms'] ?? 0),
     maxAttempts: route['max-attempts'],
     rank: Math.max(0, Math.round(route.priority)),
     resumable: route.resumable,
--- /dev/null
+++ b/src/platform/SchedulerDirectory.ts
@@ -0,0 +1,90 @@
+/**
+ * Knows which host holds each partition of the topic `placement`. The store is asked only when the known holder is
+ * missing or has failed, since each call to the store is charged.
+ */
+import type { Clock } from '../common/index.js'
+import type { EventLog } from '../observability/index.js'
+import type { StoreClient } from './StoreClient.js'
+import { addressOfMember, hostGroup, placementTopic } from './StoreDutyGroup.js'
+
+/** Options of a `SchedulerDirectory`. */
+export interface SchedulerDirectoryOptions {
+  store: Pick<StoreClient, 'owners' | 'close'>
+  clock: Clock
+  events: EventLog
+  /** A number from 0 (inclusive) to 1 (exclusive) that spreads the calls of hosts. */
+  random: () => number
+}
+
+/** Shortest and longest time between two calls, in milliseconds; the time doubles while the holder keeps failing. */
+const minRefreshMilliseconds = 500
+const maxRefreshMilliseconds = 4000
+
+/** Shortest time from the start of a host to its first read, in milliseconds; hosts that start together join within it. */
+const firstReadMilliseconds = 3000
+
+/** The holders of the partitions, as the store last told. */
+export class SchedulerDirectory {
+  private readonly holders = new Map<number, string>()
+  private refreshing: Promise<void> | undefined
+  private nextRefreshAt = -Infinity
+  private refreshMilliseconds = minRefreshMilliseconds
+  private readonly stopping = new AbortController()
+
+  constructor (private readonly options: SchedulerDirectoryOptions) {}
+
+  /** Address of the holder of a partition; undefined while it is unknown, which starts a call to the store. */
+  holderOf (partition: number): string | undefined {
+    const holder = this.holders.get(partition)
+    if (holder === undefined) this.refresh()
+    return holder
+  }
+
+  /** Records that a holder answered. */
+  confirm (): void {
+    this.refreshMilliseconds = minRefreshMilliseconds
+  }
+
+  /** Records that the known holder failed or no longer holds the partition, which starts a call to the store. */
+  reportFailure (): void {
+    this.refresh()
+  }
+
+  /** Reads the holders once the hosts that started together have joined the group, before the first question. */
+  start (): void {
+    const { clock, random } = this.options
+    clock.sleep(firstReadMilliseconds * (1 + random()), this.stopping.signal).then(() => {
+      if (!this.stopping.signal.aborted) this.refresh()
+    }, () => {})
+  }
+
+  async stop (): Promise<void> {
+    this.stopping.abort()
+    await this.options.store.close()
+    await this.refreshing
+  }
+
+  private refresh (): void {
+    const { clock, random } = this.options
+    const now = clock.monotonic()
+    if (this.refreshing !== undefined || now < this.nextRefreshAt) return
+    this.nextRefreshAt = now + this.refreshMilliseconds * (1 + random())
+    this.refreshMilliseconds = Math.min(maxRefreshMilliseconds, this.refreshMilliseconds * 2)
+    this.refreshing = this.read().finally(() => { this.refreshing = undefined })
+  }
+
+  private async read (): Promise<void> {
+    const { store, events } = this.options
+    const owners = await store.owners(hostGroup)
+    if (owners.isErr) {
+      events.info('schedulers_unknown', { reason: owners.error.message })
+      return
+    }
+    this.holders.clear()
+    for (const { topic, partition, member } of owners.value) {
+      const address = topic === placementTopic ? addressOfMember(member) : undefined
+      if (address !== undefined) this.holders.set(partition, address)
+    }
+    events.info('schedulers_read', { addresses: [...new Set(this.holders.values())].join(',') })
+  }
+}
--- a/src/platform/StoreClient.ts
+++ b/src/platform/StoreClient.ts
@@ -68,6 +68,14 @@
   parts: z.array(z.tuple([z.string(), z.number().int(), z.number()]).rest(z.unknown()))
 })
 
+/** A partition and the member of a group to which it is assigned. */
+export interface PartitionOwner { topic: string, partition: number, member: string }
+
+/** Each element of `parts` consists of topic, partition, member and committed offset. */
+const ownersSchema = z.object({
+  parts: z.array(z.tuple([z.string(), z.number().int(), z.string()]).rest(z.unknown()))
+})
+
 /** HTTP client of the store. Each instance keeps one connection and makes one call at a time. */
 export class StoreClient {
   private client: Client | undefined
@@ -147,6 +155,15 @@
     return status === 200 || status === 409 ? Result.ok(status === 200) : Result.err(unexpectedStatus('an offset commit', status))
   }
 
+  /** Reads which member holds each partition of a group's topics. Errors: `platform_unavailable`. */
+  async owners (group: string, signal?: AbortSignal): Promise<Result<PartitionOwner[], Failure>> {
+    const response = await this.send({ method: 'GET', path: `/v1/log-owners?${new URLSearchParams({ group })}`, signal })
+    if (response.isErr) return Result.err(response.error)
+    const owners = ownersSchema.safeParse(parseJson(response.value.body.toString('utf8')))
+    if (response.value.status !== 200 || !owners.success) return Result.err(unexpectedStatus('a read of a group', response.value.status))
+    return Result.ok(owners.data.parts.map(([topic, partition, member]) => ({ topic, partition, member })))
+  }
+
   /** Leaves a group. Errors: `platform_unavailable`. */
   async leave (group: string, member: string): Promise<Result<void, Failure>> {
     const response = await this.send({ method: 'POST', path: '/v1/log-leave', body: { group, member } })
--- a/src/platform/StoreDutyGroup.ts
+++ b/src/platform/StoreDutyGroup.ts
@@ -1,6 +1,8 @@
 /**
  * The consumer group of all hosts in the platform's store. The host to which the store assigns partition 0 of the topic
- * `duties` has the duty to send orders to workers.
+ * `duties` has the duty to send orders to workers; the hosts to which it assigns partitions of the topic `placement`
+ * decide where prompts are computed. Each member's name contains its address, so that the group also tells the hosts
+ * how to reach each other.
  */
 import { Result } from 'true-myth'
 import type { Failure, HostId, Incarnation } from '../common/index.js'
@@ -8,9 +10,12 @@
 import type { EventLog } from '../observability/index.js'
 import type { StoreClient } from './StoreClient.js'
 
-const group = 'hosts'
+export const hostGroup = 'hosts'
 const topic = 'duties'
 
+/** Topic whose partitions stand for the schedulers of prompts. */
+export const placementTopic = 'placement'
+
 /** Partition whose holder sends the orders. */
 const orderPartition = 0
 
@@ -23,24 +28,49 @@
   incarnation: Incarnation
   /** Time after the last renewal at which the store ends the membership. */
   timeToLiveMilliseconds: number
+  /** `ip:port` at which other hosts reach this one; undefined if they cannot. */
+  peerAddress: string | undefined
+}
+
+/** Name of a host's member: host id, incarnation and, if other hosts can reach it, its address. */
+export function memberNameOf (hostId: HostId, incarnation: Incarnation, peerAddress: string | undefined): string {
+  return `${hostId}.${incarnation}${peerAddress === undefined ? '' : `@${peerAddress}`}`
+}
+
+/** `ip:port` at which other hosts reach the host of a member; undefined if they cannot. */
+export function addressOfMember (member: string): string | undefined {
+  const separator = member.indexOf('@')
+  return separator < 0 ? undefined : member.slice(separator + 1)
 }
 
 /** Duty group that is backed by a consumer group of the store. */
 export class StoreDutyGroup extends DutyGroup {
   private readonly member: string
+  private placementPartitions: ReadonlySet<number> = new Set()
 
   constructor (private readonly options: StoreDutyGroupOptions) {
     super()
-    this.member = `${options.hostId}.${options.incarnation}`
+    this.member = memberNameOf(options.hostId, options.incarnation, options.peerAddress)
+  }
+
+  /** True if the store last assigned this partition of the topic `placement` to this host. */
+  holdsPlacement (partition: number): boolean {
+    return this.placementPartitions.has(partition)
   }
 
   async join (generation: number, signal?: AbortSignal): Promise<Result<GroupMembership, Failure>> {
     const { store, timeToLiveMilliseconds } = this.options
-    const joined = await store.join(group, this.member, { topics: [topic], timeToLiveMilliseconds, generation, signal })
-    return joined.map(assignment => ({
-      generation: assignment.generation,
-      holdsDuty: assignment.partitions.some(assigned => assigned.topic === topic && assigned.partition === orderPartition)
-    }))
+    const topics = [topic, placementTopic]
+    const joined = await store.join(hostGroup, this.member, { topics, timeToLiveMilliseconds, generation, signal })
+    return joined.map(({ generation, partitions }) => {
+      this.placementPartitions = new Set(partitions
+        .filter(assigned => assigned.topic === placementTopic)
+        .map(({ partition }) => partition))
+      return {
+        generation,
+        holdsDuty: partitions.some(assigned => assigned.topic === topic && assigned.partition === orderPartition)
+      }
+    })
   }
 
   /**
@@ -48,11 +78,12 @@
    * unused.
    */
   async confirm (generation: number): Promise<Result<boolean, Failure>> {
-    return await this.options.store.commit(group, this.member, { generation, topic, partition: orderPartition, offset: 0 })
+    return await this.options.store.commit(hostGroup, this.member, { generation, topic, partition: orderPartition, offset: 0 })
   }
 
   async leave (): Promise<void> {
-    const leaveResult = await this.options.store.leave(group, this.member)
+    this.placementPartitions = new Set()
+    const leaveResult = await this.options.store.leave(hostGroup, this.member)
     if (leaveResult.isErr) this.options.events.warn('group_leave_failed', { reason: leaveResult.error.message })
     await this.options.store.close()
   }
--- a/src/platform/decodeRequest.ts
+++ b/src/platform/decodeRequest.ts
@@ -67,7 +67,13 @@
     idempotent: route.kind === 'safe' || (route.kind === 'stream' && route.resumable),
     delivery: route.kind === 'stream' ? 'stream' : 'whole',
     maxAttempts: route.maxAttempts,
-    ...(prompt === undefined ? { attemptTimeoutMilliseconds: route.targetMilliseconds * attemptTimeoutFactor } : { prompt })
+    ...(prompt === undefined
+      ? { attemptTimeoutMilliseconds: route.targetMilliseconds * attemptTimeoutFactor }
+      : {
+          prompt,
+          startDueAt: now + route.targetMilliseconds,
+          startLostAt: now + Math.min(remainingMilliseconds, route.patienceMilliseconds)
+        })
   }
 }
 
--- a/src/roles/SplitRolePlanner.ts
+++ b/src/roles/SplitRolePlanner.ts
@@ -22,6 +22,12 @@
  */
 const settleMilliseconds = 3000
 
+/**
+ * Share of the prefill engines that is missing at which roles change without waiting. During a replacement of engines
+ * one after the other, engines never settle, and the new ones all start as decode engines.
+ */
+const urgentShortage = 0.4
+
 /**
  * Minimum number of decode engines per zone at which they are spread over the zones. With fewer, the shares of the
  * zones would differ by half, and callers in one zone would use the engines of other zones in spite of the spread.
@@ -36,15 +42,14 @@
   }
 
   plan ({ now, engines }: PlannerInput): RoleChange[] {
-    if (engines.some(({ roleSince }) => now - roleSince < settleMilliseconds)) return []
     const byModel = new Map<string, PlannedEngine[]>()
     for (const engine of engines) {
       if (engine.role !== 'mixed') byModel.set(engine.model, [...byModel.get(engine.model) ?? [], engine])
     }
-    return [...byModel.values()].flatMap(modelEngines => this.planModel(modelEngines))
+    return [...byModel.values()].flatMap(modelEngines => this.planModel(modelEngines, now))
   }
 
-  private planModel (engines: PlannedEngine[]): RoleChange[] {
+  private planModel (engines: PlannedEngine[], now: number): RoleChange[] {
     const minDecodeEngines = engines.length < minEnginesForTwoDecodeEngines ? 1 : 2
     const targetPrefillCount = Math.min(
       engines.length - minDecodeEngines,
@@ -53,6 +58,8 @@
     if (targetPrefillCount < 1) return []
     const unavailableCount = engines.filter(({ unavailable }) => unavailable).length
     const prefillShortage = targetPrefillCount - engines.filter(({ role }) => role === 'prefill').length
+    const hasSettled = engines.every(({ roleSince }) => now - roleSince >= settleMilliseconds)
+    if (!hasSettled && prefillShortage <= urgentShortage * targetPrefillCount) return []
     const [from, to]: [EngineRole, EngineRole] = prefillShortage > 0 ? ['decode', 'prefill'] : ['prefill', 'decode']
     // An engine whose change is in progress still reports its previous role, so unavailable engines are subtracted.
     const changeCount = Math.min(
