Let the scheduler choose the workers that generate answers

Change: hosts report the end of each answer and the time to its first event; the scheduler counts the streams of each worker over all hosts and avoids one that starts answers late, with a memory that halves in 1.5 s. CallPrompt takes the state of a call's prompt out of ServiceCall.

Ruled out: holding prompts back while all slots of the decode workers are taken.

--- a/src/configuration/documents.ts
+++ b/src/configuration/documents.ts
@@ -43,7 +43,9 @@
   /** True if the worker answers `GET /load`. */
   reportsLoad: z.boolean().default(true),
   /** True if no new requests are sent to the worker; requests in progress are completed. */
-  draining: z.boolean().default(false)
+  draining: z.boolean().default(false),
+  /** Number of requests that the worker processes at once; absent if it is not known. */
+  slots: z.number().int().positive().optional()
 })
 export type WorkerDocument = z.infer<typeof workerSchema>
 
--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -38,6 +38,12 @@
 /** Statuses with which a worker declines a prompt: it is another worker, full, or has another role now. */
 const declinedStatuses: ReadonlySet<number> = new Set([421, 429, 503])
 
+/** A computed prompt, if it was computed before the answer, and its placement, if it was placed. */
+export interface PromptResult { source: KvSource | undefined, placement: PlacedPrompt | undefined }
+
+/** The result if the decode worker computes the prompt and no placer has to be told about the answer. */
+const noComputation: PromptResult = { source: undefined, placement: undefined }
+
 /** Computes prompts on prefill workers. */
 export class PromptComputation {
   private computations = 0
@@ -45,20 +51,20 @@
   constructor (private readonly context: PromptComputationContext) {}
 
   /**
-   * Returns the source of the computed prompt; undefined if the decode worker has to compute the prompt itself. The
+   * Returns the source of the computed prompt; without a source, the decode worker has to compute the prompt itself. The
    * first computation of a call takes a retry from the budget only if the worker may have received it in vain, every
    * further one in advance. Errors: those of `PromptPlacer.place`.
    */
-  async compute (request: ServiceRequest, isFirst: boolean, stop: AbortSignal): Promise<Result<KvSource | undefined, Failure>> {
+  async compute (request: ServiceRequest, isFirst: boolean, stop: AbortSignal): Promise<Result<PromptResult, Failure>> {
     const { prompt, pool, requestId, deadline } = request
     const { upstreams, budget, placer } = this.context
-    if (prompt === undefined) return Result.ok(undefined)
+    if (prompt === undefined) return Result.ok(noComputation)
     const candidates = upstreams.candidatesForPool(pool, 'prefill').filter(({ role }) => role === 'prefill')
-    if (candidates.length === 0) return Result.ok(undefined)
+    if (candidates.length === 0) return Result.ok(noComputation)
     const mayCompute = isFirst ? !budget.isOverdrawn(pool) : budget.tryTake(pool)
-    if (!mayCompute) return Result.ok(undefined)
+    if (!mayCompute) return Result.ok(noComputation)
     this.computations += 1
-    const placement = await placer.place({
+    const placed = await placer.place({
       id: `${requestId}.${this.computations}`,
       pool,
       prompt,
@@ -67,12 +73,13 @@
       candidates,
       decodeCandidates: upstreams.candidatesForPool(pool)
     }, stop)
-    if (placement.isErr) return Result.err(placement.error)
-    if (placement.value === undefined) return Result.ok(undefined)
-    const computation = await this.send(request, placement.value, stop)
-    placement.value.end(computation.outcome)
+    if (placed.isErr) return Result.err(placed.error)
+    const placement = placed.value
+    if (placement?.worker === undefined) return Result.ok({ source: undefined, placement })
+    const computation = await this.send(request, { ...placement, worker: placement.worker }, stop)
+    placement.end(computation.outcome)
     if (computation.takesRetry && isFirst) budget.charge(pool)
-    return Result.ok(computation.source)
+    return Result.ok({ source: computation.source, placement })
   }
 
   /** Frees a computed prompt that no worker will fetch. */
@@ -90,7 +97,7 @@
 
   private async send (
     request: ServiceRequest,
-    { worker: upstream, sharedPartsSource }: PlacedPrompt,
+    { worker: upstream, sharedPartsSource }: { worker: Upstream, sharedPartsSource: Upstream | undefined },
     stop: AbortSignal
   ): Promise<ComputationResult> {
     const { clock, events, policy, protocol, upstreams } = this.context
--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -12,6 +12,7 @@
 import type { RoutingRequest } from '../routing/index.js'
 import { connectTimeoutMilliseconds, connectUpstream, type RequestTracker, type Upstream } from '../upstreams/index.js'
 import { type ResponseBody, destroyBody, isRepeatedEvent, withCleanup } from './responseBodies.js'
+import { CallPrompt } from './CallPrompt.js'
 import type { ResponseHead, KvSource } from './CallProtocol.js'
 import { EventSplitter } from './EventSplitter.js'
 import type { ServiceResponse, ServiceContext, ServiceRequest } from './ServiceRequest.js'
@@ -49,9 +50,7 @@
 export class ServiceCall {
   private readonly triedWorkers = new Set<WorkerId>()
   private possibleRuns = 0
-  /** A computed prompt that no worker has fetched yet. */
-  private kvSource: KvSource | undefined
-  private hasComputedPrompt = false
+  private readonly prompt: CallPrompt
   private declinedAttempts = 0
   /** Time that workers spent on the call, over all attempts, in milliseconds. */
   upstreamMilliseconds = 0
@@ -60,7 +59,9 @@
   /** The worker of the latest attempt. */
   worker: WorkerId | undefined
 
-  constructor (private readonly request: ServiceRequest, private readonly context: ServiceContext) {}
+  constructor (private readonly request: ServiceRequest, private readonly context: ServiceContext) {
+    this.prompt = new CallPrompt(request, context)
+  }
 
   /** Attempts so far that reached a worker. */
   get attempts (): number {
@@ -81,8 +82,8 @@
     if (this.stopsOnDisconnect) signal?.addEventListener('abort', stopOnDisconnect, { once: true })
     if (this.stopsOnDisconnect && signal?.aborted) stopOnDisconnect()
     const result = (await this.runAttempts(stop.signal)).mapErr(cause => this.failureAfterRun(cause))
-    this.releaseUnfetchedPrompt()
     const cleanUp = async (): Promise<void> => {
+      this.prompt.close()
       timer.cancel()
       signal?.removeEventListener('abort', stopOnDisconnect)
     }
@@ -164,8 +165,10 @@
    * take. Errors: those of `PromptComputation.compute`.
    */
   private async choose (stop: AbortSignal): Promise<Result<Upstream | undefined, Failure>> {
-    const computed = this.untriedWorkers().length > 0 ? await this.computePrompt(stop) : Result.ok<void, Failure>(undefined)
-    return computed.map(() => this.context.servicePolicy.choose(this.request.prompt ?? emptyPrompt, this.untriedWorkers()))
+    const computed = this.untriedWorkers().length > 0 ? await this.prompt.compute(stop) : Result.ok<void, Failure>(undefined)
+    const candidates = this.untriedWorkers()
+    return computed.map(() => this.prompt.preferredOf(candidates) ??
+      this.context.servicePolicy.choose(this.request.prompt ?? emptyPrompt, candidates))
   }
 
   private untriedWorkers (): readonly Upstream[] {
@@ -181,7 +184,7 @@
     this.triedWorkers.add(upstream.id)
     this.worker = upstream.id
     const prompt = this.request.prompt ?? emptyPrompt
-    const { kvSource } = this
+    const kvSource = this.prompt.source
     const { servicePolicy, upstreams } = this.context
     const { outstanding, runningDecodes, queuedPrefillTokens } = upstream.load
     this.context.events.info('service_attempt_started', {
@@ -196,34 +199,13 @@
     })
     const tracker = upstreams.begin(upstream, kvSource === undefined ? servicePolicy.prefillTokens(prompt, upstream) : 0)
     servicePolicy.recordSent(prompt, upstream)
+    this.prompt.attemptStarted(upstream.id)
     const result = await this.send(upstream, tracker, stop, { resumeAfter, kvSource })
     const isPromptUnfetched = result.isErr && (result.error.kind === 'not_sent' || (result.error.kind === 'not_run' && this.declinedAttempts === 1))
-    if (!isPromptUnfetched) this.kvSource = undefined
+    if (!isPromptUnfetched) this.prompt.markFetched()
     return result
   }
 
-  /**
-   * Computes the prompt unless a computed one is still unfetched: a worker that declines a call has usually not fetched
-   * the computed prompt, so the next worker is told to fetch it.
-   */
-  private async computePrompt (stop: AbortSignal): Promise<Result<void, Failure>> {
-    const { promptComputation } = this.context
-    if (this.kvSource !== undefined || promptComputation === undefined) return Result.ok(undefined)
-    const isFirst = !this.hasComputedPrompt
-    this.hasComputedPrompt = true
-    const computed = await promptComputation.compute(this.request, isFirst, stop)
-    if (computed.isErr) return Result.err(computed.error)
-    this.kvSource = computed.value
-    return Result.ok(undefined)
-  }
-
-  /** Frees a computed prompt that no worker has fetched. */
-  private releaseUnfetchedPrompt (): void {
-    const source = this.kvSource
-    this.kvSource = undefined
-    if (source !== undefined) this.context.promptComputation?.release(this.request, source).catch(() => {})
-  }
-
   private async send (
     upstream: Upstream,
     tracker: RequestTracker,
@@ -358,6 +340,7 @@
     try {
       for await (const piece of openResponse.body) {
         openResponse.tracker.recordFirstToken()
+        this.prompt.answerStarted()
         yield piece
       }
       isComplete = true
--- a/src/placement/PromptPlacer.ts
+++ b/src/placement/PromptPlacer.ts
@@ -2,7 +2,7 @@
  * Chooses the worker that computes the prompt of a request, on the side of the host that sends it.
  */
 import { Result } from 'true-myth'
-import type { Failure, Pool } from '../common/index.js'
+import type { Failure, Pool, WorkerId } from '../common/index.js'
 import type { PromptPlacementPolicy, RoutingRequest } from '../routing/index.js'
 import type { Upstream } from '../upstreams/index.js'
 import type { PromptOutcome } from './PromptTask.js'
@@ -23,13 +23,21 @@
   decodeCandidates: readonly Upstream[]
 }
 
-/** A worker for a prompt. */
+/** Workers for a prompt and its answer. */
 export interface PlacedPrompt {
-  worker: Upstream
+  /** Computes the prompt; undefined if the worker that generates the answer computes it. */
+  worker: Upstream | undefined
   /** Worker from which `worker` fetches the shared parts that it does not hold. */
   sharedPartsSource: Upstream | undefined
-  /** Must be called once when the computation has ended. */
+  /** Worker that should generate the answer; undefined if the host chooses it. */
+  answerWorker: WorkerId | undefined
+  /** Must be called once when the computation has ended; not if there is no `worker`. */
   end: (outcome: PromptOutcome) => void
+  /**
+   * Must be called once when the answer has ended or will not be generated. `startMilliseconds`: time from the request to
+   * the worker until the first event.
+   */
+  answered: (worker: WorkerId | undefined, startMilliseconds: number | undefined) => void
 }
 
 /** Places prompts on workers. */
@@ -49,6 +57,7 @@
 
   async place ({ prompt, candidates, decodeCandidates }: PromptToPlace): Promise<Result<PlacedPrompt | undefined, Failure>> {
     const placement = this.policy.chooseForPrompt(prompt, candidates, decodeCandidates)
-    return Result.ok(placement === undefined ? undefined : { ...placement, end: () => {} })
+    if (placement === undefined) return Result.ok(undefined)
+    return Result.ok({ ...placement, answerWorker: undefined, end: () => {}, answered: () => {} })
   }
 }
--- a/src/placement/PromptSchedule.test.ts
+++ b/src/placement/PromptSchedule.test.ts
@@ -4,7 +4,7 @@
  * hang but are still sent prompts.
  */
 import { beforeEach, describe, expect, test } from '@jest/globals'
-import { ManualClock, SeededRandom, type WorkerId } from '../common/index.js'
+import { ManualClock, SeededRandom, type WorkerId, type Zone } from '../common/index.js'
 import { discardingEventLog } from '../streams/testSupport.js'
 import { HeldParts } from './HeldParts.js'
 import { PromptSchedule } from './PromptSchedule.js'
@@ -17,12 +17,12 @@
 let held: HeldParts
 let fleet: SimulatedFleet
 let schedule: PromptSchedule
-/** Number of workers that generate answers. */
-let decodeWorkers: number
+/** Workers that generate answers. */
+let answerWorkers: Array<{ id: WorkerId, zone: Zone, slots: number }>
 
 function startSchedule (workers: number): void {
   clock = new ManualClock()
-  decodeWorkers = 1
+  answerWorkers = []
   held = new HeldParts()
   fleet = new SimulatedFleet(clock, workers)
   schedule = new PromptSchedule({
@@ -31,7 +31,7 @@
     held,
     workers: () => fleet.ids,
     holders: () => fleet.ids,
-    decodeWorkerCount: () => decodeWorkers,
+    answerWorkers: () => answerWorkers,
     costs: {
       tokensPerMillisecond: simulatedTokensPerMillisecond,
       baseMilliseconds: simulatedBaseMilliseconds,
@@ -89,7 +89,8 @@
       for (const holder of holders) held.record(holder as WorkerId, 'shared', 10_000)
       const placed = place(sharingPrompt('a', 500))
       await clock.advance(0)
-      expect(placed.decision).toEqual(worker === undefined ? undefined : { kind: 'placed', worker, partsSource: source })
+      const expected = { kind: 'placed', worker, partsSource: source, answerWorker: undefined }
+      expect(placed.decision).toEqual(worker === undefined ? undefined : expected)
       await clock.advance(50)
       expect(placed.decision?.kind).toBe('placed')
     })
@@ -195,6 +196,63 @@
   })
 })
 
+describe('an answer', () => {
+  const slots = 2
+  beforeEach(() => {
+    startSchedule(4)
+    answerWorkers = ['a0', 'a1'].map(id => ({ id: id as WorkerId, zone: 'zone-a' as Zone, slots }))
+  })
+
+  /** Places short prompts one after the other and returns the workers that are to generate their answers. */
+  async function placeShort (count: number, prefix = 'p'): Promise<Array<string | undefined>> {
+    const placed = []
+    for (let number = 0; number < count; number += 1) {
+      placed.push(place(ownPrompt(`${prefix}${number}`, 100)))
+      await clock.advance(1)
+      schedule.end(`${prefix}${number}`, 'computed')
+      await clock.advance(0)
+    }
+    return placed.map(({ decision }) => decision?.kind === 'placed' ? decision.answerWorker : undefined)
+  }
+
+  test('goes to the worker with the fewest streams, counted over all hosts', async () => {
+    expect((await placeShort(4)).sort()).toEqual(['a0', 'a0', 'a1', 'a1'])
+  })
+
+  test('counts until its end is reported', async () => {
+    const [first] = await placeShort(1)
+    const [second] = await placeShort(1, 'q')
+    expect(second).not.toBe(first)
+    schedule.answered('p0', undefined, undefined)
+    expect(await placeShort(1, 'r')).toEqual([first])
+  })
+
+  test('avoids a worker that started the last answers late, and tries it again later', async () => {
+    for (let round = 0; round < 3; round += 1) {
+      const [worker] = await placeShort(1, `r${round}-`)
+      schedule.answered(`r${round}-0`, worker as WorkerId, worker === 'a0' ? 1500 : 40)
+    }
+    expect(await placeShort(2, 'soon-')).toEqual(['a1', 'a1'])
+    schedule.answered('soon-0', 'a1' as WorkerId, 40)
+    schedule.answered('soon-1', 'a1' as WorkerId, 40)
+    await clock.advance(15_000)
+    expect(await placeShort(2, 'later-')).toContain('a0')
+  })
+
+  test.each([
+    ['late short prompts are computed with the answer while more workers generate than compute', 500, 'with_answer'],
+    ['late long prompts are not', 5000, undefined]
+  ] as Array<[string, number, string | undefined]>)('%s', async (_name, tokens, expected) => {
+    startSchedule(1)
+    answerWorkers = ['a0', 'a1'].map(id => ({ id: id as WorkerId, zone: 'zone-a' as Zone, slots }))
+    place(ownPrompt('large', 40_000))
+    await clock.advance(0)
+    const placed = place(ownPrompt('a', tokens))
+    await clock.advance(320)
+    expect(placed.decision?.kind).toBe(expected)
+  })
+})
+
 /** Load pattern: long prompts with shared parts come in waves beside many short ones, as on a mix that alternates. */
 describe('a wave of long prompts beside short ones', () => {
   const workers = 4
--- a/src/placement/PromptSchedule.ts
+++ b/src/placement/PromptSchedule.ts
@@ -10,8 +10,9 @@
  * Each prompt goes to the worker on which it is expected to be computed first. A worker that holds the shared parts of
  * the prompt is preferred: another one fetches them, and its copy displaces other parts.
  */
-import { type Clock, type WorkerId } from '../common/index.js'
+import type { Clock, WorkerId, Zone } from '../common/index.js'
 import type { EventLog } from '../observability/index.js'
+import { AnswerLoad, type AnswerWorker } from './AnswerLoad.js'
 import type { HeldParts } from './HeldParts.js'
 import { PrefillSpeed } from './PrefillSpeed.js'
 import { type PlacementDecision, type PromptOutcome, type PromptTask, promptTokensOf } from './PromptTask.js'
@@ -32,11 +33,11 @@
   events: EventLog
   held: HeldParts
   /** Workers that may compute prompts at the moment. */
-  workers: () => ReadonlyArray<{ readonly id: WorkerId }>
+  workers: () => ReadonlyArray<{ readonly id: WorkerId, readonly zone: Zone }>
   /** Workers from which parts of prompts may be fetched; contains `workers`. */
   holders: () => ReadonlyArray<{ readonly id: WorkerId }>
-  /** Number of workers that generate answers at the moment. */
-  decodeWorkerCount: () => number
+  /** Workers that generate answers at the moment. */
+  answerWorkers: () => ReadonlyArray<AnswerWorker & { readonly zone: Zone }>
   costs: PromptScheduleCosts
 }
 
@@ -78,6 +79,9 @@
  */
 const maxTokensWithAnswer = 1000
 
+/** Factor on the time of a transfer between two zones. */
+const otherZoneFactor = 2
+
 /** Interval of the looks for prompts that have become hopeless, in milliseconds. */
 const hopelessCheckMilliseconds = 50
 
@@ -103,6 +107,9 @@
   private readonly waiting = new Map<string, WaitingPrompt>()
   /** Workers of the placed prompts that have not ended, by prompt id. */
   private readonly placed = new Map<string, WorkerBacklog>()
+  private readonly answers = new AnswerLoad()
+  /** Workers that generate the answers that have not ended, by prompt id. */
+  private readonly answering = new Map<string, WorkerId>()
   private readonly backlogs = new Map<WorkerId, WorkerBacklog>()
   private readonly speed: PrefillSpeed
   private isDispatchDue = false
@@ -157,6 +164,19 @@
     this.dispatchSoon()
   }
 
+  /**
+   * Records that an answer ended or will not be generated. `startMilliseconds`: time from the request to `worker` until
+   * the first event.
+   */
+  answered (id: string, worker: WorkerId | undefined, startMilliseconds: number | undefined): void {
+    const assigned = this.answering.get(id)
+    this.answering.delete(id)
+    if (assigned === undefined) return
+    const now = this.options.clock.monotonic()
+    this.answers.remove(assigned, id, now, worker === assigned ? startMilliseconds : undefined)
+    this.dispatchSoon()
+  }
+
   private removeWaiting (id: string): WaitingPrompt | undefined {
     const entry = this.waiting.get(id)
     if (entry === undefined) return undefined
@@ -181,6 +201,18 @@
     return { kind: 'refused', retryAfterMilliseconds: Math.ceil(waitMilliseconds) }
   }
 
+  /** Chooses the worker that generates an answer: the one that starts it first, given where the prompt is computed. */
+  private chooseAnswerWorker (task: PromptTask, computedIn: Zone | undefined, now: number): WorkerId | undefined {
+    const { held, costs, answerWorkers } = this.options
+    const workers = answerWorkers()
+    const tokens = promptTokensOf(task)
+    return this.answers.choose(workers, worker => {
+      const missing = tokens - held.leadingTokens(worker.id, task.parts, task.partTokens)
+      const isOtherZone = computedIn !== undefined && workers.some(({ id, zone }) => id === worker.id && zone !== computedIn)
+      return missing / costs.fetchedTokensPerMillisecond * (isOtherZone ? otherZoneFactor : 1)
+    }, now)
+  }
+
   /** Dispatches once for all messages that arrive in one turn of the event loop. */
   private dispatchSoon (): void {
     if (this.isDispatchDue) return
@@ -225,7 +257,17 @@
       partTokens: task.partTokens
     })
     this.placed.set(task.id, backlog)
-    this.removeWaiting(task.id)?.decide({ kind: 'placed', worker: backlog.worker, partsSource })
+    const zone = this.options.workers().find(({ id }) => id === backlog.worker)?.zone
+    const answerWorker = this.assignAnswer(task, zone, now)
+    this.removeWaiting(task.id)?.decide({ kind: 'placed', worker: backlog.worker, partsSource, answerWorker })
+  }
+
+  private assignAnswer (task: PromptTask, computedIn: Zone | undefined, now: number): WorkerId | undefined {
+    const answerWorker = this.chooseAnswerWorker(task, computedIn, now)
+    if (answerWorker === undefined) return undefined
+    this.answering.set(task.id, answerWorker)
+    this.answers.add(answerWorker, task.id, now)
+    return answerWorker
   }
 
   /**
@@ -239,15 +281,16 @@
     for (const backlog of this.backlogs.values()) {
       for (const id of backlog.forgetLost(now)) this.placed.delete(id)
     }
+    for (const id of this.answers.forgetLost(now)) this.answering.delete(id)
     const workers = this.acceptingBacklogs(now)
-    const computeWithAnswer = this.options.decodeWorkerCount() > this.options.workers().length
+    const computeWithAnswer = this.options.answerWorkers().length > this.options.workers().length
     const ahead: number[] = []
     const backlogs = workers.map(worker => worker.milliseconds(now))
     for (const entry of this.inOrder(now)) {
       const { task, computeMilliseconds, neededMilliseconds } = entry
       const isLate = rankOf(entry, now).isLate
       if (isLate && computeWithAnswer && this.tokensToCompute(task) <= maxTokensWithAnswer) {
-        this.removeWaiting(task.id)?.decide({ kind: 'with_answer' })
+        this.removeWaiting(task.id)?.decide({ kind: 'with_answer', answerWorker: this.assignAnswer(task, undefined, now) })
         continue
       }
       const waitMilliseconds = workers.length === 0 ? 0 : waitBehind(ahead, backlogs)
@@ -270,7 +313,9 @@
       backlogs: [...this.backlogs.values()].map(backlog => Math.round(backlog.milliseconds(now))).join(','),
       tokens_per_millisecond: Math.round(this.speed.tokensPerMillisecond * 10) / 10,
       base: Math.round(this.speed.baseMilliseconds),
-      usual: Math.round(this.speed.usualMilliseconds)
+      usual: Math.round(this.speed.usualMilliseconds),
+      streams: this.options.answerWorkers().map(({ id }) => this.answers.streamCount(id)).join(','),
+      starts: this.options.answerWorkers().map(({ id }) => Math.round(this.answers.startMilliseconds(id, now))).join(',')
     })
   }
 
--- a/src/placement/PromptScheduler.ts
+++ b/src/placement/PromptScheduler.ts
@@ -5,6 +5,7 @@
  */
 import type { Clock, Pool, WorkerId, Zone } from '../common/index.js'
 import type { EventLog } from '../observability/index.js'
+import type { AnswerWorker } from './AnswerLoad.js'
 import type { HeldParts } from './HeldParts.js'
 import { PromptSchedule, type PromptScheduleCosts } from './PromptSchedule.js'
 import type { PlacementDecision, PromptOutcome, PromptTask } from './PromptTask.js'
@@ -25,7 +26,7 @@
   /** Workers of a pool from which parts of prompts may be fetched; contains `workers`. */
   holders: (pool: Pool) => readonly PlacementWorker[]
   /** Workers of a pool that generate answers at the moment. */
-  decodeWorkers: (pool: Pool) => readonly PlacementWorker[]
+  answerWorkers: (pool: Pool) => ReadonlyArray<PlacementWorker & AnswerWorker>
   costs: PromptScheduleCosts
 }
 
@@ -70,6 +71,16 @@
     this.scheduleOf(cell).end(id, outcome)
   }
 
+  /** Records that an answer ended. */
+  answered (
+    cell: PlacementCell,
+    id: string,
+    worker: WorkerId | undefined,
+    startMilliseconds: number | undefined
+  ): void {
+    this.scheduleOf(cell).answered(id, worker, startMilliseconds)
+  }
+
   /** Number of prompts that wait in all cells. */
   get waitingCount (): number {
     return [...this.schedules.values()].reduce((sum, { schedule }) => sum + schedule.waitingCount, 0)
@@ -84,7 +95,7 @@
     const name = cellName(cell)
     const known = this.schedules.get(name)
     if (known !== undefined) return known.schedule
-    const { clock, events, held, workers, holders, decodeWorkers, costs } = this.options
+    const { clock, events, held, workers, holders, answerWorkers, costs } = this.options
     const schedule = new PromptSchedule({
       clock,
       events,
@@ -92,7 +103,7 @@
       costs,
       workers: () => workersOfCell(cell, workers(cell.pool)),
       holders: () => workersOfCell(cell, holders(cell.pool)),
-      decodeWorkerCount: () => workersOfCell(cell, decodeWorkers(cell.pool)).length
+      answerWorkers: () => workersOfCell(cell, answerWorkers(cell.pool))
     })
     this.schedules.set(name, { cell, schedule })
     return schedule
--- a/src/placement/PromptTask.ts
+++ b/src/placement/PromptTask.ts
@@ -20,12 +20,12 @@
 /**
  * Decision about a prompt. `placed`: the host sends it to `worker`, which fetches shared parts from `partsSource`;
  * `refused`: it cannot be computed before its caller gives up; `with_answer`: the worker that generates the answer
- * computes it; `no_worker`: the scheduler knows no worker that computes prompts.
+ * computes it, `answerWorker` if it is set; `no_worker`: the scheduler knows no worker that computes prompts.
  */
 export type PlacementDecision =
-  | { kind: 'placed', worker: WorkerId, partsSource: WorkerId | undefined }
+  | { kind: 'placed', worker: WorkerId, partsSource: WorkerId | undefined, answerWorker: WorkerId | undefined }
   | { kind: 'refused', retryAfterMilliseconds: number }
-  | { kind: 'with_answer' }
+  | { kind: 'with_answer', answerWorker: WorkerId | undefined }
   | { kind: 'no_worker' }
 
 /**
--- a/src/placement/ScheduledPromptPlacer.ts
+++ b/src/placement/ScheduledPromptPlacer.ts
@@ -3,7 +3,7 @@
  * unknown, silent or has no worker that this host may use, the host places its prompts by itself.
  */
 import { Result } from 'true-myth'
-import { type Clock, failure, type Failure, type Zone } from '../common/index.js'
+import { type Clock, failure, type Failure, type WorkerId, type Zone } from '../common/index.js'
 import type { EventLog } from '../observability/index.js'
 import { cellOf, type PlacementCell } from './PromptScheduler.js'
 import { type PlacedPrompt, PromptPlacer, type PromptToPlace } from './PromptPlacer.js'
@@ -18,6 +18,13 @@
   abstract place (cell: PlacementCell, task: PromptTask, signal: AbortSignal): Promise<Result<PlacementDecision, Failure>>
   /** Reports the end of a prompt. Not repeated: the scheduler forgets a prompt whose end does not arrive. */
   abstract end (cell: PlacementCell, id: string, outcome: PromptOutcome): void
+  /** Reports the end of an answer; `startMilliseconds`: time until its first event. Not repeated either. */
+  abstract answered (
+    cell: PlacementCell,
+    id: string,
+    worker: WorkerId | undefined,
+    startMilliseconds: number | undefined
+  ): void
 }
 
 /** Options of a `ScheduledPromptPlacer`. */
@@ -70,8 +77,16 @@
       const { retryAfterMilliseconds } = decision
       return Result.err(failure('overloaded', 'the prompt cannot be computed before the caller gives up', { retryAfterMilliseconds }))
     }
-    if (decision.kind === 'with_answer') return Result.ok(undefined)
-    if (decision.kind !== 'placed') return await fallback.place(prompt, signal)
+    if (decision.kind === 'no_worker') return await fallback.place(prompt, signal)
+    const { answerWorker } = decision
+    const reports = {
+      end: (outcome: PromptOutcome) => client.end(cell, prompt.id, outcome),
+      answered: (worker: WorkerId | undefined, startMilliseconds: number | undefined) =>
+        client.answered(cell, prompt.id, worker, startMilliseconds)
+    }
+    if (decision.kind === 'with_answer') {
+      return Result.ok({ worker: undefined, sharedPartsSource: undefined, answerWorker, ...reports })
+    }
     const worker = prompt.candidates.find(({ id }) => id === decision.worker)
     if (worker === undefined) {
       // This host knows that the worker leaves, or its own requests to the worker fail.
@@ -79,7 +94,7 @@
       return await fallback.place(prompt, signal)
     }
     const sharedPartsSource = [...prompt.candidates, ...prompt.decodeCandidates].find(({ id }) => id === decision.partsSource)
-    return Result.ok({ worker, sharedPartsSource, end: outcome => client.end(cell, prompt.id, outcome) })
+    return Result.ok({ worker, sharedPartsSource, answerWorker, ...reports })
   }
 }
 
--- a/src/placement/SchedulerConnection.test.ts
+++ b/src/placement/SchedulerConnection.test.ts
@@ -30,7 +30,7 @@
     held: new HeldParts(),
     workers: () => workers,
     holders: () => workers,
-    decodeWorkers: () => [],
+    answerWorkers: () => [],
     costs: { tokensPerMillisecond: 50, baseMilliseconds: 70, fetchedTokensPerMillisecond: 1000 }
   })
   listener = new SchedulerListener({
--- a/src/placement/SchedulerConnection.ts
+++ b/src/placement/SchedulerConnection.ts
@@ -4,7 +4,7 @@
  */
 import { connect, type Socket } from 'node:net'
 import { Result } from 'true-myth'
-import { type Clock, failure, type Failure } from '../common/index.js'
+import { type Clock, failure, type Failure, type WorkerId } from '../common/index.js'
 import type { PlacementCell } from './PromptScheduler.js'
 import type { PlacementDecision, PromptOutcome, PromptTask } from './PromptTask.js'
 import { encodeLine, LineDecoder, type SchedulerAnswer, schedulerAnswerSchema } from './schedulerMessages.js'
@@ -75,6 +75,14 @@
     if (!this.isClosed) writeCorked(this.socket, encodeLine({ kind: 'end', ...cell, id, outcome }))
   }
 
+  /** Reports the end of an answer. */
+  answered (cell: PlacementCell, id: string, worker: WorkerId | undefined, startMilliseconds: number | undefined): void {
+    if (this.isClosed) return
+    const start = startMilliseconds === undefined ? {} : { start: Math.round(startMilliseconds) }
+    const report = { kind: 'answered' as const, ...cell, id, ...(worker === undefined ? {} : { worker }), ...start }
+    writeCorked(this.socket, encodeLine(report))
+  }
+
   /** Closes the connection; open questions fail with `not_ready`. */
   close (reason: string): void {
     if (this.isClosed) return
@@ -89,11 +97,15 @@
     if (answer.kind === 'not_scheduler') {
       this.settle(id, Result.err(failure('not_ready', `${this.address} does not schedule the cell`)))
     } else if (answer.kind === 'placed') {
-      this.settle(id, Result.ok({ kind: 'placed', worker: answer.worker, partsSource: answer.source }))
+      this.settle(id, Result.ok({
+        kind: 'placed', worker: answer.worker, partsSource: answer.source, answerWorker: answer.answer
+      }))
     } else if (answer.kind === 'refused') {
       this.settle(id, Result.ok({ kind: 'refused', retryAfterMilliseconds: answer.retryAfter }))
+    } else if (answer.kind === 'with_answer') {
+      this.settle(id, Result.ok({ kind: 'with_answer', answerWorker: answer.answer }))
     } else {
-      this.settle(id, Result.ok({ kind: answer.kind }))
+      this.settle(id, Result.ok({ kind: 'no_worker' }))
     }
   }
 
--- a/src/placement/SchedulerListener.ts
+++ b/src/placement/SchedulerListener.ts
@@ -95,6 +95,7 @@
       this.options.scheduler.end(cell, request.id, request.outcome)
       return
     }
+    if (request.kind === 'answered') return this.options.scheduler.answered(cell, request.id, request.worker, request.start)
     if (!this.options.schedules(cell)) return writeCorked(socket, encodeLine({ kind: 'not_scheduler', id: request.id }))
     openQuestions.set(request.id, cell)
     this.decide(request, cell).then(decision => {
@@ -126,7 +127,10 @@
 
 function answerOf (id: string, decision: PlacementDecision): SchedulerAnswer {
   if (decision.kind === 'refused') return { kind: 'refused', id, retryAfter: decision.retryAfterMilliseconds }
-  if (decision.kind !== 'placed') return { kind: decision.kind, id }
+  if (decision.kind === 'no_worker') return { kind: 'no_worker', id }
+  const { answerWorker } = decision
+  const answer = answerWorker === undefined ? {} : { answer: answerWorker }
+  if (decision.kind === 'with_answer') return { kind: 'with_answer', id, ...answer }
   const { worker, partsSource } = decision
-  return { kind: 'placed', id, worker, ...(partsSource === undefined ? {} : { source: partsSource }) }
+  return { kind: 'placed', id, worker, ...(partsSource === undefined ? {} : { source: partsSource }), ...answer }
 }
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -1,5 +1,6 @@
 export * from './PromptTask.js'
 export * from './HeldParts.js'
+export type { AnswerWorker } from './AnswerLoad.js'
 export * from './PromptSchedule.js'
 export * from './PromptScheduler.js'
 export * from './PromptPlacer.js'
--- a/src/placement/schedulerMessages.ts
+++ b/src/placement/schedulerMessages.ts
@@ -26,15 +26,18 @@
     /** Milliseconds until the caller gives up. */
     lost: z.number()
   }),
-  z.object({ kind: z.literal('end'), ...cell, id, outcome: z.enum(promptOutcomes) })
+  z.object({ kind: z.literal('end'), ...cell, id, outcome: z.enum(promptOutcomes) }),
+  /** The answer ended. `start`: milliseconds until its first event. */
+  z.object({ kind: z.literal('answered'), ...cell, id, worker: workerIdSchema.optional(), start: z.number().nonnegative().optional() })
 ])
 export type SchedulerRequest = z.infer<typeof schedulerRequestSchema>
 
 /** What a scheduler sends to hosts. */
 export const schedulerAnswerSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('placed'), id, worker: workerIdSchema, source: workerIdSchema.optional() }),
+  z.object({ kind: z.literal('placed'), id, worker: workerIdSchema, source: workerIdSchema.optional(), answer: workerIdSchema.optional() }),
   z.object({ kind: z.literal('refused'), id, retryAfter: z.number().nonnegative() }),
-  z.object({ kind: z.enum(['with_answer', 'no_worker']), id }),
+  z.object({ kind: z.literal('with_answer'), id, answer: workerIdSchema.optional() }),
+  z.object({ kind: z.literal('no_worker'), id }),
   /** The host that was asked does not schedule the cell. */
   z.object({ kind: z.literal('not_scheduler'), id }),
   /** Sent while questions wait for their decision. */
--- a/src/placement/testing/SimulatedFleet.ts
+++ b/src/placement/testing/SimulatedFleet.ts
@@ -2,7 +2,7 @@
  * A small model of a pool's prefill workers for tests of placement on a manual clock: each worker computes its prompts
  * in the order of their arrival, keeps the parts of what it computed, and fetches parts that another worker keeps.
  */
-import type { Clock, WorkerId } from '../../common/index.js'
+import type { Clock, WorkerId, Zone } from '../../common/index.js'
 
 /** A prompt as its caller sends it. */
 export interface SimulatedPrompt {
@@ -38,8 +38,8 @@
     }
   }
 
-  get ids (): Array<{ id: WorkerId }> {
-    return [...this.workers.keys()].map(id => ({ id }))
+  get ids (): Array<{ id: WorkerId, zone: Zone }> {
+    return [...this.workers.keys()].map(id => ({ id, zone: 'zone-a' as Zone }))
   }
 
   /** Computes a prompt; resolves with the time of the response. Never resolves on a worker that hangs. */
--- a/src/platform/PeerSchedulerClient.ts
+++ b/src/platform/PeerSchedulerClient.ts
@@ -2,7 +2,7 @@
  * Finds the scheduler of a cell, which may be this host, and sends it the questions and reports of this host.
  */
 import { Result } from 'true-myth'
-import { type Clock, failure, type Failure, type Hash } from '../common/index.js'
+import { type Clock, failure, type Failure, type Hash, type WorkerId } from '../common/index.js'
 import {
   type PlacementCell, type PlacementDecision, type PromptOutcome, type PromptScheduler, type PromptTask, SchedulerClient,
   SchedulerConnection
@@ -52,6 +52,16 @@
     else this.connectionTo(cell)?.end(cell, id, outcome)
   }
 
+  answered (
+    cell: PlacementCell,
+    id: string,
+    worker: WorkerId | undefined,
+    startMilliseconds: number | undefined
+  ): void {
+    if (this.schedules(cell)) this.options.scheduler.answered(cell, id, worker, startMilliseconds)
+    else this.connectionTo(cell)?.answered(cell, id, worker, startMilliseconds)
+  }
+
   /** Closes the connections. */
   stop (): void {
     for (const connection of this.connections.values()) connection.close('this host stops')
--- a/src/platform/PlacementPart.ts
+++ b/src/platform/PlacementPart.ts
@@ -54,7 +54,7 @@
       held,
       costs,
       workers: pool => upstreams.candidatesForPool(pool, 'prefill').filter(({ role }) => role === 'prefill'),
-      decodeWorkers: pool => upstreams.candidatesForPool(pool),
+      answerWorkers: pool => upstreams.candidatesForPool(pool),
       holders: pool => [...upstreams.candidatesForPool(pool, 'prefill'), ...upstreams.candidatesForPool(pool)]
     })
     const client = new PeerSchedulerClient({ directory: this.directory, scheduler, group, clock, hash })
--- a/src/platform/PlatformDirectory.ts
+++ b/src/platform/PlatformDirectory.ts
@@ -171,8 +171,8 @@
 
 function documentsOf (configuration: RouteConfiguration, workers: WorkerEntry[]): Array<[string, unknown]> {
   const pools = configuration.services.map(({ pool, models }): [string, unknown] => {
-    const members = workers.filter(worker => worker.pool === pool).map(({ id, zone, address, leaving }) => (
-      { id, zone, address, checksFencing: true, reportsLoad: false, draining: leaving }
+    const members = workers.filter(worker => worker.pool === pool).map(({ id, zone, address, leaving, slots }) => (
+      { id, zone, address, checksFencing: true, reportsLoad: false, draining: leaving, slots }
     ))
     const kind = models.length > 0 ? { kind: 'engines', models } : { kind: 'service', service: { routes: [] } }
     return [`/fleet/pools/${pool}`, { ...kind, workers: members }]
--- a/src/platform/WorkerEntry.ts
+++ b/src/platform/WorkerEntry.ts
@@ -16,6 +16,8 @@
   /** True if the worker is draining. */
   leaving: boolean
   role: EngineRole
+  /** Number of requests that the worker processes at once. */
+  slots: number
   /** Unix time in milliseconds of the worker's start, by its own clock; 0 if the entry has none. */
   startedAt: number
   /** Number of the report; increases until the worker restarts. */
@@ -40,7 +42,7 @@
   const id = workerIdSchema.safeParse(key)
   const parsed = entrySchema.safeParse(parseJson(value.toString('utf8')))
   if (!id.success || !parsed.success) return undefined
-  const { service, address, zone, state, stage, born, sequence } = parsed.data
+  const { service, address, zone, slots, state, stage, born, sequence } = parsed.data
   return {
     id: id.data,
     pool: service as Pool,
@@ -48,6 +50,7 @@
     address,
     leaving: state === 'draining',
     role: roles[stage],
+    slots,
     startedAt: born,
     report: sequence
   }
--- a/src/platform/decoding.test.ts
+++ b/src/platform/decoding.test.ts
@@ -48,7 +48,7 @@
 
   test('with all fields are decoded into a WorkerEntry', () => {
     expect(decode(validEntry)).toEqual({
-      id: 'i-1', pool: 'llm', zone: 'zone-a', address: '10.1.2.3:80', leaving: false, role: 'prefill', startedAt: 5, report: 2
+      id: 'i-1', pool: 'llm', zone: 'zone-a', address: '10.1.2.3:80', leaving: false, role: 'prefill', slots: 8, startedAt: 5, report: 2
     })
   })
 
--- a/src/upstreams/Upstream.ts
+++ b/src/upstreams/Upstream.ts
@@ -63,6 +63,11 @@
     return this.description.isInOwnZone
   }
 
+  /** Number of requests that the worker processes at once; infinite if it is not known. */
+  get slots (): number {
+    return this.description.worker.slots ?? Infinity
+  }
+
   /** The reported role, or the configured one before the first report. */
   get role (): EngineRole {
     return this.load.lastReport?.role ?? this.description.role
