Refuse requests while the processor is used up; keep running after errors

Above 200 ms a host refuses requests at once, above 20 ms it looks for closed connections before it sends a request on. The estimates of a scheduler's queue no longer grow with the square of its length, and only hosts with 0.4 of a core schedule prompts. Errors that no code handled are logged and counted instead of ending the process.

Ruled out: readiness as the signal, since the balancer uses all hosts of a zone again once half of them are out.

--- a/src/placement/AnswerLoad.ts
+++ b/src/placement/AnswerLoad.ts
@@ -42,7 +42,11 @@
   }
 
   /** The worker that is expected to start an answer first; undefined if there is none. `extraCost` in milliseconds. */
-  choose (workers: readonly AnswerWorker[], extraCost: (worker: AnswerWorker) => number, now: number): WorkerId | undefined {
+  choose<Worker extends AnswerWorker> (
+    workers: readonly Worker[],
+    extraCost: (worker: Worker) => number,
+    now: number
+  ): WorkerId | undefined {
     let best: { id: WorkerId, cost: number } | undefined
     for (const worker of workers) {
       const streams = this.streamCount(worker.id)
--- a/src/placement/PromptSchedule.ts
+++ b/src/placement/PromptSchedule.ts
@@ -112,6 +112,8 @@
   private readonly answering = new Map<string, WorkerId>()
   private readonly backlogs = new Map<WorkerId, WorkerBacklog>()
   private readonly speed: PrefillSpeed
+  /** Sum of `computeMilliseconds` over the waiting prompts. */
+  private waitingMilliseconds = 0
   private isDispatchDue = false
   private recheck: AbortController | undefined
   private stateLoggedAt = -Infinity
@@ -133,12 +135,11 @@
     const neededMilliseconds = computeMilliseconds + this.speed.baseMilliseconds
     const usualMilliseconds = computeMilliseconds + this.speed.usualMilliseconds
     const times = { computeMilliseconds, neededMilliseconds, usualMilliseconds }
-    const now = this.options.clock.monotonic()
-    const ahead = this.waitingAhead({ task, ...times }, now)
-    const refusal = this.refusalOf({ task, ...times }, ahead, now)
+    const refusal = this.refusalOf({ task, ...times })
     if (refusal !== undefined) return refusal
     return await new Promise(resolve => {
       this.waiting.set(task.id, { task, decide: resolve, ...times })
+      this.waitingMilliseconds += computeMilliseconds
       this.dispatchSoon()
     })
   }
@@ -174,41 +175,40 @@
     if (assigned === undefined) return
     const now = this.options.clock.monotonic()
     this.answers.remove(assigned, id, now, worker === assigned ? startMilliseconds : undefined)
-    this.dispatchSoon()
   }
 
   private removeWaiting (id: string): WaitingPrompt | undefined {
     const entry = this.waiting.get(id)
     if (entry === undefined) return undefined
     this.waiting.delete(id)
+    this.waitingMilliseconds -= entry.computeMilliseconds
     return entry
   }
 
-  /** Times for which the waiting prompts that are more urgent occupy workers, in milliseconds. */
-  private waitingAhead (entry: Omit<WaitingPrompt, 'decide'>, now: number): number[] {
-    const rank = rankOf(entry, now)
-    return [...this.waiting.values()]
-      .filter(other => compareRanks(rankOf(other, now), rank) <= 0)
-      .map(other => other.computeMilliseconds)
-  }
-
   /** The refusal of a prompt that cannot be computed before its caller gives up; undefined if it can. */
-  private refusalOf (entry: Omit<WaitingPrompt, 'decide'>, ahead: number[], now: number): PlacementDecision | undefined {
-    const workers = this.acceptingBacklogs(now)
-    if (workers.length === 0) return undefined
-    const waitMilliseconds = waitBehind(ahead, workers.map(worker => worker.milliseconds(now)))
-    if (now + waitMilliseconds + entry.neededMilliseconds <= entry.task.lostAt) return undefined
-    return { kind: 'refused', retryAfterMilliseconds: Math.ceil(waitMilliseconds) }
+  private refusalOf (entry: Omit<WaitingPrompt, 'decide'>): PlacementDecision | undefined {
+    const now = this.options.clock.monotonic()
+    const backlogs = this.acceptingBacklogs(now).map(backlog => backlog.milliseconds(now))
+    if (backlogs.length === 0) return undefined
+    const available = entry.task.lostAt - entry.neededMilliseconds - now
+    // Ranking the waiting prompts takes time, which is saved while even the last of them would be in time.
+    if (Math.max(...backlogs) + this.waitingMilliseconds / backlogs.length <= available) return undefined
+    const rank = rankOf(entry, now)
+    const queue = new ExpectedQueue(backlogs)
+    for (const other of this.waiting.values()) {
+      if (compareRanks(rankOf(other, now), rank) <= 0) queue.add(other.computeMilliseconds)
+    }
+    if (queue.waitMilliseconds <= available) return undefined
+    return { kind: 'refused', retryAfterMilliseconds: Math.ceil(queue.waitMilliseconds) }
   }
 
   /** Chooses the worker that generates an answer: the one that starts it first, given where the prompt is computed. */
   private chooseAnswerWorker (task: PromptTask, computedIn: Zone | undefined, now: number): WorkerId | undefined {
     const { held, costs, answerWorkers } = this.options
-    const workers = answerWorkers()
     const tokens = promptTokensOf(task)
-    return this.answers.choose(workers, worker => {
-      const missing = tokens - held.leadingTokens(worker.id, task.parts, task.partTokens)
-      const isOtherZone = computedIn !== undefined && workers.some(({ id, zone }) => id === worker.id && zone !== computedIn)
+    return this.answers.choose(answerWorkers(), ({ id, zone }) => {
+      const missing = tokens - held.leadingTokens(id, task.parts, task.partTokens)
+      const isOtherZone = computedIn !== undefined && zone !== computedIn
       return missing / costs.fetchedTokensPerMillisecond * (isOtherZone ? otherZoneFactor : 1)
     }, now)
   }
@@ -284,8 +284,7 @@
     for (const id of this.answers.forgetLost(now)) this.answering.delete(id)
     const workers = this.acceptingBacklogs(now)
     const computeWithAnswer = this.options.answerWorkers().length > this.options.workers().length
-    const ahead: number[] = []
-    const backlogs = workers.map(worker => worker.milliseconds(now))
+    const queue = new ExpectedQueue(workers.map(worker => worker.milliseconds(now)))
     for (const entry of this.inOrder(now)) {
       const { task, computeMilliseconds, neededMilliseconds } = entry
       const isLate = rankOf(entry, now).isLate
@@ -293,12 +292,12 @@
         this.removeWaiting(task.id)?.decide({ kind: 'with_answer', answerWorker: this.assignAnswer(task, undefined, now) })
         continue
       }
-      const waitMilliseconds = workers.length === 0 ? 0 : waitBehind(ahead, backlogs)
+      const waitMilliseconds = workers.length === 0 ? 0 : queue.waitMilliseconds
       if (now + waitMilliseconds + neededMilliseconds > task.lostAt) {
         this.removeWaiting(task.id)?.decide({ kind: 'refused', retryAfterMilliseconds: Math.ceil(waitMilliseconds) })
         continue
       }
-      ahead.push(computeMilliseconds)
+      queue.add(computeMilliseconds)
     }
   }
 
@@ -430,14 +429,25 @@
   return Number(left.isLate) - Number(right.isLate) || left.order - right.order
 }
 
-/**
- * Time until one of the workers is free, if each of the prompts ahead goes to the worker that is free first. All times
- * are in milliseconds.
- */
-function waitBehind (computeMilliseconds: readonly number[], backlogs: number[]): number {
-  const freeAfter = [...backlogs]
-  for (const milliseconds of computeMilliseconds) freeAfter[freeAfter.indexOf(Math.min(...freeAfter))]! += milliseconds
-  return Math.min(...freeAfter)
+/** When workers become free if each of the prompts that are added goes to the worker that is free first. */
+class ExpectedQueue {
+  private readonly freeAfter: number[]
+
+  /** `backlogs`: time until each worker is free, in milliseconds. */
+  constructor (backlogs: readonly number[]) {
+    this.freeAfter = [...backlogs]
+  }
+
+  /** Time until the first worker is free, in milliseconds. */
+  get waitMilliseconds (): number {
+    return Math.min(...this.freeAfter)
+  }
+
+  /** Adds a prompt that occupies a worker for the given time. */
+  add (computeMilliseconds: number): void {
+    if (this.freeAfter.length === 0) return
+    this.freeAfter[this.freeAfter.indexOf(this.waitMilliseconds)]! += computeMilliseconds
+  }
 }
 
 /** The worker other than `excluded` that holds most tokens, and their number. */
--- /dev/null
+++ b/src/placement/ScheduledPromptPlacer.test.ts
@@ -0,0 +1,123 @@
+/**
+ * Guards against prompts that fail because their scheduler is gone, that are sent to a worker which this host knows to
+ * leave, or that are reported as refused without the time after which to come back.
+ */
+import { beforeEach, describe, expect, test } from '@jest/globals'
+import { Result } from 'true-myth'
+import { failure, type Failure, ManualClock, type Pool, type WorkerId, type Zone } from '../common/index.js'
+import { discardingEventLog } from '../streams/testSupport.js'
+import type { Upstream } from '../upstreams/index.js'
+import { type PlacedPrompt, PromptPlacer, type PromptToPlace } from './PromptPlacer.js'
+import type { PlacementCell } from './PromptScheduler.js'
+import type { PlacementDecision, PromptOutcome } from './PromptTask.js'
+import { ScheduledPromptPlacer, SchedulerClient } from './ScheduledPromptPlacer.js'
+
+const zone = 'a' as Zone
+const never = new AbortController().signal
+
+function upstream (id: string, inZone = zone): Upstream {
+  return { id: id as WorkerId, zone: inZone } as Upstream
+}
+
+/** Answers as the test decides, and records the questions and reports. */
+class FakeClient extends SchedulerClient {
+  answer: Result<PlacementDecision, Failure> = Result.ok({ kind: 'no_worker' })
+  readonly cells: PlacementCell[] = []
+  readonly reports: string[] = []
+
+  async place (cell: PlacementCell): Promise<Result<PlacementDecision, Failure>> {
+    this.cells.push(cell)
+    return this.answer
+  }
+
+  end (_cell: PlacementCell, id: string, outcome: PromptOutcome): void {
+    this.reports.push(`${id} ${outcome}`)
+  }
+
+  answered (_cell: PlacementCell, id: string, worker: WorkerId | undefined, startMilliseconds: number | undefined): void {
+    this.reports.push(`${id} answered ${worker} ${startMilliseconds}`)
+  }
+}
+
+/** Places every prompt on the first candidate. */
+class FirstCandidatePlacer extends PromptPlacer {
+  async place ({ candidates }: PromptToPlace): Promise<Result<PlacedPrompt | undefined, Failure>> {
+    const reports = { end: () => {}, answered: () => {} }
+    return Result.ok({ worker: candidates[0], sharedPartsSource: undefined, answerWorker: undefined, ...reports })
+  }
+}
+
+let client: FakeClient
+let clock: ManualClock
+let placer: ScheduledPromptPlacer
+
+beforeEach(() => {
+  client = new FakeClient()
+  clock = new ManualClock()
+  placer = new ScheduledPromptPlacer({
+    client, fallback: new FirstCandidatePlacer(), zone, clock, events: discardingEventLog(clock)
+  })
+})
+
+function prompt (candidates = [upstream('w0'), upstream('w1')], decodeCandidates = [upstream('d0')]): PromptToPlace {
+  const routingRequest = { promptTokens: 10, promptBlocks: ['p'], blockTokens: [10] }
+  return { id: 'r.1', pool: 'llm' as Pool, prompt: routingRequest, dueAt: 500, lostAt: 2000, candidates, decodeCandidates }
+}
+
+async function placedWorker (): Promise<string | undefined> {
+  return (await placer.place(prompt(), never)).unwrapOr(undefined)?.worker?.id
+}
+
+describe('the host follows the scheduler', () => {
+  test('to the worker, the source of shared parts and the worker for the answer', async () => {
+    client.answer = Result.ok({
+      kind: 'placed', worker: 'w1' as WorkerId, partsSource: 'd0' as WorkerId, answerWorker: 'd0' as WorkerId
+    })
+    const placed = (await placer.place(prompt(), never)).unwrapOr(undefined)!
+    expect([placed.worker?.id, placed.sharedPartsSource?.id, placed.answerWorker]).toEqual(['w1', 'd0', 'd0'])
+    placed.end('computed')
+    placed.answered('d0' as WorkerId, 40)
+    expect(client.reports).toEqual(['r.1 computed', 'r.1 answered d0 40'])
+  })
+
+  test('if the answer worker is to compute the prompt', async () => {
+    client.answer = Result.ok({ kind: 'with_answer', answerWorker: 'd0' as WorkerId })
+    expect((await placer.place(prompt(), never)).unwrapOr(undefined)).toMatchObject({ worker: undefined, answerWorker: 'd0' })
+  })
+
+  test('if it refuses the prompt, with the time after which to come back', async () => {
+    client.answer = Result.ok({ kind: 'refused', retryAfterMilliseconds: 700 })
+    const placed = await placer.place(prompt(), never)
+    expect(placed.isErr && placed.error).toMatchObject({ kind: 'overloaded', detail: { retryAfterMilliseconds: 700 } })
+  })
+})
+
+describe('the host places its prompts by itself', () => {
+  test.each([
+    ['while no scheduler answers', Result.err(failure('not_ready', 'silent'))],
+    ['if the scheduler knows no worker', Result.ok({ kind: 'no_worker' })],
+    ['if it may not use the chosen worker', Result.ok({ kind: 'placed', worker: 'leaving', partsSource: undefined, answerWorker: undefined })]
+  ] as Array<[string, Result<PlacementDecision, Failure>]>)('%s', async (_name, answer) => {
+    client.answer = answer
+    expect(await placedWorker()).toBe('w0')
+  })
+
+  test('for a while after a scheduler failed, so that a silent one does not delay every prompt', async () => {
+    client.answer = Result.err(failure('not_ready', 'silent'))
+    await placedWorker()
+    await placedWorker()
+    expect(client.cells).toHaveLength(1)
+    await clock.advance(1000)
+    await placedWorker()
+    expect(client.cells).toHaveLength(2)
+  })
+})
+
+test.each([
+  ['one cell for a small pool', 6, undefined],
+  ['a cell for each zone of a large pool', 40, zone]
+])('the host asks the scheduler of %s', async (_name, count, expectedZone) => {
+  const candidates = Array.from({ length: count }, (_, index) => upstream(`w${index}`, (index % 2 === 0 ? zone : 'b') as Zone))
+  await placer.place(prompt(candidates), never)
+  expect(client.cells).toEqual([{ pool: 'llm', zone: expectedZone }])
+})
--- a/src/platform/CallerListener.ts
+++ b/src/platform/CallerListener.ts
@@ -25,8 +25,19 @@
   metrics: RequestMetrics
   /** True once the process was told to stop; each connection then closes after its current response. */
   isStopping: () => boolean
+  /** Average delay of the event loop, in milliseconds. */
+  eventLoopDelay: () => number
 }
 
+/**
+ * Delay of the event loop above which requests are refused, in milliseconds. With more, most responses would miss their
+ * latency target, and requests would be sent on long after their callers have left.
+ */
+const maxEventLoopDelayMilliseconds = 200
+
+/** Delay of the event loop above which a request is held until connections that closed meanwhile are known. */
+const busyEventLoopDelayMilliseconds = 20
+
 /** Size in bytes above which Node itself rejects a header; `decode` checks the operators' lower limit. */
 const maxHeaderBytes = 131_072
 
@@ -129,10 +140,11 @@
     const { clock, metrics } = this.options
     const startedAt = clock.monotonic()
     const callerDisconnect = disconnectSignal(response)
-    const decoded = this.decode(message, startedAt)
+    const decoded = this.admit().andThen(() => this.decode(message, startedAt))
     if (decoded.isErr) return this.refuse(message, response, decoded.error, startedAt)
     const body = await readBody(message, this.limits?.maxBodyBytes ?? Infinity)
     if (body.isErr) return this.refuse(message, response, body.error, startedAt)
+    if (this.options.eventLoopDelay() > busyEventLoopDelayMilliseconds) await pendingEvents()
     if (callerDisconnect.aborted) return
     const { route, call: head } = decoded.value
     const call = this.options.requests.serviceCall({ ...head, body: body.value })
@@ -155,6 +167,13 @@
     }
   }
 
+  /** Refuses requests that this host would only hold up, since its processor is used up. */
+  private admit (): Result<void, Failure> {
+    const delay = this.options.eventLoopDelay()
+    if (delay <= maxEventLoopDelayMilliseconds) return Result.ok(undefined)
+    return Result.err(failure('overloaded', `the event loop of this host is ${Math.round(delay)} ms late`))
+  }
+
   private decode (message: IncomingMessage, now: number): Result<DecodedRequest, Failure> {
     const routes = this.options.routes()
     if (routes === undefined) return Result.err(failure('not_ready', 'the host has not read a configuration yet'))
@@ -313,6 +332,15 @@
   return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0)
 }
 
+/**
+ * Resolves when the event loop has received what arrived together with the present event. A caller's close arrives in the
+ * next turn of the loop, although it may be as old as the request.
+ */
+async function pendingEvents (): Promise<void> {
+  await new Promise(resolve => setImmediate(resolve))
+  await new Promise(resolve => setImmediate(resolve))
+}
+
 async function waitForDrain (response: ServerResponse): Promise<void> {
   if (response.destroyed) return
   await new Promise<void>(resolve => {
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -3,7 +3,7 @@
  * reports readiness to the load balancer, and finishes open requests before it stops.
  */
 import { Hono } from 'hono'
-import { type Clock, type Hash, loadHash, newIncarnation, SystemClock } from '../common/index.js'
+import { type Clock, EventLoopDelay, type Hash, loadHash, newIncarnation, SystemClock } from '../common/index.js'
 import { type ListeningServer, serve } from '../entry/index.js'
 import { defaultAttemptLimits, PromptComputation, RequestManager, type RequestManagerOptions, RetryBudget, type RetryLimits } from '../forwarding/index.js'
 import { type ObservedEngine, RolePlannerTask } from '../fleet/index.js'
@@ -14,6 +14,7 @@
 import { PowerOfTwoPolicy, PrefixIndex, PromptPlacementPolicy } from '../routing/index.js'
 import { UpstreamManager, type UpstreamView } from '../upstreams/index.js'
 import { CallerListener } from './CallerListener.js'
+import { type ErrorEmitter, handleUnexpectedErrors } from './handleUnexpectedErrors.js'
 import { PlacementPart } from './PlacementPart.js'
 import { PlatformDirectory } from './PlatformDirectory.js'
 import type { PlatformSettings } from './PlatformSettings.js'
@@ -77,6 +78,12 @@
   otherZoneMillisecondsPerToken: 0.0005
 }
 
+/**
+ * Minimum processor of a host that schedules prompts, in cores. Scheduling takes up to a tenth of a core, beside the
+ * host's own requests.
+ */
+const minSchedulerCores = 0.4
+
 /** Constant part of the response time of a computed prompt until it is measured, in milliseconds. */
 const promptBaseMilliseconds = 70
 
@@ -105,7 +112,8 @@
     private readonly listener: CallerListener,
     private readonly lease: GroupLease,
     private readonly budget: RetryBudget,
-    private readonly placement: PlacementPart
+    private readonly placement: PlacementPart,
+    private readonly loopDelay: EventLoopDelay
   ) {
     this.rolePlannerTask = new RolePlannerTask({
       clock,
@@ -176,6 +184,11 @@
       clock, events, upstreams, budget, policy, placer: placement.placer
     }))
     const state = { stopping: false }
+    const loopDelay = new EventLoopDelay(clock)
+    loopDelay.start(error => events.error('event_loop_delay_ended', { reason: String(error) }))
+    metrics.gauge('event_loop_delay_milliseconds', 'Average delay of the event loop.', [], gauge => {
+      gauge.set(loopDelay.milliseconds)
+    })
     const listener = new CallerListener({
       address: settings.listen.callers,
       routes: () => directory.routes,
@@ -184,7 +197,8 @@
       events,
       hash,
       metrics: new RequestMetrics(metrics),
-      isStopping: () => state.stopping
+      isStopping: () => state.stopping,
+      eventLoopDelay: () => loopDelay.milliseconds
     })
     metrics.gauge('log_lines_dropped_total', 'Log lines for which the reader was too slow.', [], gauge => {
       gauge.set(lines.droppedLines)
@@ -192,7 +206,7 @@
     const lease = createLease(settings, group, clock, events)
     const host = new PlatformHost(
       settings, clock, events, lines, metrics, directory, [configurationFollower, workerFollower], upstreams, requests,
-      listener, lease, budget, placement)
+      listener, lease, budget, placement, loopDelay)
     host.markStopping = () => { state.stopping = true }
     directory.onChange(() => {
       const limits = directory.routes?.configuration.limits
@@ -244,6 +258,7 @@
     await this.rolePlannerTask.stop()
     await this.lease.stop()
     await this.placement.stop()
+    await this.loopDelay.stop()
     await Promise.all(this.followers.map(async follower => await follower.stop()))
     await this.upstreams.stop()
     await this.readinessServer?.close()
@@ -265,6 +280,11 @@
     this.events.error('settings_refused', { reason })
   }
 
+  /** Keeps the process running after errors that no code handled. */
+  handleUnexpectedErrors (emitter: ErrorEmitter): void {
+    handleUnexpectedErrors(emitter, this.events, this.metrics)
+  }
+
   /** Finishes open requests and stops. Resolves to false if requests were still open at the time limit. */
   stop (): Promise<boolean> {
     this.stopping ??= this.stopOnce()
@@ -329,7 +349,8 @@
     hostId: host.id,
     incarnation: newIncarnation(),
     timeToLiveMilliseconds: bounds.leaseMilliseconds,
-    peerAddress: listen.peers
+    peerAddress: listen.peers,
+    schedulesPrompts: listen.peers !== undefined && host.cpuShare * host.cores >= minSchedulerCores
   })
 }
 
--- a/src/platform/PlatformSettings.ts
+++ b/src/platform/PlatformSettings.ts
@@ -12,7 +12,11 @@
   host: z.strictObject({
     id: hostIdSchema,
     zone: zoneSchema,
-    region: regionSchema
+    region: regionSchema,
+    /** Share of each processor core that the host has. */
+    cpuShare: positive.default(1),
+    /** Number of processor cores. */
+    cores: positive.default(1)
   }),
   listen: z.strictObject({
     /** Address for callers. */
--- /dev/null
+++ b/src/platform/SchedulerDirectory.test.ts
@@ -0,0 +1,80 @@
+/**
+ * Guards against hosts that keep asking a scheduler which has moved, and against a call to the store for each question
+ * while there is no scheduler.
+ */
+import { afterEach, beforeEach, expect, test } from '@jest/globals'
+import { Result } from 'true-myth'
+import { failure, type Failure, type HostId, type Incarnation, ManualClock } from '../common/index.js'
+import { discardingEventLog } from '../streams/testSupport.js'
+import { SchedulerDirectory } from './SchedulerDirectory.js'
+import type { PartitionOwner } from './StoreClient.js'
+import { addressOfMember, memberNameOf, placementTopic } from './StoreDutyGroup.js'
+
+const incarnation = '0123456789abcdef' as Incarnation
+
+let clock: ManualClock
+let owners: Result<PartitionOwner[], Failure>
+let calls: number
+let directory: SchedulerDirectory
+
+beforeEach(() => {
+  clock = new ManualClock()
+  calls = 0
+  owners = Result.ok([])
+  const store = {
+    owners: async () => {
+      calls += 1
+      return owners
+    },
+    close: async () => {}
+  }
+  directory = new SchedulerDirectory({ store, clock, events: discardingEventLog(clock), random: () => 0 })
+})
+
+afterEach(async () => { await directory.stop() })
+
+function ownedBy (host: string, address: string | undefined): Result<PartitionOwner[], Failure> {
+  return Result.ok([
+    { topic: placementTopic, partition: 0, member: memberNameOf(host as HostId, incarnation, address) },
+    { topic: 'duties', partition: 1, member: memberNameOf('other' as HostId, incarnation, '10.0.0.9:1') }
+  ])
+}
+
+test('the holder is read from the names of the members, for the partitions of the topic alone', async () => {
+  owners = ownedBy('host.with.dots', '10.0.0.1:7000')
+  directory.start()
+  await clock.advance(10_000)
+  expect([directory.holderOf(0), directory.holderOf(1)]).toEqual(['10.0.0.1:7000', undefined])
+})
+
+test('a failed holder is replaced by the one that the store names next', async () => {
+  owners = ownedBy('host-1', '10.0.0.1:7000')
+  directory.holderOf(0)
+  await clock.advance(0)
+  owners = ownedBy('host-2', '10.0.0.2:7000')
+  await clock.advance(2000)
+  directory.reportFailure()
+  await clock.advance(0)
+  expect(directory.holderOf(0)).toBe('10.0.0.2:7000')
+})
+
+test.each([
+  ['no host holds the partition', () => Result.ok<PartitionOwner[], Failure>([])],
+  ['the holder cannot be reached by other hosts', () => ownedBy('host-1', undefined)],
+  ['the store is down', () => Result.err<PartitionOwner[], Failure>(failure('platform_unavailable', 'down'))]
+])('questions do not each make a call while %s', async (_name, answer) => {
+  owners = answer()
+  for (let elapsed = 0; elapsed < 20_000; elapsed += 50) {
+    expect(directory.holderOf(0)).toBeUndefined()
+    await clock.advance(50)
+  }
+  expect(calls).toBeGreaterThan(3)
+  expect(calls).toBeLessThan(12)
+})
+
+test.each([
+  ['host-1', '10.0.0.1:7000', '10.0.0.1:7000'],
+  ['host-1', undefined, undefined]
+] as Array<[string, string | undefined, string | undefined]>)('the name of a member of %s with address %s contains %s', (host, address, expected) => {
+  expect(addressOfMember(memberNameOf(host as HostId, incarnation, address))).toBe(expected)
+})
--- a/src/platform/StoreDutyGroup.ts
+++ b/src/platform/StoreDutyGroup.ts
@@ -30,6 +30,8 @@
   timeToLiveMilliseconds: number
   /** `ip:port` at which other hosts reach this one; undefined if they cannot. */
   peerAddress: string | undefined
+  /** True if this host may schedule prompts for others. */
+  schedulesPrompts: boolean
 }
 
 /** Name of a host's member: host id, incarnation and, if other hosts can reach it, its address. */
@@ -59,8 +61,8 @@
   }
 
   async join (generation: number, signal?: AbortSignal): Promise<Result<GroupMembership, Failure>> {
-    const { store, timeToLiveMilliseconds } = this.options
-    const topics = [topic, placementTopic]
+    const { store, timeToLiveMilliseconds, schedulesPrompts } = this.options
+    const topics = schedulesPrompts ? [topic, placementTopic] : [topic]
     const joined = await store.join(hostGroup, this.member, { topics, timeToLiveMilliseconds, generation, signal })
     return joined.map(({ generation, partitions }) => {
       this.placementPartitions = new Set(partitions
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -20,6 +20,7 @@
     return
   }
   const host = await PlatformHost.create(settings.value)
+  host.handleUnexpectedErrors(process)
   const stop = (): void => {
     host.stop().then(complete => process.exit(complete ? 0 : incompleteStopExitStatus), error => {
       process.stderr.write(`${String(error)}\n`)
--- a/src/roles/SplitRolePlanner.test.ts
+++ b/src/roles/SplitRolePlanner.test.ts
@@ -65,3 +65,14 @@
   expect(plan(1000)).toEqual([])
   expect(plan(0)).toHaveLength(1)
 })
+
+// Guards against a pool that waits for its engines to settle during a rolling replacement, when none of the new engines
+// has the prefill role yet.
+test.each([
+  ['one of four prefill engines is missing', 'pppddd', 0],
+  ['two of four prefill engines are missing', 'ppdddd', 2],
+  ['all prefill engines are missing', 'dddddd', 2]
+])('while engines join, %s: %s', (_name, text, expectedChanges) => {
+  const engines = enginesOf(text).map(engine => ({ ...engine, roleSince: 2900 }))
+  expect(new SplitRolePlanner(0.75).plan({ ...input, engines })).toHaveLength(expectedChanges)
+})
