See at once that a caller has closed its side of the connection

Cause: Node reports the close of a connection whose other side has ended only two turns of the event loop later. A test with a request and a close sent together showed that the wait for closed connections was too short: the request was still forwarded.

Change: the end of the caller's side counts as its disconnect.

--- a/src/platform/CallerListener.ts
+++ b/src/platform/CallerListener.ts
@@ -139,7 +139,7 @@
   private async handle (message: IncomingMessage, response: ServerResponse): Promise<void> {
     const { clock, metrics } = this.options
     const startedAt = clock.monotonic()
-    const callerDisconnect = disconnectSignal(response)
+    const callerDisconnect = disconnectSignal(message, response)
     const decoded = this.admit().andThen(() => this.decode(message, startedAt))
     if (decoded.isErr) return this.refuse(message, response, decoded.error, startedAt)
     const body = await readBody(message, this.limits?.maxBodyBytes ?? Infinity)
@@ -298,10 +298,18 @@
   }
 }
 
-/** Signal that aborts when the caller closes the connection before the response is complete. */
-function disconnectSignal (response: ServerResponse): AbortSignal {
+/**
+ * Signal that aborts when the caller closes the connection before the response is complete. The end of the caller's side
+ * counts as the close: Node then ends the connection, but reports its close only in a later turn of the event loop.
+ */
+function disconnectSignal ({ socket }: IncomingMessage, response: ServerResponse): AbortSignal {
   const disconnected = new AbortController()
-  response.once('close', () => { if (!response.writableFinished) disconnected.abort() })
+  const disconnect = (): void => { if (!response.writableFinished) disconnected.abort() }
+  socket.once('end', disconnect)
+  response.once('close', () => {
+    socket.off('end', disconnect)
+    disconnect()
+  })
   return disconnected.signal
 }
 
