--- a/src/placement/PromptSchedule.ts
+++ b/src/placement/PromptSchedule.ts
@@ -2,10 +2,8 @@
  * The prompts of one pool: decides which worker computes each prompt, and when it is sent there.
  *
  * A prompt is sent only when its worker is about to finish the prompts before it. Prompts that wait are held here in
- * order of urgency, so that a short prompt does not stand behind long ones at a worker. Prompts that can still be in
- * time come first, ordered by the latest time at which their computation has to start; then those that are late already,
- * the short ones and those about to be given up first. A prompt is refused as soon as it is clear that it cannot be
- * computed before its caller gives up.
+ * order of urgency (see `WaitingPrompt`), so that a short prompt does not stand behind long ones at a worker. A prompt is
+ * refused as soon as it is clear that it cannot be computed before its caller gives up.
  *
  * Each prompt goes to the worker on which it is expected to be computed first. A worker that holds the shared parts of
  * the prompt is preferred: another one fetches them, and its copy displaces other parts.
@@ -14,8 +12,10 @@
 import type { EventLog } from '../observability/index.js'
 import { AnswerLoad, type AnswerWorker } from './AnswerLoad.js'
 import type { HeldParts } from './HeldParts.js'
+import { ExpectedQueue } from './ExpectedQueue.js'
 import { PrefillSpeed } from './PrefillSpeed.js'
 import { type PlacementDecision, type PromptOutcome, type PromptTask, promptTokensOf } from './PromptTask.js'
+import { compareRanks, type PromptTimes, rankOf, type WaitingPrompt } from './WaitingPrompt.js'
 import { WorkerBacklog } from './WorkerBacklog.js'
 
 /** Speeds of a deployment's engines until they are measured, and of its links. */
@@ -62,17 +62,6 @@
 /** Longest time between two looks at a queue that has waiting prompts, in milliseconds. */
 const maxRecheckMilliseconds = 50
 
-interface WaitingPrompt {
-  task: PromptTask
-  decide: (decision: PlacementDecision) => void
-  /** Shortest time from the dispatch to the response, in milliseconds. */
-  neededMilliseconds: number
-  /** Usual time from the dispatch to the response, in milliseconds. */
-  usualMilliseconds: number
-  /** Part of both times for which the worker is occupied. */
-  computeMilliseconds: number
-}
-
 /**
  * Largest prompt, in tokens to compute, that a worker computes between the tokens of its streams while more workers
  * generate than compute prompts.
@@ -186,7 +175,7 @@
   }
 
   /** The refusal of a prompt that cannot be computed before its caller gives up; undefined if it can. */
-  private refusalOf (entry: Omit<WaitingPrompt, 'decide'>): PlacementDecision | undefined {
+  private refusalOf (entry: PromptTimes & { task: PromptTask }): PlacementDecision | undefined {
     const now = this.options.clock.monotonic()
     const backlogs = this.acceptingBacklogs(now).map(backlog => backlog.milliseconds(now))
     if (backlogs.length === 0) return undefined
@@ -408,48 +397,6 @@
   }
 }
 
-/** Urgency of a waiting prompt, see the head of this file: first by `isLate`, then by `order`. */
-interface PromptRank { isLate: boolean, order: number }
-
-/**
- * Weight of the time that is left until a late prompt has to start, against the time for which it occupies a worker. The
- * weight lets long prompts pass short ones before their callers give up.
- */
-const remainingTimeWeight = 0.2
-
-function rankOf (entry: Omit<WaitingPrompt, 'decide'>, now: number): PromptRank {
-  const { task, neededMilliseconds, usualMilliseconds, computeMilliseconds } = entry
-  const latestStart = task.dueAt - usualMilliseconds
-  if (latestStart >= now) return { isLate: false, order: latestStart }
-  const remaining = task.lostAt - neededMilliseconds - now
-  return { isLate: true, order: computeMilliseconds + remaining * remainingTimeWeight }
-}
-
-function compareRanks (left: PromptRank, right: PromptRank): number {
-  return Number(left.isLate) - Number(right.isLate) || left.order - right.order
-}
-
-/** When workers become free if each of the prompts that are added goes to the worker that is free first. */
-class ExpectedQueue {
-  private readonly freeAfter: number[]
-
-  /** `backlogs`: time until each worker is free, in milliseconds. */
-  constructor (backlogs: readonly number[]) {
-    this.freeAfter = [...backlogs]
-  }
-
-  /** Time until the first worker is free, in milliseconds. */
-  get waitMilliseconds (): number {
-    return Math.min(...this.freeAfter)
-  }
-
-  /** Adds a prompt that occupies a worker for the given time. */
-  add (computeMilliseconds: number): void {
-    if (this.freeAfter.length === 0) return
-    this.freeAfter[this.freeAfter.indexOf(this.waitMilliseconds)]! += computeMilliseconds
-  }
-}
-
 /** The worker other than `excluded` that holds most tokens, and their number. */
 function longestOf (heldTokens: ReadonlyMap<WorkerId, number>, excluded: WorkerId): [WorkerId | undefined, number] {
   let longest: [WorkerId | undefined, number] = [undefined, 0]
