Ask rarely for schedulers where no host schedules prompts

Change: while the store answers that no host holds any partition, the interval doubles up to 30 s; a store that fails or a holder that fails is asked again within 4 s as before.

--- a/src/platform/SchedulerDirectory.test.ts
+++ b/src/platform/SchedulerDirectory.test.ts
@@ -72,6 +72,21 @@
   expect(calls).toBeLessThan(12)
 })
 
+// Guards against deployments of small hosts, none of which schedules, that pay for a call of each host every few seconds.
+test('while no host schedules at all, calls become rare, and a scheduler that appears is found', async () => {
+  for (let elapsed = 0; elapsed < 120_000; elapsed += 100) {
+    directory.holderOf(0)
+    await clock.advance(100)
+  }
+  expect(calls).toBeLessThan(12)
+  owners = ownedBy('host-1', '10.0.0.1:7000')
+  for (let elapsed = 0; elapsed < 31_000; elapsed += 100) {
+    directory.holderOf(0)
+    await clock.advance(100)
+  }
+  expect(directory.holderOf(0)).toBe('10.0.0.1:7000')
+})
+
 test.each([
   ['host-1', '10.0.0.1:7000', '10.0.0.1:7000'],
   ['host-1', undefined, undefined]
--- a/src/platform/SchedulerDirectory.ts
+++ b/src/platform/SchedulerDirectory.ts
@@ -20,6 +20,9 @@
 const minRefreshMilliseconds = 500
 const maxRefreshMilliseconds = 4000
 
+/** Longest time between two calls while no host schedules prompts at all, because all hosts are small. */
+const maxUnusedRefreshMilliseconds = 30_000
+
 /** Shortest time from the start of a host to its first read, in milliseconds; hosts that start together join within it. */
 const firstReadMilliseconds = 3000
 
@@ -29,6 +32,8 @@
   private refreshing: Promise<void> | undefined
   private nextRefreshAt = -Infinity
   private refreshMilliseconds = minRefreshMilliseconds
+  /** True if the store last told that no host holds any partition. */
+  private hasNoScheduler = false
   private readonly stopping = new AbortController()
 
   constructor (private readonly options: SchedulerDirectoryOptions) {}
@@ -69,7 +74,8 @@
     const now = clock.monotonic()
     if (this.refreshing !== undefined || now < this.nextRefreshAt) return
     this.nextRefreshAt = now + this.refreshMilliseconds * (1 + random())
-    this.refreshMilliseconds = Math.min(maxRefreshMilliseconds, this.refreshMilliseconds * 2)
+    const longest = this.hasNoScheduler ? maxUnusedRefreshMilliseconds : maxRefreshMilliseconds
+    this.refreshMilliseconds = Math.min(longest, this.refreshMilliseconds * 2)
     this.refreshing = this.read().finally(() => { this.refreshing = undefined })
   }
 
@@ -85,6 +91,7 @@
       const address = topic === placementTopic ? addressOfMember(member) : undefined
       if (address !== undefined) this.holders.set(partition, address)
     }
+    this.hasNoScheduler = this.holders.size === 0
     events.info('schedulers_read', { addresses: [...new Set(this.holders.values())].join(',') })
   }
 }
