Name the checks and intervals of PromptSchedule by what they do

removeStale also left late prompts to the workers that answer, and several comments used everyday verbs for dispatches and checks. Names and comments only; the code is the same.

--- a/src/placement/PromptSchedule.ts
+++ b/src/placement/PromptSchedule.ts
@@ -42,8 +42,8 @@
 }
 
 /**
- * Work that a worker may have left when it is sent the next prompt, in milliseconds. It covers the way of the decision
- * and of the prompt, so that the worker does not fall idle.
+ * Work that a worker may have left when it is sent the next prompt, in milliseconds. It covers the network delay of the
+ * decision and of the prompt, so that the worker does not become idle.
  */
 const dispatchAheadMilliseconds = 40
 
@@ -59,7 +59,7 @@
 /** Interval of the log lines about the state of a schedule that is in use, in milliseconds. */
 const stateLogMilliseconds = 2000
 
-/** Longest time between two looks at a queue that has waiting prompts, in milliseconds. */
+/** Maximum interval between two dispatches while prompts wait, in milliseconds. */
 const maxRecheckMilliseconds = 50
 
 /**
@@ -71,12 +71,12 @@
 /** Factor on the time of a transfer between two zones. */
 const otherZoneFactor = 2
 
-/** Interval of the looks for prompts that have become hopeless, in milliseconds. */
-const hopelessCheckMilliseconds = 50
+/** Minimum interval between two checks for prompts that will not be computed in time, in milliseconds. */
+const overdueCheckMilliseconds = 50
 
 /**
- * Maximum number of waiting prompts that one dispatch looks at. Further ones are less urgent, and a longer look would
- * delay the answers to other hosts.
+ * Maximum number of waiting prompts that one dispatch considers. Further ones are less urgent, and considering them would
+ * delay the responses to other hosts.
  */
 const maxDispatchedAtOnce = 32
 
@@ -106,7 +106,7 @@
   private isDispatchDue = false
   private recheck: AbortController | undefined
   private stateLoggedAt = -Infinity
-  private staleRemovedAt = -Infinity
+  private overdueDecidedAt = -Infinity
 
   constructor (private readonly options: PromptScheduleOptions) {
     this.speed = new PrefillSpeed(options.costs)
@@ -215,7 +215,7 @@
   /** Sends waiting prompts to workers that have room, the most urgent first. */
   private dispatch (): void {
     const now = this.options.clock.monotonic()
-    this.removeStale(now)
+    this.decideOverdue(now)
     this.logState(now)
     if (this.hasRoom(now)) {
       for (const { task } of this.inOrder(now).slice(0, maxDispatchedAtOnce)) {
@@ -264,9 +264,9 @@
    * their callers give up, and leaves short ones to the workers that generate the answers if there are enough of these.
    * Forgets prompts whose hosts stopped.
    */
-  private removeStale (now: number): void {
-    if (now - this.staleRemovedAt < hopelessCheckMilliseconds) return
-    this.staleRemovedAt = now
+  private decideOverdue (now: number): void {
+    if (now - this.overdueDecidedAt < overdueCheckMilliseconds) return
+    this.overdueDecidedAt = now
     for (const backlog of this.backlogs.values()) {
       for (const id of backlog.forgetLost(now)) this.placed.delete(id)
     }
@@ -379,7 +379,7 @@
     return promptTokensOf(task) - Math.max(0, ...this.heldTokens(task).values())
   }
 
-  /** Looks at the queue again when the first worker is about to have room. */
+  /** Schedules the next dispatch for the time when the first worker is about to have room. */
   private scheduleRecheck (): void {
     this.recheck?.abort()
     this.recheck = undefined
