--- /dev/null
+++ b/src/quarantine/index.ts
@@ -0,0 +1,1 @@
+export * from './Evidence.js'
