Log the connections and late requests of a planned stop

The lines of a stop counted requests only, so a connection that outlives the close of the listener left no trace, and the last lines were written by the thread pool while the process exited. Now stop_started, listener_closed and stop_ended count connections, those without a request, and requests read after the close; request_ended and request_refused tell how long after the start of the stop a request was read; the exit waits up to 100 ms for the lines. Lines can no longer overtake the rest of a partly written block.

Ruled out: a line a connection, whose number is not bounded.

--- a/src/observability/LineWriter.ts
+++ b/src/observability/LineWriter.ts
@@ -18,6 +18,7 @@
   private pendingBytes = 0
   private droppedCount = 0
   private isWriting = false
+  private drainWaiters: Array<() => void> = []
   private timer: NodeJS.Timeout | undefined
 
   constructor (private readonly fileDescriptor = standardOutputDescriptor) {}
@@ -49,15 +50,32 @@
     this.writeAll(text)
   }
 
+  /** Writes the buffered lines and resolves when all are written, or when the output has no reader any more. */
+  async drain (): Promise<void> {
+    this.flush()
+    while (this.isWriting || this.pendingLines.length > 0) {
+      await new Promise<void>(resolve => { this.drainWaiters.push(resolve) })
+      this.flush()
+    }
+  }
+
   private writeAll (text: Buffer): void {
     this.isWriting = true
     write(this.fileDescriptor, text, (error, written) => {
-      this.isWriting = false
-      // The output has no reader any more: the rest is discarded, and there is nowhere to report the error.
-      if (error !== null && error.code !== 'EAGAIN') return
+      // Any other error means that the output has no reader: the rest is discarded, and there is nowhere to report it.
+      const canContinue = error === null || error.code === 'EAGAIN'
       const unwritten = text.subarray(error === null ? written : 0)
-      if (unwritten.length > 0) setTimeout(() => this.writeAll(unwritten), flushDelayMilliseconds)
-      else if (this.pendingLines.length > 0) this.timer ??= setTimeout(() => this.flush(), flushDelayMilliseconds)
+      if (canContinue && unwritten.length > 0) {
+        setTimeout(() => this.writeAll(unwritten), flushDelayMilliseconds)
+        return
+      }
+      this.isWriting = false
+      if (canContinue && this.pendingLines.length > 0) this.timer ??= setTimeout(() => this.flush(), flushDelayMilliseconds)
+      this.wakeDrains()
     })
   }
+
+  private wakeDrains (): void {
+    for (const wake of this.drainWaiters.splice(0)) wake()
+  }
 }
--- a/src/platform/CallerListener.test.ts
+++ b/src/platform/CallerListener.test.ts
@@ -38,7 +38,6 @@
     events: discardingEventLog(clock),
     hash: await loadHash(),
     metrics: new RequestMetrics(new Metrics()),
-    isStopping: () => false,
     eventLoopDelay: () => delayMilliseconds
   })
   await listener.listen()
--- a/src/platform/CallerListener.ts
+++ b/src/platform/CallerListener.ts
@@ -2,10 +2,11 @@
  * HTTP listener for callers. Request targets and header fields have to reach the workers unchanged, so the listener
  * uses Node's message objects: the `Request` object of the web platform would change both.
  */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { Result } from 'true-myth'
 import { type Clock, errorResponses, errorBodyOf, type Failure, failure, type Hash } from '../common/index.js'
+import { type ConnectionCounts, GracefulServer } from '../entry/index.js'
 import type { RequestManager, ServiceResponse, ServiceCall } from '../forwarding/index.js'
 import type { EventLog } from '../observability/index.js'
 import { decodeRequest, type DecodedRequest } from './decodeRequest.js'
@@ -23,8 +24,6 @@
   events: EventLog
   hash: Hash
   metrics: RequestMetrics
-  /** True once the process was told to stop; each connection then closes after its current response. */
-  isStopping: () => boolean
   /** Average delay of the event loop, in milliseconds. */
   eventLoopDelay: () => number
 }
@@ -75,13 +74,26 @@
   callerDisconnected: boolean
 }
 
+/** What a stop left open or took on late. */
+export interface StopSummary extends ConnectionCounts {
+  /** Number of requests that were read after the listener had closed. */
+  lateRequests: number
+  /** Time from the start of the stop to the latest request that was read, in milliseconds. */
+  lastRequestMilliseconds: number | undefined
+}
+
 /** Accepts connections of callers and forwards their requests to workers. */
 export class CallerListener {
-  private readonly server: Server
+  private readonly server: GracefulServer
   private limits: CallerLimits | undefined
+  /** Monotonic time in milliseconds of the start of the stop. */
+  private stoppingSince: number | undefined
+  private isClosed = false
+  private lateRequests = 0
+  private lastRequestMilliseconds: number | undefined
 
   constructor (private readonly options: CallerListenerOptions) {
-    this.server = createServer({
+    this.server = new GracefulServer({
       maxHeaderSize: maxHeaderBytes,
       connectionsCheckingInterval: timeoutCheckMilliseconds,
       requestTimeout: bodyTimeoutMilliseconds,
@@ -121,8 +133,20 @@
     this.server.keepAliveTimeout = limits.idleTimeoutMilliseconds
   }
 
+  /** Announces with each response from now on that its connection closes; new connections are still accepted. */
+  startStop (): void {
+    this.stoppingSince ??= this.options.clock.monotonic()
+  }
+
+  /** State of the connections and requests since the start of the stop. */
+  get stopSummary (): StopSummary {
+    const { lateRequests, lastRequestMilliseconds } = this
+    return { ...this.server.connectionCounts(), lateRequests, lastRequestMilliseconds }
+  }
+
   /** Stops accepting connections and resolves when the open ones have ended. */
   async close (): Promise<void> {
+    this.isClosed = true
     await new Promise<void>(resolve => {
       this.server.close(() => { resolve() })
       this.server.closeIdleConnections()
@@ -139,6 +163,7 @@
   private async handle (message: IncomingMessage, response: ServerResponse): Promise<void> {
     const { clock, metrics } = this.options
     const startedAt = clock.monotonic()
+    this.countRequestOfStop(startedAt)
     const callerDisconnect = disconnectSignal(message, response)
     const decoded = this.admit().andThen(() => this.decode(message, startedAt))
     if (decoded.isErr) return this.refuse(message, response, decoded.error, startedAt)
@@ -167,6 +192,19 @@
     }
   }
 
+  private countRequestOfStop (now: number): void {
+    const { stoppingSince } = this
+    if (stoppingSince === undefined) return
+    this.lastRequestMilliseconds = Math.round(now - stoppingSince)
+    if (this.isClosed) this.lateRequests += 1
+  }
+
+  /** Time from the start of the stop to the reading of a request; undefined if it was read before. */
+  private millisecondsAfterStop (readAt: number): number | undefined {
+    const { stoppingSince } = this
+    return stoppingSince === undefined || readAt < stoppingSince ? undefined : Math.round(readAt - stoppingSince)
+  }
+
   /** Refuses requests that this host would only hold up, since its processor is used up. */
   private admit (): Result<void, Failure> {
     const delay = this.options.eventLoopDelay()
@@ -219,6 +257,7 @@
       status,
       kind: failed.kind,
       version: this.options.routes()?.configuration.version,
+      after_stop: this.millisecondsAfterStop(startedAt),
       reason: failed.message
     })
     // The unread rest of the body would be taken for the next request, so the connection is closed.
@@ -244,7 +283,7 @@
   }
 
   private closeConnectionIfStopping (response: ServerResponse): void {
-    if (this.options.isStopping()) response.setHeader('connection', 'close')
+    if (this.stoppingSince !== undefined) response.setHeader('connection', 'close')
   }
 
   private logEnd (
@@ -264,6 +303,7 @@
       kind: failed?.kind,
       reason: failed?.message,
       tokens: prompt?.promptTokens,
+      after_stop: this.millisecondsAfterStop(summary.startedAt),
       first: Math.round(summary.firstByteMilliseconds),
       pause: Math.round(summary.longestPauseMilliseconds),
       total: Math.round(this.options.clock.monotonic() - summary.startedAt)
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -40,6 +40,9 @@
  */
 const exitMarginMilliseconds = 500
 
+/** Time for which a stop waits until its log lines are written, in milliseconds. */
+const logDrainMilliseconds = 100
+
 /**
  * Factor on the retry ratio of the settings; the margin keeps the retries in a window within the owners' bound even when
  * retries arrive late.
@@ -183,7 +186,6 @@
     const requests = new RequestManager(requestManagerOptions({
       clock, events, upstreams, budget, policy, placer: placement.placer
     }))
-    const state = { stopping: false }
     const loopDelay = new EventLoopDelay(clock)
     loopDelay.start(error => events.error('event_loop_delay_ended', { reason: String(error) }))
     metrics.gauge('event_loop_delay_milliseconds', 'Average delay of the event loop.', [], gauge => {
@@ -197,7 +199,6 @@
       events,
       hash,
       metrics: new RequestMetrics(metrics),
-      isStopping: () => state.stopping,
       eventLoopDelay: () => loopDelay.milliseconds
     })
     metrics.gauge('log_lines_dropped_total', 'Log lines for which the reader was too slow.', [], gauge => {
@@ -207,7 +208,6 @@
     const host = new PlatformHost(
       settings, clock, events, lines, metrics, directory, [configurationFollower, workerFollower], upstreams, requests,
       listener, lease, budget, placement, loopDelay)
-    host.markStopping = () => { state.stopping = true }
     directory.onChange(() => {
       const limits = directory.routes?.configuration.limits
       if (limits !== undefined) listener.configure(limits)
@@ -215,9 +215,6 @@
     return host
   }
 
-  /** Tells the listener that the host is stopping; set by `create`. */
-  private markStopping = (): void => {}
-
   /** True if the load balancer should send requests to this host. */
   get isReady (): boolean {
     return this.stopping === undefined && this.directory.isComplete
@@ -292,23 +289,37 @@
   }
 
   private async stopOnce (): Promise<boolean> {
-    const { clock, events } = this
-    this.markStopping()
-    events.info('stop_started', { open: this.requests.view().length })
+    const { clock } = this
+    this.listener.startStop()
+    this.logStop('stop_started')
     const dutyEnded = this.rolePlannerTask.stop().then(() => this.lease.stop())
     const limitMilliseconds = this.settings.bounds.graceSeconds * 1000 - exitMarginMilliseconds
     const timeout = new AbortController()
     const timedOut = clock.sleep(limitMilliseconds, timeout.signal).then(() => false)
     const finished = await Promise.race([Promise.all([this.drainRequests(), dutyEnded]).then(() => true), timedOut])
     timeout.abort()
-    events.info('stop_ended', { complete: finished, open: this.requests.view().length })
-    this.lines.flush()
+    this.logStop('stop_ended', finished)
+    await Promise.race([this.lines.drain(), clock.sleep(logDrainMilliseconds)])
     return finished
   }
 
+  private logStop (event: string, complete?: boolean): void {
+    const { connections, idle, unused, lateRequests, lastRequestMilliseconds } = this.listener.stopSummary
+    this.events.info(event, {
+      complete,
+      open: this.requests.view().length,
+      connections,
+      idle,
+      unused,
+      late: lateRequests,
+      last_request: lastRequestMilliseconds
+    })
+  }
+
   private async drainRequests (): Promise<void> {
     await this.clock.sleep(listenAfterStopMilliseconds)
     const closed = this.listener.close()
+    this.logStop('listener_closed')
     await this.requests.drain()
     await closed
   }
