Close each caller's connection after its last response in a stop

The listener asked Node once, 3 s after SIGTERM, to close idle connections. A connection whose response was sent with keep-alive before the stop and ends later, and a connection on which nothing was sent yet, are not idle for Node: both stayed open for the operators' idle timeout, took requests until the process exited, and cut what was still open then. The exit also waited for them.

GracefulServer tracks the open requests of each connection. Once the listener closes, it closes connections without an open request, and each other one as soon as its response has been sent.

Ruled out: a shorter keep-alive timeout, which would also close connections that callers may still use before the listener closes; a second call of closeIdleConnections, which does not cover new connections.

Both cases of the new test failed before: the late request was taken and answered with 200 after the listener had closed. The tests of the platform host and the listener pass.

--- a/src/entry/GracefulServer.ts
+++ b/src/entry/GracefulServer.ts
@@ -1,5 +1,6 @@
 /**
- * HTTP server that knows which of its connections carry an open request.
+ * HTTP server that closes gracefully: each connection closes as soon as it carries no open request. Node alone keeps a
+ * connection that is new, or whose response announced `keep-alive`, for its whole keep-alive timeout.
  */
 import { type IncomingMessage, Server, type ServerOptions, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
@@ -23,6 +24,8 @@
 /** Tracks the connections and the requests that are open on them. */
 export class GracefulServer extends Server {
   private readonly tracked = new Map<Socket, TrackedConnection>()
+  private closing: Promise<void> | undefined
+  private closesIdleConnections = false
 
   constructor (options: ServerOptions, handler?: (message: IncomingMessage, response: ServerResponse) => void) {
     super(options)
@@ -41,6 +44,29 @@
     }
   }
 
+  /**
+   * Stops accepting connections, closes the idle ones now and each other one after its open requests, and resolves when
+   * all have closed.
+   */
+  closeGracefully (): Promise<void> {
+    this.closing ??= this.closeOnce()
+    return this.closing
+  }
+
+  private async closeOnce (): Promise<void> {
+    const closed = new Promise<void>(resolve => this.close(() => resolve()))
+    // Requests that have already arrived are read in the next turn of the event loop.
+    await new Promise(resolve => setImmediate(resolve))
+    await new Promise(resolve => setImmediate(resolve))
+    this.closesIdleConnections = true
+    for (const socket of this.tracked.keys()) this.closeIfIdle(socket)
+    await closed
+  }
+
+  private closeIfIdle (socket: Socket): void {
+    if (this.closesIdleConnections && this.tracked.get(socket)?.responses.size === 0) socket.destroySoon()
+  }
+
   private track (socket: Socket): void {
     this.tracked.set(socket, { responses: new Set(), isUnused: true })
     socket.once('close', () => this.tracked.delete(socket))
@@ -51,6 +77,9 @@
     if (connection === undefined) return
     connection.isUnused = false
     connection.responses.add(response)
-    response.once('close', () => connection.responses.delete(response))
+    response.once('close', () => {
+      connection.responses.delete(response)
+      this.closeIfIdle(socket)
+    })
   }
 }
--- a/src/platform/CallerListener.ts
+++ b/src/platform/CallerListener.ts
@@ -144,13 +144,10 @@
     return { ...this.server.connectionCounts(), lateRequests, lastRequestMilliseconds }
   }
 
-  /** Stops accepting connections and resolves when the open ones have ended. */
+  /** Stops accepting connections, closes each open one after its open requests, and resolves when all have closed. */
   async close (): Promise<void> {
     this.isClosed = true
-    await new Promise<void>(resolve => {
-      this.server.close(() => { resolve() })
-      this.server.closeIdleConnections()
-    })
+    await this.server.closeGracefully()
   }
 
   /** Closes the listener and all connections at once. */
--- a/src/platform/PlatformHost.test.ts
+++ b/src/platform/PlatformHost.test.ts
@@ -28,6 +28,18 @@
   return workers.reduce((sum, { requests }) => sum + requests.length, 0)
 }
 
+function streamHead (request: ReceivedRequest, worker: FakeWorker): string {
+  return `HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\ndogwooddale-request-id: ${request.headers['dogwooddale-request-id']}\r\ndogwooddale-server-stamp: ${worker.id}\r\n\r\n`
+}
+
+function streamChunk (text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`
+}
+
+function streamEvent (id: number): string {
+  return `id: ${id}\ndata: piece-${id}\n\n`
+}
+
 describe('a request', () => {
   test('reaches a worker unchanged, except for hop-by-hop fields and fields that only the system may set', async () => {
     const { app } = await start({ appWorkers: 1 })
@@ -215,19 +227,14 @@
 })
 
 describe('a stream', () => {
-  const streamHead = (request: ReceivedRequest, worker: FakeWorker): string =>
-    `HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\ndogwooddale-request-id: ${request.headers['dogwooddale-request-id']}\r\ndogwooddale-server-stamp: ${worker.id}\r\n\r\n`
-  const chunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`
-  const event = (id: number): string => `id: ${id}\ndata: piece-${id}\n\n`
-
   test('that is cut inside an event is resumed by another worker after the last complete event', async () => {
     const { models } = await start()
     const lastEventIds: Array<string | undefined> = []
     for (const worker of models) {
       worker.onRequest = request => {
         lastEventIds.push(request.headers['last-event-id'])
-        if (lastEventIds.length === 1) request.socket.write(streamHead(request, worker) + chunk(event(1)) + chunk(event(2) + 'id: 3\nda'), () => request.socket.destroy())
-        else request.socket.write(streamHead(request, worker) + chunk(event(3)) + chunk(event(4)) + '0\r\n\r\n')
+        if (lastEventIds.length === 1) request.socket.write(streamHead(request, worker) + streamChunk(streamEvent(1)) + streamChunk(streamEvent(2) + 'id: 3\nda'), () => request.socket.destroy())
+        else request.socket.write(streamHead(request, worker) + streamChunk(streamEvent(3)) + streamChunk(streamEvent(4)) + '0\r\n\r\n')
       }
     }
     const client = await connectCaller()
@@ -241,7 +248,7 @@
     const { models } = await start()
     for (const worker of models) {
       worker.onRequest = request => {
-        request.socket.write(streamHead(request, worker) + chunk(event(1)), () => request.socket.destroy())
+        request.socket.write(streamHead(request, worker) + streamChunk(streamEvent(1)), () => request.socket.destroy())
       }
     }
     const client = await connectCaller()
@@ -257,7 +264,7 @@
     let workerClosed = false
     models[0]!.onRequest = request => {
       request.socket.on('close', () => { workerClosed = true })
-      request.socket.write(streamHead(request, models[0]!) + chunk(event(1)))
+      request.socket.write(streamHead(request, models[0]!) + streamChunk(streamEvent(1)))
     }
     const client = await connectCaller()
     client.send('POST', path, requestHeaders('r1'), 'post')
@@ -333,6 +340,46 @@
     expect(await slow.readResponse()).toMatchObject({ status: 200, body: 'slow but whole' })
     expect(await stopped).toBe(true)
   })
+
+  /** Opens a connection as it is when the listener closes; `complete` ends its open request. */
+  type LastingConnection = (worker: FakeWorker) => Promise<{ caller: RawCaller, complete: () => Promise<void> }>
+
+  const lastingConnections: Array<[string, LastingConnection]> = [
+    ['that was never used', async () => ({ caller: await connectCaller(), complete: async () => {} })],
+    ['with a stream whose head was sent before the stop', async worker => {
+      worker.onRequest = request => { request.socket.write(streamHead(request, worker) + streamChunk(streamEvent(1))) }
+      const caller = await connectCaller()
+      caller.send('POST', '/tags/1', requestHeaders('stream'), 'post')
+      await waitUntil(() => caller.received.includes('piece-1'))
+      return {
+        caller,
+        complete: async () => {
+          worker.requests[0]!.socket.write('0\r\n\r\n')
+          worker.onRequest = request => { request.socket.write(worker.responseTo(request, 'late')) }
+          expect(await caller.readResponse()).toMatchObject({ status: 200, headers: { connection: 'keep-alive' } })
+        }
+      }
+    }]
+  ]
+
+  // Guards against connections that stay usable after the listener has closed, so that a request on them is cut by the exit.
+  test.each(lastingConnections)('closes a connection %s without taking another request on it', async (_name, open) => {
+    const clock = new ManualClock()
+    const { host, models } = await start({ clock, modelWorkers: 1 })
+    const { caller, complete } = await open(models[0]!)
+    const idle = await connectCaller()
+    idle.send('GET', '/reads/1', requestHeaders('idle'))
+    await idle.readResponse()
+    const countBefore = countRequests(models)
+    const stopped = host.stop()
+    await clock.advance(3000)
+    await waitUntil(() => idle.closed)
+    await complete()
+    caller.send('POST', '/tags/2', requestHeaders('late'), 'post')
+    await expect(caller.readResponse()).rejects.toThrow('closed')
+    expect(countRequests(models)).toBe(countBefore)
+    expect(await stopped).toBe(true)
+  })
 })
 
 describe('a prompt that a prefill worker computes', () => {
