Refuse requests that are complete only after the listener has closed

A request whose body arrived after the listener had closed was still passed on to a worker, with as much time as its caller allowed, although the process exits soon after. The listener now checks right before it forwards a request whether it has closed, and then answers 503 as not run, with retry-after and connection: close; nothing is sent to a worker. The body is read first, so that the answer is not lost by a reset of the connection.

Ruled out: a check when the head arrives, which leaves out requests whose body is still being sent.

--- a/src/platform/CallerListener.test.ts
+++ b/src/platform/CallerListener.test.ts
@@ -1,31 +1,43 @@
 /**
  * Guards against a host whose processor is used up that takes on more requests than it can forward, and that sends
- * requests on whose callers have already left.
+ * requests on whose callers have already left, and against a stop that takes requests it cannot finish.
  */
-import { afterEach, expect, test } from '@jest/globals'
+import { afterEach, describe, expect, test } from '@jest/globals'
 import { Result } from 'true-myth'
-import { failure, loadHash, SystemClock } from '../common/index.js'
-import type { RequestManager, ServiceRequest } from '../forwarding/index.js'
-import { Metrics } from '../observability/index.js'
-import { discardingEventLog } from '../streams/testSupport.js'
+import { type Failure, failure, loadHash, SystemClock } from '../common/index.js'
+import type { RequestManager, ServiceRequest, ServiceResponse } from '../forwarding/index.js'
+import { EventLog, HybridClock, Metrics, Timeline } from '../observability/index.js'
 import { CallerListener } from './CallerListener.js'
 import { RequestMetrics } from './RequestMetrics.js'
 import { decodeRouteConfiguration, RouteTable } from './RouteConfiguration.js'
-import { configurationDocument, RawCaller, requestHeaders } from './testing/platformTestSupport.js'
+import { configurationDocument, RawCaller, requestHeaders, waitUntil } from './testing/platformTestSupport.js'
 
 let listener: CallerListener | undefined
 
 afterEach(async () => { await listener?.closeAll() })
 
-/** Starts a listener whose event loop is late by the given time; returns the requests that it forwards. */
-async function start (delayMilliseconds: number): Promise<{ caller: RawCaller, forwarded: ServiceRequest[] }> {
+type Run = () => Promise<Result<ServiceResponse, Failure>>
+
+const refused: Run = async () => Result.err(failure('not_run', 'no worker'))
+
+interface ListenerTest {
+  caller: RawCaller
+  /** Requests that the listener forwarded. */
+  forwarded: ServiceRequest[]
+  /** Log lines of the listener. */
+  lines: string[]
+}
+
+/** Starts a listener whose event loop is late by the given time and whose requests end as `run` says. */
+async function start (delayMilliseconds: number, run: Run = refused): Promise<ListenerTest> {
   const clock = new SystemClock()
+  const lines: string[] = []
   const forwarded: ServiceRequest[] = []
   const requests = {
     begin: () => () => {},
     serviceCall: (request: ServiceRequest) => {
       forwarded.push(request)
-      return { attempts: 0, worker: undefined, run: async () => Result.err(failure('not_run', 'no worker')) }
+      return { attempts: 0, worker: undefined, run }
     }
   } as unknown as RequestManager
   const configuration = decodeRouteConfiguration(Buffer.from(JSON.stringify(configurationDocument(1))))
@@ -35,13 +47,17 @@
     routes: () => routes,
     requests,
     clock,
-    events: discardingEventLog(clock),
+    events: new EventLog({
+      timeline: new Timeline('test', new HybridClock(clock)),
+      level: 'info',
+      write: line => { lines.push(line) }
+    }),
     hash: await loadHash(),
     metrics: new RequestMetrics(new Metrics()),
     eventLoopDelay: () => delayMilliseconds
   })
   await listener.listen()
-  return { caller: await RawCaller.connect(listener.address), forwarded }
+  return { caller: await RawCaller.connect(listener.address), forwarded, lines }
 }
 
 test.each([
@@ -64,3 +80,24 @@
   await next.readResponse()
   expect(forwarded.map(({ requestId }) => requestId as string)).toEqual(['r2'])
 })
+
+describe('a listener that closes', () => {
+  // Guards against requests that are passed on to a worker although the listener has closed.
+  test.each([
+    ['the rest of its body', 'content-length: 4\r\n\r\nye', 's!'],
+    ['a chunk of its body', 'transfer-encoding: chunked\r\n\r\n', '4\r\nyes!\r\n0\r\n\r\n']
+  ])('refuses a request, as not run, if %s arrives afterwards', async (_name, firstPart, rest) => {
+    const { caller, forwarded, lines } = await start(0)
+    caller.socket.write(`POST /votes/1 HTTP/1.1\r\nhost: forum.example\r\ndogwooddale-request-id: r1\r\n${firstPart}`)
+    await waitUntil(() => listener!.stopSummary.idle === 0)
+    listener!.startStop()
+    const closed = listener!.close()
+    caller.socket.write(rest)
+    expect(await caller.readResponse()).toMatchObject({
+      status: 503, headers: { connection: 'close', 'retry-after': expect.any(String) }
+    })
+    await closed
+    expect(forwarded).toEqual([])
+    expect(lines.filter(line => /event=request_refused .*kind=draining/.test(line))).toHaveLength(1)
+  })
+})
--- a/src/platform/CallerListener.ts
+++ b/src/platform/CallerListener.ts
@@ -168,6 +168,7 @@
     if (body.isErr) return this.refuse(message, response, body.error, startedAt)
     if (this.options.eventLoopDelay() > busyEventLoopDelayMilliseconds) await pendingEvents()
     if (callerDisconnect.aborted) return
+    if (this.isClosed) return this.refuse(message, response, failure('draining', 'the host is stopping'), startedAt)
     const { route, call: head } = decoded.value
     const call = this.options.requests.serviceCall({ ...head, body: body.value })
     const endRequest = this.options.requests.begin({ requestId: head.requestId, kind: 'service' })
