Send ended responses completely when the listener closes

For Node a connection is idle once its response has been ended, even while bytes of it wait for a caller that reads slowly. Both server.close and closeIdleConnections destroy such connections, so a long response was cut at the close of the listener. GracefulServer closes connections itself after their responses have been sent; it turns Node's method off, which close calls first.

Ruled out: process.exit as the cause of cut responses; the stop waits until all connections have closed, and by then the system has their bytes.

--- a/src/entry/GracefulServer.ts
+++ b/src/entry/GracefulServer.ts
@@ -53,6 +53,12 @@
     return this.closing
   }
 
+  /**
+   * Does nothing: `close` calls it, and Node's method would destroy connections whose response has been ended but not
+   * sent completely.
+   */
+  override closeIdleConnections (): void {}
+
   private async closeOnce (): Promise<void> {
     const closed = new Promise<void>(resolve => this.close(() => resolve()))
     // Requests that have already arrived are read in the next turn of the event loop.
--- a/src/platform/CallerListener.test.ts
+++ b/src/platform/CallerListener.test.ts
@@ -100,4 +100,25 @@
     expect(forwarded).toEqual([])
     expect(lines.filter(line => /event=request_refused .*kind=draining/.test(line))).toHaveLength(1)
   })
+
+  // Guards against responses that are cut because they had been ended, but not sent completely, when the listener closed.
+  test('sends a response completely to a caller that reads slowly', async () => {
+    const body = Buffer.alloc(40_000_000, 'x')
+    const { caller } = await start(0, async () => Result.ok({ status: 200, headers: {}, body, remainingBody: undefined }))
+    caller.send('POST', '/votes/1', requestHeaders('r1'), 'yes')
+    let received = 0
+    // The first bytes show that the response has been ended; the caller then reads nothing until the listener closes.
+    await new Promise<void>(resolve => caller.socket.once('data', bytes => {
+      received = bytes.length
+      caller.socket.pause()
+      resolve()
+    }))
+    caller.socket.removeAllListeners('data')
+    const closed = listener!.close()
+    caller.socket.on('data', bytes => { received += bytes.length })
+    caller.socket.resume()
+    await closed
+    await waitUntil(() => caller.closed)
+    expect(received).toBeGreaterThan(body.length)
+  })
 })
