Answer or leave unread the pipelined requests of a stopping host

From SIGTERM each response announces the close of its connection, and Node closes it after that response. A request that a caller had pipelined behind it was passed on to a worker all the same and never got a response. Now only the response to the latest request of a connection announces the close, so all requests before it are answered; a request that arrives after the announcement is not passed on, with a log line.

Ruled out: leaving the header out for pipelined connections only while the listener is open, since each response must end its connection afterwards too.

--- a/src/entry/GracefulServer.ts
+++ b/src/entry/GracefulServer.ts
@@ -19,6 +19,8 @@
   /** Responses that have not been sent completely, oldest first. */
   responses: Set<ServerResponse>
   isUnused: boolean
+  /** The response that announces the close of the connection; no later one can be sent. */
+  lastResponse?: ServerResponse
 }
 
 /** Tracks the connections and the requests that are open on them. */
@@ -44,6 +46,23 @@
     }
   }
 
+  /**
+   * Announces in the head of a response that its connection closes, unless a later request is open on the connection:
+   * that one's response can only be sent if the connection stays open.
+   */
+  announceClose (response: ServerResponse): void {
+    const connection = this.connectionOf(response)
+    if (connection === undefined || [...connection.responses].at(-1) !== response) return
+    connection.lastResponse = response
+    response.setHeader('connection', 'close')
+  }
+
+  /** False if the connection closes after an earlier response, so that this response can never be sent. */
+  canRespond (response: ServerResponse): boolean {
+    const last = this.connectionOf(response)?.lastResponse
+    return last === undefined || last === response
+  }
+
   /**
    * Stops accepting connections, closes the idle ones now and each other one after its open requests, and resolves when
    * all have closed.
@@ -73,6 +92,10 @@
     if (this.closesIdleConnections && this.tracked.get(socket)?.responses.size === 0) socket.destroySoon()
   }
 
+  private connectionOf ({ req: { socket } }: ServerResponse): TrackedConnection | undefined {
+    return this.tracked.get(socket)
+  }
+
   private track (socket: Socket): void {
     this.tracked.set(socket, { responses: new Set(), isUnused: true })
     socket.once('close', () => this.tracked.delete(socket))
--- a/src/platform/CallerListener.test.ts
+++ b/src/platform/CallerListener.test.ts
@@ -16,7 +16,7 @@
 
 afterEach(async () => { await listener?.closeAll() })
 
-type Run = () => Promise<Result<ServiceResponse, Failure>>
+type Run = (request: ServiceRequest, forwarded: ServiceRequest[]) => Promise<Result<ServiceResponse, Failure>>
 
 const refused: Run = async () => Result.err(failure('not_run', 'no worker'))
 
@@ -37,7 +37,7 @@
     begin: () => () => {},
     serviceCall: (request: ServiceRequest) => {
       forwarded.push(request)
-      return { attempts: 0, worker: undefined, run }
+      return { attempts: 0, worker: undefined, run: async () => await run(request, forwarded) }
     }
   } as unknown as RequestManager
   const configuration = decodeRouteConfiguration(Buffer.from(JSON.stringify(configurationDocument(1))))
@@ -81,6 +81,54 @@
   expect(forwarded.map(({ requestId }) => requestId as string)).toEqual(['r2'])
 })
 
+/** A complete response with the request's id as the body. */
+function answerTo ({ requestId }: ServiceRequest): Result<ServiceResponse, Failure> {
+  return Result.ok({ status: 200, headers: {}, body: Buffer.from(requestId), remainingBody: undefined })
+}
+
+describe('during a stop', () => {
+  // Guards against pipelined requests that are passed on although the connection closes after an earlier response.
+  test.each([['first', 'r1'], ['second', 'r2']])('answers two pipelined requests of which the %s ends first', async (_name, firstToEnd) => {
+    let finishOther = (): void => {}
+    const otherMayEnd = new Promise<void>(resolve => { finishOther = resolve })
+    const { caller, forwarded } = await start(0, async (request, forwarded) => {
+      await waitUntil(() => forwarded.length === 2)
+      if (request.requestId !== firstToEnd) await otherMayEnd
+      return answerTo(request)
+    })
+    listener!.startStop()
+    caller.send('POST', '/votes/1', requestHeaders('r1'), 'yes')
+    caller.send('POST', '/votes/2', requestHeaders('r2'), 'yes')
+    await waitUntil(() => forwarded.length === 2)
+    await new Promise(resolve => setImmediate(resolve))
+    finishOther()
+    expect(await caller.readResponse()).toMatchObject({ body: 'r1', headers: { connection: 'keep-alive' } })
+    expect(await caller.readResponse()).toMatchObject({ body: 'r2', headers: { connection: 'close' } })
+  })
+
+  test('passes no request on that arrives behind a response which announced that the connection closes', async () => {
+    let finish = (): void => {}
+    const finished = new Promise<void>(resolve => { finish = resolve })
+    async function * stream (): AsyncGenerator<Buffer> {
+      yield Buffer.from('piece')
+      await finished
+    }
+    const { caller, forwarded } = await start(0, async request => request.requestId === 'r1'
+      ? Result.ok({ status: 200, headers: {}, body: Buffer.alloc(0), remainingBody: stream() })
+      : answerTo(request))
+    listener!.startStop()
+    caller.send('POST', '/tags/1', requestHeaders('r1'), 'post')
+    await waitUntil(() => caller.received.includes('piece'))
+    caller.send('POST', '/tags/2', requestHeaders('r2'), 'post')
+    const other = await RawCaller.connect(listener!.address)
+    other.send('POST', '/votes/1', requestHeaders('r3'), 'yes')
+    await other.readResponse()
+    finish()
+    await waitUntil(() => caller.closed)
+    expect(forwarded.map(({ requestId }) => requestId as string)).toEqual(['r1', 'r3'])
+  })
+})
+
 describe('a listener that closes', () => {
   // Guards against requests that are passed on to a worker although the listener has closed.
   test.each([
--- a/src/platform/CallerListener.ts
+++ b/src/platform/CallerListener.ts
@@ -161,6 +161,11 @@
     const { clock, metrics } = this.options
     const startedAt = clock.monotonic()
     this.countRequestOfStop(startedAt)
+    if (!this.server.canRespond(response)) {
+      // The caller sends it again, since it was told that the connection closes.
+      this.options.events.info('request_ignored', { request: String(message.headers[headerNames.requestId] ?? '') })
+      return
+    }
     const callerDisconnect = disconnectSignal(message, response)
     const decoded = this.admit().andThen(() => this.decode(message, startedAt))
     if (decoded.isErr) return this.refuse(message, response, decoded.error, startedAt)
@@ -281,7 +286,7 @@
   }
 
   private closeConnectionIfStopping (response: ServerResponse): void {
-    if (this.stoppingSince !== undefined) response.setHeader('connection', 'close')
+    if (this.stoppingSince !== undefined) this.server.announceClose(response)
   }
 
   private logEnd (
