Answer the open requests of a host before it exits

At the end of a stop the process exited with requests open: those that waited for a prompt worker or at a worker ended with a closed connection, without an answer and without a log line. 250 ms before the exit, requests whose response has not begun are now interrupted and answered: 503 with retry-after if it is certain that no worker runs them, 502 otherwise. Calls that are idempotent or streamed stop at their workers; a call that may run once goes on, so it is answered 502 even if no worker was seen to receive it. Streams go on until the exit, which closes their connections without the final chunk, with a log line each.

Ruled out: an earlier limit for workers that are silent, since they may still answer.

Failed before: the four silent workers of PlatformHost.test.ts (no answer received) and its stream (its connection stayed open). The four cases of CallerListener.test.ts fail when the requests are not interrupted. The tests of the listener and the platform host pass.

--- a/src/platform/CallerListener.test.ts
+++ b/src/platform/CallerListener.test.ts
@@ -16,7 +16,9 @@
 
 afterEach(async () => { await listener?.closeAll() })
 
-type Run = (request: ServiceRequest, forwarded: ServiceRequest[]) => Promise<Result<ServiceResponse, Failure>>
+type Outcome = Result<ServiceResponse, Failure>
+
+type Run = (request: ServiceRequest, forwarded: ServiceRequest[], signal: AbortSignal) => Promise<Outcome>
 
 const refused: Run = async () => Result.err(failure('not_run', 'no worker'))
 
@@ -37,7 +39,7 @@
     begin: () => () => {},
     serviceCall: (request: ServiceRequest) => {
       forwarded.push(request)
-      return { attempts: 0, worker: undefined, run: async () => await run(request, forwarded) }
+      return { attempts: 0, worker: undefined, run: async (signal: AbortSignal) => await run(request, forwarded, signal) }
     }
   } as unknown as RequestManager
   const configuration = decodeRouteConfiguration(Buffer.from(JSON.stringify(configurationDocument(1))))
@@ -170,3 +172,35 @@
     expect(received).toBeGreaterThan(body.length)
   })
 })
+
+describe('when the process exits soon', () => {
+  const untilAborted = async (signal: AbortSignal): Promise<void> => await new Promise(resolve => signal.addEventListener('abort', () => resolve()))
+
+  const openRequests: Array<[string, string, string, Run, number]> = [
+    ['that no worker has received', '/reads/1', 'yes', async (_request, _forwarded, signal) => {
+      await untilAborted(signal)
+      return Result.err(failure('not_run', 'not sent'))
+    }, 503],
+    ['at a worker that may run it again', '/reads/1', 'yes', async (_request, _forwarded, signal) => {
+      await untilAborted(signal)
+      return Result.err(failure('cancelled', 'the caller disconnected'))
+    }, 502],
+    ['at a worker that may run it once', '/votes/1', 'yes', async () => await new Promise(() => {}), 502],
+    ['whose body is incomplete', '/votes/1', 'ye', refused, 503]
+  ]
+
+  // Guards against requests that end without an answer, because the process exits while they are open.
+  test.each(openRequests)('a request %s receives a final answer', async (_name, path, body, run, status) => {
+    const { caller, forwarded } = await start(0, run)
+    caller.send('POST', path, requestHeaders('r1', { 'content-length': '3' }), undefined)
+    caller.socket.write(body)
+    await waitUntil(() => listener!.stopSummary.idle === 0 && (body.length < 3 || forwarded.length === 1))
+    listener!.startStop()
+    const closed = listener!.close()
+    expect(listener!.answerOpenRequests()).toBe(1)
+    const response = await caller.readResponse()
+    expect(response).toMatchObject({ status, headers: { connection: 'close' } })
+    expect(response.headers['retry-after'] !== undefined).toBe(status === 503)
+    await closed
+  })
+})
--- a/src/platform/CallerListener.ts
+++ b/src/platform/CallerListener.ts
@@ -11,6 +11,7 @@
 import type { EventLog } from '../observability/index.js'
 import { decodeRequest, type DecodedRequest } from './decodeRequest.js'
 import type { CallerLimits, RouteTable } from './RouteConfiguration.js'
+import { type InterruptionCause, RequestInterruption } from './RequestInterruption.js'
 import type { RequestMetrics } from './RequestMetrics.js'
 import { headerNames } from './WorkerProtocol.js'
 
@@ -70,8 +71,8 @@
   startedAt: number
   firstByteMilliseconds: number
   longestPauseMilliseconds: number
-  /** True if the caller disconnected before the response was complete. */
-  callerDisconnected: boolean
+  /** Reason for which the response was not completed, if there is one. */
+  interruption: InterruptionCause | undefined
 }
 
 /** What a stop left open or took on late. */
@@ -89,6 +90,10 @@
   /** Monotonic time in milliseconds of the start of the stop. */
   private stoppingSince: number | undefined
   private isClosed = false
+  /** Requests whose response has not begun. */
+  private readonly unanswered = new Set<RequestInterruption>()
+  /** Requests whose response has begun. */
+  private readonly answered = new Set<RequestInterruption>()
   private lateRequests = 0
   private lastRequestMilliseconds: number | undefined
 
@@ -150,8 +155,19 @@
     await this.server.closeGracefully()
   }
 
+  /**
+   * Ends the requests whose response has not begun with a final answer: `draining` if it is certain that no worker runs
+   * them, and `outcome_unknown` otherwise. Returns their number.
+   */
+  answerOpenRequests (): number {
+    const requests = [...this.unanswered]
+    for (const interruption of requests) interruption.interrupt('host_stopped')
+    return requests.length
+  }
+
   /** Closes the listener and all connections at once. */
   async closeAll (): Promise<void> {
+    for (const interruption of [...this.unanswered, ...this.answered]) interruption.interrupt('host_stopped')
     const closed = this.close()
     this.server.closeAllConnections()
     await closed
@@ -166,19 +182,22 @@
       this.options.events.info('request_ignored', { request: String(message.headers[headerNames.requestId] ?? '') })
       return
     }
-    const callerDisconnect = disconnectSignal(message, response)
+    const interruption = this.track(message, response)
     const decoded = this.admit().andThen(() => this.decode(message, startedAt))
     if (decoded.isErr) return this.refuse(message, response, decoded.error, startedAt)
-    const body = await readBody(message, this.limits?.maxBodyBytes ?? Infinity)
+    const bodyRead = readBody(message, this.limits?.maxBodyBytes ?? Infinity)
+    const body = await interruption.unlessHostStops(bodyRead, () => Result.err(refusalOfStop))
     if (body.isErr) return this.refuse(message, response, body.error, startedAt)
     if (this.options.eventLoopDelay() > busyEventLoopDelayMilliseconds) await pendingEvents()
-    if (callerDisconnect.aborted) return
-    if (this.isClosed) return this.refuse(message, response, failure('draining', 'the host is stopping'), startedAt)
+    if (interruption.cause === 'caller_disconnected') return
+    if (this.isClosed) return this.refuse(message, response, refusalOfStop, startedAt)
     const { route, call: head } = decoded.value
     const call = this.options.requests.serviceCall({ ...head, body: body.value })
     const endRequest = this.options.requests.begin({ requestId: head.requestId, kind: 'service' })
     try {
-      const result = await call.run(callerDisconnect)
+      const result = await this.runCall(call, head, interruption)
+      this.unanswered.delete(interruption)
+      this.answered.add(interruption)
       const timing = new ResponseTiming(clock)
       const outcome = result.isOk
         ? await this.sendResponse(response, result.value, timing)
@@ -186,15 +205,37 @@
       const firstByteMilliseconds = timing.firstByteAt - startedAt
       metrics.recordResponse(route.name, head.pool, outcome, firstByteMilliseconds)
       const { longestPauseMilliseconds } = timing
-      const callerDisconnected = callerDisconnect.aborted
       this.logEnd(decoded.value, call, {
-        outcome, result, startedAt, firstByteMilliseconds, longestPauseMilliseconds, callerDisconnected
+        outcome, result, startedAt, firstByteMilliseconds, longestPauseMilliseconds, interruption: interruption.cause
       })
     } finally {
       endRequest()
     }
   }
 
+  /** Records a request as open until its response is complete or its connection has closed. */
+  private track (message: IncomingMessage, response: ServerResponse): RequestInterruption {
+    const interruption = new RequestInterruption(message, response)
+    this.unanswered.add(interruption)
+    response.once('close', () => {
+      this.unanswered.delete(interruption)
+      this.answered.delete(interruption)
+    })
+    return interruption
+  }
+
+  private async runCall (
+    call: ServiceCall,
+    { idempotent, delivery }: DecodedRequest['call'],
+    interruption: RequestInterruption
+  ): Promise<Result<ServiceResponse, Failure>> {
+    const ran = call.run(interruption.signal)
+    // Any other call goes on when its signal aborts, and may still be sent to a worker.
+    const endsWhenAborted = idempotent || delivery === 'stream'
+    const result = await (endsWhenAborted ? ran : interruption.unlessHostStops(ran, () => Result.err(unknownOutcomeOfStop)))
+    return interruption.cause === 'host_stopped' ? result.mapErr(failureOfStop) : result
+  }
+
   private countRequestOfStop (now: number): void {
     const { stoppingSince } = this
     if (stoppingSince === undefined) return
@@ -294,6 +335,7 @@
     call: ServiceCall,
     summary: RequestSummary
   ): void {
+    const { outcome, interruption } = summary
     const failed = summary.result.isErr ? summary.result.error : undefined
     this.options.events.info('request_ended', {
       request: requestId,
@@ -302,9 +344,9 @@
       version: this.options.routes()?.configuration.version,
       worker: call.worker,
       attempts: call.attempts,
-      outcome: summary.callerDisconnected && summary.outcome !== '200' ? 'left' : summary.outcome,
+      outcome: interruption === 'caller_disconnected' && outcome !== '200' ? 'left' : outcome,
       kind: failed?.kind,
-      reason: failed?.message,
+      reason: failed?.message ?? (interruption === 'host_stopped' ? 'the process exits' : undefined),
       tokens: prompt?.promptTokens,
       after_stop: this.millisecondsAfterStop(summary.startedAt),
       first: Math.round(summary.firstByteMilliseconds),
@@ -341,19 +383,13 @@
   }
 }
 
-/**
- * Signal that aborts when the caller closes the connection before the response is complete. The end of the caller's side
- * counts as the close: Node then ends the connection, but reports its close only in a later turn of the event loop.
- */
-function disconnectSignal ({ socket }: IncomingMessage, response: ServerResponse): AbortSignal {
-  const disconnected = new AbortController()
-  const disconnect = (): void => { if (!response.writableFinished) disconnected.abort() }
-  socket.once('end', disconnect)
-  response.once('close', () => {
-    socket.off('end', disconnect)
-    disconnect()
-  })
-  return disconnected.signal
+const unknownOutcomeOfStop = failure('outcome_unknown', 'the host stops before the worker has answered')
+
+const refusalOfStop = failure('draining', 'the host stops before a worker has received the request')
+
+/** The failure of a call that a stop has ended. */
+function failureOfStop (failed: Failure): Failure {
+  return errorResponses[failed.kind].notRun ? refusalOfStop : unknownOutcomeOfStop
 }
 
 /** Time after which a caller should come back, in seconds: that of the failure if it states one, at least the usual one. */
--- a/src/platform/PlatformHost.test.ts
+++ b/src/platform/PlatformHost.test.ts
@@ -380,6 +380,46 @@
     expect(countRequests(models)).toBe(countBefore)
     expect(await stopped).toBe(true)
   })
+
+  // Guards against requests that are cut without an answer by the exit at the end of the grace period.
+  test.each([
+    ['GET', '/reads/1', /^HTTP\/1.1 50[24] /],
+    ['POST', '/votes/1', /^HTTP\/1.1 502 /],
+    ['POST', '/tags/1', /^HTTP\/1.1 502 /],
+    ['POST', '/answers/1', /^HTTP\/1.1 50[24] /]
+  ])('answers %s %s before the exit, although the worker is silent', async (method, path, answer) => {
+    const clock = new ManualClock()
+    const { host, app, models } = await start({ clock, appWorkers: 1, modelWorkers: 1 })
+    for (const worker of [...app, ...models]) worker.onRequest = () => {}
+    const stopped = host.stop()
+    await clock.advance(2900)
+    const caller = await connectCaller()
+    caller.send(method, path, requestHeaders('r1', { 'dogwooddale-deadline-ms': '20000' }), method === 'GET' ? undefined : 'body')
+    await waitUntil(() => countRequests([...app, ...models]) === 1)
+    await clock.advance(4600)
+    expect(await stopped).toBe(false)
+    await host.close()
+    await waitUntil(() => caller.closed)
+    expect(caller.received).toMatch(answer)
+  })
+
+  test('forwards a stream until the exit and then ends it without the final chunk', async () => {
+    const clock = new ManualClock()
+    const { host, models } = await start({ clock, modelWorkers: 1 })
+    models[0]!.onRequest = request => { request.socket.write(streamHead(request, models[0]!) + streamChunk(streamEvent(1))) }
+    const stopped = host.stop()
+    await clock.advance(2900)
+    const caller = await connectCaller()
+    caller.send('POST', '/tags/1', requestHeaders('r1', { 'dogwooddale-deadline-ms': '20000' }), 'post')
+    await waitUntil(() => caller.received.includes('piece-1'))
+    await clock.advance(4550)
+    models[0]!.requests[0]!.socket.write(streamChunk(streamEvent(2)))
+    await waitUntil(() => caller.received.includes('piece-2'))
+    await clock.advance(100)
+    expect(await stopped).toBe(false)
+    await waitUntil(() => caller.closed)
+    expect(caller.received.endsWith('0\r\n\r\n')).toBe(false)
+  })
 })
 
 describe('a prompt that a prefill worker computes', () => {
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -40,6 +40,12 @@
  */
 const exitMarginMilliseconds = 500
 
+/**
+ * Time before the end of a stop at which requests without a response receive a final answer, in milliseconds; it
+ * suffices to send the answers.
+ */
+const finalAnswerMilliseconds = 250
+
 /** Time for which a stop waits until its log lines are written, in milliseconds. */
 const logDrainMilliseconds = 100
 
@@ -289,16 +295,19 @@
   }
 
   private async stopOnce (): Promise<boolean> {
-    const { clock } = this
-    this.listener.startStop()
+    const { clock, listener } = this
+    listener.startStop()
     this.logStop('stop_started')
     const dutyEnded = this.rolePlannerTask.stop().then(() => this.lease.stop())
-    const limitMilliseconds = this.settings.bounds.graceSeconds * 1000 - exitMarginMilliseconds
+    const exitMilliseconds = this.settings.bounds.graceSeconds * 1000 - exitMarginMilliseconds
     const timeout = new AbortController()
-    const timedOut = clock.sleep(limitMilliseconds, timeout.signal).then(() => false)
-    const finished = await Promise.race([Promise.all([this.drainRequests(), dutyEnded]).then(() => true), timedOut])
+    const timedOut = clock.sleep(exitMilliseconds, timeout.signal).then(() => false)
+    const drained = this.drainRequests(exitMilliseconds - finalAnswerMilliseconds, timeout.signal)
+    const finished = await Promise.race([Promise.all([drained, dutyEnded]).then(([complete]) => complete), timedOut])
     timeout.abort()
     this.logStop('stop_ended', finished)
+    // Logs the end of each request that is still open.
+    await listener.closeAll()
     await Promise.race([this.lines.drain(), clock.sleep(logDrainMilliseconds)])
     return finished
   }
@@ -316,12 +325,22 @@
     })
   }
 
-  private async drainRequests (): Promise<void> {
-    await this.clock.sleep(listenAfterStopMilliseconds)
-    const closed = this.listener.close()
+  /**
+   * Completes the open requests. Those whose response has not begun when the given time has passed receive a final
+   * answer. Resolves to false if there were such requests. The signal aborts when the stop has ended.
+   */
+  private async drainRequests (answerMilliseconds: number, stopEnded: AbortSignal): Promise<boolean> {
+    const { clock, listener } = this
+    const listenMilliseconds = Math.max(0, Math.min(listenAfterStopMilliseconds, answerMilliseconds))
+    await clock.sleep(listenMilliseconds)
+    const closed = listener.close()
     this.logStop('listener_closed')
-    await this.requests.drain()
-    await closed
+    let complete = true
+    clock.sleep(answerMilliseconds - listenMilliseconds, stopEnded).then(() => {
+      if (!stopEnded.aborted) complete = listener.answerOpenRequests() === 0
+    }, () => {})
+    await Promise.all([this.requests.drain(), closed])
+    return complete
   }
 
   /** The engines that are not draining, as input for the role planner. */
