--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -40,6 +40,15 @@
  */
 const exitMarginMilliseconds = 500
 
+/**
+ * Time before the end of a stop at which requests without a response receive a final answer, in milliseconds; it
+ * suffices to send the answers.
+ */
+const finalAnswerMilliseconds = 250
+
+/** Time for which a stop waits until its log lines are written, in milliseconds. */
+const logDrainMilliseconds = 100
+
 /**
  * Factor on the retry ratio of the settings; the margin keeps the retries in a window within the owners' bound even when
  * retries arrive late.
@@ -183,7 +192,6 @@
     const requests = new RequestManager(requestManagerOptions({
       clock, events, upstreams, budget, policy, placer: placement.placer
     }))
-    const state = { stopping: false }
     const loopDelay = new EventLoopDelay(clock)
     loopDelay.start(error => events.error('event_loop_delay_ended', { reason: String(error) }))
     metrics.gauge('event_loop_delay_milliseconds', 'Average delay of the event loop.', [], gauge => {
@@ -197,7 +205,6 @@
       events,
       hash,
       metrics: new RequestMetrics(metrics),
-      isStopping: () => state.stopping,
       eventLoopDelay: () => loopDelay.milliseconds
     })
     metrics.gauge('log_lines_dropped_total', 'Log lines for which the reader was too slow.', [], gauge => {
@@ -207,7 +214,6 @@
     const host = new PlatformHost(
       settings, clock, events, lines, metrics, directory, [configurationFollower, workerFollower], upstreams, requests,
       listener, lease, budget, placement, loopDelay)
-    host.markStopping = () => { state.stopping = true }
     directory.onChange(() => {
       const limits = directory.routes?.configuration.limits
       if (limits !== undefined) listener.configure(limits)
@@ -215,9 +221,6 @@
     return host
   }
 
-  /** Tells the listener that the host is stopping; set by `create`. */
-  private markStopping = (): void => {}
-
   /** True if the load balancer should send requests to this host. */
   get isReady (): boolean {
     return this.stopping === undefined && this.directory.isComplete
@@ -292,25 +295,52 @@
   }
 
   private async stopOnce (): Promise<boolean> {
-    const { clock, events } = this
-    this.markStopping()
-    events.info('stop_started', { open: this.requests.view().length })
+    const { clock, listener } = this
+    listener.startStop()
+    this.logStop('stop_started')
     const dutyEnded = this.rolePlannerTask.stop().then(() => this.lease.stop())
-    const limitMilliseconds = this.settings.bounds.graceSeconds * 1000 - exitMarginMilliseconds
+    const exitMilliseconds = this.settings.bounds.graceSeconds * 1000 - exitMarginMilliseconds
     const timeout = new AbortController()
-    const timedOut = clock.sleep(limitMilliseconds, timeout.signal).then(() => false)
-    const finished = await Promise.race([Promise.all([this.drainRequests(), dutyEnded]).then(() => true), timedOut])
+    const timedOut = clock.sleep(exitMilliseconds, timeout.signal).then(() => false)
+    const drained = this.drainRequests(exitMilliseconds - finalAnswerMilliseconds, timeout.signal)
+    const finished = await Promise.race([Promise.all([drained, dutyEnded]).then(([complete]) => complete), timedOut])
     timeout.abort()
-    events.info('stop_ended', { complete: finished, open: this.requests.view().length })
-    this.lines.flush()
+    this.logStop('stop_ended', finished)
+    // Logs the end of each request that is still open.
+    await listener.closeAll()
+    await Promise.race([this.lines.drain(), clock.sleep(logDrainMilliseconds)])
     return finished
   }
 
-  private async drainRequests (): Promise<void> {
-    await this.clock.sleep(listenAfterStopMilliseconds)
-    const closed = this.listener.close()
-    await this.requests.drain()
-    await closed
+  private logStop (event: string, complete?: boolean): void {
+    const { connections, idle, unused, lateRequests, lastRequestMilliseconds } = this.listener.stopSummary
+    this.events.info(event, {
+      complete,
+      open: this.requests.view().length,
+      connections,
+      idle,
+      unused,
+      late: lateRequests,
+      last_request: lastRequestMilliseconds
+    })
+  }
+
+  /**
+   * Completes the open requests. Those whose response has not begun when the given time has passed receive a final
+   * answer. Resolves to false if there were such requests. The signal aborts when the stop has ended.
+   */
+  private async drainRequests (answerMilliseconds: number, stopEnded: AbortSignal): Promise<boolean> {
+    const { clock, listener } = this
+    const listenMilliseconds = Math.max(0, Math.min(listenAfterStopMilliseconds, answerMilliseconds))
+    await clock.sleep(listenMilliseconds)
+    const closed = listener.close()
+    this.logStop('listener_closed')
+    let complete = true
+    clock.sleep(answerMilliseconds - listenMilliseconds, stopEnded).then(() => {
+      if (!stopEnded.aborted) complete = listener.answerOpenRequests() === 0
+    }, () => {})
+    await Promise.all([this.requests.drain(), closed])
+    return complete
   }
 
   /** The engines that are not draining, as input for the role planner. */
