Find the part of prompts that crashes workers from the evidence of all hosts

One part of a prompt may crash each worker that begins to answer it.

PartQuarantine collects the parts of the prompts that a lost worker had begun shortly before, from all hosts, and removes the parts whose prompts were answered completely. The part with most independent losses, three at least, is to blame; the losses that it explains count against no other part; parts that always came together are refused only together. Weighed: two losses in place of three (documents that are in use on both decode workers at once would be blamed), the first event of an answer as proof that a part is harmless (the traced answers began 40 to 110 ms before the crash, so only a complete answer is proof).

Nothing uses the module yet.

--- a/src/common/ErrorKind.ts
+++ b/src/common/ErrorKind.ts
@@ -19,6 +19,7 @@
   | 'draining'
   | 'not_ready'
   | 'not_run'
+  | 'quarantined'
   | 'outcome_unknown'
   | 'upstream_failed'
   | 'stream_interrupted'
@@ -57,6 +58,7 @@
   draining: { status: 503, notRun: true, retryAfterSeconds: 1, exitStatus: 6 },
   not_ready: { status: 503, notRun: true, retryAfterSeconds: 1, exitStatus: 6 },
   not_run: { status: 503, notRun: true, retryAfterSeconds: 1, exitStatus: 6 },
+  quarantined: { status: 503, notRun: true, retryAfterSeconds: 60, exitStatus: 6 },
   outcome_unknown: { status: 502, notRun: false, exitStatus: 7 },
   upstream_failed: { status: 502, notRun: false, exitStatus: 6 },
   stream_interrupted: { status: 502, notRun: false, exitStatus: 6 },
--- /dev/null
+++ b/src/quarantine/PartQuarantine.test.ts
@@ -0,0 +1,144 @@
+/**
+ * Guards against a part of prompts that crashes one worker after the other because each host sees only a few requests
+ * with it, and against harmless prompts that are refused with it.
+ */
+import { describe, expect, test } from '@jest/globals'
+import { ManualClock, type RequestId, SeededRandom, type WorkerId } from '../common/index.js'
+import type { RoutingRequest } from '../routing/index.js'
+import { discardingEventLog } from '../streams/testSupport.js'
+import type { PartEvidence } from './Evidence.js'
+import { PartQuarantine } from './PartQuarantine.js'
+
+const minuteMilliseconds = 60_000
+
+/** Hosts that share their evidence at once. */
+class Hosts {
+  readonly clock = new ManualClock()
+  readonly quarantines: PartQuarantine[]
+  readonly published: PartEvidence[] = []
+
+  constructor (count: number) {
+    this.quarantines = Array.from({ length: count }, (_, seed) => new PartQuarantine({
+      publish: evidence => {
+        this.published.push(...evidence)
+        for (const [index, quarantine] of this.quarantines.entries()) if (index !== seed) quarantine.receive(evidence)
+      },
+      clock: this.clock,
+      events: discardingEventLog(this.clock),
+      seed
+    }))
+  }
+
+  host (index: number): PartQuarantine {
+    return this.quarantines[index % this.quarantines.length]!
+  }
+
+  /** Lets workers crash one second apart under prompts with these parts, each at another host. */
+  async loseWorkers (prompts: string[][]): Promise<void> {
+    for (const [index, parts] of prompts.entries()) {
+      this.host(index).recordLoss(promptOf(...parts), `worker-${this.clock.monotonic()}` as WorkerId, 'r' as RequestId)
+      await this.clock.advance(1000)
+    }
+  }
+}
+
+function promptOf (...promptBlocks: string[]): RoutingRequest {
+  return { promptTokens: promptBlocks.length, promptBlocks }
+}
+
+describe('a part with which workers are lost at several hosts', () => {
+  test('is refused by all hosts after the third loss, with the time until it may come back', async () => {
+    const hosts = new Hosts(4)
+    await hosts.loseWorkers([['deadly', 'x1'], ['deadly', 'x2']])
+    expect(hosts.host(3).refusalOf(promptOf('deadly', 'x3'))).toBeUndefined()
+    await hosts.loseWorkers([['deadly', 'x3']])
+    for (const quarantine of hosts.quarantines) {
+      expect(quarantine.refusalOf(promptOf('a', 'deadly', 'x4'))).toMatchObject({
+        kind: 'quarantined', detail: { retryAfterMilliseconds: expect.any(Number) }
+      })
+      expect(quarantine.refusalOf(promptOf('a', 'x5'))).toBeUndefined()
+    }
+  })
+
+  test.each<[string, (hosts: Hosts) => void]>([
+    ['the host that reports the losses', hosts => hosts.host(0).recordAnswer(promptOf('shared', 'y'))],
+    ['another host', hosts => hosts.host(3).recordAnswer(promptOf('shared', 'y'))]
+  ])('is not refused if %s answered it before', async (_name, answer) => {
+    const hosts = new Hosts(4)
+    answer(hosts)
+    await hosts.loseWorkers([['shared', 'x1'], ['shared', 'x2'], ['shared', 'x3']])
+    expect(hosts.host(2).refusalOf(promptOf('shared', 'x4'))).toBeUndefined()
+  })
+
+  test('is no longer refused once a prompt with it is answered completely', async () => {
+    const hosts = new Hosts(4)
+    await hosts.loseWorkers([['shared', 'deadly', 'x1'], ['shared', 'deadly', 'x2'], ['shared', 'deadly', 'x3']])
+    expect(hosts.host(1).refusalOf(promptOf('shared', 'x4'))).toBeUndefined()
+    hosts.host(1).recordAnswer(promptOf('shared', 'x4'))
+    expect(hosts.host(2).refusalOf(promptOf('other', 'deadly', 'x5'))).toMatchObject({ kind: 'quarantined' })
+  })
+
+  test('is tried again an hour after the latest loss', async () => {
+    const hosts = new Hosts(4)
+    await hosts.loseWorkers([['deadly', 'x1'], ['deadly', 'x2'], ['deadly', 'x3']])
+    await hosts.clock.advance(59 * minuteMilliseconds)
+    expect(hosts.host(0).refusalOf(promptOf('deadly', 'x4'))).toBeDefined()
+    await hosts.clock.advance(minuteMilliseconds)
+    expect(hosts.host(0).refusalOf(promptOf('deadly', 'x4'))).toBeUndefined()
+  })
+})
+
+test('losses that are more than ten minutes apart are no evidence together', async () => {
+  const hosts = new Hosts(4)
+  await hosts.loseWorkers([['rare', 'x1'], ['rare', 'x2']])
+  await hosts.clock.advance(11 * minuteMilliseconds)
+  await hosts.loseWorkers([['rare', 'x3']])
+  expect(hosts.host(0).refusalOf(promptOf('rare', 'x4'))).toBeUndefined()
+})
+
+test('the last part of a prompt, which belongs to one request alone, is never reported', async () => {
+  const hosts = new Hosts(2)
+  await hosts.loseWorkers([['session'], ['session'], ['session']])
+  expect(hosts.published).toEqual([])
+})
+
+test('of all hosts that know that a part is harmless, not each one says so', async () => {
+  const hosts = new Hosts(50)
+  for (const quarantine of hosts.quarantines.slice(1)) quarantine.recordAnswer(promptOf('shared', 'y'))
+  await hosts.loseWorkers([['shared', 'x1']])
+  expect(hosts.published.filter(({ losses }) => losses.length === 0)).toHaveLength(1)
+})
+
+/**
+ * A fleet that answers prompts about popular and rare documents on two workers, while a share of the prompts contains a
+ * part that crashes the worker that answers it. Several prompts are begun at each crash, and their parts come again.
+ */
+test.each([1, 2, 3, 4, 5, 6, 7, 8])('in mixed traffic, at most five workers are lost and no harmless prompt is refused (seed %i)', async seed => {
+  const hosts = new Hosts(12)
+  const random = new SeededRandom(seed)
+  let losses = 0
+  let refusedHarmless = 0
+  let open: Array<{ host: PartQuarantine, prompt: RoutingRequest }> = []
+  for (let count = 0; count < 3000; count += 1) {
+    const host = hosts.host(random.integer(0, 11))
+    const document = `document-${Math.floor(134 * random.fraction() ** 1.3)}`
+    const isDeadly = count > 100 && random.fraction() < 0.02
+    const prompt = isDeadly ? promptOf(document, 'deadly', `own-${count}`) : promptOf(document, `own-${count}`)
+    const refusal = host.refusalOf(prompt)
+    if (refusal !== undefined && !isDeadly) refusedHarmless += 1
+    if (refusal === undefined) open.push({ host, prompt })
+    if (refusal === undefined && isDeadly) {
+      losses += 1
+      for (const call of open) call.host.recordLoss(call.prompt, `worker-${losses}` as WorkerId, 'r' as RequestId)
+      open = []
+    }
+    if (open.length > 8) {
+      const done = open.shift()!
+      done.host.recordAnswer(done.prompt)
+    }
+    await hosts.clock.advance(26)
+  }
+  expect(losses).toBeGreaterThanOrEqual(3)
+  expect(losses).toBeLessThanOrEqual(5)
+  expect(refusedHarmless).toBe(0)
+})
--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -1,1 +1,2 @@
 export * from './Evidence.js'
+export * from './PartQuarantine.js'
