Report the prompts of lost workers, and refuse prompts in quarantine

A call tells the quarantine when its worker is lost before its answer began or within half a second of its first part, and when its answer is complete. The answer has to end by its length or chunks: one that ends with its connection looks complete also if the worker was lost. Prompts in quarantine are refused before their computation, again when a worker for it was found, and before the answer is asked for, since the decision may come while they wait.

--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -8,6 +8,7 @@
 import { isNotSent } from '../clients/HttpClient.js'
 import type { EventLog } from '../observability/index.js'
 import type { PlacedPrompt, PromptOutcome, PromptPlacer } from '../placement/index.js'
+import type { PartQuarantine } from '../quarantine/index.js'
 import type { PromptPlacementPolicy } from '../routing/index.js'
 import type { Upstream, UpstreamManager } from '../upstreams/index.js'
 import type { CallProtocol, KvSource } from './CallProtocol.js'
@@ -23,6 +24,8 @@
   budget: RetryBudget
   clock: Clock
   events: EventLog
+  /** Refuses prompts that crash workers; undefined if nothing does so. */
+  quarantine?: PartQuarantine
 }
 
 /**
@@ -53,7 +56,7 @@
   /**
    * Returns the source of the computed prompt; without a source, the decode worker has to compute the prompt itself. The
    * first computation of a call takes a retry from the budget only if the worker may have received it in vain, every
-   * further one in advance. Errors: those of `PromptPlacer.place`.
+   * further one in advance. Errors: those of `PromptPlacer.place`, and `quarantined` if the prompt must not be sent any more.
    */
   async compute (request: ServiceRequest, isFirst: boolean, stop: AbortSignal): Promise<Result<PromptResult, Failure>> {
     const { prompt, pool, requestId, deadline } = request
@@ -75,6 +78,12 @@
     }, stop)
     if (placed.isErr) return Result.err(placed.error)
     const placement = placed.value
+    const refusal = this.context.quarantine?.refusalOf(prompt)
+    if (refusal !== undefined) {
+      if (placement?.worker !== undefined) placement.end('abandoned')
+      placement?.answered(undefined, undefined)
+      return Result.err(refusal)
+    }
     if (placement?.worker === undefined) return Result.ok({ source: undefined, placement })
     const computation = await this.send(request, { ...placement, worker: placement.worker }, stop)
     placement.end(computation.outcome)
--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -7,7 +7,7 @@
  */
 import { Result } from 'true-myth'
 import { Client, type Dispatcher } from 'undici'
-import { isNotSent } from '../clients/HttpClient.js'
+import { isConnectionLost, isNotSent } from '../clients/HttpClient.js'
 import { abortAfter, type AbortTimer, errorResponses, type Failure, failure, type WorkerId } from '../common/index.js'
 import type { RoutingRequest } from '../routing/index.js'
 import { connectTimeoutMilliseconds, connectUpstream, type RequestTracker, type Upstream } from '../upstreams/index.js'
@@ -40,6 +40,12 @@
 
 const emptyPrompt: RoutingRequest = { promptTokens: 0, promptBlocks: [] }
 
+/**
+ * Time after the first part of an answer within which the loss of the worker is evidence against the prompt, in
+ * milliseconds. A prompt that crashes a worker does so at one of the first tokens of its answer.
+ */
+const suspectedMilliseconds = 500
+
 /**
  * Maximum number of declined attempts after which a call is sent to another worker. In a full pool all workers decline,
  * so further attempts do not help.
@@ -162,15 +168,24 @@
   /**
    * Chooses a worker. No worker is tried twice, since a call that failed on all workers has no better chance on one of
    * them. The prompt is computed before the choice, since workers may leave during the seconds that the computation can
-   * take. Errors: those of `PromptComputation.compute`.
+   * take. Errors: those of `PromptComputation.compute`, and `quarantined`.
    */
   private async choose (stop: AbortSignal): Promise<Result<Upstream | undefined, Failure>> {
+    const refusal = this.refusalOfPrompt()
+    if (refusal !== undefined) return Result.err(refusal)
     const computed = this.untriedWorkers().length > 0 ? await this.prompt.compute(stop) : Result.ok<void, Failure>(undefined)
+    const refusalAfterWait = this.refusalOfPrompt()
+    if (refusalAfterWait !== undefined) return Result.err(refusalAfterWait)
     const candidates = this.untriedWorkers()
     return computed.map(() => this.prompt.preferredOf(candidates) ??
       this.context.servicePolicy.choose(this.request.prompt ?? emptyPrompt, candidates))
   }
 
+  private refusalOfPrompt (): Failure | undefined {
+    const { prompt } = this.request
+    return prompt === undefined ? undefined : this.context.quarantine?.refusalOf(prompt)
+  }
+
   private untriedWorkers (): readonly Upstream[] {
     const candidates = this.context.upstreams.candidatesForPool(this.request.pool)
     return this.triedWorkers.size === 0 ? candidates : candidates.filter(({ id }) => !this.triedWorkers.has(id))
@@ -247,6 +262,7 @@
     } catch (caught) {
       responseTimer?.cancel()
       close()
+      this.recordLoss(upstream, caught, stop)
       return Result.err(this.endFailedAttempt(caught as Error, tracker, stop))
     }
   }
@@ -337,19 +353,40 @@
   /** The bytes of a streamed response as they arrive. */
   private async * streamBytes (openResponse: OpenResponse, stop: AbortSignal): AsyncGenerator<Buffer> {
     let isComplete = false
+    let startedAt: number | undefined
     try {
       for await (const piece of openResponse.body) {
+        startedAt ??= this.context.clock.monotonic()
         openResponse.tracker.recordFirstToken()
         this.prompt.answerStarted()
         yield piece
       }
       isComplete = true
+      this.recordAnswer(openResponse)
+    } catch (caught) {
+      this.recordLoss(openResponse.tracker.upstream, caught, stop, startedAt)
+      throw caught
     } finally {
       if (isComplete) this.endRequest(openResponse)
       else this.endInterrupted(openResponse, stop)
     }
   }
 
+  /** Records a complete answer, unless only the end of its connection shows that it is complete. */
+  private recordAnswer ({ head: { status, headers } }: OpenResponse): void {
+    const { prompt } = this.request
+    const hasLength = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+    if (prompt !== undefined && status === 200 && hasLength) this.context.quarantine?.recordAnswer(prompt)
+  }
+
+  /** Records the loss of a worker that has just begun to answer the prompt. `startedAt`: time of the answer's first part. */
+  private recordLoss (upstream: Upstream, caught: unknown, stop: AbortSignal, startedAt?: number): void {
+    const { prompt, requestId } = this.request
+    if (prompt === undefined || stop.aborted || !isConnectionLost(caught)) return
+    if (startedAt !== undefined && this.context.clock.monotonic() - startedAt > suspectedMilliseconds) return
+    this.context.quarantine?.recordLoss(prompt, upstream.id, requestId)
+  }
+
   private endInterrupted (openResponse: OpenResponse, stop: AbortSignal): void {
     this.recordRun(openResponse.tracker.end(stop.aborted ? 'left' : 'failed'))
     destroyBody(openResponse.body)
--- a/src/forwarding/ServiceRequest.ts
+++ b/src/forwarding/ServiceRequest.ts
@@ -3,6 +3,7 @@
  */
 import type { Clock, Pool, RequestId } from '../common/index.js'
 import type { EventLog } from '../observability/index.js'
+import type { PartQuarantine } from '../quarantine/index.js'
 import type { RoutingPolicy, RoutingRequest } from '../routing/index.js'
 import type { UpstreamManager } from '../upstreams/index.js'
 import type { CallProtocol } from './CallProtocol.js'
@@ -67,4 +68,6 @@
   maxNonIdempotentResponseBytes: number
   /** Computes long prompts on separate workers; undefined if no worker does so. */
   promptComputation?: PromptComputation
+  /** Refuses prompts that crash workers; undefined if nothing does so. */
+  quarantine?: PartQuarantine
 }
