Bound the bytes that a host reads of a response of the store

StoreClient collected the body of a response whatever its size, and the pages of a read of the newest records for as long as the store announced another one. A store that never ends a response would fill the memory of each host within the time limit of a read. The time limits don't rule this out: a long poll may last seconds, and a read of the newest records has none over all its pages. A response is now limited to 4 MB (the store returns about 1 MB, plus a third for base64) by undici's own maxResponseSize, which closes the connection, and all pages of one read to 16 MB. Both end as platform_unavailable.

--- a/src/platform/StoreClient.ts
+++ b/src/platform/StoreClient.ts
@@ -40,6 +40,15 @@
  */
 const responseTimeoutMilliseconds = 700
 
+/**
+ * Maximum size of a response in bytes; the connection is closed at the first byte beyond it. The store returns about 1 MB
+ * of records or keys at once, and base64 adds a third.
+ */
+export const maxResponseBytes = 4_194_304
+
+/** Maximum size of all responses of one read of the newest records, in bytes. */
+const maxNewestBytes = 16_777_216
+
 /** Sizes in the response to a read: the length prefix of each record, and each of the two offsets before the records. */
 const recordLengthBytes = 4
 const offsetBytes = 8
@@ -88,10 +97,13 @@
     const records: KeyedRecord[] = []
     let end: number | undefined
     let after: string | undefined
+    let bytes = 0
     for (;;) {
       const query = new URLSearchParams({ topic, part: '0', ...(after === undefined ? {} : { after }) })
       const response = await this.send({ method: 'GET', path: `/v1/log-newest?${query}`, signal })
       if (response.isErr) return Result.err(response.error)
+      bytes += response.value.body.length
+      if (bytes > maxNewestBytes) return Result.err(failure('platform_unavailable', `the newest records of ${topic} exceed ${maxNewestBytes} bytes`))
       const page = newestSchema.safeParse(parseJson(response.value.body.toString('utf8')))
       if (response.value.status !== 200 || !page.success) return Result.err(unexpectedStatus('a read of the newest records', response.value.status))
       // The pages are not one snapshot: changes between two pages are read again from the end offset of the first page.
@@ -183,7 +195,11 @@
   ): Promise<Result<StoreResponse, Failure>> {
     const timeout = AbortSignal.timeout(waitMilliseconds + responseTimeoutMilliseconds)
     this.client ??= new Client(`http://${this.address}`, {
-      connectTimeout: connectTimeoutMilliseconds, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: 60_000
+      connectTimeout: connectTimeoutMilliseconds,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: 60_000,
+      maxResponseSize: maxResponseBytes
     })
     try {
       const response = await this.client.request({
