Append records to topics of the store

Hosts could only read the store's topics; the exchange of evidence against parts of prompts has to write one. StoreClient.append encodes keyed records and splits them by the store's limits (255 bytes a key, 262,144 a record, 2 MB a call); a record beyond them is refused without a call, since the store would refuse it each time at a price. An append may be conditional on the end of the topic, so that a deletion can't hit records that the host did not read. Producers with epochs were left out: records of a compacted topic may be repeated. FakeStore takes appends with the same limits, answers 403 for the two topics of the platform and 412 for an unmet condition, and notes the wait of each read.

--- a/src/platform/StoreClient.test.ts
+++ b/src/platform/StoreClient.test.ts
@@ -1,10 +1,12 @@
 /**
- * Guards against responses of the store that fill the memory of a host.
+ * Guards against responses of the store that fill the memory of a host, and against appends that the store refuses as a
+ * whole because they exceed its limits.
  */
-import { afterEach, describe, expect, test } from '@jest/globals'
+import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
 import { createServer as createHttpServer } from 'node:http'
 import { type AddressInfo, createServer, type Server, type Socket } from 'node:net'
 import { maxResponseBytes, StoreClient } from './StoreClient.js'
+import { FakeStore } from './testing/FakeStore.js'
 
 const topic = 'keyed.test'
 
@@ -72,3 +74,68 @@
     pages.closeAllConnections()
   })
 })
+
+describe('appends', () => {
+  let store: FakeStore
+  let client: StoreClient
+
+  beforeEach(async () => {
+    store = await FakeStore.start()
+    client = new StoreClient(store.address)
+  })
+
+  afterEach(async () => {
+    await client.close()
+    await store.stop()
+  })
+
+  // A wrong length of a key or value shifts all later records.
+  test('records of all kinds are read back as they were appended', async () => {
+    const records = [
+      { key: 'm/part', value: Buffer.from('{"losses":[]}') },
+      { key: 'é'.repeat(127), value: Buffer.from('ü') },
+      { key: 'k'.repeat(255), value: Buffer.from('v') },
+      { key: 'm/part', value: undefined }
+    ]
+    expect((await client.append(topic, records)).unwrapOr(undefined)).toEqual({ offset: 0, end: 4 })
+    expect((await client.read(topic, 0, 0)).unwrapOr(undefined)).toEqual({ records, next: 4 })
+  })
+
+  // The store refuses a call as a whole if its records exceed the limit.
+  test.each([
+    [1, 262_000, 1],
+    [8, 262_000, 1],
+    [9, 262_000, 2],
+    [17, 262_000, 3],
+    [500, 100, 1]
+  ])('%d records of %d bytes are appended with %d calls', async (count, bytes, calls) => {
+    const records = Array.from({ length: count }, (_, number) => ({ key: `k${number}`, value: Buffer.alloc(bytes, 'v') }))
+    expect((await client.append(topic, records)).unwrapOr(undefined)).toEqual({ offset: 0, end: count })
+    expect(store.calls).toHaveLength(calls)
+  })
+
+  // A record beyond the limits would be refused at each repetition, and each call is priced.
+  test.each([
+    ['a key of 256 bytes', 'k'.repeat(256), 1],
+    ['a key of 128 characters of two bytes', 'é'.repeat(128), 1],
+    ['a value of 262,144 bytes', 'k', 262_144]
+  ])('a record with %s is not sent', async (_name, key, bytes) => {
+    const appended = await client.append(topic, [{ key, value: Buffer.alloc(bytes) }])
+    expect(appended.isErr && appended.error.kind).toBe('bad_request')
+    expect(store.calls).toHaveLength(0)
+  })
+
+  // A condition that is not passed on deletes records that this host has not read yet.
+  test.each([[1, true], [0, false], [2, false]])('an append at the offset %d of a topic with one record succeeds: %s', async (at, isOk) => {
+    store.write(topic, 'a', 'first')
+    const appended = await client.append(topic, [{ key: 'a', value: undefined }], { at })
+    expect(appended.isOk).toBe(isOk)
+    expect((await client.newest(topic)).unwrapOr(undefined)?.records).toHaveLength(isOk ? 0 : 1)
+  })
+
+  // An append that is taken for a success although the store refused it loses its records.
+  test.each(['keyed.op', 'keyed.servers'])('an append to %s fails', async readOnly => {
+    const appended = await client.append(readOnly, [{ key: 'a', value: Buffer.from('v') }])
+    expect(appended.isErr && appended.error.kind).toBe('platform_unavailable')
+  })
+})
--- a/src/platform/StoreClient.ts
+++ b/src/platform/StoreClient.ts
@@ -49,6 +49,11 @@
 /** Maximum size of all responses of one read of the newest records, in bytes. */
 const maxNewestBytes = 16_777_216
 
+/** Limits of the store: length of a key, size of a record, and size of the records of one append, in bytes. */
+export const maxKeyBytes = 255
+const maxRecordBytes = 262_144
+const maxAppendBytes = 2_097_152
+
 /** Sizes in the response to a read: the length prefix of each record, and each of the two offsets before the records. */
 const recordLengthBytes = 4
 const offsetBytes = 8
@@ -59,10 +64,34 @@
   end: z.number().int().nonnegative()
 })
 
-interface StoreRequest { method: 'GET' | 'POST', path: string, body?: unknown, waitMilliseconds?: number, signal?: AbortSignal | undefined }
+interface StoreRequest {
+  method: 'GET' | 'POST'
+  path: string
+  /** A buffer is sent as it is, anything else as JSON. */
+  body?: unknown
+  waitMilliseconds?: number
+  signal?: AbortSignal | undefined
+}
 
 interface StoreResponse { status: number, body: Buffer }
 
+/** The offsets that an append wrote. If it took several calls, records of other writers may lie between its own. */
+export interface AppendedRecords {
+  /** Offset of the first record. */
+  offset: number
+  /** Offset after the last record. */
+  end: number
+}
+
+const appendSchema = z.object({ offset: z.number().int().nonnegative(), end: z.number().int().nonnegative() })
+
+/** Options of an append. */
+export interface AppendOptions {
+  /** The records are written only if the topic ends at this offset; they have to fit into one call. */
+  at?: number
+  signal?: AbortSignal | undefined
+}
+
 /** A member's assignment in a group. */
 export interface JoinResult {
   /** Increases with each change of the group's members. */
@@ -135,6 +164,32 @@
     return Result.ok(page)
   }
 
+  /**
+   * Appends records to a topic, with as many calls as the limits of the store require. After a failure some records may
+   * have been appended, or may be appended later. Errors: `platform_unavailable`; `bad_request` if a record exceeds the
+   * limits of the store.
+   */
+  async append (
+    topic: string,
+    records: readonly KeyedRecord[],
+    { at, signal }: AppendOptions = {}
+  ): Promise<Result<AppendedRecords, Failure>> {
+    const tooLarge = records.find(record => !isAppendable(record))
+    if (tooLarge !== undefined) return Result.err(failure('bad_request', `a record of ${topic} exceeds the limits of the store`))
+    const query = new URLSearchParams({ topic, part: '0', ...(at === undefined ? {} : { at: String(at) }) })
+    let offset: number | undefined
+    let end = 0
+    for (const body of splitAppend(records.map(encodeKeyedRecord))) {
+      const response = await this.send({ method: 'POST', path: `/v1/log-append?${query}`, body, signal })
+      if (response.isErr) return Result.err(response.error)
+      const appended = appendSchema.safeParse(parseJson(response.value.body.toString('utf8')))
+      if (response.value.status !== 200 || !appended.success) return Result.err(unexpectedStatus('an append', response.value.status))
+      offset ??= appended.data.offset
+      end = appended.data.end
+    }
+    return Result.ok({ offset: offset ?? end, end })
+  }
+
   /** Joins a group or renews the membership. Errors: `platform_unavailable`. */
   async join (
     group: string,
@@ -205,7 +260,7 @@
       const response = await this.client.request({
         method,
         path,
-        ...(body === undefined ? {} : { body: JSON.stringify(body), headers: { 'content-type': 'application/json' } }),
+        ...bodyOptions(body),
         signal: signal === undefined ? timeout : AbortSignal.any([timeout, signal])
       })
       return Result.ok({ status: response.statusCode, body: Buffer.from(await response.body.arrayBuffer()) })
@@ -217,6 +272,12 @@
   }
 }
 
+function bodyOptions (body: unknown): { body?: string | Buffer, headers?: Record<string, string> } {
+  if (body === undefined) return {}
+  if (Buffer.isBuffer(body)) return { body, headers: { 'content-type': 'application/octet-stream' } }
+  return { body: JSON.stringify(body), headers: { 'content-type': 'application/json' } }
+}
+
 function unexpectedStatus (operation: string, status: number): Failure {
   return failure('platform_unavailable', `the store answered ${operation} with an unusable response of status ${status}`)
 }
@@ -249,3 +310,33 @@
   const value = record.subarray(1 + keyBytes)
   return { key: record.toString('utf8', 1, 1 + keyBytes), value: value.length === 0 ? undefined : Buffer.from(value) }
 }
+
+/** True if a record is within the limits of the store. */
+function isAppendable ({ key, value }: KeyedRecord): boolean {
+  const keyBytes = Buffer.byteLength(key)
+  return keyBytes <= maxKeyBytes && 1 + keyBytes + (value?.length ?? 0) <= maxRecordBytes
+}
+
+/** Encodes a record with its length prefix. */
+function encodeKeyedRecord ({ key, value }: KeyedRecord): Buffer {
+  const keyBytes = Buffer.from(key)
+  const lengths = Buffer.alloc(recordLengthBytes + 1, keyBytes.length)
+  const record = Buffer.concat([lengths, keyBytes, ...(value === undefined ? [] : [value])])
+  record.writeUInt32BE(record.length - recordLengthBytes, 0)
+  return record
+}
+
+/** Joins encoded records into as few request bodies as the size limit of an append allows. */
+function splitAppend (records: readonly Buffer[]): Buffer[] {
+  const bodies: Buffer[][] = []
+  let bytes = Infinity
+  for (const record of records) {
+    if (bytes + record.length > maxAppendBytes) {
+      bodies.push([])
+      bytes = 0
+    }
+    bodies.at(-1)!.push(record)
+    bytes += record.length
+  }
+  return bodies.map(body => Buffer.concat(body))
+}
--- a/src/platform/testing/FakeStore.ts
+++ b/src/platform/testing/FakeStore.ts
@@ -9,12 +9,21 @@
 
 interface Topic { records: StoredRecord[], firstOffset: number }
 
+/** Topics to which hosts may not append. */
+const readOnlyTopics = ['keyed.op', 'keyed.servers']
+
+/** Limits of an append, in bytes. */
+const maxRecordBytes = 262_144
+const maxAppendBytes = 2_097_152
+
 /** Serves the store's HTTP interface from memory. */
 export class FakeStore {
   /** `ip:port` */
   readonly address: string
   /** Calls so far, as method and path without the query. */
   readonly calls: string[] = []
+  /** Reads so far, with the wait that they asked for in milliseconds. */
+  readonly reads: Array<{ topic: string, waitMilliseconds: number }> = []
   /** How calls are answered: `normal`, as by the store; `silent`, never; `refused`, with status 503. */
   mode: 'normal' | 'silent' | 'refused' = 'normal'
   /** Increases with each change of the group's members. */
@@ -79,6 +88,7 @@
     }
     const chunks: Buffer[] = []
     for await (const chunk of request) chunks.push(chunk as Buffer)
+    if (url.pathname === '/v1/log-append') return this.append(url, Buffer.concat(chunks), response)
     const body = chunks.length === 0 ? {} : JSON.parse(Buffer.concat(chunks).toString()) as Record<string, unknown>
     if (url.pathname === '/v1/log-newest') return this.newest(url, response)
     if (url.pathname === '/v1/log-read') return await this.read(url, response)
@@ -117,6 +127,29 @@
     }))
   }
 
+  private append (url: URL, body: Buffer, response: ServerResponse): void {
+    const name = url.searchParams.get('topic') ?? ''
+    const records = decodeRecords(body)
+    if (readOnlyTopics.includes(name)) {
+      response.writeHead(403).end()
+      return
+    }
+    if (url.searchParams.get('part') !== '0' || body.length > maxAppendBytes || records === undefined) {
+      response.writeHead(400).end()
+      return
+    }
+    const topic = this.topicOf(name)
+    const offset = topic.records.length
+    const at = url.searchParams.get('at')
+    if (at !== null && Number(at) !== offset) {
+      response.writeHead(412).end(JSON.stringify({ end: offset }))
+      return
+    }
+    topic.records.push(...records)
+    response.end(JSON.stringify({ offset, end: topic.records.length }))
+    this.wakePendingReads()
+  }
+
   private newest (url: URL, response: ServerResponse): void {
     const { records } = this.topicOf(url.searchParams.get('topic') ?? '')
     const latest = new Map(records.map(({ key, value }, offset) => [key, { value, offset }]))
@@ -128,7 +161,9 @@
   private async read (url: URL, response: ServerResponse): Promise<void> {
     const name = url.searchParams.get('topic') ?? ''
     const from = Number(url.searchParams.get('from'))
-    const deadline = Date.now() + Number(url.searchParams.get('wait-ms'))
+    const waitMilliseconds = Number(url.searchParams.get('wait-ms'))
+    this.reads.push({ topic: name, waitMilliseconds })
+    const deadline = Date.now() + waitMilliseconds
     while (this.topicOf(name).records.length <= from && this.topicOf(name).firstOffset <= from && Date.now() < deadline) {
       await new Promise<void>(resolve => {
         const timer = setTimeout(resolve, deadline - Date.now())
@@ -154,10 +189,27 @@
   head.writeBigUInt64BE(BigInt(endOffset), 0)
   head.writeBigUInt64BE(BigInt(firstOffset), 8)
   const parts = records.map(({ key, value }) => {
-    const record = Buffer.concat([Buffer.from([key.length]), Buffer.from(key), Buffer.from(value ?? '')])
+    const record = Buffer.concat([Buffer.from([Buffer.byteLength(key)]), Buffer.from(key), Buffer.from(value ?? '')])
     const length = Buffer.alloc(4)
     length.writeUInt32BE(record.length)
     return Buffer.concat([length, record])
   })
   return Buffer.concat([head, ...parts])
 }
+
+/** Decodes the body of an append; undefined if a record is malformed or too large. */
+function decodeRecords (body: Buffer): StoredRecord[] | undefined {
+  const records: StoredRecord[] = []
+  for (let position = 0; position < body.length;) {
+    const end = position + 4 + (position + 4 > body.length ? Infinity : body.readUInt32BE(position))
+    if (end > body.length || end - position - 4 > maxRecordBytes) return undefined
+    const valueStart = position + 5 + body[position + 4]!
+    if (valueStart > end) return undefined
+    records.push({
+      key: body.toString('utf8', position + 5, valueStart),
+      value: valueStart === end ? undefined : body.toString('utf8', valueStart, end)
+    })
+    position = end
+  }
+  return records
+}
