Let a follower of a topic poll rarely while no changes are expected

Each call to the store is priced and all hosts poll each topic every 2 to 3 s, since a connection may become silent without a reset. For a topic that changes rarely this price buys nothing. A follower may now be given a wait at rest (the store answers a long poll as soon as there is a record) and a pause after changes. For 30 s after a change, and after expectChanges, it polls as before; expectChanges replaces an open long poll once, since its connection may be silent. The existing followers set neither option and keep their waits. The fake topic of the tests now ends an aborted read as a failure, as StoreClient does.

--- a/src/platform/TopicFollower.test.ts
+++ b/src/platform/TopicFollower.test.ts
@@ -7,7 +7,7 @@
 import { type Failure, failure, ManualClock } from '../common/index.js'
 import { EventLog, HybridClock, Timeline } from '../observability/index.js'
 import type { KeyedRecord, NewestRecords, ReadOutcome } from './StoreClient.js'
-import { TopicFollower } from './TopicFollower.js'
+import { TopicFollower, type TopicFollowerOptions } from './TopicFollower.js'
 
 const unreachableFailure = failure('platform_unavailable', 'no response')
 
@@ -16,6 +16,8 @@
   records: KeyedRecord[] = []
   firstOffset = 0
   reachable = true
+  /** If true, reads that are open now or start from now on are not answered. */
+  silent = false
   readonly longPollTimes: number[] = []
   newestCalls = 0
   private wake: () => void = () => {}
@@ -44,7 +46,8 @@
     const written = new AbortController()
     this.wake = () => { written.abort() }
     if (this.records.length <= from) await this.clock.sleep(waitMilliseconds, AbortSignal.any([signal, written.signal]))
-    if (!this.reachable) return Result.err(unreachableFailure)
+    if (this.silent) await this.clock.sleep(Infinity, signal)
+    if (!this.reachable || signal.aborted) return Result.err(unreachableFailure)
     return Result.ok({ records: this.records.slice(from), next: this.records.length })
   }
 
@@ -56,7 +59,8 @@
 let follower: TopicFollower
 let received: string[]
 
-beforeEach(async () => {
+/** Starts a follower with a stable window of 4 s. */
+async function startFollower (options: Partial<TopicFollowerOptions> = {}): Promise<void> {
   clock = new ManualClock()
   topic = new FakeTopic(clock)
   received = []
@@ -68,15 +72,18 @@
     receiver: { replace: collect, apply: collect },
     clock,
     events: new EventLog({ timeline, level: 'error', write: () => {} }),
-    stableWindowMilliseconds: 4000
+    stableWindowMilliseconds: 4000,
+    ...options
   })
   follower.start()
   await clock.advance(0)
-})
+}
 
 afterEach(async () => { await follower.stop() })
 
 describe('a follower of a topic', () => {
+  beforeEach(async () => { await startFollower() })
+
   test('reads a burst of ten changes with at most three calls', async () => {
     for (let change = 0; change < 10; change += 1) {
       topic.write(`worker-${change}`)
@@ -112,3 +119,61 @@
     expect(received.slice(-2)).toEqual(['worker-1', 'worker-2'])
   })
 })
+
+describe('a follower that polls rarely at rest', () => {
+  const restMilliseconds = 20_000
+  const shortMilliseconds = 3000
+
+  beforeEach(async () => { await startFollower({ restMilliseconds, batchMilliseconds: 500 }) })
+
+  // Each call to the store is priced, and all hosts poll.
+  test('asks for the long wait while nothing changes', async () => {
+    await clock.advance(100_000)
+    expect(topic.longPollTimes).toEqual(Array.from({ length: 6 }, () => restMilliseconds))
+  })
+
+  // A connection may become silent without a reset, so that later changes are missed for the long wait.
+  test('asks for the short wait for 30 s after a change, then for the long one', async () => {
+    topic.write('part-1')
+    await clock.advance(0)
+    await clock.advance(29_000)
+    expect(topic.longPollTimes.slice(1)).toEqual(Array.from({ length: 10 }, () => shortMilliseconds))
+    await clock.advance(5000)
+    expect(topic.longPollTimes.at(-1)).toBe(restMilliseconds)
+  })
+
+  // The open poll may hang on a silent connection when this host expects the answers of others.
+  test('replaces the open long poll once when changes are expected, and reads what its connection hid', async () => {
+    topic.silent = true
+    topic.write('part-1')
+    await clock.advance(10)
+    expect(received).toEqual([])
+    topic.silent = false
+    for (let call = 0; call < 3; call += 1) {
+      follower.expectChanges()
+      await clock.advance(10)
+    }
+    expect(received).toEqual(['part-1'])
+    expect(topic.longPollTimes).toEqual([restMilliseconds, shortMilliseconds])
+  })
+
+  // A replaced poll that counts as a failure reads the whole topic again and resets the time of the connection.
+  test('does not take a replaced poll for a lost connection', async () => {
+    follower.expectChanges()
+    await clock.advance(0)
+    await clock.advance(5000)
+    expect(topic.newestCalls).toBe(1)
+    expect(follower.connectedSince).toBe(-Infinity)
+  })
+
+  // Each append wakes all hosts, and each read after it is priced.
+  test('reads a burst of ten changes within 0.5 s with at most two calls', async () => {
+    for (let change = 0; change < 10; change += 1) {
+      topic.write(`part-${change}`)
+      await clock.advance(45)
+    }
+    await clock.advance(300)
+    expect(received).toHaveLength(10)
+    expect(topic.longPollTimes.length).toBeLessThanOrEqual(2)
+  })
+})
--- a/src/platform/TopicFollower.ts
+++ b/src/platform/TopicFollower.ts
@@ -22,6 +22,12 @@
  */
 const changeBatchMilliseconds = 250
 
+/**
+ * Time in milliseconds after a change, or after `expectChanges`, for which long polls are short although the topic is
+ * polled rarely at rest.
+ */
+const expectedChangeMilliseconds = 30_000
+
 /** Delays after failed calls. The platform charges for each call to the store, also for rejected ones. */
 const backoffOptions = { firstMilliseconds: 100, maxMilliseconds: 1000 }
 
@@ -42,6 +48,13 @@
   events: EventLog
   /** Time without disturbance after which a host's view of the topic has to be up to date, in milliseconds. */
   stableWindowMilliseconds: number
+  /**
+   * Duration of a long poll in milliseconds while no changes are expected. Meanwhile a connection that became silent can
+   * hide changes for that long. Default: as limited by the stable window.
+   */
+  restMilliseconds?: number
+  /** Pause after a change in milliseconds, so that one read returns the following ones. Default: 250. */
+  batchMilliseconds?: number
 }
 
 /** Passes the records of a topic to its receiver until it is stopped, and repeats failed calls. */
@@ -51,6 +64,10 @@
   private disconnectedAt: number | undefined
   private reconnectedAt = -Infinity
 
+  private changesExpectedUntil = -Infinity
+  /** Aborts the open long poll if it is longer than the stable window allows. */
+  private restingPoll: AbortController | undefined
+
   private readonly longPollMilliseconds: number
 
   constructor (private readonly options: TopicFollowerOptions) {
@@ -62,6 +79,20 @@
     return this.reconnectedAt
   }
 
+  /** Offset up to which the topic was read; undefined while it has to be read as a whole. */
+  get position (): number | undefined {
+    return this.disconnectedAt === undefined ? this.nextOffset : undefined
+  }
+
+  /**
+   * Reads with short long polls for 30 s, and replaces an open one that is longer: its connection may have become silent.
+   */
+  expectChanges (): void {
+    this.changesExpectedUntil = this.options.clock.monotonic() + expectedChangeMilliseconds
+    this.restingPoll?.abort()
+    this.restingPoll = undefined
+  }
+
   start (): void {
     const { events, topic } = this.options
     this.task ??= Task.start(signal => this.run(signal), error => {
@@ -97,8 +128,13 @@
       receiver.replace(newest.value.records)
       return undefined
     }
-    const read = await store.read(topic, this.nextOffset, this.longPollMilliseconds, signal)
-    if (read.isErr) return read.error
+    const restMilliseconds = clock.monotonic() < this.changesExpectedUntil ? undefined : this.options.restMilliseconds
+    const replaced = new AbortController()
+    if (restMilliseconds !== undefined) this.restingPoll = replaced
+    const read = await store.read(
+      topic, this.nextOffset, restMilliseconds ?? this.longPollMilliseconds, AbortSignal.any([signal, replaced.signal]))
+    this.restingPoll = undefined
+    if (read.isErr) return replaced.signal.aborted ? undefined : read.error
     if (read.value === 'expired') {
       events.info('topic_history_expired', { topic, offset: this.nextOffset })
       this.nextOffset = undefined
@@ -106,8 +142,9 @@
     }
     this.nextOffset = read.value.next
     if (read.value.records.length === 0) return undefined
+    this.changesExpectedUntil = clock.monotonic() + expectedChangeMilliseconds
     receiver.apply(read.value.records)
-    await clock.sleep(changeBatchMilliseconds, signal)
+    await clock.sleep(this.options.batchMilliseconds ?? changeBatchMilliseconds, signal)
     return undefined
   }
 
