Share the evidence against parts of prompts between hosts

Cause: a prompt part that crashes each worker that begins to answer it, and no host that sees enough of its requests to know (class: knowledge that only exists in parts). Ruled out: repeated attempts (this kind of request has one attempt), overload of the remaining worker (a request with the part had begun its answer 40 to 110 ms before each of the nine losses, and none of its requests was ever answered completely).

Each host now has a quarantine whose evidence goes through the store. A reset of a worker's connection counts as a loss too: connectUpstream reports it under a code of its own.

Test: two hosts with one store and real sockets; it timed out while resets did not count as losses.

--- a/src/clients/HttpClient.ts
+++ b/src/clients/HttpClient.ts
@@ -28,8 +28,6 @@
 
 const notSentCodes = new Set(['ECONNREFUSED', 'ENOTFOUND', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
 
-const connectionLostCodes = new Set(['UND_ERR_SOCKET', 'ECONNRESET', 'EPIPE'])
-
 /** Time limit for opening a connection. */
 const connectTimeoutMilliseconds = 1000
 
@@ -39,12 +37,6 @@
   return code !== undefined && notSentCodes.has(code)
 }
 
-/** True if the connection ended while a call on it was open. */
-export function isConnectionLost (caught: unknown): boolean {
-  const code = (caught as { code?: string } | null)?.code
-  return code !== undefined && connectionLostCodes.has(code)
-}
-
 /**
  * A pool of connections to one origin. Each call has a connection to itself, so that a call that times out on an
  * unresponsive connection closes only that one; later calls use other connections or open new ones.
--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -7,10 +7,12 @@
  */
 import { Result } from 'true-myth'
 import { Client, type Dispatcher } from 'undici'
-import { isConnectionLost, isNotSent } from '../clients/HttpClient.js'
+import { isNotSent } from '../clients/HttpClient.js'
 import { abortAfter, type AbortTimer, errorResponses, type Failure, failure, type WorkerId } from '../common/index.js'
 import type { RoutingRequest } from '../routing/index.js'
-import { connectTimeoutMilliseconds, connectUpstream, type RequestTracker, type Upstream } from '../upstreams/index.js'
+import {
+  connectTimeoutMilliseconds, connectUpstream, isConnectionLost, type RequestTracker, type Upstream
+} from '../upstreams/index.js'
 import { type ResponseBody, destroyBody, isRepeatedEvent, withCleanup } from './responseBodies.js'
 import { CallPrompt } from './CallPrompt.js'
 import type { ResponseHead, KvSource } from './CallProtocol.js'
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -10,12 +10,14 @@
 import { GroupLease } from '../leases/index.js'
 import { EventLog, HybridClock, LineWriter, Metrics, Timeline } from '../observability/index.js'
 import { LocalPromptPlacer, type PromptPlacer } from '../placement/index.js'
+import { PartQuarantine } from '../quarantine/index.js'
 import { DemandCollector, SplitRolePlanner } from '../roles/index.js'
 import { PowerOfTwoPolicy, PrefixIndex, PromptPlacementPolicy } from '../routing/index.js'
 import { UpstreamManager, type UpstreamView } from '../upstreams/index.js'
 import { CallerListener } from './CallerListener.js'
 import { type ErrorEmitter, handleUnexpectedErrors } from './handleUnexpectedErrors.js'
 import { PlacementPart } from './PlacementPart.js'
+import { QuarantinePart } from './QuarantinePart.js'
 import { PlatformDirectory } from './PlatformDirectory.js'
 import type { PlatformSettings } from './PlatformSettings.js'
 import { RequestMetrics } from './RequestMetrics.js'
@@ -113,6 +115,8 @@
     private readonly lease: GroupLease,
     private readonly budget: RetryBudget,
     private readonly placement: PlacementPart,
+    private readonly quarantine: PartQuarantine,
+    private readonly quarantinePart: QuarantinePart,
     private readonly loopDelay: EventLoopDelay
   ) {
     this.rolePlannerTask = new RolePlannerTask({
@@ -180,8 +184,18 @@
       },
       fallback: new LocalPromptPlacer(policy)
     })
+    const quarantine = new PartQuarantine({
+      publish: evidence => { quarantinePart.exchange.publish(evidence) },
+      clock,
+      events,
+      seed: hash.h32(settings.host.id)
+    })
+    const quarantinePart: QuarantinePart = new QuarantinePart({ settings, clock, events, receiver: quarantine })
+    metrics.gauge('quarantined_prompt_parts', 'Parts of prompts that are refused since they crash workers.', [], gauge => {
+      gauge.set(quarantine.size)
+    })
     const requests = new RequestManager(requestManagerOptions({
-      clock, events, upstreams, budget, policy, placer: placement.placer
+      clock, events, upstreams, budget, policy, quarantine, placer: placement.placer
     }))
     const state = { stopping: false }
     const loopDelay = new EventLoopDelay(clock)
@@ -206,7 +220,7 @@
     const lease = createLease(settings, group, clock, events)
     const host = new PlatformHost(
       settings, clock, events, lines, metrics, directory, [configurationFollower, workerFollower], upstreams, requests,
-      listener, lease, budget, placement, loopDelay)
+      listener, lease, budget, placement, quarantine, quarantinePart, loopDelay)
     host.markStopping = () => { state.stopping = true }
     directory.onChange(() => {
       const limits = directory.routes?.configuration.limits
@@ -231,6 +245,7 @@
     for (const follower of this.followers) follower.start()
     this.upstreams.start()
     await this.placement.start()
+    this.quarantinePart.start()
     this.lease.start()
     this.rolePlannerTask.start()
     this.readinessServer = await serve({
@@ -253,11 +268,17 @@
     return this.upstreams.view()
   }
 
+  /** Number of parts of prompts whose requests are refused, since they crash workers. */
+  get quarantinedParts (): number {
+    return this.quarantine.size
+  }
+
   /** Stops everything at once and closes the connections of open requests. */
   async close (): Promise<void> {
     await this.rolePlannerTask.stop()
     await this.lease.stop()
     await this.placement.stop()
+    await this.quarantinePart.stop()
     await this.loopDelay.stop()
     await Promise.all(this.followers.map(async follower => await follower.stop()))
     await this.upstreams.stop()
@@ -377,6 +398,7 @@
   upstreams: UpstreamManager
   budget: RetryBudget
   policy: PromptPlacementPolicy
+  quarantine: PartQuarantine
   placer: PromptPlacer
 }
 
@@ -386,7 +408,7 @@
 }
 
 function requestManagerOptions (
-  { clock, events, upstreams, budget, policy, placer }: RequestDependencies
+  { clock, events, upstreams, budget, policy, quarantine, placer }: RequestDependencies
 ): RequestManagerOptions {
   const protocol = new WorkerProtocol()
   return {
@@ -394,7 +416,8 @@
     policy,
     servicePolicy: policy,
     protocol,
-    promptComputation: new PromptComputation({ upstreams, policy, placer, protocol, budget, clock, events }),
+    promptComputation: new PromptComputation({ upstreams, policy, placer, protocol, budget, clock, events, quarantine }),
+    quarantine,
     limits: defaultAttemptLimits,
     clock,
     events,
--- a/src/platform/testing/platformTestSupport.ts
+++ b/src/platform/testing/platformTestSupport.ts
@@ -71,20 +71,7 @@
   for (const worker of app) store.write('keyed.servers', worker.id, worker.createEntry('app'))
   for (const worker of models) store.write('keyed.servers', worker.id, worker.createEntry('llm', { stage: 'colocated' }))
   if (options.configuration !== null) store.write('keyed.op', 'config', options.configuration ?? configurationDocument(1))
-  const host = await PlatformHost.create(platformSettingsSchema.parse({
-    host: { id: 'host-1', zone: 'zone-a', region: 'coast' },
-    listen: { callers: '127.0.0.1:0', readiness: '127.0.0.1:0' },
-    store: { address: store.address },
-    bounds: {
-      graceSeconds: 8,
-      retryRatio: 0.2,
-      retrySlack: options.retrySlack ?? 1000,
-      stableWindowMilliseconds: 3000,
-      leaseMilliseconds: 3000
-    },
-    log: { level: 'error' }
-  }), options.clock)
-  await host.start()
+  const host = await startHost(store, options)
   if (options.configuration !== null) await waitUntil(() => host.isReady)
   const stop = async (): Promise<void> => {
     await host.close()
@@ -94,6 +81,22 @@
   return { host, store, app, models, stop }
 }
 
+/** Starts a host on a store. */
+export async function startHost (
+  store: FakeStore,
+  { name = 'host-1', clock, retrySlack = 1000 }: { name?: string } & Pick<PlatformTestOptions, 'clock' | 'retrySlack'> = {}
+): Promise<PlatformHost> {
+  const host = await PlatformHost.create(platformSettingsSchema.parse({
+    host: { id: name, zone: 'zone-a', region: 'coast' },
+    listen: { callers: '127.0.0.1:0', readiness: '127.0.0.1:0' },
+    store: { address: store.address },
+    bounds: { graceSeconds: 8, retryRatio: 0.2, retrySlack, stableWindowMilliseconds: 3000, leaseMilliseconds: 3000 },
+    log: { level: 'error' }
+  }), clock)
+  await host.start()
+  return host
+}
+
 /** Polls until the condition holds. */
 export async function waitUntil (condition: () => boolean): Promise<void> {
   while (!condition()) await new Promise(resolve => setTimeout(resolve, 5))
--- a/src/upstreams/connectUpstream.ts
+++ b/src/upstreams/connectUpstream.ts
@@ -9,6 +9,15 @@
 /** Error code of a reset connection, in place of the system's `ECONNRESET`. */
 const resetCode = 'UPSTREAM_RESET'
 
+/** Error codes of a connection that ended while a call on it was open. */
+const connectionLostCodes: ReadonlySet<string> = new Set(['UND_ERR_SOCKET', 'EPIPE', resetCode])
+
+/** True if the connection to the upstream ended while a call on it was open. */
+export function isConnectionLost (caught: unknown): boolean {
+  const code = (caught as { code?: string } | null)?.code
+  return code !== undefined && connectionLostCodes.has(code)
+}
+
 function resetError (message: string): Error {
   return Object.assign(new Error(message), { code: resetCode })
 }
