Limit the time of requests of a stopping host to what is left

A request read 2.9 s after SIGTERM was passed on with the time its caller allowed, so a worker, or the queue for prompts, could plan it beyond the exit of the host. Its deadline is now at most the moment of the final answers, or of the exit for a stream, and a prompt has to start before the final answers; a queue that cannot start it by then refuses it at once, as not run.

Ruled out: an earlier deadline for streams, which would cut those that end shortly before the exit.

The two cases of the new test failed before: workers were told 5000 ms where 4350 and 4600 were left. The whole responses of the test with silent workers now end by this deadline, so their stop is complete; their answers are pinned to one status each. The tests of the listener and the platform host pass.

--- a/src/platform/CallerListener.ts
+++ b/src/platform/CallerListener.ts
@@ -75,6 +75,14 @@
   interruption: InterruptionCause | undefined
 }
 
+/** Ends of a stop, as monotonic times in milliseconds. */
+export interface StopLimits {
+  /** Requests whose response has not begun receive a final answer. */
+  finalAnswerAt: number
+  /** The process exits. */
+  exitAt: number
+}
+
 /** What a stop left open or took on late. */
 export interface StopSummary extends ConnectionCounts {
   /** Number of requests that were read after the listener had closed. */
@@ -89,6 +97,7 @@
   private limits: CallerLimits | undefined
   /** Monotonic time in milliseconds of the start of the stop. */
   private stoppingSince: number | undefined
+  private stopLimits: StopLimits | undefined
   private isClosed = false
   /** Requests whose response has not begun. */
   private readonly unanswered = new Set<RequestInterruption>()
@@ -139,8 +148,9 @@
   }
 
   /** Announces with each response from now on that its connection closes; new connections are still accepted. */
-  startStop (): void {
+  startStop (limits: StopLimits = { finalAnswerAt: Infinity, exitAt: Infinity }): void {
     this.stoppingSince ??= this.options.clock.monotonic()
+    this.stopLimits = limits
   }
 
   /** State of the connections and requests since the start of the stop. */
@@ -262,7 +272,9 @@
     if (this.limits !== undefined && headerBytesOf(message) > this.limits.maxHeaderBytes) {
       return Result.err(failure('headers_too_large', `the header is larger than ${this.limits.maxHeaderBytes} bytes`))
     }
-    return decodeRequest(message, { routes, now, hashToFraction: id => this.options.hash.h32(id) / hashRange })
+    const decoded = decodeRequest(message, { routes, now, hashToFraction: id => this.options.hash.h32(id) / hashRange })
+    const { stopLimits } = this
+    return stopLimits === undefined ? decoded : decoded.map(request => limitedByStop(request, stopLimits))
   }
 
   /** Sends a worker's response to the caller. Returns its status, or `broken` if it ended early. */
@@ -383,6 +395,19 @@
   }
 }
 
+/**
+ * The request with no more time than the stop leaves, so that a worker or the queue for prompts declines it at once if
+ * that does not suffice.
+ */
+function limitedByStop (request: DecodedRequest, { finalAnswerAt, exitAt }: StopLimits): DecodedRequest {
+  const { delivery, deadline, startLostAt = deadline } = request.call
+  const end = delivery === 'stream' ? exitAt : finalAnswerAt
+  return {
+    ...request,
+    call: { ...request.call, deadline: Math.min(deadline, end), startLostAt: Math.min(startLostAt, finalAnswerAt) }
+  }
+}
+
 const unknownOutcomeOfStop = failure('outcome_unknown', 'the host stops before the worker has answered')
 
 const refusalOfStop = failure('draining', 'the host stops before a worker has received the request')
--- a/src/platform/PlatformHost.test.ts
+++ b/src/platform/PlatformHost.test.ts
@@ -383,11 +383,11 @@
 
   // Guards against requests that are cut without an answer by the exit at the end of the grace period.
   test.each([
-    ['GET', '/reads/1', /^HTTP\/1.1 50[24] /],
-    ['POST', '/votes/1', /^HTTP\/1.1 502 /],
-    ['POST', '/tags/1', /^HTTP\/1.1 502 /],
-    ['POST', '/answers/1', /^HTTP\/1.1 50[24] /]
-  ])('answers %s %s before the exit, although the worker is silent', async (method, path, answer) => {
+    ['GET', '/reads/1', /^HTTP\/1.1 504 /, true],
+    ['POST', '/votes/1', /^HTTP\/1.1 502 /, true],
+    ['POST', '/tags/1', /^HTTP\/1.1 502 /, false],
+    ['POST', '/answers/1', /^HTTP\/1.1 502 /, false]
+  ])('answers %s %s before the exit, although the worker is silent', async (method, path, answer, endsByDeadline) => {
     const clock = new ManualClock()
     const { host, app, models } = await start({ clock, appWorkers: 1, modelWorkers: 1 })
     for (const worker of [...app, ...models]) worker.onRequest = () => {}
@@ -397,12 +397,30 @@
     caller.send(method, path, requestHeaders('r1', { 'dogwooddale-deadline-ms': '20000' }), method === 'GET' ? undefined : 'body')
     await waitUntil(() => countRequests([...app, ...models]) === 1)
     await clock.advance(4600)
-    expect(await stopped).toBe(false)
+    expect(await stopped).toBe(endsByDeadline)
     await host.close()
     await waitUntil(() => caller.closed)
     expect(caller.received).toMatch(answer)
   })
 
+  // Guards against workers, and the queue for prompts, that are given more time than the process has left.
+  test.each([
+    ['a whole response has to be complete for the final answers', '/votes/1', 4350],
+    ['a stream may last until the exit', '/tags/1', 4600]
+  ])('gives a worker the time that is left: %s', async (_name, path, milliseconds) => {
+    const clock = new ManualClock()
+    const { host, app, models } = await start({ clock, appWorkers: 1, modelWorkers: 1 })
+    const stopped = host.stop()
+    await clock.advance(2900)
+    const caller = await connectCaller()
+    caller.send('POST', path, requestHeaders('r1', { 'dogwooddale-deadline-ms': '20000' }), 'body')
+    expect((await caller.readResponse()).status).toBe(200)
+    expect([...app, ...models].flatMap(({ requests }) => requests).map(({ headers }) => headers['dogwooddale-deadline-ms']))
+      .toEqual([String(milliseconds)])
+    await clock.advance(100)
+    expect(await stopped).toBe(true)
+  })
+
   test('forwards a stream until the exit and then ends it without the final chunk', async () => {
     const clock = new ManualClock()
     const { host, models } = await start({ clock, modelWorkers: 1 })
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -296,10 +296,11 @@
 
   private async stopOnce (): Promise<boolean> {
     const { clock, listener } = this
-    listener.startStop()
+    const exitMilliseconds = this.settings.bounds.graceSeconds * 1000 - exitMarginMilliseconds
+    const exitAt = clock.monotonic() + exitMilliseconds
+    listener.startStop({ finalAnswerAt: exitAt - finalAnswerMilliseconds, exitAt })
     this.logStop('stop_started')
     const dutyEnded = this.rolePlannerTask.stop().then(() => this.lease.stop())
-    const exitMilliseconds = this.settings.bounds.graceSeconds * 1000 - exitMarginMilliseconds
     const timeout = new AbortController()
     const timedOut = clock.sleep(exitMilliseconds, timeout.signal).then(() => false)
     const drained = this.drainRequests(exitMilliseconds - finalAnswerMilliseconds, timeout.signal)
