Close the product's listeners as gracefully as the platform's

The listeners for callers and for operators closed through closeIdleConnections, at the close and again at the end of each response. A connection on which nothing was sent yet stayed open, took a request after the close, and kept a drain from ending, since only its own caller would close it. A response that had been ended but not sent completely was cut, at the close or when another response ended. serve now uses GracefulServer.

Ruled out: connections whose response announced keep-alive before the close; serve closed them already. Its case is new and passed before.

Failed before: a late request on an unused connection was answered, and a slow caller received 3.9 of 40 MB in both cases. The tests of entry, of the platform host and its listener pass.

--- a/src/entry/serve.test.ts
+++ b/src/entry/serve.test.ts
@@ -4,10 +4,12 @@
  */
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
 import { request as httpRequest, type IncomingMessage } from 'node:http'
-import { connect } from 'node:net'
+import { once } from 'node:events'
+import { connect, type Socket } from 'node:net'
 import { FakeEngine, startStream, textOf, tokenEvent } from './testing/FakeEngine.js'
 import { FakeService } from './testing/FakeService.js'
 import { startServer, flushUsageRecords, reefToken, type TestHost, createTestHost } from './testing/TestHost.js'
+import { serve } from './serve.js'
 
 let engine: FakeEngine
 let service: FakeService
@@ -132,3 +134,81 @@
   expect(order.sort()).toEqual(['closed', 'done', 'drained'])
   server.close = async () => {}
 })
+
+describe('close', () => {
+  let finishStream = (): void => {}
+
+  /** An application with an endless stream, which `finishStream` ends, and a body that fills the buffers of a connection. */
+  const application = {
+    fetch: (request: Request): Response => {
+      const { pathname } = new URL(request.url)
+      if (pathname === '/large') return new Response('x'.repeat(largeBodyBytes))
+      if (pathname !== '/stream') return new Response('fine')
+      return new Response(new ReadableStream({
+        start: controller => {
+          controller.enqueue(new TextEncoder().encode('piece'))
+          finishStream = () => controller.close()
+        }
+      }))
+    }
+  }
+
+  const largeBodyBytes = 40_000_000
+
+  interface OpenConnection { socket: Socket, received: () => number, closed: Promise<void> }
+
+  /** Opens a connection, sends a request unless the path is empty, and counts the bytes that are received. */
+  async function open (address: string, path: string): Promise<OpenConnection> {
+    const socket = connect(Number(address.split(':').at(-1)), '127.0.0.1')
+    await once(socket, 'connect')
+    const closed = new Promise<void>(resolve => socket.once('close', () => resolve()))
+    socket.on('error', () => {})
+    let received = 0
+    if (path !== '') socket.write(`GET ${path} HTTP/1.1\r\nhost: x\r\n\r\n`)
+    if (path !== '') received += (await once(socket, 'data') as [Buffer])[0].length
+    socket.on('data', bytes => { received += bytes.length })
+    return { socket, received: () => received, closed }
+  }
+
+  // Guards against connections that stay usable after the close, so that their requests are cut by the exit.
+  test.each([
+    ['was never used', ''],
+    ['carries a response whose head was sent before', '/stream']
+  ])('lets a connection that %s take no further request', async (_name, path) => {
+    const { addresses: [address = ''], close } = await serve({ application, addresses: ['127.0.0.1:0'], maxHeaderBytes: 1000 })
+    const idle = await open(address, '/idle')
+    const connection = await open(address, path)
+    const closing = close()
+    await idle.closed
+    if (path === '/stream') {
+      finishStream()
+      await connection.closed
+    }
+    const receivedBefore = connection.received()
+    connection.socket.write('GET /late HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n')
+    await connection.closed
+    expect(connection.received()).toBe(receivedBefore)
+    await closing
+  })
+
+  // Guards against responses that are cut because they had been ended, but not sent completely.
+  test.each([
+    ['the server closes', ''],
+    ['another response ends during the close', '/stream']
+  ])('sends a response completely to a caller that reads slowly when %s', async (_name, otherPath) => {
+    const { addresses: [address = ''], close } = await serve({ application, addresses: ['127.0.0.1:0'], maxHeaderBytes: 1000 })
+    const other = await open(address, otherPath)
+    const slow = await open(address, '/large')
+    slow.socket.pause()
+    const closing = close()
+    if (otherPath === '/stream') {
+      finishStream()
+      await other.closed
+    }
+    slow.socket.resume()
+    await slow.closed
+    expect(slow.received()).toBeGreaterThan(largeBodyBytes)
+    other.socket.destroy()
+    await closing
+  })
+})
--- a/src/entry/serve.ts
+++ b/src/entry/serve.ts
@@ -1,9 +1,9 @@
 /**
  * Serves an HTTP application, the one for callers or the one for operators, on its addresses.
  */
-import { createServer, type Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import { createAdaptorServer } from '@hono/node-server'
+import { getRequestListener } from '@hono/node-server'
+import { GracefulServer } from './GracefulServer.js'
 
 /** Options of `serve`. */
 export interface ServeOptions {
@@ -18,7 +18,7 @@
 export interface ListeningServer {
   /** The addresses as `ip:port`, with the ports that are in use. */
   addresses: string[]
-  /** Stops accepting connections, closes idle ones and resolves when all connections have closed. */
+  /** Stops accepting connections, closes each open one after its open requests, and resolves when all have closed. */
   close: () => Promise<void>
 }
 
@@ -36,24 +36,12 @@
 
 /** Listens on all addresses. Throws the listen error, and listens on none, if one address cannot be used. */
 export async function serve (options: ServeOptions): Promise<ListeningServer> {
-  const servers: Server[] = []
-  const closingServers = new Set<Server>()
+  const servers: GracefulServer[] = []
   const close = async (): Promise<void> => {
-    await Promise.all(servers.map(server => new Promise<void>(resolve => {
-      server.close(() => { resolve() })
-      server.closeIdleConnections()
-      // A response whose headers were sent before has no `connection: close`, so its connection is closed when it ends.
-      closingServers.add(server)
-    })))
+    await Promise.all(servers.map(server => server.closeGracefully()))
   }
   try {
-    for (const address of options.addresses) {
-      const server = await listen(options, address)
-      servers.push(server)
-      server.on('request', (_request, response) => {
-        response.once('close', () => { if (closingServers.has(server)) server.closeIdleConnections() })
-      })
-    }
+    for (const address of options.addresses) servers.push(await listen(options, address))
   } catch (caught) {
     await close()
     throw caught
@@ -61,22 +49,18 @@
   return { addresses: servers.map(addressOf), close }
 }
 
-async function listen (options: ServeOptions, address: string): Promise<Server> {
+async function listen (options: ServeOptions, address: string): Promise<GracefulServer> {
   const separator = address.lastIndexOf(':')
-  const server = createAdaptorServer({
-    fetch: options.application.fetch,
-    createServer,
-    overrideGlobalObjects: false,
-    serverOptions: {
-      maxHeaderSize: options.maxHeaderBytes * 2,
-      keepAlive: true,
-      keepAliveInitialDelay: tcpKeepAliveDelayMilliseconds,
-      noDelay: true,
-      headersTimeout: headersTimeoutMilliseconds,
-      keepAliveTimeout: keepAliveTimeoutMilliseconds,
-      requestTimeout: requestTimeoutMilliseconds
-    }
-  }) as Server
+  const handler = getRequestListener(options.application.fetch, { overrideGlobalObjects: false })
+  const server = new GracefulServer({
+    maxHeaderSize: options.maxHeaderBytes * 2,
+    keepAlive: true,
+    keepAliveInitialDelay: tcpKeepAliveDelayMilliseconds,
+    noDelay: true,
+    headersTimeout: headersTimeoutMilliseconds,
+    keepAliveTimeout: keepAliveTimeoutMilliseconds,
+    requestTimeout: requestTimeoutMilliseconds
+  }, handler)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     server.listen(Number(address.slice(separator + 1)), address.slice(0, separator).replace(/^\[|\]$/g, ''), () => {
@@ -87,7 +71,7 @@
   return server
 }
 
-function addressOf (server: Server): string {
+function addressOf (server: GracefulServer): string {
   const { address, family, port } = server.address() as AddressInfo
   return family === 'IPv6' ? `[${address}]:${port}` : `${address}:${port}`
 }
