Recognise CR and CRLF line ends in streams of events

EventSplitter knew only two LFs as the end of an event. A resumable stream with CRLF or CR line ends was buffered to its end, then taken for one that ended inside an event and asked for again; so was one that ended with a comment line or an empty line more.

Ruled out: waiting for the byte after each CR, which would hold back every event of a stream with CR alone.

--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -372,7 +372,7 @@
             yield event.bytes
           }
         }
-        if (!splitter.hasPartialEvent) return
+        if (!splitter.isInsideEvent) return
         throw new Error('the stream ended inside an event')
       } catch (caught) {
         const failedAttempt: FailedAttempt = { kind: 'broken', failure: this.failureOf(caught as Error, stop) }
--- a/src/platform/PlatformHost.test.ts
+++ b/src/platform/PlatformHost.test.ts
@@ -24,6 +24,20 @@
   return await RawCaller.connect(platform!.host.addresses.callers)
 }
 
+/** The content of a chunked body; undefined unless it ends with the final chunk. */
+function decodeChunks (text: string): string | undefined {
+  let content = ''
+  let rest = text
+  for (;;) {
+    const lineEnd = rest.indexOf('\r\n')
+    const length = Number.parseInt(rest.slice(0, lineEnd), 16)
+    if (lineEnd < 0 || Number.isNaN(length)) return undefined
+    if (length === 0) return content
+    content += rest.slice(lineEnd + 2, lineEnd + 2 + length)
+    rest = rest.slice(lineEnd + 4 + length)
+  }
+}
+
 function countRequests (workers: FakeWorker[]): number {
   return workers.reduce((sum, { requests }) => sum + requests.length, 0)
 }
@@ -142,6 +156,18 @@
     expect(countRequests(app)).toBe(2)
   })
 
+  // Guards against a complete response that is taken for a broken one since only its connection's close ends it.
+  test.each([['GET', '/reads/1'], ['POST', '/votes/1']])('without a length or chunks that ends with its connection is delivered whole for %s %s', async (method, path) => {
+    const { app } = await start()
+    for (const worker of app) {
+      worker.onRequest = request => { request.socket.end(worker.responseTo(request, 'whole', { headers: { 'content-length': undefined } })) }
+    }
+    const client = await connectCaller()
+    client.send(method, path, requestHeaders('r1'), method === 'POST' ? 'yes' : undefined)
+    expect(await client.readResponse()).toMatchObject({ status: 200, body: 'whole' })
+    expect(countRequests(app)).toBe(1)
+  })
+
   test('that is sent twice on a kept-alive connection does not answer the next request', async () => {
     const { app } = await start({ appWorkers: 1 })
     const worker = app[0]!
@@ -252,6 +278,31 @@
     expect(countRequests(models)).toBe(1)
   })
 
+  const openHead = (request: ReceivedRequest, worker: FakeWorker): string => streamHead(request, worker).replace('transfer-encoding: chunked\r\n', '')
+
+  // Guards against complete streams that are taken for broken ones, or whose bytes are changed or sent again.
+  test.each([
+    ['LF line ends', '/tags/1', event(1) + event(2)],
+    ['CRLF line ends', '/tags/1', (event(1) + event(2)).replaceAll('\n', '\r\n')],
+    ['CR line ends', '/tags/1', (event(1) + event(2)).replaceAll('\n', '\r')],
+    ['a comment at the end', '/tags/1', event(1) + ': done\n'],
+    ['no event', '/tags/1', ''],
+    ['LF line ends', '/answers/1', event(1) + event(2)],
+    ['CRLF line ends', '/answers/1', (event(1) + event(2)).replaceAll('\n', '\r\n')],
+    ['CR line ends', '/answers/1', (event(1) + event(2)).replaceAll('\n', '\r')],
+    ['a comment at the end', '/answers/1', event(1) + ': done\n'],
+    ['no event', '/answers/1', '']
+  ])('with %s for %s that has no length and ends with its connection is delivered whole', async (_name, path, body) => {
+    const { models } = await start()
+    for (const worker of models) worker.onRequest = request => { request.socket.end(openHead(request, worker) + body) }
+    const client = await connectCaller()
+    client.send('POST', path, requestHeaders('r1'), 'post')
+    await waitUntil(() => client.closed || client.received.endsWith('0\r\n\r\n'))
+    const chunks = client.received.slice(client.received.indexOf('\r\n\r\n') + 4)
+    expect(decodeChunks(chunks)).toBe(body)
+    expect(countRequests(models)).toBe(1)
+  })
+
   test.each(['/tags/1', '/answers/1'])('for %s is closed at its worker when the caller disconnects', async path => {
     const { models } = await start({ modelWorkers: 1 })
     let workerClosed = false
