Do not pass on a stream that ends inside an event as complete

The response of a stream that may not be resumed was passed on byte by byte, and the close of its connection, or its final chunk, ended it whatever had come before. A worker that stopped inside an event and closed its connection without a reset gave the caller an answer that looked complete. Such a response (status 200, text/event-stream) is now followed by EventScanner while its bytes are passed on as they arrive; if it ends inside an event, the attempt counts as failed, is logged, and the caller's connection is closed without the end of the body. The attempt of a resumable stream that ends so is now also counted as failed instead of answered.

Ruled out: responses without a length or chunks that end whole were already delivered whole (stream and not, safe and at most once), and resets were already told apart; tests now hold both. Bodies of error responses and streams without events are not judged.

--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -11,9 +11,10 @@
 import { abortAfter, type AbortTimer, errorResponses, type Failure, failure, type WorkerId } from '../common/index.js'
 import type { RoutingRequest } from '../routing/index.js'
 import { connectTimeoutMilliseconds, connectUpstream, type RequestTracker, type Upstream } from '../upstreams/index.js'
-import { type ResponseBody, destroyBody, isRepeatedEvent, withCleanup } from './responseBodies.js'
+import { type ResponseBody, destroyBody, isEventStream, isRepeatedEvent, withCleanup } from './responseBodies.js'
 import { CallPrompt } from './CallPrompt.js'
 import type { ResponseHead, KvSource } from './CallProtocol.js'
+import { EventScanner } from './EventScanner.js'
 import { EventSplitter } from './EventSplitter.js'
 import type { ServiceResponse, ServiceContext, ServiceRequest } from './ServiceRequest.js'
 
@@ -330,12 +331,33 @@
 
   private createStreamedResponse (openResponse: OpenResponse, stop: AbortSignal): ServiceResponse {
     const resumable = this.request.idempotent && openResponse.head.status === 200
-    const body = resumable ? this.streamEvents(openResponse, stop) : this.streamBytes(openResponse, stop)
+    const body = resumable ? this.streamEvents(openResponse, stop) : this.streamUnchanged(openResponse, stop)
     return { ...this.headOf(openResponse), body: Buffer.alloc(0), remainingBody: body }
   }
 
-  /** The bytes of a streamed response as they arrive. */
-  private async * streamBytes (openResponse: OpenResponse, stop: AbortSignal): AsyncGenerator<Buffer> {
+  /**
+   * The bytes of a response that is not resumed, as they arrive. Throws if a stream of events ends inside an event: its
+   * worker stopped, although the end of the connection may look like that of a complete response.
+   */
+  private async * streamUnchanged (openResponse: OpenResponse, stop: AbortSignal): AsyncGenerator<Buffer> {
+    const scanner = isEventStream(openResponse.head) ? new EventScanner() : undefined
+    try {
+      for await (const piece of this.streamBytes(openResponse, stop, scanner)) {
+        scanner?.add(piece)
+        yield piece
+      }
+    } catch (caught) {
+      if (!stop.aborted) this.logFailure(openResponse.tracker.upstream, { kind: 'broken', failure: this.failureOf(caught as Error, stop) })
+      throw caught
+    }
+  }
+
+  /** The bytes of a streamed response as they arrive. Throws if the response ends inside an event. */
+  private async * streamBytes (
+    openResponse: OpenResponse,
+    stop: AbortSignal,
+    events?: { readonly isInsideEvent: boolean }
+  ): AsyncGenerator<Buffer> {
     let isComplete = false
     try {
       for await (const piece of openResponse.body) {
@@ -343,6 +365,7 @@
         this.prompt.answerStarted()
         yield piece
       }
+      if (events?.isInsideEvent === true) throw new Error('the stream ended inside an event')
       isComplete = true
     } finally {
       if (isComplete) this.endRequest(openResponse)
@@ -365,15 +388,14 @@
     for (;;) {
       const splitter = new EventSplitter()
       try {
-        for await (const piece of this.streamBytes(openResponse, stop)) {
+        for await (const piece of this.streamBytes(openResponse, stop, splitter)) {
           for (const event of splitter.add(piece)) {
             if (isRepeatedEvent(event.id, lastId)) continue
             lastId = event.id ?? lastId
             yield event.bytes
           }
         }
-        if (!splitter.isInsideEvent) return
-        throw new Error('the stream ended inside an event')
+        return
       } catch (caught) {
         const failedAttempt: FailedAttempt = { kind: 'broken', failure: this.failureOf(caught as Error, stop) }
         this.logFailure(openResponse.tracker.upstream, failedAttempt)
--- a/src/forwarding/responseBodies.ts
+++ b/src/forwarding/responseBodies.ts
@@ -2,6 +2,7 @@
  * Helpers for the bodies of workers' responses.
  */
 import type { Dispatcher } from 'undici'
+import type { ResponseHead } from './CallProtocol.js'
 
 /** The body of a worker's response. */
 export type ResponseBody = Dispatcher.ResponseData['body']
@@ -13,6 +14,12 @@
   body.on('error', () => {}).destroy()
 }
 
+/** True if a response carries a stream of events. */
+export function isEventStream ({ status, headers }: ResponseHead): boolean {
+  const contentType = headers['content-type']
+  return status === 200 && typeof contentType === 'string' && /^text\/event-stream *(;|$)/i.test(contentType)
+}
+
 /**
  * True if an event was already delivered. Event ids are increasing numbers; a stream that resumes too early repeats
  * events.
--- a/src/platform/PlatformHost.test.ts
+++ b/src/platform/PlatformHost.test.ts
@@ -4,6 +4,7 @@
  * workers that keep working for callers who disconnected, and stops that cut responses.
  */
 import { afterEach, describe, expect, test } from '@jest/globals'
+import type { Socket } from 'node:net'
 import { ManualClock } from '../common/index.js'
 import type { FakeWorker, ReceivedRequest } from './testing/FakeWorker.js'
 import { configurationDocument, type PlatformTest, RawCaller, requestHeaders, startPlatform, waitUntil } from './testing/platformTestSupport.js'
@@ -279,6 +280,38 @@
   })
 
   const openHead = (request: ReceivedRequest, worker: FakeWorker): string => streamHead(request, worker).replace('transfer-encoding: chunked\r\n', '')
+  const reset = (socket: Socket): void => { socket.resetAndDestroy() }
+  const finish = (socket: Socket): void => { socket.end() }
+  const finishChunks = (socket: Socket): void => { socket.write('0\r\n\r\n') }
+
+  // Guards against streams that look complete to the caller although their worker stopped inside an event.
+  test.each([
+    ['inside a field of an event, at the close of a connection without a length', openHead, event(1) + 'id: 2\ndata: pie', finish],
+    ['after a single newline, at the close of a connection without a length', openHead, event(1) + 'id: 2\ndata: piece-2\n', finish],
+    ['inside an event with CRLF line ends', openHead, (event(1) + 'id: 2\ndata: pie').replaceAll('\n', '\r\n'), finish],
+    ['inside a comment', openHead, event(1) + ': wai', finish],
+    ['inside an event, with a final chunk', streamHead, chunk(event(1)) + chunk('id: 2\ndata: pie'), finishChunks],
+    ['after a complete event, by a reset', openHead, event(1), reset]
+  ] as Array<[string, typeof openHead, string, (socket: Socket) => void]>)(
+    'that is not resumable and ends %s does not end as complete, and its request is not sent again', async (_name, headOf, body, end) => {
+      const lastBytes = body.trimEnd().slice(-3)
+      const { models } = await start()
+      const sockets: Socket[] = []
+      for (const worker of models) {
+        worker.onRequest = request => {
+          sockets.push(request.socket)
+          request.socket.write(headOf(request, worker) + body)
+        }
+      }
+      const client = await connectCaller()
+      client.send('POST', '/tags/1', requestHeaders('r1'), 'post')
+      // The bytes are passed on before the worker ends the stream.
+      await waitUntil(() => client.received.includes(lastBytes))
+      end(sockets[0]!)
+      await waitUntil(() => client.closed || client.received.endsWith('0\r\n\r\n'))
+      expect(client.received.endsWith('0\r\n\r\n')).toBe(false)
+      expect(countRequests(models)).toBe(1)
+    })
 
   // Guards against complete streams that are taken for broken ones, or whose bytes are changed or sent again.
   test.each([
@@ -303,6 +336,19 @@
     expect(countRequests(models)).toBe(1)
   })
 
+  // Guards against error responses, which carry no events, that are judged as if they were streams of events.
+  test('whose worker answers with an error and no length delivers that answer whole', async () => {
+    const { models } = await start()
+    for (const worker of models) {
+      worker.onRequest = request => {
+        request.socket.end(worker.responseTo(request, 'no such model', { status: 400, headers: { 'content-length': undefined, 'content-type': 'text/plain' } }))
+      }
+    }
+    const client = await connectCaller()
+    client.send('POST', '/tags/1', requestHeaders('r1'), 'post')
+    expect(await client.readResponse()).toMatchObject({ status: 400, body: expect.stringContaining('no such model') })
+  })
+
   test.each(['/tags/1', '/answers/1'])('for %s is closed at its worker when the caller disconnects', async path => {
     const { models } = await start({ modelWorkers: 1 })
     let workerClosed = false
