Disconnect workers that send framing without end

undici limits the header fields and the trailers of a response, but not empty lines before it, its status line, its interim responses or the extension of a chunk. A worker that sent one of these without end kept a connection of the host, and its processor, busy until the deadline of the call; the caller of a request that may run once waited as long for its 502, and a safe request whose head had come was not sent to another worker at all.

BoundedClient closes its connection when the peer has sent more than 1 MiB since the latest head or part of a body. Upstream and the connections that serve one call use it. The caller gets what any broken attempt gives: another worker's answer, or 502; service_attempt_failed says why.

Ruled out, by the tests that passed at once: header fields, trailers (undici's 16 KiB), the body of an answer that may run once, the body of a refusal. undici's newer handler interface was tried on paper only: it parses each head twice.

--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -6,8 +6,8 @@
  * after its last complete event.
  */
 import { Result } from 'true-myth'
-import { Client, type Dispatcher } from 'undici'
-import { isNotSent } from '../clients/HttpClient.js'
+import type { Dispatcher } from 'undici'
+import { BoundedClient, isNotSent } from '../clients/index.js'
 import { abortAfter, type AbortTimer, errorResponses, type Failure, failure, type WorkerId } from '../common/index.js'
 import type { RoutingRequest } from '../routing/index.js'
 import { connectTimeoutMilliseconds, connectUpstream, type RequestTracker, type Upstream } from '../upstreams/index.js'
@@ -217,7 +217,9 @@
     const { request } = this
     const remainingMilliseconds = Math.max(1, Math.ceil(request.deadline - clock.monotonic()))
     const dedicatedClient = protocol.usesDedicatedConnection(request)
-      ? new Client(upstream.origin, { connect: connectUpstream(connectTimeoutMilliseconds), headersTimeout: 0, bodyTimeout: 0 })
+      ? new BoundedClient(upstream.origin, {
+        connect: connectUpstream(connectTimeoutMilliseconds), headersTimeout: 0, bodyTimeout: 0
+      })
       : undefined
     const close = (): void => { dedicatedClient?.destroy().catch(() => {}) }
     const responseTimer = this.startResponseTimer()
--- /dev/null
+++ b/src/platform/endlessResponses.test.ts
@@ -0,0 +1,73 @@
+/**
+ * Guards against workers that send bytes without end: hosts that buffer them, read them until the deadline, or give the
+ * caller no true answer. Each worker is a stand-in that sends on real sockets until its connection is closed.
+ */
+import { afterEach, describe, expect, test } from '@jest/globals'
+import { EndlessSender, endlessHeads, maxAcceptedBytes } from '../clients/testing/EndlessSender.js'
+import type { FakeWorker, ReceivedRequest } from './testing/FakeWorker.js'
+import { type PlatformTest, RawCaller, requestHeaders, startPlatform, waitUntil } from './testing/platformTestSupport.js'
+
+let platform: PlatformTest | undefined
+let senders: EndlessSender[] = []
+
+afterEach(async () => {
+  await platform?.stop()
+  platform = undefined
+  senders = []
+})
+
+/** Starts a host whose workers answer the first request with bytes without end, and each later one as usual. */
+async function start (headOf: (worker: FakeWorker, request: ReceivedRequest) => string, piece: string): Promise<RawCaller> {
+  platform = await startPlatform()
+  for (const worker of [...platform.app, ...platform.models]) {
+    worker.onRequest = request => {
+      if (senders.length === 0) senders.push(new EndlessSender(request.socket, headOf(worker, request), piece))
+      else request.socket.write(worker.responseTo(request, 'fine'))
+    }
+  }
+  return await RawCaller.connect(platform.host.addresses.callers)
+}
+
+async function expectClosedByHost (): Promise<void> {
+  await waitUntil(() => senders.length > 0)
+  await senders[0]!.closed
+  expect(senders[0]!.sentBytes).toBeLessThan(maxAcceptedBytes)
+}
+
+const chunkedHead = (worker: FakeWorker, request: ReceivedRequest, overrides: Parameters<FakeWorker['responseTo']>[2] = {}): string =>
+  worker.responseTo(request, '', { ...overrides, headers: { 'content-length': undefined, 'transfer-encoding': 'chunked', ...overrides.headers } })
+
+const openHead = (worker: FakeWorker, request: ReceivedRequest, overrides: Parameters<FakeWorker['responseTo']>[2] = {}): string =>
+  worker.responseTo(request, '', { ...overrides, headers: { 'content-length': undefined, ...overrides.headers } })
+
+const endlessFraming: Array<[string, (worker: FakeWorker, request: ReceivedRequest) => string, string]> = [
+  ...endlessHeads.map(([name, head, piece]) => [name, () => head, piece] as [string, () => string, string]),
+  ['a chunk extension without an end', (worker, request) => chunkedHead(worker, request) + '1;', 'x'],
+  ['trailers without an end', (worker, request) => chunkedHead(worker, request) + '1\r\na\r\n0\r\n', 'x-a: b\r\n']
+]
+
+describe('a worker that sends', () => {
+  test.each(endlessFraming)('%s is disconnected, and a safe request is answered by another worker', async (_name, headOf, piece) => {
+    const caller = await start(headOf, piece)
+    caller.send('GET', '/reads/1', requestHeaders('r1'))
+    expect(await caller.readResponse()).toMatchObject({ status: 200, body: 'fine' })
+    await expectClosedByHost()
+  })
+
+  test.each([
+    ...endlessFraming,
+    ['a body without an end', openHead, 'x']
+  ] as typeof endlessFraming)('%s is disconnected, and a request that may run once is answered 502', async (_name, headOf, piece) => {
+    const caller = await start(headOf, piece)
+    caller.send('POST', '/votes/1', requestHeaders('r1'), 'yes')
+    expect((await caller.readResponse()).status).toBe(502)
+    await expectClosedByHost()
+  })
+
+  test('a refusal whose body has no end is disconnected, and the request is answered by another worker', async () => {
+    const caller = await start((worker, request) => openHead(worker, request, { status: 503, headers: { 'dogwooddale-not-run': '1' } }), 'x')
+    caller.send('POST', '/votes/1', requestHeaders('r1'), 'yes')
+    expect(await caller.readResponse()).toMatchObject({ status: 200, body: 'fine' })
+    await expectClosedByHost()
+  })
+})
--- a/src/upstreams/Upstream.ts
+++ b/src/upstreams/Upstream.ts
@@ -3,6 +3,7 @@
  * Only `UpstreamManager` changes it.
  */
 import { Pool as ConnectionPool } from 'undici'
+import { BoundedClient } from '../clients/index.js'
 import type { Clock, Model, Pool, WorkerId, Zone } from '../common/index.js'
 import type { EngineRole, WorkerDocument } from '../configuration/index.js'
 import { connectUpstream } from './connectUpstream.js'
@@ -87,6 +88,7 @@
   /** Connection pool for requests. */
   get http (): ConnectionPool {
     this.connectionPool ??= new ConnectionPool(this.origin, {
+      factory: (origin, options) => new BoundedClient(origin, options),
       pipelining: 1,
       connect: connectUpstream(connectTimeoutMilliseconds),
       keepAliveTimeout: this.keepAliveMilliseconds,
