Limit the size of one event of a stream

A worker that sent an event, a line or a comment without end was followed until the deadline: EventSplitter buffered a resumable stream without limit, and the bytes of another went to the caller although no event was in them. EventScanner now rejects an event above 1 MiB, as a broken stream: a resumable one continues at another worker after its last event, the caller of another is disconnected without the end of the body. EventSplitter joins its buffered pieces beyond 1024, since each needs more memory than its bytes.

Ruled out: comments and empty lines between events, each of which ends; they are passed on at the caller's pace until the deadline.

--- a/src/forwarding/EventScanner.ts
+++ b/src/forwarding/EventScanner.ts
@@ -8,6 +8,9 @@
 const carriageReturn = 0x0D
 const colon = 0x3A
 
+/** Maximum size of one event, in bytes; a worker that sends more without the end of an event sends no events. */
+export const maxEventBytes = 1_048_576
+
 /** Follows the lines of an event stream. */
 export class EventScanner {
   private isLineEmpty = true
@@ -22,6 +25,7 @@
   private awaitsLineFeed = false
   /** True if a part of the stream ended with the latest byte. */
   private atEnd = true
+  private eventBytes = 0
 
   /** True if the bytes so far end inside an event, or inside a line. */
   get isInsideEvent (): boolean {
@@ -30,12 +34,13 @@
 
   /**
    * Adds bytes. Returns the positions after which an event, or a line outside an event, ends; they do not depend on how
-   * the stream is cut into pieces.
+   * the stream is cut into pieces. Throws if an event is larger than `maxEventBytes`.
    */
   add (bytes: Uint8Array): number[] {
     const ends: number[] = []
     for (let position = 0; position < bytes.length; position += 1) {
       const byte = bytes[position]!
+      this.eventBytes += 1
       if (byte === lineFeed && this.afterReturn) {
         this.usesBoth = true
         this.afterReturn = false
@@ -47,6 +52,7 @@
       if (byte === lineFeed || byte === carriageReturn) this.endLine(byte, ends, position + 1)
       else this.extendLine(byte)
     }
+    if (this.eventBytes > maxEventBytes) throw new Error(`an event is larger than ${maxEventBytes} bytes`)
     return ends
   }
 
@@ -75,5 +81,6 @@
     this.hasField = false
     this.awaitsLineFeed = false
     this.atEnd = true
+    this.eventBytes = 0
   }
 }
--- a/src/forwarding/EventSplitter.test.ts
+++ b/src/forwarding/EventSplitter.test.ts
@@ -1,9 +1,10 @@
 /**
  * Guards against events that are joined, cut or lost when their line ends are not LF or their bytes arrive in other
- * pieces.
+ * pieces, and against workers that send an event without an end.
  */
 import { describe, expect, test } from '@jest/globals'
 import fc from 'fast-check'
+import { maxEventBytes } from './EventScanner.js'
 import { EventSplitter, type StreamEvent } from './EventSplitter.js'
 
 function split (pieces: Uint8Array[]): { events: StreamEvent[], isInsideEvent: boolean } {
@@ -52,4 +53,17 @@
       if (!whole.isInsideEvent) expect(passedOn.length).toBe(bytes.length)
     }), { seed: 20, numRuns: 2000 })
   })
+
+  test.each([
+    ['one line', 'x'],
+    ['many lines', 'data: x\n'],
+    ['one comment', ':']
+  ])('with an event that does not end is rejected above the limit, sent as %s', (_name, text) => {
+    const splitter = new EventSplitter()
+    const piece = Buffer.from(text.repeat(8192))
+    const addPieces = (): void => {
+      for (let size = 0; size <= maxEventBytes; size += piece.length) splitter.add(piece)
+    }
+    expect(addPieces).toThrow('an event is larger than')
+  })
 })
--- a/src/forwarding/EventSplitter.ts
+++ b/src/forwarding/EventSplitter.ts
@@ -7,6 +7,9 @@
 /** One complete event, including the empty line that ends it, or one line outside an event. */
 export interface StreamEvent { bytes: Buffer, id: string | undefined }
 
+/** Number of buffered pieces above which they are joined, since each piece needs more memory than its bytes. */
+const maxPieces = 1024
+
 const idLine = /^id: ?(.*)$/m
 
 /** Buffers bytes until they form complete events. */
@@ -19,7 +22,7 @@
     return this.scanner.isInsideEvent
   }
 
-  /** Adds bytes; returns the events that they complete. */
+  /** Adds bytes; returns the events that they complete. Throws if an event is larger than `maxEventBytes`. */
   add (bytes: Uint8Array): StreamEvent[] {
     let start = 0
     const events = this.scanner.add(bytes).map(end => {
@@ -29,6 +32,7 @@
       return { bytes: event, id: idLine.exec(event.toString('latin1'))?.[1] }
     })
     if (start < bytes.length) this.partialEvent.push(bytes.subarray(start))
+    if (this.partialEvent.length > maxPieces) this.partialEvent = [Buffer.concat(this.partialEvent)]
     return events
   }
 }
--- a/src/platform/endlessResponses.test.ts
+++ b/src/platform/endlessResponses.test.ts
@@ -70,4 +70,26 @@
     expect(await caller.readResponse()).toMatchObject({ status: 200, body: 'fine' })
     await expectClosedByHost()
   })
+
+  test.each([
+    ['a line', 'x'],
+    ['an event', 'data: x\n']
+  ])('a resumable stream with %s that does not end is disconnected, and another worker continues the stream', async (_name, piece) => {
+    const caller = await start((worker, request) => openHead(worker, request, { headers: { 'content-type': 'text/event-stream' } }) + 'id: 1\ndata: a\n\n', piece)
+    const { models } = platform!
+    caller.send('POST', '/answers/1', requestHeaders('r1'), 'why')
+    await expectClosedByHost()
+    await waitUntil(() => models.some(({ requests }) => requests.some(({ headers }) => headers['last-event-id'] === '1')))
+  })
+
+  test.each([
+    ['a line', 'x'],
+    ['an event', 'data: x\n']
+  ])('a stream with %s that does not end is disconnected, and so is the caller', async (_name, piece) => {
+    const caller = await start((worker, request) => openHead(worker, request, { headers: { 'content-type': 'text/event-stream' } }) + 'id: 1\ndata: a\n\n', piece)
+    caller.send('POST', '/tags/1', requestHeaders('r1'), 'post')
+    await expectClosedByHost()
+    await waitUntil(() => caller.closed)
+    expect(caller.received.endsWith('0\r\n\r\n')).toBe(false)
+  })
 })
