Limit the time for responses that are not used

The body of a refusal was read to its end without a time limit of its own, and the deadline of its call no longer applied once the call was over. The release of a computed prompt had no limit at all. A worker that stopped in the middle of a refusal, or never answered the release, kept a connection of the host for as long as both ran. discardBody reads up to 128 KiB for a second; the release has 2 s.

Ruled out: a refusal with a body without end, which undici's dump already closes after 128 KiB.

Failed before: both tests, with connections still open when Jest ended them.

--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -5,12 +5,13 @@
 import { Result } from 'true-myth'
 import type { Dispatcher } from 'undici'
 import { abortAfter, type Clock, type Failure } from '../common/index.js'
-import { isNotSent } from '../clients/HttpClient.js'
+import { isNotSent } from '../clients/index.js'
 import type { EventLog } from '../observability/index.js'
 import type { PlacedPrompt, PromptOutcome, PromptPlacer } from '../placement/index.js'
 import type { PromptPlacementPolicy } from '../routing/index.js'
 import type { Upstream, UpstreamManager } from '../upstreams/index.js'
 import type { CallProtocol, KvSource } from './CallProtocol.js'
+import { discardBody } from './responseBodies.js'
 import type { RetryBudget } from './RetryBudget.js'
 import type { ServiceRequest } from './ServiceRequest.js'
 
@@ -35,6 +36,9 @@
  */
 interface ComputationResult { outcome: PromptOutcome, source?: KvSource, takesRetry: boolean }
 
+/** Time limit for the response to a call that frees a computed prompt, in milliseconds. */
+const releaseTimeoutMilliseconds = 2000
+
 /** Statuses with which a worker declines a prompt: it is another worker, full, or has another role now. */
 const declinedStatuses: ReadonlySet<number> = new Set([421, 429, 503])
 
@@ -87,8 +91,8 @@
     const call = this.context.protocol.releaseCallOf(handle)
     if (call === undefined) return
     try {
-      const response = await upstream.http.request(call)
-      await response.body.dump()
+      const response = await upstream.http.request({ ...call, signal: AbortSignal.timeout(releaseTimeoutMilliseconds) })
+      discardBody(response.body)
     } catch (caught) {
       // Not retried, since the worker frees the prompt by itself a few seconds later.
       this.logFailure(request, upstream, `the computed prompt was not freed: ${(caught as Error).message}`)
--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -11,7 +11,7 @@
 import { abortAfter, type AbortTimer, errorResponses, type Failure, failure, type WorkerId } from '../common/index.js'
 import type { RoutingRequest } from '../routing/index.js'
 import { connectTimeoutMilliseconds, connectUpstream, type RequestTracker, type Upstream } from '../upstreams/index.js'
-import { type ResponseBody, destroyBody, isEventStream, isRepeatedEvent, withCleanup } from './responseBodies.js'
+import { type ResponseBody, destroyBody, discardBody, isEventStream, isRepeatedEvent, withCleanup } from './responseBodies.js'
 import { CallPrompt } from './CallPrompt.js'
 import type { ResponseHead, KvSource } from './CallProtocol.js'
 import { EventScanner } from './EventScanner.js'
@@ -241,7 +241,7 @@
       if (responseClass === 'not_run') {
         this.declinedAttempts += 1
         tracker.end('declined')
-        response.body.dump().catch(() => {})
+        discardBody(response.body)
         close()
         return Result.err({ kind: 'not_run', failure: failure('not_run', `the worker declined the call with status ${head.status}`) })
       }
--- a/src/forwarding/responseBodies.ts
+++ b/src/forwarding/responseBodies.ts
@@ -14,6 +14,20 @@
   body.on('error', () => {}).destroy()
 }
 
+/** Maximum size of a body that is read although it is not used, in bytes. */
+const maxDiscardedBytes = 131_072
+
+/** Time limit for the rest of a body that is not used, in milliseconds. */
+const discardTimeoutMilliseconds = 1000
+
+/**
+ * Reads the rest of a short body that is not used, so that its connection can be used again. The connection is closed
+ * if the body is larger than 128 KiB or does not end within a second.
+ */
+export function discardBody (body: ResponseBody): void {
+  body.dump({ limit: maxDiscardedBytes, signal: AbortSignal.timeout(discardTimeoutMilliseconds) }).catch(() => {})
+}
+
 /** True if a response carries a stream of events. */
 export function isEventStream ({ status, headers }: ResponseHead): boolean {
   const contentType = headers['content-type']
--- a/src/platform/endlessResponses.test.ts
+++ b/src/platform/endlessResponses.test.ts
@@ -16,6 +16,14 @@
   senders = []
 })
 
+/** Header fields of a request whose prompt is long enough to be computed by a separate worker. */
+const prompt = { 'dogwooddale-model': 'm', 'dogwooddale-token-counts': '1500,20', 'dogwooddale-prompt-prefix': 'aa:1000,bb:500' }
+
+async function startPlain (): Promise<PlatformTest> {
+  platform = await startPlatform()
+  return platform
+}
+
 /** Starts a host whose workers answer the first request with bytes without end, and each later one as usual. */
 async function start (headOf: (worker: FakeWorker, request: ReceivedRequest) => string, piece: string): Promise<RawCaller> {
   platform = await startPlatform()
@@ -28,6 +36,15 @@
   return await RawCaller.connect(platform.host.addresses.callers)
 }
 
+/** Waits until the host has learned that the first model worker only computes prompts. */
+async function separatePrefillWorker ({ host, store, models }: PlatformTest): Promise<FakeWorker> {
+  const [prefill, decode] = models as [FakeWorker, FakeWorker]
+  store.write('keyed.servers', prefill.id, prefill.createEntry('llm', { stage: 'prefill', sequence: 2 }))
+  store.write('keyed.servers', decode.id, decode.createEntry('llm', { stage: 'decode', sequence: 2 }))
+  await waitUntil(() => host.workers().some(({ role }) => role === 'prefill') && host.workers().some(({ role }) => role === 'decode'))
+  return prefill
+}
+
 async function expectClosedByHost (): Promise<void> {
   await waitUntil(() => senders.length > 0)
   await senders[0]!.closed
@@ -71,6 +88,44 @@
     await expectClosedByHost()
   })
 
+  // The worker sends nothing more, so only a time limit ends the refusal, after the request itself has ended.
+  test('a refusal whose body stops without its end is disconnected', async () => {
+    const refusal = { status: 503, headers: { 'content-length': '9', 'dogwooddale-not-run': '1' } }
+    const { app, host } = await startPlain()
+    let isClosed = false
+    let hasRefused = false
+    for (const worker of app) {
+      worker.onRequest = request => {
+        if (hasRefused) return request.socket.write(worker.responseTo(request, 'fine'))
+        hasRefused = true
+        request.socket.once('close', () => { isClosed = true })
+        return request.socket.write(worker.responseTo(request, 'x', refusal))
+      }
+    }
+    const caller = await RawCaller.connect(host.addresses.callers)
+    caller.send('POST', '/votes/1', requestHeaders('r1'), 'yes')
+    expect(await caller.readResponse()).toMatchObject({ status: 200, body: 'fine' })
+    await waitUntil(() => isClosed)
+  })
+
+  // Guards against a connection and a call that are kept for as long as the host runs.
+  test('nothing in answer to the release of a prompt is disconnected', async () => {
+    const { host, models } = await startPlain()
+    const prefill = await separatePrefillWorker(platform!)
+    let isClosed = false
+    prefill.onRequest = request => {
+      if (request.method === 'DELETE') request.socket.once('close', () => { isClosed = true })
+      else request.socket.write(prefill.responseTo(request, '{"kv-handle":"h1","tokens":1500,"version":1}'))
+    }
+    models[1]!.onRequest = request => {
+      request.socket.write(models[1]!.responseTo(request, '', { status: 503, headers: { 'dogwooddale-not-run': '1' } }))
+    }
+    const caller = await RawCaller.connect(host.addresses.callers)
+    caller.send('POST', '/tags/1', requestHeaders('r1', prompt), 'post')
+    expect((await caller.readResponse()).status).toBe(503)
+    await waitUntil(() => isClosed)
+  })
+
   test.each([
     ['a line', 'x'],
     ['an event', 'data: x\n']
