Limit the size of the response to the computation of a prompt

The response was buffered whole, however large, for up to half of the time that its call had left. It carries a handle; readBounded reads 64 KiB of it and then closes the connection. The computation counts as failed, with prompt_computation_failed, and the decode worker computes the prompt itself.

--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -5,7 +5,7 @@
 import { Result } from 'true-myth'
 import type { Dispatcher } from 'undici'
 import { abortAfter, type Clock, type Failure } from '../common/index.js'
-import { isNotSent } from '../clients/index.js'
+import { isNotSent, readBounded } from '../clients/index.js'
 import type { EventLog } from '../observability/index.js'
 import type { PlacedPrompt, PromptOutcome, PromptPlacer } from '../placement/index.js'
 import type { PromptPlacementPolicy } from '../routing/index.js'
@@ -39,6 +39,9 @@
 /** Time limit for the response to a call that frees a computed prompt, in milliseconds. */
 const releaseTimeoutMilliseconds = 2000
 
+/** Maximum size of the response to a computation, in bytes; it only contains a handle. */
+const maxResponseBytes = 65_536
+
 /** Statuses with which a worker declines a prompt: it is another worker, full, or has another role now. */
 const declinedStatuses: ReadonlySet<number> = new Set([421, 429, 503])
 
@@ -135,7 +138,7 @@
         body: request.body ?? null,
         signal: AbortSignal.any([stop, timer.signal])
       })
-      const body = Buffer.from(await response.body.arrayBuffer())
+      const body = await readBounded(response.body, maxResponseBytes)
       const handle = response.statusCode === 200 ? protocol.promptHandle(body) : undefined
       tracker.end(handle === undefined ? 'declined' : 'answered')
       if (handle !== undefined) {
--- a/src/platform/endlessResponses.test.ts
+++ b/src/platform/endlessResponses.test.ts
@@ -108,6 +108,16 @@
     await waitUntil(() => isClosed)
   })
 
+  test('a computed prompt without an end is disconnected, and a decode worker computes the prompt itself', async () => {
+    const { host, models } = await startPlain()
+    const prefill = await separatePrefillWorker(platform!)
+    prefill.onRequest = request => { senders.push(new EndlessSender(request.socket, openHead(prefill, request), ' ')) }
+    const caller = await RawCaller.connect(host.addresses.callers)
+    caller.send('POST', '/tags/1', requestHeaders('r1', prompt), 'post')
+    expect(await caller.readResponse()).toMatchObject({ status: 200, body: models[1]!.id })
+    await expectClosedByHost()
+  })
+
   // Guards against a connection and a call that are kept for as long as the host runs.
   test('nothing in answer to the release of a prompt is disconnected', async () => {
     const { host, models } = await startPlain()
