Keep the timeouts of calls across garbage collections

Node 20 holds the sources of a combined abort signal weakly. The timeout in AbortSignal.any([AbortSignal.timeout(n), signal]) is referred to by nothing else, so the next garbage collection dropped it, and the call had no time limit: a peer that stopped in the middle of a response held it for ever. Reads of the log and of cache events, transfers of KV caches and progress queries were called so. timeoutSignal gives the timeout a listener, which keeps it.

Found when a read of cache events without end did not end after its 2 s.

--- a/src/clients/HttpClient.ts
+++ b/src/clients/HttpClient.ts
@@ -4,7 +4,7 @@
  */
 import { Result } from 'true-myth'
 import { Client, type Dispatcher } from 'undici'
-import { type Failure, failure, parseJson } from '../common/index.js'
+import { type Failure, failure, parseJson, timeoutSignal } from '../common/index.js'
 
 /** A call to the service. */
 export interface HttpCall {
@@ -49,8 +49,7 @@
 
   /** Sends a call and reads the response. Errors: `platform_unavailable` (certainly not sent), `outcome_unknown`, `cancelled`. */
   async send (call: HttpCall): Promise<Result<HttpResponse, Failure>> {
-    const timeout = AbortSignal.timeout(call.timeoutMilliseconds)
-    const signal = call.signal === undefined ? timeout : AbortSignal.any([timeout, call.signal])
+    const signal = timeoutSignal(call.timeoutMilliseconds, call.signal)
     const client = this.idleClients.pop() ?? this.open()
     try {
       const response = await client.request({
--- a/src/platform/CacheFeed.ts
+++ b/src/platform/CacheFeed.ts
@@ -3,7 +3,7 @@
  * worker holds which shared parts. Events arrive late and a few are lost; what is wrong is corrected by later events.
  */
 import { z } from 'zod'
-import { type Clock, Task, type WorkerId } from '../common/index.js'
+import { type Clock, Task, timeoutSignal, type WorkerId } from '../common/index.js'
 import type { EventLog } from '../observability/index.js'
 import type { HeldParts } from '../placement/index.js'
 import type { Upstream } from '../upstreams/index.js'
@@ -98,7 +98,7 @@
       method: 'GET',
       path: `/v1/kv-events?since=${position?.next ?? 0}`,
       headers: { 'wait-ms': String(waitMilliseconds) },
-      signal: AbortSignal.any([signal, AbortSignal.timeout(readTimeoutMilliseconds)])
+      signal: timeoutSignal(readTimeoutMilliseconds, signal)
     })
     const body = responseSchema.parse(JSON.parse(await response.body.text()))
     const epoch = String(body.epoch)
