Limit the size of the cache events that one read returns

The response to a read was buffered whole, whatever a worker sent in the 2 s of the read. readBounded now reads 4 MiB of it and then closes the connection. A read that fails was logged only at the level debug; it is a warning now, once for each reason in a row, with at most 200 characters of the reason.

--- a/src/platform/CacheFeed.test.ts
+++ b/src/platform/CacheFeed.test.ts
@@ -3,9 +3,10 @@
  * feed of all others.
  */
 import { afterEach, beforeEach, expect, test } from '@jest/globals'
+import { EndlessSender, maxAcceptedBytes } from '../clients/testing/EndlessSender.js'
 import { SystemClock, type WorkerId } from '../common/index.js'
 import { HeldParts } from '../placement/index.js'
-import { discardingEventLog } from '../streams/testSupport.js'
+import { EventLog, HybridClock, Timeline } from '../observability/index.js'
 import { Upstream, type UpstreamDescription } from '../upstreams/index.js'
 import { CacheFeed } from './CacheFeed.js'
 import { FakeWorker } from './testing/FakeWorker.js'
@@ -17,6 +18,7 @@
 let upstreams: Upstream[]
 let held: HeldParts
 let feed: CacheFeed
+let lines: string[]
 
 beforeEach(async () => {
   workers = await Promise.all(['w0', 'w1'].map(async id => await FakeWorker.start(id)))
@@ -24,7 +26,11 @@
     pool: 'llm', kind: 'engines', worker: { id, address, zone: 'a', reportsLoad: false, draining: false }, models: [], role: 'decode', isInOwnZone: true
   } as unknown as UpstreamDescription, clock))
   held = new HeldParts()
-  feed = new CacheFeed({ workers: () => upstreams, held, clock, events: discardingEventLog(clock) })
+  lines = []
+  const events = new EventLog({
+    timeline: new Timeline('host-1', new HybridClock(clock)), level: 'warn', write: line => { lines.push(line) }
+  })
+  feed = new CacheFeed({ workers: () => upstreams, held, clock, events })
 })
 
 afterEach(async () => {
@@ -79,3 +85,17 @@
   feed.start()
   await waitUntil(() => tokensOf('w1') === 100 && workers[0]!.requests.length > 1)
 })
+
+// Guards against a host that buffers what such a worker sends, and against a log that says nothing of it.
+test('a worker whose events have no end is disconnected and logged, and does not keep the others from being followed', async () => {
+  const senders: EndlessSender[] = []
+  workers[0]!.onRequest = request => {
+    const head = workers[0]!.responseTo(request, '', { headers: { 'content-length': undefined } })
+    senders.push(new EndlessSender(request.socket, head, ' '))
+  }
+  answerReads(workers[1]!, page('1', 1), page('1', 2, ['a', 100]))
+  feed.start()
+  await waitUntil(() => tokensOf('w1') === 100 && senders[0]?.isClosed === true)
+  expect(senders[0]!.sentBytes).toBeLessThan(maxAcceptedBytes)
+  await waitUntil(() => lines.some(line => line.includes('event=cache_events_unread worker=w0')))
+})
--- a/src/platform/CacheFeed.ts
+++ b/src/platform/CacheFeed.ts
@@ -3,6 +3,7 @@
  * worker holds which shared parts. Events arrive late and a few are lost; what is wrong is corrected by later events.
  */
 import { z } from 'zod'
+import { readBounded } from '../clients/index.js'
 import { type Clock, Task, timeoutSignal, type WorkerId } from '../common/index.js'
 import type { EventLog } from '../observability/index.js'
 import type { HeldParts } from '../placement/index.js'
@@ -26,6 +27,12 @@
 /** Time limit of a read, in milliseconds. */
 const readTimeoutMilliseconds = 2000
 
+/** Maximum size of the response to a read, in bytes; an event takes about 60. */
+const maxResponseBytes = 4_194_304
+
+/** Number of characters that are logged of the reason for an unread response, which may quote the response. */
+const maxReasonLength = 200
+
 /** Interval of the checks which workers have to be followed, in milliseconds. */
 const reconcileMilliseconds = 500
 
@@ -77,11 +84,15 @@
     const { clock, events } = this.options
     return Task.start(async signal => {
       let position: { epoch: string, next: number } | undefined
+      let lastReason: string | undefined
       while (!signal.aborted) {
         try {
           position = await this.read(worker, position, signal)
+          lastReason = undefined
         } catch (caught) {
-          if (!signal.aborted) events.debug('cache_events_unread', { worker: worker.id, reason: (caught as Error).message })
+          const reason = (caught as Error).message.slice(0, maxReasonLength)
+          if (!signal.aborted && reason !== lastReason) events.warn('cache_events_unread', { worker: worker.id, reason })
+          lastReason = reason
         }
         await clock.sleep(readIntervalMilliseconds, signal)
       }
@@ -100,7 +111,7 @@
       headers: { 'wait-ms': String(waitMilliseconds) },
       signal: timeoutSignal(readTimeoutMilliseconds, signal)
     })
-    const body = responseSchema.parse(JSON.parse(await response.body.text()))
+    const body = responseSchema.parse(JSON.parse((await readBounded(response.body, maxResponseBytes)).toString('utf8')))
     const epoch = String(body.epoch)
     const isRestarted = position !== undefined && position.epoch !== epoch
     if (isRestarted || body.lost === true) held.removeWorker(worker.id)
