Limit the responses that HttpClient reads

HttpClient buffered what a peer sent for the 0.6 s to 60 s of a call, and, as the calls to workers did, left empty lines, a status line and interim responses without end to the time limit. It uses BoundedClient and readBounded now: 1 MiB for a body unless the call states more (log and administration 64 MiB, list of hosts 16 MiB). The outcome of such a call is unknown, its connection is closed, and its failure names the limit.

Ruled out: header fields, which undici limits to 16 KiB.

--- a/src/clients/HostListClient.ts
+++ b/src/clients/HostListClient.ts
@@ -38,6 +38,9 @@
 
 const responseTimeoutMilliseconds = 2000
 
+/** Maximum size of the list, in bytes; the entry of a host takes about 300. */
+const maxListBytes = 16_777_216
+
 /** HTTP client of the host list. */
 export class HttpHostListClient extends HostListClient {
   private readonly http: HttpClient
@@ -52,7 +55,8 @@
       method: 'GET',
       path: '/hosts',
       headers: knownVersion === undefined ? {} : { 'if-none-match': `"${knownVersion}"` },
-      timeoutMilliseconds: responseTimeoutMilliseconds
+      timeoutMilliseconds: responseTimeoutMilliseconds,
+      maxResponseBytes: maxListBytes
     })
     if (sent.isErr) return Result.err(failure('platform_unavailable', sent.error.message))
     if (sent.value.status === 304) return Result.ok('unchanged')
--- a/src/clients/HttpClient.ts
+++ b/src/clients/HttpClient.ts
@@ -3,8 +3,10 @@
  * that may have been sent, so that callers can decide whether to repeat it.
  */
 import { Result } from 'true-myth'
-import { Client, type Dispatcher } from 'undici'
+import type { Dispatcher } from 'undici'
 import { type Failure, failure, parseJson, timeoutSignal } from '../common/index.js'
+import { BoundedClient } from './BoundedClient.js'
+import { readBounded } from './readBounded.js'
 
 /** A call to the service. */
 export interface HttpCall {
@@ -16,6 +18,8 @@
   /** Time limit of the call, up to the end of the response. */
   timeoutMilliseconds: number
   signal?: AbortSignal | undefined
+  /** Maximum size of the body of the response, in bytes. Default: 1 MiB. */
+  maxResponseBytes?: number
 }
 
 /** The complete response to a call. */
@@ -28,6 +32,9 @@
 
 const notSentCodes = new Set(['ECONNREFUSED', 'ENOTFOUND', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
 
+/** Maximum size of the body of a response, in bytes, unless the call states another. */
+const defaultMaxResponseBytes = 1_048_576
+
 /** Time limit for opening a connection. */
 const connectTimeoutMilliseconds = 1000
 
@@ -42,8 +49,8 @@
  * unresponsive connection closes only that one; later calls use other connections or open new ones.
  */
 export class HttpClient {
-  private readonly clients: Client[] = []
-  private readonly idleClients: Client[] = []
+  private readonly clients: BoundedClient[] = []
+  private readonly idleClients: BoundedClient[] = []
 
   constructor (private readonly origin: string) {}
 
@@ -61,7 +68,7 @@
         headersTimeout: 0,
         bodyTimeout: 0
       })
-      const text = await response.body.text()
+      const text = (await readBounded(response.body, call.maxResponseBytes ?? defaultMaxResponseBytes)).toString('utf8')
       this.idleClients.push(client)
       return Result.ok({ status: response.statusCode, headers: response.headers, body: parseJson(text) })
     } catch (caught) {
@@ -78,13 +85,13 @@
     this.idleClients.length = 0
   }
 
-  private open (): Client {
-    const client = new Client(this.origin, { connectTimeout: connectTimeoutMilliseconds, keepAliveTimeout: 10_000 })
+  private open (): BoundedClient {
+    const client = new BoundedClient(this.origin, { connectTimeout: connectTimeoutMilliseconds, keepAliveTimeout: 10_000 })
     this.clients.push(client)
     return client
   }
 
-  private discard (client: Client): void {
+  private discard (client: BoundedClient): void {
     const position = this.clients.indexOf(client)
     if (position >= 0) this.clients.splice(position, 1)
     client.destroy().catch(() => {})
--- a/src/clients/LogClient.ts
+++ b/src/clients/LogClient.ts
@@ -56,6 +56,9 @@
   abstract read (stream: StreamName, options: ReadOptions): Promise<Result<LogPage, Failure>>
 }
 
+/** Maximum size of the response to a read, in bytes. */
+export const maxLogResponseBytes = 67_108_864
+
 /** Time limit for a response of the log, not counting the wait for a record. */
 const responseTimeoutMilliseconds = 3000
 
@@ -92,6 +95,7 @@
       method: 'GET',
       path: `/streams/${stream}/records?from=${options.from}&limit=${options.limit}&wait-ms=${options.waitMilliseconds}`,
       timeoutMilliseconds: responseTimeoutMilliseconds + options.waitMilliseconds,
+      maxResponseBytes: maxLogResponseBytes,
       signal: options.signal
     })
     if (sent.isErr) return Result.err(failure('platform_unavailable', sent.error.message))
--- a/src/commands/AdministrationClient.ts
+++ b/src/commands/AdministrationClient.ts
@@ -13,6 +13,9 @@
 /** Time limit for a response: long enough for an append and for reading it back from the log, with one retry of each. */
 const responseTimeoutMilliseconds = 15_000
 
+/** Maximum size of a response, in bytes; the largest is a backup of all settings. */
+const maxResponseBytes = 67_108_864
+
 /** Time without a byte after which a watch is aborted; the server sends at least a heartbeat every 10 s. */
 const watchIdleTimeoutMilliseconds = 25_000
 
@@ -66,7 +69,8 @@
         path,
         body,
         headers: { ...headers, authorization: `Bearer ${this.options.token}` },
-        timeoutMilliseconds: responseTimeoutMilliseconds
+        timeoutMilliseconds: responseTimeoutMilliseconds,
+        maxResponseBytes
       })
       if (sent.isOk) return this.readResponse(apiRequest, sent.value.status, sent.value.body)
       const notSent = sent.error.kind === 'platform_unavailable'
--- a/src/platform/WorkerOrders.test.ts
+++ b/src/platform/WorkerOrders.test.ts
@@ -4,6 +4,7 @@
  */
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
 import { Result } from 'true-myth'
+import { EndlessSender, maxAcceptedBytes } from '../clients/testing/EndlessSender.js'
 import { type Failure, type HostId, ManualClock, type WorkerId } from '../common/index.js'
 import type { EngineRole } from '../configuration/index.js'
 import { DutyGroup, GroupLease, type GroupMembership } from '../leases/index.js'
@@ -109,3 +110,23 @@
   expect(await settled).toBe(true)
   expect(sentOrders()).toHaveLength(1)
 })
+
+// Guards against a host that reads what such a worker sends for as long as it sends.
+test.each([
+  ['report', 'not_run', 0],
+  ['response to an order', 'outcome_unknown', 1]
+] as Array<[string, string, number]>)('a worker whose %s has no end is disconnected, and the order is not sent again', async (_name, kind, orderCount) => {
+  const senders: EndlessSender[] = []
+  const head = 'HTTP/1.1 200 OK\r\n\r\n'
+  const { onRequest } = worker
+  onOrder = request => { senders.push(new EndlessSender(request.socket, head, ' ')) }
+  worker.onRequest = request => (orderCount === 0 ? onOrder : onRequest)(request)
+  const changing = changeRole()
+  await waitUntil(() => senders.length > 0)
+  await senders[0]!.closed
+  expect(senders[0]!.sentBytes).toBeLessThan(maxAcceptedBytes)
+  const settled = changing.then(result => result.isErr && result.error.kind)
+  while (await Promise.race([settled, Promise.resolve('pending')]) === 'pending') await clock.advance(250)
+  expect(await settled).toBe(kind)
+  expect(sentOrders()).toHaveLength(orderCount)
+})
