Limit the size of the events and the state that engines send

The parser of the streams of engines buffered a line, or the lines of an event, without limit until the deadline of the request, and for as long as the host ran in the feed of cache events. createEventParser rejects an event above 1 MiB; another engine then continues the answer. The feed reads the state with the limits of other responses, now also of time (3 s), and logs why a connection ended, once for each reason in a row, as a warning.

Ruled out: the body of an error, of which EngineAttempt reads 64 KiB.

Failed before (stand-ins on real sockets): all five cases, unended after 6 s.

--- a/src/forwarding/EngineAttempt.ts
+++ b/src/forwarding/EngineAttempt.ts
@@ -2,10 +2,9 @@
  * One attempt to run a request on one engine. Reads the engine's stream, passes its tokens on in order and monitors
  * the connection: when no bytes arrive for a while, it asks the engine over a new connection whether tokens were lost.
  */
-import { createParser } from 'eventsource-parser'
 import type { Dispatcher } from 'undici'
 import { type Clock, errorResponses, type Failure, failure, failureFromBody, parseJson } from '../common/index.js'
-import { isNotSent } from '../clients/HttpClient.js'
+import { createEventParser, isNotSent } from '../clients/index.js'
 import type { Upstream } from '../upstreams/index.js'
 import { queryProgress } from './engineControl.js'
 import { type EngineCall, engineBodyOf, type EngineChunk, type EngineUsage, parseChunk } from './engineProtocol.js'
@@ -112,7 +111,7 @@
 
   private async readStream (body: AsyncIterable<Buffer>): Promise<AttemptOutcome> {
     const events: string[] = []
-    const parser = createParser({ onEvent: event => { events.push(event.data) } })
+    const parser = createEventParser(data => { events.push(data) })
     const decoder = new TextDecoder()
     for await (const bytes of body) {
       this.markReceived()
--- a/src/forwarding/Generation.test.ts
+++ b/src/forwarding/Generation.test.ts
@@ -8,6 +8,7 @@
   endEvents, type EngineScript, FakeEngine, completeStreamScript, startStream, streamOf, textOf, tokenEvent
 } from '../entry/testing/FakeEngine.js'
 import { flushUsageRecords, reefToken, type TestHost, createTestHost, type TestHostOptions } from '../entry/testing/TestHost.js'
+import { EndlessSender, maxAcceptedBytes } from '../clients/testing/EndlessSender.js'
 import { ManualClock } from '../common/index.js'
 import { RetryBudget } from './RetryBudget.js'
 
@@ -85,6 +86,28 @@
   return await promise
 }
 
+/** Answers the first attempt with a stream that does not end, and each later one with a complete stream. */
+function sendEndlessly (piece: string): EndlessSender[] {
+  const senders: EndlessSender[] = []
+  setScripts((_request, response) => {
+    senders.push(new EndlessSender(response.socket!, 'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n', piece))
+  })
+  return senders
+}
+
+describe('an engine whose stream is', () => {
+  // Guards against a host that buffers what such an engine sends until the deadline of the request.
+  test.each([
+    ['a line without an end', 'x'],
+    ['an event without an end', 'data: x\n']
+  ])('%s is disconnected, and another engine answers', async (_name, piece) => {
+    const senders = sendEndlessly(piece)
+    expectComplete(await requestStream(await createHost()))
+    await senders[0]!.closed
+    expect(senders[0]!.sentBytes).toBeLessThan(maxAcceptedBytes)
+  })
+})
+
 const positions = [...Array(count + 1).keys()]
 
 describe('retry and resumption', () => {
--- a/src/routing/PrefixIndex.test.ts
+++ b/src/routing/PrefixIndex.test.ts
@@ -4,6 +4,8 @@
  */
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
 import fc from 'fast-check'
+import { type AddressInfo, createServer } from 'node:net'
+import { EndlessSender, maxAcceptedBytes } from '../clients/testing/EndlessSender.js'
 import { type Incarnation, SystemClock, Task, type WorkerId } from '../common/index.js'
 import { EventLog, HybridClock, Timeline } from '../observability/index.js'
 import { EngineStandIn } from '../standins/index.js'
@@ -115,6 +117,33 @@
 
   beforeEach(() => { index = new PrefixIndex() })
 
+  // Guards against a host that buffers what such an engine sends, for as long as it sends.
+  test.each([
+    ['state', 1, ' '],
+    ['line of events', 2, 'x'],
+    ['event', 2, 'data: x\n']
+  ])('an engine whose %s has no end is disconnected', async (_name, endlessResponse, piece) => {
+    engine = await EngineStandIn.start({ models: [{ model: 'carassius' as never }] })
+    const senders: EndlessSender[] = []
+    const server = createServer(socket => {
+      let requests = 0
+      socket.on('error', () => {})
+      socket.on('data', () => {
+        requests += 1
+        if (requests === endlessResponse) senders.push(new EndlessSender(socket, 'HTTP/1.1 200 OK\r\n\r\n', piece))
+        else socket.write(`HTTP/1.1 200 OK\r\ncontent-length: 34\r\n\r\n{"incarnation":"${'a'.repeat(16)}"}`)
+      })
+    })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    const { port } = server.address() as AddressInfo
+    task = Task.start(signal => followCacheEvents({ worker, origin: `http://127.0.0.1:${port}`, index, clock, events }, signal),
+      error => { throw error })
+    await waitUntil(() => senders[0]?.isClosed === true)
+    await task.stop()
+    await new Promise(resolve => { server.close(resolve) })
+    expect(senders[0]!.sentBytes).toBeLessThan(maxAcceptedBytes)
+  })
+
   afterEach(async () => {
     await task.stop()
     await engine.stop()
--- a/src/routing/followCacheEvents.ts
+++ b/src/routing/followCacheEvents.ts
@@ -1,10 +1,9 @@
 /**
  * Applies the cache events of one engine to the `PrefixIndex`. Events may arrive late or not at all.
  */
-import { createParser } from 'eventsource-parser'
-import { Client } from 'undici'
 import { z } from 'zod'
-import { type Clock, incarnationSchema, type WorkerId } from '../common/index.js'
+import { BoundedClient, createEventParser, readBounded } from '../clients/index.js'
+import { type Clock, incarnationSchema, parseJson, type WorkerId } from '../common/index.js'
 import type { EventLog } from '../observability/index.js'
 import { cacheEventSchema, type PrefixIndex } from './PrefixIndex.js'
 
@@ -20,20 +19,33 @@
 
 const stateSchema = z.object({ incarnation: incarnationSchema })
 
+/** Time limit for the response to a read of an engine's state, in milliseconds, and its maximum size in bytes. */
+const stateTimeoutMilliseconds = 3000
+const maxStateBytes = 1_048_576
+
 /** Delay before reconnecting, and the timeout of a connection attempt. */
 const reconnectDelayMilliseconds = 1000
 
+/** Number of characters that are logged of the reason for the end of a connection, which may quote a response. */
+const maxReasonLength = 200
+
 /** Follows the events of one engine until the signal aborts, then removes the hints about the engine. */
 export async function followCacheEvents (options: FollowCacheEventsOptions, signal: AbortSignal): Promise<void> {
   let retriedSequence = 0
+  let lastReason: string | undefined
   while (!signal.aborted) {
-    const client = new Client(options.origin, { connectTimeout: reconnectDelayMilliseconds, bodyTimeout: 0, headersTimeout: 0 })
+    const client = new BoundedClient(options.origin, {
+      connectTimeout: reconnectDelayMilliseconds, bodyTimeout: 0, headersTimeout: 0
+    })
     const destroyClient = (): void => { client.destroy().catch(() => {}) }
     signal.addEventListener('abort', destroyClient, { once: true })
     try {
       retriedSequence = await readEvents(client, options, retriedSequence)
+      lastReason = undefined
     } catch (caught) {
-      options.events.debug('cache_events_ended', { worker: options.worker, reason: (caught as Error).message })
+      const reason = (caught as Error).message.slice(0, maxReasonLength)
+      if (!signal.aborted && reason !== lastReason) options.events.warn('cache_events_ended', { worker: options.worker, reason })
+      lastReason = reason
     }
     signal.removeEventListener('abort', destroyClient)
     await client.destroy()
@@ -49,13 +61,20 @@
  * gap and reading continues. If the connection ends without a further gap, returns `previousRetrySequence`, or 0 after
  * a resynchronisation.
  */
-async function readEvents (client: Client, options: FollowCacheEventsOptions, previousRetrySequence: number): Promise<number> {
+async function readEvents (
+  client: BoundedClient,
+  options: FollowCacheEventsOptions,
+  previousRetrySequence: number
+): Promise<number> {
   const { worker, index } = options
-  const stateResponse = await client.request({ method: 'GET', path: '/state' })
-  const fromSequence = index.nextSequence(worker, stateSchema.parse(await stateResponse.body.json()).incarnation)
+  const stateResponse = await client.request({
+    method: 'GET', path: '/state', signal: AbortSignal.timeout(stateTimeoutMilliseconds)
+  })
+  const state = await readBounded(stateResponse.body, maxStateBytes)
+  const fromSequence = index.nextSequence(worker, stateSchema.parse(parseJson(state.toString('utf8'))).incarnation)
   const eventsResponse = await client.request({ method: 'GET', path: `/cache-events?from=${fromSequence}` })
   const receivedData: string[] = []
-  const parser = createParser({ onEvent: ({ data }) => { receivedData.push(data) } })
+  const parser = createEventParser(data => { receivedData.push(data) })
   const decoder = new TextDecoder()
   let retriedSequence = previousRetrySequence
   for await (const bytes of eventsResponse.body) {
