--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -5,13 +5,14 @@
 import { Result } from 'true-myth'
 import type { Dispatcher } from 'undici'
 import { abortAfter, type Clock, type Failure } from '../common/index.js'
-import { isNotSent } from '../clients/HttpClient.js'
+import { isNotSent, readBounded } from '../clients/index.js'
 import type { EventLog } from '../observability/index.js'
 import type { PlacedPrompt, PromptOutcome, PromptPlacer } from '../placement/index.js'
 import type { PartQuarantine } from '../quarantine/index.js'
 import type { PromptPlacementPolicy } from '../routing/index.js'
 import type { Upstream, UpstreamManager } from '../upstreams/index.js'
 import type { CallProtocol, KvSource } from './CallProtocol.js'
+import { discardBody } from './responseBodies.js'
 import type { RetryBudget } from './RetryBudget.js'
 import type { ServiceRequest } from './ServiceRequest.js'
 
@@ -38,6 +39,12 @@
  */
 interface ComputationResult { outcome: PromptOutcome, source?: KvSource, takesRetry: boolean }
 
+/** Time limit for the response to a call that frees a computed prompt, in milliseconds. */
+const releaseTimeoutMilliseconds = 2000
+
+/** Maximum size of the response to a computation, in bytes; it only contains a handle. */
+const maxResponseBytes = 65_536
+
 /** Statuses with which a worker declines a prompt: it is another worker, full, or has another role now. */
 const declinedStatuses: ReadonlySet<number> = new Set([421, 429, 503])
 
@@ -96,8 +103,8 @@
     const call = this.context.protocol.releaseCallOf(handle)
     if (call === undefined) return
     try {
-      const response = await upstream.http.request(call)
-      await response.body.dump()
+      const response = await upstream.http.request({ ...call, signal: AbortSignal.timeout(releaseTimeoutMilliseconds) })
+      discardBody(response.body)
     } catch (caught) {
       // Not retried, since the worker frees the prompt by itself a few seconds later.
       this.logFailure(request, upstream, `the computed prompt was not freed: ${(caught as Error).message}`)
@@ -140,7 +147,7 @@
         body: request.body ?? null,
         signal: AbortSignal.any([stop, timer.signal])
       })
-      const body = Buffer.from(await response.body.arrayBuffer())
+      const body = await readBounded(response.body, maxResponseBytes)
       const handle = response.statusCode === 200 ? protocol.promptHandle(body) : undefined
       tracker.end(handle === undefined ? 'declined' : 'answered')
       if (handle !== undefined) {
--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -6,16 +6,17 @@
  * after its last complete event.
  */
 import { Result } from 'true-myth'
-import { Client, type Dispatcher } from 'undici'
-import { isNotSent } from '../clients/HttpClient.js'
+import type { Dispatcher } from 'undici'
+import { BoundedClient, isNotSent } from '../clients/index.js'
 import { abortAfter, type AbortTimer, errorResponses, type Failure, failure, type WorkerId } from '../common/index.js'
 import type { RoutingRequest } from '../routing/index.js'
 import {
   connectTimeoutMilliseconds, connectUpstream, isConnectionLost, type RequestTracker, type Upstream
 } from '../upstreams/index.js'
-import { type ResponseBody, destroyBody, isRepeatedEvent, withCleanup } from './responseBodies.js'
+import { type ResponseBody, destroyBody, discardBody, isEventStream, isRepeatedEvent, withCleanup } from './responseBodies.js'
 import { CallPrompt } from './CallPrompt.js'
 import type { ResponseHead, KvSource } from './CallProtocol.js'
+import { EventScanner } from './EventScanner.js'
 import { EventSplitter } from './EventSplitter.js'
 import type { ServiceResponse, ServiceContext, ServiceRequest } from './ServiceRequest.js'
 
@@ -233,7 +234,9 @@
     const { request } = this
     const remainingMilliseconds = Math.max(1, Math.ceil(request.deadline - clock.monotonic()))
     const dedicatedClient = protocol.usesDedicatedConnection(request)
-      ? new Client(upstream.origin, { connect: connectUpstream(connectTimeoutMilliseconds), headersTimeout: 0, bodyTimeout: 0 })
+      ? new BoundedClient(upstream.origin, {
+        connect: connectUpstream(connectTimeoutMilliseconds), headersTimeout: 0, bodyTimeout: 0
+      })
       : undefined
     const close = (): void => { dedicatedClient?.destroy().catch(() => {}) }
     const responseTimer = this.startResponseTimer()
@@ -255,7 +258,7 @@
       if (responseClass === 'not_run') {
         this.declinedAttempts += 1
         tracker.end('declined')
-        response.body.dump().catch(() => {})
+        discardBody(response.body)
         close()
         return Result.err({ kind: 'not_run', failure: failure('not_run', `the worker declined the call with status ${head.status}`) })
       }
@@ -348,12 +351,33 @@
 
   private createStreamedResponse (openResponse: OpenResponse, stop: AbortSignal): ServiceResponse {
     const resumable = this.request.idempotent && openResponse.head.status === 200
-    const body = resumable ? this.streamEvents(openResponse, stop) : this.streamBytes(openResponse, stop)
+    const body = resumable ? this.streamEvents(openResponse, stop) : this.streamUnchanged(openResponse, stop)
     return { ...this.headOf(openResponse), body: Buffer.alloc(0), remainingBody: body }
   }
 
-  /** The bytes of a streamed response as they arrive. */
-  private async * streamBytes (openResponse: OpenResponse, stop: AbortSignal): AsyncGenerator<Buffer> {
+  /**
+   * The bytes of a response that is not resumed, as they arrive. Throws if a stream of events ends inside an event: its
+   * worker stopped, although the end of the connection may look like that of a complete response.
+   */
+  private async * streamUnchanged (openResponse: OpenResponse, stop: AbortSignal): AsyncGenerator<Buffer> {
+    const scanner = isEventStream(openResponse.head) ? new EventScanner() : undefined
+    try {
+      for await (const piece of this.streamBytes(openResponse, stop, scanner)) {
+        scanner?.add(piece)
+        yield piece
+      }
+    } catch (caught) {
+      if (!stop.aborted) this.logFailure(openResponse.tracker.upstream, { kind: 'broken', failure: this.failureOf(caught as Error, stop) })
+      throw caught
+    }
+  }
+
+  /** The bytes of a streamed response as they arrive. Throws if the response ends inside an event. */
+  private async * streamBytes (
+    openResponse: OpenResponse,
+    stop: AbortSignal,
+    events?: { readonly isInsideEvent: boolean }
+  ): AsyncGenerator<Buffer> {
     let isComplete = false
     let startedAt: number | undefined
     try {
@@ -363,6 +387,7 @@
         this.prompt.answerStarted()
         yield piece
       }
+      if (events?.isInsideEvent === true) throw new Error('the stream ended inside an event')
       isComplete = true
       this.recordAnswer(openResponse)
     } catch (caught) {
@@ -404,15 +429,14 @@
     for (;;) {
       const splitter = new EventSplitter()
       try {
-        for await (const piece of this.streamBytes(openResponse, stop)) {
+        for await (const piece of this.streamBytes(openResponse, stop, splitter)) {
           for (const event of splitter.add(piece)) {
             if (isRepeatedEvent(event.id, lastId)) continue
             lastId = event.id ?? lastId
             yield event.bytes
           }
         }
-        if (!splitter.hasPartialEvent) return
-        throw new Error('the stream ended inside an event')
+        return
       } catch (caught) {
         const failedAttempt: FailedAttempt = { kind: 'broken', failure: this.failureOf(caught as Error, stop) }
         this.logFailure(openResponse.tracker.upstream, failedAttempt)
