Count a stream that ends inside an event as the loss of its worker

A worker that crashes may close its connection regularly. Without a length or chunks only the end inside an event shows that its answer is incomplete, and such a loss was no evidence against the prompt.

--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -41,6 +41,13 @@
 const deadlinePassed = new Error('the deadline passed')
 const callerDisconnected = new Error('the caller disconnected')
 
+/** A stream of events that ended inside an event: its worker was lost, even if the connection was closed regularly. */
+class TruncatedStreamError extends Error {
+  constructor () {
+    super('the stream ended inside an event')
+  }
+}
+
 const emptyPrompt: RoutingRequest = { promptTokens: 0, promptBlocks: [] }
 
 /**
@@ -387,7 +394,7 @@
         this.prompt.answerStarted()
         yield piece
       }
-      if (events?.isInsideEvent === true) throw new Error('the stream ended inside an event')
+      if (events?.isInsideEvent === true) throw new TruncatedStreamError()
       isComplete = true
       this.recordAnswer(openResponse)
     } catch (caught) {
@@ -409,7 +416,8 @@
   /** Records the loss of a worker that has just begun to answer the prompt. `startedAt`: time of the answer's first part. */
   private recordLoss (upstream: Upstream, caught: unknown, stop: AbortSignal, startedAt?: number): void {
     const { prompt, requestId } = this.request
-    if (prompt === undefined || stop.aborted || !isConnectionLost(caught)) return
+    if (prompt === undefined || stop.aborted) return
+    if (!isConnectionLost(caught) && !(caught instanceof TruncatedStreamError)) return
     if (startedAt !== undefined && this.context.clock.monotonic() - startedAt > suspectedMilliseconds) return
     this.context.quarantine?.recordLoss(prompt, upstream.id, requestId)
   }
--- a/src/platform/PlatformHost.test.ts
+++ b/src/platform/PlatformHost.test.ts
@@ -293,12 +293,12 @@
 
   // Guards against streams that look complete to the caller although their worker stopped inside an event.
   test.each([
-    ['inside a field of an event, at the close of a connection without a length', openHead, event(1) + 'id: 2\ndata: pie', finish],
-    ['after a single newline, at the close of a connection without a length', openHead, event(1) + 'id: 2\ndata: piece-2\n', finish],
-    ['inside an event with CRLF line ends', openHead, (event(1) + 'id: 2\ndata: pie').replaceAll('\n', '\r\n'), finish],
-    ['inside a comment', openHead, event(1) + ': wai', finish],
-    ['inside an event, with a final chunk', streamHead, chunk(event(1)) + chunk('id: 2\ndata: pie'), finishChunks],
-    ['after a complete event, by a reset', openHead, event(1), reset]
+    ['inside a field of an event, at the close of a connection without a length', openHead, streamEvent(1) + 'id: 2\ndata: pie', finish],
+    ['after a single newline, at the close of a connection without a length', openHead, streamEvent(1) + 'id: 2\ndata: piece-2\n', finish],
+    ['inside an event with CRLF line ends', openHead, (streamEvent(1) + 'id: 2\ndata: pie').replaceAll('\n', '\r\n'), finish],
+    ['inside a comment', openHead, streamEvent(1) + ': wai', finish],
+    ['inside an event, with a final chunk', streamHead, streamChunk(streamEvent(1)) + streamChunk('id: 2\ndata: pie'), finishChunks],
+    ['after a complete event, by a reset', openHead, streamEvent(1), reset]
   ] as Array<[string, typeof openHead, string, (socket: Socket) => void]>)(
     'that is not resumable and ends %s does not end as complete, and its request is not sent again', async (_name, headOf, body, end) => {
       const lastBytes = body.trimEnd().slice(-3)
@@ -322,15 +322,15 @@
 
   // Guards against complete streams that are taken for broken ones, or whose bytes are changed or sent again.
   test.each([
-    ['LF line ends', '/tags/1', event(1) + event(2)],
-    ['CRLF line ends', '/tags/1', (event(1) + event(2)).replaceAll('\n', '\r\n')],
-    ['CR line ends', '/tags/1', (event(1) + event(2)).replaceAll('\n', '\r')],
-    ['a comment at the end', '/tags/1', event(1) + ': done\n'],
+    ['LF line ends', '/tags/1', streamEvent(1) + streamEvent(2)],
+    ['CRLF line ends', '/tags/1', (streamEvent(1) + streamEvent(2)).replaceAll('\n', '\r\n')],
+    ['CR line ends', '/tags/1', (streamEvent(1) + streamEvent(2)).replaceAll('\n', '\r')],
+    ['a comment at the end', '/tags/1', streamEvent(1) + ': done\n'],
     ['no event', '/tags/1', ''],
-    ['LF line ends', '/answers/1', event(1) + event(2)],
-    ['CRLF line ends', '/answers/1', (event(1) + event(2)).replaceAll('\n', '\r\n')],
-    ['CR line ends', '/answers/1', (event(1) + event(2)).replaceAll('\n', '\r')],
-    ['a comment at the end', '/answers/1', event(1) + ': done\n'],
+    ['LF line ends', '/answers/1', streamEvent(1) + streamEvent(2)],
+    ['CRLF line ends', '/answers/1', (streamEvent(1) + streamEvent(2)).replaceAll('\n', '\r\n')],
+    ['CR line ends', '/answers/1', (streamEvent(1) + streamEvent(2)).replaceAll('\n', '\r')],
+    ['a comment at the end', '/answers/1', streamEvent(1) + ': done\n'],
     ['no event', '/answers/1', '']
   ])('with %s for %s that has no length and ends with its connection is delivered whole', async (_name, path, body) => {
     const { models } = await start()
--- a/src/platform/PromptQuarantine.test.ts
+++ b/src/platform/PromptQuarantine.test.ts
@@ -3,6 +3,7 @@
  * and against harmless requests that are refused with it. Two hosts share a store; the workers speak over real sockets.
  */
 import { afterEach, expect, test } from '@jest/globals'
+import type { Socket } from 'node:net'
 import { SystemClock } from '../common/index.js'
 import type { PlatformHost } from './PlatformHost.js'
 import { type PlatformTest, RawCaller, requestHeaders, startHost, startPlatform, waitUntil } from './testing/platformTestSupport.js'
@@ -16,6 +17,8 @@
   }
 }
 
+const chunked = { 'transfer-encoding': 'chunked' }
+
 const clock = new ShiftedClock()
 let platform: PlatformTest | undefined
 let secondHost: PlatformHost | undefined
@@ -23,9 +26,11 @@
 afterEach(async () => {
   await secondHost?.close()
   await platform?.stop()
+  secondHost = undefined
+  platform = undefined
 })
 
-/** Sends a streaming request whose prompt has these parts; resolves to its status, or 0 if the answer broke off. */
+/** Sends a streaming request whose prompt has these parts; resolves to its status, or 0 if the answer was cut off. */
 async function ask (host: PlatformHost, id: string, parts: string): Promise<{ status: number, retryAfter: number }> {
   const caller = await RawCaller.connect(host.addresses.callers)
   caller.send('POST', '/tags/1', requestHeaders(id, {
@@ -42,15 +47,22 @@
 }
 
 // Each host sees only some of the requests that crash workers, so that without the others' evidence it sends more.
-test('a part whose prompts crashed a worker at each of two hosts is refused by both, and its first part alone is answered', async () => {
+test.each<[string, Record<string, string>, (socket: Socket) => void]>([
+  ['reset', chunked, socket => { socket.resetAndDestroy() }],
+  ['closed inside a chunk', chunked, socket => { socket.end('5\r\nid') }],
+  ['closed inside an event of an answer without length or chunks', {}, socket => { socket.end('id: 2\nda') }]
+])('a part under which a worker was lost at each of two hosts, its connections %s, is refused by both, and its first part alone is answered', async (_name, framing, crash) => {
   platform = await startPlatform({ clock, modelWorkers: 4 })
   const { host, store, models } = platform
   secondHost = await startHost(store, { name: 'host-2', clock })
   for (const worker of models) {
     worker.onRequest = request => {
-      const head = worker.responseTo(request, '', { headers: { 'content-length': undefined, 'transfer-encoding': 'chunked', 'content-type': 'text/event-stream' } })
-      request.socket.write(`${head}c\r\nid: 1\ndata\n\n\r\n`, () => {
-        if (request.headers['dogwooddale-prompt-prefix']!.includes('dead')) request.socket.resetAndDestroy()
+      const isDeadly = request.headers['dogwooddale-prompt-prefix']!.includes('dead')
+      const headers: Record<string, string | undefined> = { 'content-length': undefined, 'content-type': 'text/event-stream', ...(isDeadly ? framing : chunked) }
+      const head = worker.responseTo(request, '', { headers })
+      const event = 'id: 1\ndata\n\n'
+      request.socket.write(head + (headers['transfer-encoding'] === undefined ? event : `c\r\n${event}\r\n`), () => {
+        if (isDeadly) crash(request.socket)
         else request.socket.write('0\r\n\r\n')
       })
     }
