Bound a drain by its time limit while a caller stalls in its request

A drain waits for the open requests up to its time limit and then for the connections of callers, without a limit. A request counts as open only once its body has been read, so a caller that stalls in its body held the drain until the process was killed. The connections are now waited for up to the same limit; the host then exits with the status of an incomplete drain.

Ruled out: closing such connections at once, since the rest of a body may be on its way.

The new test did not end within 15 s before; it passes in 6 s, of which the limit takes 4. The tests of host and entry were run after the change.

--- a/src/host/EntryHost.test.ts
+++ b/src/host/EntryHost.test.ts
@@ -157,6 +157,21 @@
     expect(await host.exited).toEqual({ code: 9, signal: null })
   })
 
+  // Guards against a drain that waits without a limit for a caller whose request is incomplete.
+  test('after SIGTERM, a caller that stalls in its request body delays the exit only up to the drain limit', async () => {
+    const host = await deployment.startHost('stalled-body', zone, { drain: { timeoutMilliseconds: 4000 } })
+    const [address = '', port] = host.address('callers').split(':')
+    const caller = connect(Number(port), address)
+    caller.on('error', () => {})
+    const fields = Object.entries({ ...headers, host: 'x', 'content-length': '10' }).map(([name, value]) => `${name}: ${value}\r\n`)
+    caller.write(`POST /v1/completions HTTP/1.1\r\n${fields.join('')}\r\n{`)
+    // Its response shows that the host has also read what was sent before.
+    await (await openStream(host, 'a short answer', 1)).text()
+    host.signal('SIGTERM')
+    expect(await host.exited).toEqual({ code: 9, signal: null })
+    caller.destroy()
+  })
+
   test('when a host is killed, streams of another host complete and the engine cancels the killed host\'s requests', async () => {
     const [killed, other] = await Promise.all([
       deployment.startHost('killed', zone), deployment.startHost('other', zone)
--- a/src/host/EntryHost.ts
+++ b/src/host/EntryHost.ts
@@ -1,6 +1,7 @@
 /**
  * An entry host: creates its parts, starts them in order, and shuts them down gracefully.
  */
+import { once } from 'node:events'
 import { Result } from 'true-myth'
 import { failure, type Failure, type Model } from '../common/index.js'
 import { type ListeningServer, serve } from '../entry/index.js'
@@ -151,9 +152,12 @@
     // Waiting for an in-flight order can take minutes, so the requests are drained at the same time.
     const leaseTasksStopped = this.stopLeaseTasks()
     await clock.sleep(settings.drain.readinessDelayMilliseconds)
-    const callersClosed = this.callerServer?.close()
-    const isComplete = await this.requests?.drain(AbortSignal.timeout(settings.drain.timeoutMilliseconds)) ?? true
-    if (isComplete) await callersClosed
+    const timeout = AbortSignal.timeout(settings.drain.timeoutMilliseconds)
+    const timedOut = once(timeout, 'abort').then(() => false)
+    const callersClosed = this.callerServer?.close().then(() => true) ?? true
+    const areRequestsDrained = await this.requests?.drain(timeout) ?? true
+    // A caller that stalls in the middle of its request keeps its connection open.
+    const isComplete = areRequestsDrained && await Promise.race([callersClosed, timedOut])
     await leaseTasksStopped
     events.info('drain_ended', { complete: isComplete })
     await this.close()
