Accept any field name and only countable tokens from callers

The fields are now collected in an object without a prototype, as are those of responses.

Ruled out, with real sockets: undici and Node's server pass both fields on in both directions.

Failed before: the property and the four cases kept from it.

--- a/src/platform/WorkerProtocol.ts
+++ b/src/platform/WorkerProtocol.ts
@@ -74,7 +74,7 @@
   }
 
   responseHeaders (headers: HeaderFields): Record<string, string> {
-    const forwarded: Record<string, string> = {}
+    const forwarded = Object.create(null) as Record<string, string>
     for (const [name, value] of Object.entries(headers)) {
       if (value === undefined || hopByHopHeaderNames.has(name)) continue
       forwarded[name] = Array.isArray(value) ? value.join(', ') : value
--- a/src/platform/decodeRequest.ts
+++ b/src/platform/decodeRequest.ts
@@ -85,7 +85,8 @@
 /** Header fields for the worker: all except hop-by-hop fields and those that only the system may set. */
 function forwardedHeaders ({ rawHeaders, headers }: IncomingMessage): Record<string, string | string[]> {
   const connectionOptions = new Set((headers.connection ?? '').split(',').map(name => name.trim().toLowerCase()))
-  const forwarded: Record<string, string | string[]> = {}
+  // Without a prototype, so that a field such as `constructor` finds no property that the caller did not send.
+  const forwarded = Object.create(null) as Record<string, string | string[]>
   for (let position = 0; position + 1 < rawHeaders.length; position += 2) {
     const name = rawHeaders[position]!.toLowerCase()
     const value = rawHeaders[position + 1]!
@@ -105,8 +106,9 @@
   if (typeof parts !== 'string') return undefined
   const idsAndTokens = parts.split(',').map(part => part.trim().split(':'))
   const blockTokens = idsAndTokens.map(([, tokens]) => Number(tokens))
-  if (blockTokens.some(tokens => !(tokens >= 0))) return undefined
-  const model = String(headers[headerNames.model] ?? '')
   const promptTokens = blockTokens.reduce((sum, tokens) => sum + tokens, 0)
+  const areCounts = blockTokens.every(tokens => Number.isInteger(tokens) && tokens >= 0)
+  if (!areCounts || !Number.isSafeInteger(promptTokens)) return undefined
+  const model = String(headers[headerNames.model] ?? '')
   return { promptTokens, promptBlocks: idsAndTokens.map(([part]) => `${model}/${part}`), blockTokens }
 }
