Reject worker entries with an address that cannot be connected to

An address passed if it looked like numbers with dots and a port: 999.1.2.3:80, 10.1.2.3:99999 or port 0, as another writer may leave in the store. Such a worker was chosen like any other, and a request that may run once failed with 502 there although nothing was sent. The entry has to name an IPv4 address and a port from 1 to 65535 now.

Ruled out by properties that passed at once: the decoder of the configuration and the table of its routes, the parser of records (any bytes; what is written is read).

Failed before: the property and the four cases kept from it.

--- a/src/platform/WorkerEntry.ts
+++ b/src/platform/WorkerEntry.ts
@@ -2,6 +2,7 @@
  * Decodes the entries that workers write about themselves to the store. Other programs can write to the same topic, so
  * an incomplete entry is ignored.
  */
+import { isIPv4 } from 'node:net'
 import { z } from 'zod'
 import { type Pool, type WorkerId, workerIdSchema, type Zone, zoneSchema, parseJson } from '../common/index.js'
 import type { EngineRole } from '../configuration/index.js'
@@ -26,9 +27,17 @@
 
 const roles = { prefill: 'prefill', decode: 'decode', colocated: 'mixed' } as const
 
+const maxPort = 65_535
+
+/** True for `ip:port` with an IPv4 address and a port that can be connected to. */
+function isSocketAddress (text: string): boolean {
+  const [host = '', port = '', ...rest] = text.split(':')
+  return isIPv4(host) && /^[1-9]\d{0,4}$/.test(port) && Number(port) <= maxPort && rest.length === 0
+}
+
 const entrySchema = z.object({
   service: z.string().min(1),
-  address: z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/),
+  address: z.string().refine(isSocketAddress),
   zone: zoneSchema,
   slots: z.number().positive(),
   state: z.enum(['ready', 'draining']),
--- a/src/platform/decodingProperties.test.ts
+++ b/src/platform/decodingProperties.test.ts
@@ -8,7 +8,10 @@
 import { schedulerRequestSchema } from '../placement/schedulerMessages.js'
 import { decodeRequest } from './decodeRequest.js'
 import { decodeRouteConfiguration, RouteTable } from './RouteConfiguration.js'
+import { parseRecords } from './StoreClient.js'
+import { encodeRecords } from './testing/FakeStore.js'
 import { configurationDocument } from './testing/platformTestSupport.js'
+import { decodeWorkerEntry } from './WorkerEntry.js'
 import { headerNames, hopByHopHeaderNames, systemHeaderNames } from './WorkerProtocol.js'
 
 const parameters = { seed: 20, numRuns: 1000 }
@@ -82,3 +85,85 @@
     expectSound([['host', 'forum.example'], [headerNames.requestId, 'r1'], ...pairs], '/tags/1')
   })
 })
+
+/** A valid document with some of its values replaced by any others. */
+function mutationsOf (document: unknown): fc.Arbitrary<unknown> {
+  const replacement = fc.oneof(fc.jsonValue(), fc.constantFrom(0, -1, 1e300, '', null, [], {}))
+  return fc.array(fc.tuple(fc.constantFrom(...pathsOf(document)), replacement), { maxLength: 3 })
+    .map(changes => changes.reduce((changed, [path, value]) => replaceAt(changed, path, value), document))
+}
+
+function * pathsOf (value: unknown, path: string[] = []): Generator<string[]> {
+  yield path
+  if (typeof value !== 'object' || value === null) return
+  for (const [key, item] of Object.entries(value)) yield * pathsOf(item, [...path, key])
+}
+
+function replaceAt (value: unknown, [key, ...rest]: string[], replacement: unknown): unknown {
+  if (key === undefined) return replacement
+  if (typeof value !== 'object' || value === null) return value
+  const entries = Object.entries(value as Record<string, unknown>)
+    .map(([name, item]) => [name, name === key ? replaceAt(item, rest, replacement) : item] as const)
+  return Array.isArray(value) ? entries.map(([, item]) => item) : Object.fromEntries(entries)
+}
+
+const anyBytes = fc.uint8Array({ maxLength: 200 }).map(bytes => Buffer.from(bytes))
+const encoded = (documents: fc.Arbitrary<unknown>): fc.Arbitrary<Buffer> => documents.map(document => Buffer.from(JSON.stringify(document) ?? ''))
+
+test('a configuration never makes its decoder or the table of its routes throw', () => {
+  fc.assert(fc.property(fc.oneof(anyBytes, encoded(fc.jsonValue()), encoded(mutationsOf(configurationDocument(3)))), bytes => {
+    const decoded = decodeRouteConfiguration(bytes)
+    if (decoded.isErr) return expect(decoded.error.kind).toBe('invalid_configuration')
+    const table = new RouteTable(decoded.value)
+    for (const route of decoded.value.routes) {
+      expect(table.urgencyOf(route, 0.5)).toBeGreaterThanOrEqual(0)
+      table.find(route.host, `${route.pathPrefix}x`)
+    }
+  }), parameters)
+})
+
+const entry = { service: 'llm', address: '10.1.2.3:80', zone: 'zone-a', slots: 8, state: 'ready', stage: 'prefill', born: 5, sequence: 2 }
+
+function expectUsable (bytes: Buffer): void {
+  const worker = decodeWorkerEntry('i-1', bytes)
+  if (worker === undefined) return
+  expect(new URL(`http://${worker.address}`).hostname).toBe(worker.address.split(':')[0])
+  expect(Number(worker.address.split(':')[1])).toBeGreaterThan(0)
+  for (const value of [worker.slots, worker.startedAt, worker.report]) expect(Number.isFinite(value)).toBe(true)
+}
+
+describe('an entry of a worker', () => {
+  test('never makes its decoder throw, and names a worker only with an address that can be used', () => {
+    const octet = fc.constantFrom('0', '10', '255', '256', '999', '010')
+    const address = fc.tuple(octet, octet, fc.constantFrom('0', '00', '80', '65535', '65536', '99999'))
+      .map(([first, last, port]) => ({ ...entry, address: `${first}.1.2.${last}:${port}` }))
+    const anyEntry = fc.oneof(anyBytes, encoded(fc.jsonValue()), encoded(mutationsOf(entry)), encoded(address))
+    fc.assert(fc.property(anyEntry, expectUsable), parameters)
+  })
+
+  test.each(['999.1.2.3:80', '10.1.2.3:99999', '10.1.2.3:0', '010.1.2.3:80'])('with the address %s is rejected', address => {
+    expect(decodeWorkerEntry('i-1', Buffer.from(JSON.stringify({ ...entry, address })))).toBeUndefined()
+  })
+})
+
+describe('records of the store', () => {
+  test('never make their parser throw, and hold no more bytes than were read', () => {
+    fc.assert(fc.property(fc.uint8Array({ maxLength: 300 }), bytes => {
+      const page = parseRecords(Buffer.from(bytes), 0)
+      const size = page?.records.reduce((sum, { key, value }) => sum + Math.min(key.length, 255) + (value?.length ?? 0), 0) ?? 0
+      expect(size).toBeLessThanOrEqual(bytes.length)
+    }), parameters)
+  })
+
+  test('are parsed as they were written', () => {
+    const record = fc.record({
+      key: fc.string({ minLength: 1, maxLength: 20 }),
+      value: fc.option(fc.string({ minLength: 1 }), { nil: undefined })
+    })
+    fc.assert(fc.property(fc.array(record, { maxLength: 10 }), records => {
+      const page = parseRecords(encodeRecords(records, 50, 0), 40)
+      const parsed = page?.records.map(({ key, value }) => ({ key, value: value?.toString() }))
+      expect({ records: parsed, next: page?.next }).toEqual({ records, next: 40 + records.length })
+    }), parameters)
+  })
+})
