Decode lines of schedulers whole, and limit them in bytes

LineDecoder decoded each piece it received, so a character of several bytes that arrived in two pieces became two others: the id of a part, or of a question, changed, and the answer found no question. It also compared UTF-16 units with the limit in bytes, and only for a line without its end. It decodes whole lines now, and no line may be longer than the limit.

Ruled out: throwing or holding more than a line for any bytes.

--- a/src/placement/schedulerMessages.ts
+++ b/src/placement/schedulerMessages.ts
@@ -50,23 +50,33 @@
   return `${JSON.stringify(message)}\n`
 }
 
+const lineFeed = 0x0A
+
+function lineTooLong (): Failure {
+  return failure('bad_request', `a line is longer than ${maxLineBytes} bytes`)
+}
+
 /** Splits received bytes into lines. */
 export class LineDecoder<Message> {
-  private rest = ''
+  private rest: Buffer = Buffer.alloc(0)
 
   constructor (private readonly schema: z.ZodType<Message>) {}
 
   /** The complete messages so far. Errors: `bad_request` if a line is too long or is no message; reading must then end. */
   add (bytes: Buffer): Result<Message[], Failure> {
-    const lines = (this.rest + bytes.toString('utf8')).split('\n')
-    this.rest = lines.pop()!
-    if (this.rest.length > maxLineBytes) return Result.err(failure('bad_request', `a line is longer than ${maxLineBytes} bytes`))
+    const received = this.rest.length === 0 ? bytes : Buffer.concat([this.rest, bytes])
     const messages: Message[] = []
-    for (const line of lines) {
+    let start = 0
+    for (let end = received.indexOf(lineFeed); end >= 0; end = received.indexOf(lineFeed, start)) {
+      if (end - start > maxLineBytes) return Result.err(lineTooLong())
+      // Decoded as a whole, since the pieces may cut a character.
+      const line = received.toString('utf8', start, end)
       const parsed = this.schema.safeParse(parseJson(line))
       if (!parsed.success) return Result.err(failure('bad_request', `a line is no message: ${line.slice(0, 100)}`))
       messages.push(parsed.data)
+      start = end + 1
     }
-    return Result.ok(messages)
+    this.rest = received.subarray(start)
+    return this.rest.length > maxLineBytes ? Result.err(lineTooLong()) : Result.ok(messages)
   }
 }
--- a/src/platform/decodingProperties.test.ts
+++ b/src/platform/decodingProperties.test.ts
@@ -5,7 +5,7 @@
 import { describe, expect, test } from '@jest/globals'
 import fc from 'fast-check'
 import type { IncomingMessage } from 'node:http'
-import { schedulerRequestSchema } from '../placement/schedulerMessages.js'
+import { LineDecoder, encodeLine, maxLineBytes, schedulerRequestSchema } from '../placement/schedulerMessages.js'
 import { decodeRequest } from './decodeRequest.js'
 import { decodeRouteConfiguration, RouteTable } from './RouteConfiguration.js'
 import { parseRecords } from './StoreClient.js'
@@ -167,3 +167,50 @@
     }), parameters)
   })
 })
+
+describe('messages between schedulers and hosts', () => {
+  const place = fc.record({
+    kind: fc.constant('place' as const),
+    pool: fc.constant('llm'),
+    id: fc.string({ minLength: 1, maxLength: 20, unit: 'binary' }),
+    parts: fc.array(fc.tuple(fc.string({ unit: 'binary' }), fc.nat()), { maxLength: 5 }),
+    due: fc.integer(),
+    lost: fc.integer()
+  })
+
+  /** Decodes a message that arrives in the given pieces. */
+  function decodePieces (bytes: Buffer, cuts: number[]): unknown[] {
+    const decoder = new LineDecoder(schedulerRequestSchema)
+    const positions = [0, ...cuts.map(cut => cut % (bytes.length + 1)).sort((left, right) => left - right), bytes.length]
+    return positions.slice(1).flatMap((end, index) => decoder.add(bytes.subarray(positions[index], end)).unwrapOr([]))
+  }
+
+  test('are the same in whatever pieces they arrive', () => {
+    fc.assert(fc.property(fc.array(place, { maxLength: 4 }), fc.array(fc.nat(1000), { maxLength: 8 }), (messages, cuts) => {
+      const bytes = Buffer.from(messages.map(message => encodeLine(message as never)).join(''))
+      expect(decodePieces(bytes, cuts)).toEqual(JSON.parse(JSON.stringify(messages)))
+    }), parameters)
+  })
+
+  test('keep a character that arrives in two pieces', () => {
+    const message = { kind: 'end', pool: 'llm', id: 'é', outcome: 'computed' } as const
+    const bytes = Buffer.from(encodeLine(message as never))
+    expect(decodePieces(bytes, [bytes.indexOf(0xC3) + 1])).toEqual([message])
+  })
+
+  test('never make the decoder throw or hold more than one line', () => {
+    fc.assert(fc.property(fc.array(anyBytes, { maxLength: 5 }), pieces => {
+      const decoder = new LineDecoder(schedulerRequestSchema)
+      for (const piece of pieces) decoder.add(piece)
+    }), parameters)
+  })
+
+  test.each([
+    ['without an end', 'x'.repeat(maxLineBytes + 1)],
+    ['with its end', `${'x'.repeat(maxLineBytes + 1)}\n`],
+    ['in characters of two bytes', 'é'.repeat(maxLineBytes / 2 + 1)]
+  ])('that are longer than a line may be, %s, are rejected', (_name, text) => {
+    const added = new LineDecoder(schedulerRequestSchema).add(Buffer.from(text))
+    expect(added.isErr && added.error.message).toContain('is longer than')
+  })
+})
