Place prompts alone whose question is longer than a line

The question about a prompt of many parts, each with the name of its model, could exceed the 64 KiB of a line although the header that named the parts was within the operators' limit. The scheduler then closed the connection that all prompts of the host share, the open questions failed, and the host placed prompts by itself for 500 ms. Such a question now fails alone with body_too_large, before it is sent; the host places that prompt itself and goes on asking. Other failures than that of the connection are no longer reported to the directory of schedulers.

Failed before: SchedulerConnection.test.ts (not_ready) and ScheduledPromptPlacer.test.ts (the next question was not asked). Type check, lint and tests of platform and placement passed (248).

--- a/src/placement/ScheduledPromptPlacer.test.ts
+++ b/src/placement/ScheduledPromptPlacer.test.ts
@@ -113,6 +113,14 @@
   })
 })
 
+// Guards against one caller with a long prompt who makes the host place all prompts by itself for a while.
+test('a prompt that is too long for a question does not keep the host from asking about the next one', async () => {
+  client.answer = Result.err(failure('body_too_large', 'the prompt has too many parts'))
+  expect(await placedWorker()).toBe('w0')
+  await placedWorker()
+  expect(client.cells).toHaveLength(2)
+})
+
 test.each([
   ['one cell for a small pool', 6, undefined],
   ['a cell for each zone of a large pool', 40, zone]
--- a/src/placement/ScheduledPromptPlacer.ts
+++ b/src/placement/ScheduledPromptPlacer.ts
@@ -59,7 +59,8 @@
     const decision = await this.options.client.place(cell, taskOf(prompt), signal)
     if (signal.aborted) return Result.err(failure('cancelled', 'the call ended before its prompt was placed'))
     if (decision.isErr) {
-      this.avoidedUntil = clock.monotonic() + failedSchedulerMilliseconds
+      const isSchedulerFailed = decision.error.kind !== 'body_too_large'
+      if (isSchedulerFailed) this.avoidedUntil = clock.monotonic() + failedSchedulerMilliseconds
       this.options.events.info('prompt_placed_alone', { request: prompt.id, kind: decision.error.kind, reason: decision.error.message })
       return await fallback.place(prompt, signal)
     }
--- a/src/placement/SchedulerConnection.test.ts
+++ b/src/placement/SchedulerConnection.test.ts
@@ -145,3 +145,13 @@
     expect((await open().place(cell, taskOf('a'), never)).isOk).toBe(true)
   })
 })
+
+// Guards against a caller with a long prompt who ends the connection that all prompts of a host share.
+test('a question that is longer than a line may be fails alone, and the connection stays open', async () => {
+  const connection = open()
+  const task = taskOf('a')
+  const parts = Array.from({ length: 2000 }, (_, index) => `${'m'.repeat(40)}/${index}`)
+  const answer = await connection.place(cell, { ...task, parts, partTokens: parts.map(() => 1) }, never)
+  expect(answer.isErr && answer.error.kind).toBe('body_too_large')
+  expect((await connection.place(cell, taskOf('b'), never)).isOk).toBe(true)
+})
--- a/src/placement/SchedulerConnection.ts
+++ b/src/placement/SchedulerConnection.ts
@@ -7,7 +7,7 @@
 import { type Clock, failure, type Failure, type WorkerId } from '../common/index.js'
 import type { PlacementCell } from './PromptScheduler.js'
 import type { PlacementDecision, PromptOutcome, PromptTask } from './PromptTask.js'
-import { encodeLine, LineDecoder, type SchedulerAnswer, schedulerAnswerSchema } from './schedulerMessages.js'
+import { encodeLine, LineDecoder, maxLineBytes, type SchedulerAnswer, schedulerAnswerSchema } from './schedulerMessages.js'
 import { writeCorked } from './writeCorked.js'
 
 /** Time without a line after which a connection with open questions is closed, in milliseconds. */
@@ -44,11 +44,23 @@
     return this.closed.signal.aborted
   }
 
-  /** Asks where to compute a prompt. Errors: `not_ready` if the connection fails, `cancelled` if the signal aborts. */
+  /**
+   * Asks where to compute a prompt. Errors: `not_ready` if the connection fails, `cancelled` if the signal aborts,
+   * `body_too_large` if the prompt has too many parts.
+   */
   async place (cell: PlacementCell, task: PromptTask, signal: AbortSignal): Promise<Result<PlacementDecision, Failure>> {
     if (this.isClosed) return Result.err(failure('not_ready', 'the connection to the scheduler is closed'))
     if (signal.aborted) return Result.err(failure('cancelled', 'the call ended before its prompt was placed'))
     const now = this.clock.monotonic()
+    const question = encodeLine({
+      kind: 'place',
+      ...cell,
+      id: task.id,
+      parts: task.parts.map((part, position) => [part, task.partTokens[position] ?? 0]),
+      due: Math.round(task.dueAt - now),
+      lost: Math.round(task.lostAt - now)
+    })
+    if (Buffer.byteLength(question) > maxLineBytes) return Result.err(failure('body_too_large', 'the prompt has too many parts for a question'))
     if (this.openQuestions.size === 0) this.lastLineAt = now
     const decided = new Promise<Result<PlacementDecision, Failure>>(resolve => { this.openQuestions.set(task.id, resolve) })
     const cancel = (): void => {
@@ -56,14 +68,7 @@
       this.settle(task.id, Result.err(failure('cancelled', 'the call ended before its prompt was placed')))
     }
     signal.addEventListener('abort', cancel, { once: true })
-    writeCorked(this.socket, encodeLine({
-      kind: 'place',
-      ...cell,
-      id: task.id,
-      parts: task.parts.map((part, position) => [part, task.partTokens[position] ?? 0]),
-      due: Math.round(task.dueAt - now),
-      lost: Math.round(task.lostAt - now)
-    }))
+    writeCorked(this.socket, question)
     this.watch()
     const decision = await decided
     signal.removeEventListener('abort', cancel)
--- a/src/platform/PeerSchedulerClient.ts
+++ b/src/platform/PeerSchedulerClient.ts
@@ -43,7 +43,7 @@
     if (connection === undefined) return Result.err(failure('not_ready', 'no scheduler of the cell is known'))
     const decision = await connection.place(cell, task, signal)
     if (decision.isOk) directory.confirm()
-    else if (decision.error.kind !== 'cancelled') directory.reportFailure()
+    else if (decision.error.kind === 'not_ready') directory.reportFailure()
     return decision
   }
 
