Keep the evidence against parts in quarantine when it is full

A host remembers the evidence against 2000 parts and forgot those reported first. No losses are reported for a part in quarantine, so the losses of other workers pushed its evidence out, and its prompts crashed workers again.

Ruled out: a larger limit, which only takes longer to reach.

Parts that are to blame are no longer forgotten when the evidence is full; they still end with their time.

The new test of PartQuarantine.test.ts failed before (the prompt was not refused).

--- a/src/quarantine/PartQuarantine.test.ts
+++ b/src/quarantine/PartQuarantine.test.ts
@@ -93,6 +93,15 @@
   expect(hosts.host(0).refusalOf(promptOf('rare', 'x4'))).toBeUndefined()
 })
 
+// Guards against a part that crashes workers again since losses without any connection to it have pushed it out.
+test('a part in quarantine is still refused after losses with more other parts than are remembered', async () => {
+  const hosts = new Hosts(1)
+  await hosts.loseWorkers([['deadly', 'x1'], ['deadly', 'x2'], ['deadly', 'x3']])
+  const others = Array.from({ length: 2500 }, (_, index) => `other-${index}`)
+  await hosts.loseWorkers([[...others, 'x4']])
+  expect(hosts.host(0).refusalOf(promptOf('deadly', 'x5'))).toMatchObject({ kind: 'quarantined' })
+})
+
 test('the last part of a prompt, which belongs to one request alone, is never reported', async () => {
   const hosts = new Hosts(2)
   await hosts.loseWorkers([['session'], ['session'], ['session']])
--- a/src/quarantine/PartQuarantine.ts
+++ b/src/quarantine/PartQuarantine.ts
@@ -46,7 +46,7 @@
  */
 const maxContradictionDelayMilliseconds = 400
 
-/** Maximum number of parts with evidence; the ones reported first are forgotten first. */
+/** Maximum number of parts with evidence; those that are not to blame and were reported first are forgotten first. */
 const maxSuspectedParts = 2000
 
 /** Decides which prompts are refused. */
@@ -132,11 +132,24 @@
     const merged = mergeLosses(this.lossesByPart.get(part) ?? [], losses)
     this.lossesByPart.delete(part)
     this.lossesByPart.set(part, merged)
-    const oldest = this.lossesByPart.size > maxSuspectedParts ? this.lossesByPart.keys().next() : undefined
-    if (oldest?.done === false) this.lossesByPart.delete(oldest.value)
+    if (this.lossesByPart.size > maxSuspectedParts) this.forgetOldest()
     return merged
   }
 
+  /** Forgets the part that was reported first, unless it is to blame. */
+  private forgetOldest (): void {
+    const blamed = this.blamedParts
+    for (const part of this.lossesByPart.keys()) {
+      if (blamed.has(part)) continue
+      this.lossesByPart.delete(part)
+      return
+    }
+  }
+
+  private get blamedParts (): ReadonlySet<string> {
+    return new Set(this.culprits.flatMap(({ parts }) => parts))
+  }
+
   /** Decides again which parts are to blame. */
   private decide (): void {
     const before = this.culprits
@@ -146,7 +159,7 @@
 
   private forgetOld (): void {
     const now = this.options.clock.wall()
-    const blamed = new Set(this.culprits.flatMap(({ parts }) => parts))
+    const blamed = this.blamedParts
     for (const [part, losses] of this.lossesByPart) {
       const lastLossAt = losses.at(-1)?.at ?? 0
       const keptMilliseconds = blamed.has(part) ? quarantineMilliseconds : suspicionMilliseconds
