Judge the evidence of lost workers in linear time

Each reported loss is judged at once on the event loop. Every loss was compared with all losses of all incidents, and found again by a search through them: with evidence against 2000 parts (the maximum) this took 264 ms for one loss a part and 10 workers, 4.0 s for eight losses a part and 200 workers, on a shared machine at full speed. A host refuses requests above 200 ms of delay.

Ruled out: fewer parts, since each lost worker adds those of all prompts that waited for it; judging later, which lets prompts through meanwhile.

The new test counts reads of worker names, not time; it failed before (3,600,000 reads, 200,000 allowed). The tests of src/quarantine pass.

--- a/src/quarantine/findCulprits.test.ts
+++ b/src/quarantine/findCulprits.test.ts
@@ -76,3 +76,19 @@
 ])('%s', (_name, losses, expected) => {
   expect(findCulprits(evidenceOf(losses)).map(({ parts }) => parts)).toEqual(expected)
 })
+
+// Guards against a host that stands still while it judges the evidence of many lost workers. Counts steps in place of time.
+test('the number of comparisons grows with the number of losses, not with its square', () => {
+  let reads = 0
+  const lossOf = (number: number): PartEvidence['losses'][number] => ({
+    at: (number % 10) * 1000,
+    prompts: [`p${number}`],
+    get worker () {
+      reads += 1
+      return `worker-${number % 10}` as WorkerId
+    }
+  })
+  const parts = 2000
+  findCulprits(Array.from({ length: parts }, (_, number) => ({ part: `part-${number}`, losses: [lossOf(number)] })))
+  expect(reads).toBeLessThan(100 * parts)
+})
--- a/src/quarantine/findCulprits.ts
+++ b/src/quarantine/findCulprits.ts
@@ -6,6 +6,7 @@
  * the incidents that it explains count against no other part. Parts that always appear together cannot be told apart: only
  * prompts that contain all of them are refused, until a prompt with one of them alone is answered or crashes a worker.
  */
+import type { WorkerId } from '../common/index.js'
 import type { PartEvidence, WorkerLoss } from './Evidence.js'
 import { isSameLoss } from './mergeLosses.js'
 
@@ -25,7 +26,7 @@
 /** Workers that are lost within this time of each other, in milliseconds, count as one incident with a common cause. */
 const commonCauseMilliseconds = 150
 
-interface Incident { firstAt: number, losses: WorkerLoss[] }
+interface Incident { firstAt: number }
 
 interface Suspect {
   part: string
@@ -36,9 +37,9 @@
 
 /** The parts to blame, those with most incidents first. */
 export function findCulprits (evidence: readonly PartEvidence[]): Culprit[] {
-  const incidents = groupIncidents(evidence.flatMap(({ losses }) => losses))
+  const incidentByLoss = groupIncidents(evidence.flatMap(({ losses }) => losses))
   const suspects = evidence
-    .map(part => suspectOf(part, incidents))
+    .map(part => suspectOf(part, incidentByLoss))
     .filter(({ promptsByIncident }) => promptsByIncident.size >= minIncidents)
     .sort((left, right) => left.part < right.part ? -1 : 1)
   const culprits: Culprit[] = []
@@ -57,24 +58,29 @@
 }
 
 /** Assigns each loss to an incident. */
-function groupIncidents (losses: readonly WorkerLoss[]): Incident[] {
-  const incidents: Incident[] = []
+function groupIncidents (losses: readonly WorkerLoss[]): ReadonlyMap<WorkerLoss, Incident> {
+  const incidentByLoss = new Map<WorkerLoss, Incident>()
+  /** The latest loss of each worker in each incident, the earliest incident first. */
+  const lossesByWorker = new Map<WorkerId, Map<Incident, WorkerLoss>>()
+  let latest: Incident | undefined
   for (const loss of [...losses].sort((left, right) => left.at - right.at)) {
-    const known = incidents.find(incident => belongsTo(incident, loss))
-    if (known === undefined) incidents.push({ firstAt: loss.at, losses: [loss] })
-    else known.losses.push(loss)
+    const ofWorker = lossesByWorker.get(loss.worker) ?? new Map<Incident, WorkerLoss>()
+    lossesByWorker.set(loss.worker, ofWorker)
+    const reported = [...ofWorker].find(([, known]) => isSameLoss(known, loss))?.[0]
+    if (latest === undefined || (reported === undefined && loss.at - latest.firstAt >= commonCauseMilliseconds)) {
+      latest = { firstAt: loss.at }
+    }
+    const incident = reported ?? latest
+    ofWorker.set(incident, loss)
+    incidentByLoss.set(loss, incident)
   }
-  return incidents
+  return incidentByLoss
 }
 
-function belongsTo ({ firstAt, losses }: Incident, loss: WorkerLoss): boolean {
-  return loss.at - firstAt < commonCauseMilliseconds || losses.some(known => isSameLoss(known, loss))
-}
-
-function suspectOf ({ part, losses }: PartEvidence, incidents: readonly Incident[]): Suspect {
+function suspectOf ({ part, losses }: PartEvidence, incidentByLoss: ReadonlyMap<WorkerLoss, Incident>): Suspect {
   const promptsByIncident = new Map<Incident, Set<string>>()
   for (const loss of losses) {
-    const incident = incidents.find(({ losses: members }) => members.includes(loss))
+    const incident = incidentByLoss.get(loss)
     if (incident === undefined) continue
     const prompts = promptsByIncident.get(incident) ?? new Set<string>()
     for (const prompt of loss.prompts) prompts.add(prompt)
