Judge prompts by streams that end with their connection

A worker's stream may have neither a length nor chunks. A complete one was no proof for the parts of its prompt, so a part that all prompts share was in the evidence of each lost worker and could be refused for an hour.

Ruled out: each such stream that ends after an event as proof, since a worker may also crash between two events.

One that ends after an event and went on for longer than half a second now counts as a complete answer. Found in review; the case of the harmless prompt was answered 503 before.

--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -274,7 +274,7 @@
     } catch (caught) {
       responseTimer?.cancel()
       close()
-      this.recordLoss(upstream, caught, stop)
+      if (isConnectionLost(caught)) this.recordLoss(upstream, stop)
       return Result.err(this.endFailedAttempt(caught as Error, tracker, stop))
     }
   }
@@ -396,9 +396,10 @@
       }
       if (events?.isInsideEvent === true) throw new TruncatedStreamError()
       isComplete = true
-      this.recordAnswer(openResponse)
+      this.recordAnswer(openResponse, startedAt)
     } catch (caught) {
-      this.recordLoss(openResponse.tracker.upstream, caught, stop, startedAt)
+      const isLost = caught instanceof TruncatedStreamError || isConnectionLost(caught)
+      if (isLost) this.recordLoss(openResponse.tracker.upstream, stop, startedAt)
       throw caught
     } finally {
       if (isComplete) this.endRequest(openResponse)
@@ -406,18 +407,20 @@
     }
   }
 
-  /** Records a complete answer, unless only the end of its connection shows that it is complete. */
-  private recordAnswer ({ head: { status, headers } }: OpenResponse): void {
+  /**
+   * Records a complete answer. One that ends with its connection may have been cut, unless it is an event stream that went
+   * on for longer than a prompt needs to crash its worker. `startedAt`: time of the answer's first part.
+   */
+  private recordAnswer ({ head }: OpenResponse, startedAt = Infinity): void {
     const { prompt } = this.request
-    const hasLength = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
-    if (prompt !== undefined && status === 200 && hasLength) this.context.quarantine?.recordAnswer(prompt)
+    const wentOn = isEventStream(head) && this.context.clock.monotonic() - startedAt > suspectedMilliseconds
+    if (prompt !== undefined && head.status === 200 && (hasLength(head) || wentOn)) this.context.quarantine?.recordAnswer(prompt)
   }
 
   /** Records the loss of a worker that has just begun to answer the prompt. `startedAt`: time of the answer's first part. */
-  private recordLoss (upstream: Upstream, caught: unknown, stop: AbortSignal, startedAt?: number): void {
+  private recordLoss (upstream: Upstream, stop: AbortSignal, startedAt?: number): void {
     const { prompt, requestId } = this.request
     if (prompt === undefined || stop.aborted) return
-    if (!isConnectionLost(caught) && !(caught instanceof TruncatedStreamError)) return
     if (startedAt !== undefined && this.context.clock.monotonic() - startedAt > suspectedMilliseconds) return
     this.context.quarantine?.recordLoss(prompt, upstream.id, requestId)
   }
@@ -489,3 +492,8 @@
       : failure('cancelled', 'the caller disconnected')
   }
 }
+
+/** False if the response ends with its connection. */
+function hasLength ({ headers }: ResponseHead): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
--- a/src/platform/PromptQuarantine.test.ts
+++ b/src/platform/PromptQuarantine.test.ts
@@ -6,11 +6,17 @@
 import type { Socket } from 'node:net'
 import { SystemClock } from '../common/index.js'
 import type { PlatformHost } from './PlatformHost.js'
+import type { FakeWorker, ReceivedRequest } from './testing/FakeWorker.js'
 import { type PlatformTest, RawCaller, requestHeaders, startHost, startPlatform, waitUntil } from './testing/platformTestSupport.js'
 
-/** The system clock with a wall clock that the test moves, since losses within seconds may be one. */
+/** The system clock with clocks that the test moves, since losses within seconds may be one. */
 class ShiftedClock extends SystemClock {
   shiftMilliseconds = 0
+  monotonicShiftMilliseconds = 0
+
+  override monotonic (): number {
+    return super.monotonic() + this.monotonicShiftMilliseconds
+  }
 
   override wall (): number {
     return super.wall() + this.shiftMilliseconds
@@ -30,12 +36,18 @@
   platform = undefined
 })
 
-/** Sends a streaming request whose prompt has these parts; resolves to its status, or 0 if the answer was cut off. */
-async function ask (host: PlatformHost, id: string, parts: string): Promise<{ status: number, retryAfter: number }> {
+/** Sends a streaming request whose prompt has these parts. */
+async function send (host: PlatformHost, id: string, parts: string): Promise<RawCaller> {
   const caller = await RawCaller.connect(host.addresses.callers)
   caller.send('POST', '/tags/1', requestHeaders(id, {
     'dogwooddale-model': 'm', 'dogwooddale-token-counts': '30,5', 'dogwooddale-prompt-prefix': parts
   }), 'tag')
+  return caller
+}
+
+/** Sends a streaming request whose prompt has these parts; resolves to its status, or 0 if the answer broke off. */
+async function ask (host: PlatformHost, id: string, parts: string): Promise<{ status: number, retryAfter: number }> {
+  const caller = await send(host, id, parts)
   try {
     const { status, headers } = await caller.readResponse()
     return { status, retryAfter: Number(headers['retry-after']) }
@@ -81,3 +93,53 @@
     expect(await ask(receiver, `harmless-${index}`, `aaaa:10,e${index}:10`)).toMatchObject({ status: 200 })
   }
 })
+
+/** Head of an event stream that ends with its connection. */
+function headWithoutLength (worker: FakeWorker, request: ReceivedRequest): string {
+  return worker.responseTo(request, '', { headers: { 'content-length': undefined, 'content-type': 'text/event-stream' } })
+}
+
+// Guards against a part that goes on crashing workers since their answers have neither a length nor chunks.
+test('a part is refused after two streams without length or chunks that ended inside an event', async () => {
+  platform = await startPlatform({ clock, modelWorkers: 4 })
+  const { host, models } = platform
+  for (const worker of models) {
+    worker.onRequest = request => { request.socket.end(`${headWithoutLength(worker, request)}id: 1\nda`) }
+  }
+  for (const name of ['a', 'b']) {
+    expect(await ask(host, name, `dead:10,${name}:10`)).toMatchObject({ status: 0 })
+    clock.shiftMilliseconds += 5000
+  }
+  expect(await ask(host, 'c', 'dead:10,c:10')).toMatchObject({ status: 503 })
+})
+
+// Guards against harmless prompts that are refused since their answers have neither a length nor chunks, and against a
+// part that is taken for harmless since its worker crashed between two events.
+test.each([
+  ['that goes on after its start shows that the parts of its prompt are harmless', 600, 200],
+  ['that ends soon after its start shows nothing', 0, 503]
+])('a stream without length or chunks %s', async (_name, milliseconds, status) => {
+  platform = await startPlatform({ clock, modelWorkers: 4 })
+  const { host, models } = platform
+  const answers: ReceivedRequest[] = []
+  for (const worker of models) {
+    worker.onRequest = request => {
+      if (request.headers['dogwooddale-request-id']!.startsWith('lost')) return request.socket.resetAndDestroy()
+      request.socket.write(`${headWithoutLength(worker, request)}id: 1\ndata: a\n\n`)
+      answers.push(request)
+    }
+  }
+  await ask(host, 'lost-1', 'shared:10,x1:10')
+  clock.shiftMilliseconds += 5000
+  const answered = await send(host, 'answered', 'shared:10,x2:10')
+  await waitUntil(() => answered.received.includes('data: a'))
+  clock.monotonicShiftMilliseconds += milliseconds
+  answers[0]!.socket.end('id: 2\ndata: b\n\n')
+  expect(await answered.readResponse()).toMatchObject({ status: 200 })
+  await ask(host, 'lost-2', 'shared:10,x3:10')
+  const last = await send(host, 'last', 'shared:10,x4:10')
+  await waitUntil(() => last.received.includes('\r\n\r\n'))
+  expect(last.received).toContain(` ${status} `)
+  last.socket.destroy()
+  answered.socket.destroy()
+})
