Use open connections to the end of planned stops in the soak

Cause: users see requests that are taken long after SIGTERM and given up when the process exits (LOST). The soak could not show it: each request took 20 ms or a stream of 0.1 s, all connections were used as soon as they were opened, and a stop was a single one among other faults.

Change: a tenth of the requests takes up to 4.5 s at its worker; callers of a host that stops keep to it until its process is gone, send the next request at once or up to 2.8 s later, and open connections up to 2.8 s before the first use; stops come in series over all hosts; two fifths of the seeds play planned work only. A response that was lost on a link that loses bytes counts as broken off, as it reaches no host.

--- a/src/platform/soak/LoopbackProxy.ts
+++ b/src/platform/soak/LoopbackProxy.ts
@@ -26,6 +26,8 @@
   private state: LinkState = 'open'
   /** Sockets that lost bytes; they stay silent even after the link works again. */
   private readonly silencedSockets = new WeakSet<Socket>()
+  /** Local ports of the connections to the target on which bytes were lost. */
+  private readonly silencedPorts = new Set<number>()
 
   private constructor (private readonly server: Server, private readonly target: string) {
     this.address = `127.0.0.1:${(server.address() as AddressInfo).port}`
@@ -44,6 +46,11 @@
     if (state === 'reset') for (const socket of this.sockets) socket.resetAndDestroy()
   }
 
+  /** True if bytes were lost on the connection to the target from this local port. */
+  hasLostBytes (port: number | undefined): boolean {
+    return port !== undefined && this.silencedPorts.has(port)
+  }
+
   async stop (): Promise<void> {
     for (const socket of this.sockets) socket.destroy()
     await new Promise<void>(resolve => { this.server.close(() => { resolve() }) })
@@ -56,14 +63,17 @@
     }
     const [host, port] = this.target.split(':')
     const upstream = connect({ host: host!, port: Number(port) })
-    this.forward(client, upstream, 'requests_lost')
-    this.forward(upstream, client, 'answers_lost')
+    this.forward(client, upstream, 'requests_lost', upstream)
+    this.forward(upstream, client, 'answers_lost', upstream)
   }
 
-  private forward (from: Socket, to: Socket, dropState: LinkState): void {
+  private forward (from: Socket, to: Socket, dropState: LinkState, upstream: Socket): void {
     this.sockets.add(from)
     from.on('data', bytes => {
-      if (this.state === 'silent' || this.state === dropState) this.silencedSockets.add(from)
+      if (this.state === 'silent' || this.state === dropState) {
+        this.silencedSockets.add(from)
+        if (upstream.localPort !== undefined) this.silencedPorts.add(upstream.localPort)
+      }
       if (this.silencedSockets.has(from)) return
       if (this.state !== 'slow') to.write(bytes)
       else setTimeout(() => { to.write(bytes) }, slowLinkDelayMilliseconds)
--- a/src/platform/soak/Soak.ts
+++ b/src/platform/soak/Soak.ts
@@ -42,6 +42,9 @@
 const zones = ['zone-a', 'zone-b', 'zone-c']
 const services = ['app', 'app-next'] as const
 
+/** Time limit of the routes, in milliseconds: above the limits that the callers state. */
+const routeTimeoutMilliseconds = 8000
+
 /** Number of workers of each service, and of engines, at the start. */
 const workersPerService = 2
 const engineCount = 4
@@ -56,6 +59,12 @@
 const minFaultMilliseconds = 200
 const maxFaultMilliseconds = 1800
 
+/** Maximum time between the stops of two hosts in a rollout, in milliseconds. */
+const maxStopIntervalMilliseconds = 2500
+
+/** Share of seeds that play only planned work, around which the hosts have to lose nothing. */
+const plannedWorkRatio = 0.4
+
 /** Maximum jump of a host's wall clock, forward or backward, in milliseconds. */
 const maxClockJumpMilliseconds = 3000
 
@@ -72,6 +81,7 @@
 export class Soak {
   private readonly journal = new SoakJournal()
   private readonly random: SeededRandom
+  private readonly isPlannedWorkOnly: boolean
   private readonly faults: string[] = []
   private readonly startedAt = performance.now()
   private readonly activeFaults = new Set<Promise<void>>()
@@ -82,6 +92,7 @@
 
   private constructor (private readonly options: SoakOptions, private readonly store: FakeStore) {
     this.random = new SeededRandom(options.seed)
+    this.isPlannedWorkOnly = this.random.fraction() < plannedWorkRatio
   }
 
   /** Runs the soak of one seed. */
@@ -132,7 +143,9 @@
       hosts: this.hosts,
       journal: this.journal,
       random: new SeededRandom(this.random.integer(1, 1_000_000)),
-      checksDeadlines: this.options.checksDeadlines
+      graceMilliseconds: killMilliseconds,
+      checksDeadlines: this.options.checksDeadlines,
+      stableWindowMilliseconds
     }))
     const callerRuns = callers.map(async caller => await caller.run(callerAbort.signal))
     const end = performance.now() + this.options.milliseconds
@@ -176,13 +189,16 @@
 
   private startFault (): void {
     const milliseconds = this.random.integer(minFaultMilliseconds, maxFaultMilliseconds)
+    const plannedWork = [
+      () => this.stopHosts(), () => this.changeSettings(), () => this.replaceWorker(milliseconds),
+      () => this.changeConfiguration()
+    ]
     const faults = [
-      () => this.restartHost(), () => this.restartHost(), () => this.pauseHost(milliseconds), () => this.changeSettings(),
+      ...plannedWork, () => this.restartHost(), () => this.restartHost(), () => this.pauseHost(milliseconds),
       () => this.disturbLink(milliseconds), () => this.disturbLink(milliseconds), () => this.disturbStore(milliseconds),
-      () => this.changeWorkerBehaviour(milliseconds), () => this.changeWorkerBehaviour(milliseconds),
-      () => this.replaceWorker(milliseconds), () => this.changeConfiguration()
+      () => this.changeWorkerBehaviour(milliseconds), () => this.changeWorkerBehaviour(milliseconds)
     ]
-    const fault = this.random.pick(faults)()
+    const fault = this.random.pick(this.isPlannedWorkOnly ? plannedWork : faults)()
     this.activeFaults.add(fault)
     fault.then(() => { this.activeFaults.delete(fault) }, error => { this.journal.recordViolation('SOAK', String(error)) })
   }
@@ -193,8 +209,20 @@
 
   /** Ends a host's process by SIGTERM (a planned stop) or SIGKILL (a crash), and starts another. */
   private async restartHost (): Promise<void> {
-    const host = this.random.pick(this.hosts)
-    const signal = this.random.pick(['SIGTERM', 'SIGKILL'] as const)
+    await this.restart(this.random.pick(this.hosts), this.random.pick(['SIGTERM', 'SIGKILL'] as const))
+  }
+
+  /** Stops the hosts one after the other, as a rollout does. */
+  private async stopHosts (): Promise<void> {
+    const first = this.random.integer(0, this.hosts.length - 1)
+    const intervalMilliseconds = this.random.integer(0, maxStopIntervalMilliseconds)
+    await Promise.all(this.hosts.map(async (_, index) => {
+      await sleep(index * intervalMilliseconds)
+      await this.restart(this.hosts[(first + index) % this.hosts.length]!, 'SIGTERM')
+    }))
+  }
+
+  private async restart (host: SoakHost, signal: 'SIGTERM' | 'SIGKILL'): Promise<void> {
     if (!host.isServing) return
     this.recordFault(`${signal} to ${host.name}`)
     if (signal === 'SIGKILL') host.markDisturbed(0)
@@ -274,7 +302,7 @@
     const worker = this.random.pick(
       this.workers.filter(({ isStopped, drainingSince }) => !isStopped && drainingSince === undefined)
     )
-    const isPlanned = this.random.fraction() < 0.5
+    const isPlanned = this.random.fraction() < 0.5 || this.isPlannedWorkOnly
     this.recordFault(`${worker.id} ${isPlanned ? 'drains' : 'crashes'}`)
     await this.addWorker(worker.options.service)
     if (isPlanned) {
@@ -295,7 +323,9 @@
   private publishConfiguration (service: typeof services[number]): void {
     this.configurationVersion += this.random.integer(1, 3)
     const document = configurationDocument(this.configurationVersion)
-    const routes = (document.routes as Array<Record<string, unknown>>).map(route => route.service === 'app' ? { ...route, service } : route)
+    const routes = (document.routes as Array<Record<string, unknown>>).map(route => ({
+      ...route, 'timeout-ms': routeTimeoutMilliseconds, ...(route.service === 'app' ? { service } : {})
+    }))
     this.store.write('keyed.op', 'config', { ...document, routes, services: [...document.services, { name: 'app-next' }] })
     for (const kind of requestKinds) this.journal.allowServices(kind, [streamKinds.has(kind) ? 'llm' : service])
   }
--- a/src/platform/soak/SoakCaller.ts
+++ b/src/platform/soak/SoakCaller.ts
@@ -3,14 +3,34 @@
  * does, and compares each response with the one that the worker must have sent.
  */
 import { Agent, type IncomingMessage, request as startRequest } from 'node:http'
+import { connect, type Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { SeededRandom } from '../../common/index.js'
 import type { SoakHost } from './SoakHost.js'
 import { requestBodyOf, requestKinds, type RequestKind, type SentRequest, type SoakJournal, streamKinds } from './SoakJournal.js'
 import { responseBodyOf, streamBodyOf } from './SoakWorker.js'
 
-/** Time limit that a caller states for its request, in milliseconds. */
-const requestTimeoutMilliseconds = 3000
+/** Time limits that callers state for their requests, in milliseconds; the second ends after a planned stop. */
+const requestTimeoutsMilliseconds = [3000, 7000] as const
+
+/** Share of requests that take their worker long, and the maximum time that they take, in milliseconds. */
+const longRequestRatio = 0.1
+const longRequestRatioOfStops = 0.4
+const maxLongRequestMilliseconds = 2500
+const maxLongStreamMilliseconds = 4500
+
+/** Share of connections that are opened some time before their first use, while the host serves and while it stops. */
+const earlyConnectionRatio = 0.05
+const earlyConnectionRatioOfStops = 0.4
+
+/**
+ * Maximum time from the opening of a connection to its first request, and of a pause before the next request to a host
+ * that stops, in milliseconds.
+ */
+const maxUnusedMilliseconds = 2800
+
+/** Share of requests to a host that stops that follow the previous response at once. */
+const promptRequestRatio = 0.5
 
 /**
  * Time after the stated limit at which the caller abandons a request, in milliseconds; longer than the pause
@@ -33,16 +53,48 @@
   hosts: SoakHost[]
   journal: SoakJournal
   random: SeededRandom
+  graceMilliseconds: number
   /** True if time limits are checked too; a busy machine exceeds them. */
   checksDeadlines: boolean
+  /** Time after the end of a disturbance until a host has to keep its time limits again, in milliseconds. */
+  stableWindowMilliseconds: number
 }
 
-interface Outcome { status: number | undefined, headers: IncomingMessage['headers'], body: string, isWhole: boolean }
+interface Outcome {
+  status: number | undefined
+  headers: IncomingMessage['headers']
+  body: string
+  isWhole: boolean
+  /** Monotonic time in milliseconds at which the last byte was sent; undefined if it was not. */
+  writtenAt: number | undefined
+}
+
+/** Keeps one connection to a host; the first one may be open already. */
+class ConnectionAgent extends Agent {
+  /** Monotonic time in milliseconds at which the connection was opened. */
+  openedAt = performance.now()
+  /** Number of requests sent on the connection. */
+  requestCount = 0
+
+  constructor (private openSocket?: Socket) {
+    super({ keepAlive: true, maxSockets: 1 })
+  }
+
+  override createConnection (options: { host?: string | null, port?: number | string | null }): Socket {
+    const { openSocket } = this
+    this.openSocket = undefined
+    // A request on a socket that is already closed would never end.
+    if (openSocket?.readyState === 'open') return openSocket
+    this.openedAt = performance.now()
+    this.requestCount = 0
+    return connect({ host: options.host ?? '', port: Number(options.port) })
+  }
+}
 
 /** Sends requests to the hosts of a soak and checks the responses. */
 export class SoakCaller {
   private requestCount = 0
-  private agent = new Agent({ keepAlive: true, maxSockets: 1 })
+  private agent = new ConnectionAgent()
 
   constructor (private readonly options: SoakCallerOptions) {}
 
@@ -52,37 +104,81 @@
     let host = random.pick(hosts)
     while (!signal.aborted) {
       // New connections are rare, so that open ones are affected by the faults of their host.
-      if (host.callerAddress === undefined || random.fraction() < 0.05) {
+      if (host.callerAddress === undefined || (!host.isStopping && random.fraction() < 0.05)) {
         host = random.pick(hosts)
         this.agent.destroy()
-        this.agent = new Agent({ keepAlive: true, maxSockets: 1 })
+        this.agent = new ConnectionAgent()
       }
+      if (random.fraction() < (host.isStopping ? earlyConnectionRatioOfStops : earlyConnectionRatio)) await this.openEarly(host)
       if (host.callerAddress !== undefined) await this.send(host, host.callerAddress)
-      await sleep(random.integer(0, maxPauseMilliseconds))
+      await sleep(this.pauseMilliseconds(host))
     }
     this.agent.destroy()
   }
 
+  /** Time until the next request: any time up to the end of a stop if the host is stopping. */
+  private pauseMilliseconds (host: SoakHost): number {
+    const { random } = this.options
+    if (!host.isStopping) return random.integer(0, maxPauseMilliseconds)
+    return random.fraction() < promptRequestRatio ? 0 : random.integer(0, maxUnusedMilliseconds)
+  }
+
+  /** Opens the next connection some time before its first use. */
+  private async openEarly ({ callerAddress }: SoakHost): Promise<void> {
+    if (callerAddress === undefined || this.hasOpenConnection) return
+    const [host, port] = callerAddress.split(':')
+    const socket = connect({ host, port: Number(port) })
+    socket.on('error', () => {})
+    this.agent.destroy()
+    this.agent = new ConnectionAgent(socket)
+    await sleep(this.options.random.integer(0, maxUnusedMilliseconds))
+  }
+
+  private get hasOpenConnection (): boolean {
+    return Object.values(this.agent.freeSockets).some(sockets => sockets?.some(({ destroyed }) => !destroyed))
+  }
+
   private async send (host: SoakHost, address: string): Promise<void> {
     const { journal, random, name } = this.options
     this.requestCount += 1
     const kind = random.pick(requestKinds)
     const id = `${name}-${this.requestCount}`
-    const sent: SentRequest = { id, kind, path: `/${kind}/${id}?x=1`, body: requestBodyOf(id), host: host.name, sentAt: performance.now() }
+    const sent: SentRequest = {
+      id,
+      kind,
+      path: `/${kind}/${id}?${this.workOf(kind, host)}`,
+      body: requestBodyOf(id),
+      host: host.name,
+      sentAt: performance.now(),
+      limitMilliseconds: random.pick(requestTimeoutsMilliseconds)
+    }
     journal.recordSent(sent)
     const processNumber = host.processCount
     const disconnectAfterMilliseconds = random.fraction() < disconnectRatio ? random.integer(0, 60) : undefined
     const outcome = await this.exchange(sent, address, disconnectAfterMilliseconds)
     if (disconnectAfterMilliseconds !== undefined) return
     this.checkOutcome(sent, outcome)
-    if (outcome.status === undefined || !outcome.isWhole) this.checkPlannedStop(sent, host, processNumber)
+    if (outcome.status === undefined || !outcome.isWhole) this.checkPlannedStop(sent, outcome, host, processNumber)
   }
 
-  /** Checks that a planned stop of an undisturbed host cuts no request that has reached a worker. */
-  private checkPlannedStop (sent: SentRequest, host: SoakHost, processNumber: number): void {
-    const { journal, checksDeadlines } = this.options
-    if (!checksDeadlines || !host.stoppedProcessNumbers.has(processNumber) || host.disturbedUntil >= sent.sentAt) return
-    if (journal.runs.has(sent.id)) journal.recordViolation('LOST', `${sent.id} is cut by a planned stop of ${host.name}`)
+  /** Query that states how long the worker takes. */
+  private workOf (kind: RequestKind, { isStopping }: SoakHost): string {
+    const { random } = this.options
+    if (random.fraction() >= (isStopping ? longRequestRatioOfStops : longRequestRatio)) return 'x=1'
+    return `work=${random.integer(100, streamKinds.has(kind) ? maxLongStreamMilliseconds : maxLongRequestMilliseconds)}`
+  }
+
+  /** Checks that a planned stop of an undisturbed host cuts no request that the process has read. */
+  private checkPlannedStop (sent: SentRequest, { writtenAt }: Outcome, host: SoakHost, processNumber: number): void {
+    const { journal, checksDeadlines, graceMilliseconds, stableWindowMilliseconds } = this.options
+    const stoppedAt = host.stopTimes.get(processNumber)
+    if (stoppedAt === undefined || host.disturbedUntil >= sent.sentAt) return
+    const checksUnread = checksDeadlines && host.disturbedUntil + stableWindowMilliseconds <= sent.sentAt
+    const { openedAt, requestCount } = this.agent
+    const connection = `request ${requestCount} on a connection opened at ${Math.round(openedAt - stoppedAt)} ms`
+    journal.recordCut({
+      sent, connection, stoppedAt, endedAt: performance.now(), writtenAt, graceMilliseconds, checksUnread
+    })
   }
 
   private checkOutcome (sent: SentRequest, { status, headers, body, isWhole }: Outcome): void {
@@ -135,16 +231,22 @@
         host: 'forum.example',
         'content-length': Buffer.byteLength(sent.body),
         'dogwooddale-request-id': sent.id,
-        'dogwooddale-deadline-ms': String(requestTimeoutMilliseconds),
+        'dogwooddale-deadline-ms': String(sent.limitMilliseconds),
         ...(streamKinds.has(sent.kind) ? { 'dogwooddale-model': 'm', 'dogwooddale-token-counts': '30,5', 'dogwooddale-prompt-prefix': `a1:20,${sent.id}:10` } : {})
       }
     })
-    const timer = setTimeout(
-      () => { call.destroy() }, disconnectAfterMilliseconds ?? requestTimeoutMilliseconds + abandonMarginMilliseconds
-    )
+    let timer: NodeJS.Timeout | undefined
+    let writtenAt: number | undefined
+    call.once('finish', () => { if (call.socket?.destroyed === false) writtenAt = performance.now() })
+    call.once('socket', () => { this.agent.requestCount += 1 })
     try {
       return await new Promise<Outcome>(resolve => {
-        call.once('error', () => resolve({ status: undefined, headers: {}, body: '', isWhole: false }))
+        const resolveCut = (): void => resolve({ status: undefined, headers: {}, body: '', isWhole: false, writtenAt })
+        timer = setTimeout(() => {
+          call.destroy()
+          resolveCut()
+        }, disconnectAfterMilliseconds ?? (sent.limitMilliseconds ?? 0) + abandonMarginMilliseconds)
+        call.once('error', resolveCut)
         call.once('response', message => {
           const chunks: Buffer[] = []
           message.on('data', chunk => { chunks.push(chunk as Buffer) })
@@ -153,7 +255,8 @@
             status: message.statusCode,
             headers: message.headers,
             body: Buffer.concat(chunks).toString(),
-            isWhole: message.complete
+            isWhole: message.complete,
+            writtenAt
           }))
         })
         call.end(sent.body)
--- a/src/platform/soak/SoakHost.ts
+++ b/src/platform/soak/SoakHost.ts
@@ -32,8 +32,8 @@
   readonly loggedEndCounts = new Map<string, number>()
   /** Number of processes that this host has started; identifies the current one. */
   processCount = 0
-  /** Numbers of the processes that were told to stop by SIGTERM. */
-  readonly stoppedProcessNumbers = new Set<number>()
+  /** Monotonic times in milliseconds at which processes were told to stop by SIGTERM, by the number of the process. */
+  readonly stopTimes = new Map<number, number>()
   /** Monotonic time in milliseconds until which a fault disturbs the host. */
   disturbedUntil = 0
   private child: ChildProcess | undefined
@@ -53,7 +53,12 @@
 
   /** True while a process runs that was not told to stop. */
   get isServing (): boolean {
-    return this.child !== undefined && !this.stoppedProcessNumbers.has(this.processCount)
+    return this.child !== undefined && !this.isStopping
+  }
+
+  /** True if the current or latest process was told to stop. */
+  get isStopping (): boolean {
+    return this.stopTimes.has(this.processCount)
   }
 
   /** Starts a process. Resolves when it listens or has exited. */
@@ -82,7 +87,7 @@
   }
 
   signal (signal: NodeJS.Signals): void {
-    if (signal === 'SIGTERM') this.stoppedProcessNumbers.add(this.processCount)
+    if (signal === 'SIGTERM') this.stopTimes.set(this.processCount, performance.now())
     this.child?.kill(signal)
   }
 
--- a/src/platform/soak/SoakJournal.test.ts
+++ b/src/platform/soak/SoakJournal.test.ts
@@ -2,7 +2,7 @@
  * Guards against a soak that passes because its checks detect nothing: each violated guarantee has to be reported.
  */
 import { beforeEach, expect, test } from '@jest/globals'
-import { requestBodyOf, type RequestKind, type Run, SoakJournal } from './SoakJournal.js'
+import { type CutRequest, requestBodyOf, type RequestKind, type Run, SoakJournal } from './SoakJournal.js'
 
 let journal: SoakJournal
 
@@ -83,3 +83,31 @@
   journal.recordOrder({ worker: 'llm-1', holder: 'host-1', fencing: 4, at: 2500 }, leaseMilliseconds)
   expect(violatedGuarantees()).toEqual(['ONE', 'ONE'])
 })
+
+// Guards against stops that give up requests which the process has read, and against a check that excuses them.
+test.each<{ name: string, cut?: Partial<CutRequest>, sentAt?: number, limit?: number, run?: Partial<Run>, violated: boolean }>([
+  { name: 'a request that reached a worker', run: {}, violated: true },
+  { name: 'a request that the worker had answered', run: { endedAt: 4500 }, violated: true },
+  { name: 'a request whose worker broke off', run: { isBrokenOff: () => true }, violated: false },
+  { name: 'a request whose time limit has passed', run: {}, limit: 900, violated: false },
+  { name: 'a long request from the start of the stop', run: {}, sentAt: 2900, violated: false },
+  { name: 'a short request from the start of the stop', run: { endedAt: 4900 }, sentAt: 2900, violated: true },
+  { name: 'a request that crossed the close', cut: { writtenAt: 5400 }, violated: false },
+  { name: 'a request that was never read', cut: { writtenAt: 5200 }, violated: true },
+  { name: 'a request that was never read, while times are not checked', cut: { writtenAt: 5200, checksUnread: false }, violated: false },
+  { name: 'a request that was not sent completely', cut: { writtenAt: undefined }, violated: false }
+])('a planned stop that cuts $name: violation $violated', ({ cut, sentAt = 4500, limit = 7000, run: worked, violated }) => {
+  const { request } = send('vote', 'votes')
+  if (worked !== undefined) journal.recordRun(run('vote', worked), 'POST', request.path, request.body)
+  journal.recordCut({
+    sent: { ...request, sentAt, limitMilliseconds: limit },
+    connection: 'request 1',
+    stoppedAt: 0,
+    endedAt: 5500,
+    writtenAt: sentAt + 1,
+    graceMilliseconds: 6000,
+    checksUnread: true,
+    ...cut
+  })
+  expect(violatedGuarantees()).toEqual(violated ? ['LOST'] : [])
+})
--- a/src/platform/soak/SoakJournal.ts
+++ b/src/platform/soak/SoakJournal.ts
@@ -18,7 +18,31 @@
 const notRunStatuses = new Set([408, 421, 429, 503])
 
 /** A request as its caller sends it. */
-export interface SentRequest { id: string, kind: RequestKind, path: string, body: string, host: string, sentAt: number }
+export interface SentRequest {
+  id: string
+  kind: RequestKind
+  path: string
+  body: string
+  host: string
+  sentAt: number
+  /** Time limit that the caller states, in milliseconds; infinite by default. */
+  limitMilliseconds?: number
+}
+
+/** A request whose connection ended without a complete response while its process was stopping. */
+export interface CutRequest {
+  sent: SentRequest
+  /** The connection, for the description of the violation; times are relative to the SIGTERM. */
+  connection: string
+  /** Monotonic times in milliseconds of the SIGTERM, and of the end of the connection. */
+  stoppedAt: number
+  endedAt: number
+  /** Monotonic time in milliseconds at which the last byte was sent; undefined if it was not. */
+  writtenAt: number | undefined
+  graceMilliseconds: number
+  /** True if the process must have read requests that were sent long before the end of the connection. */
+  checksUnread: boolean
+}
 
 /** A run of a request at a worker. */
 export interface Run {
@@ -28,6 +52,10 @@
   at: number
   /** Monotonic time in milliseconds by which the store had accepted the worker's report that it is draining. */
   drainingSince: number | undefined
+  /** Monotonic time in milliseconds at which the worker had sent its response, or its host had left. */
+  endedAt?: number
+  /** True if the worker broke off, or its response was lost on the link. */
+  isBrokenOff?: () => boolean
 }
 
 /** An order that a worker accepted. */
@@ -39,6 +67,15 @@
  */
 const drainEffectMilliseconds = 2000
 
+/** Time after a request's last byte by which a process counts as having read the request, in milliseconds. */
+const maxReadMilliseconds = 200
+
+/** Time after SIGTERM up to which a stop may cut a request whose worker is still at work at the end, in milliseconds. */
+const maxExcusedSendMilliseconds = 3000
+
+/** Part of the grace period at whose end workers may still be at work. */
+const lastPartOfGrace = 1 / 6
+
 /** Body of a request, which follows from its id, so that a changed or swapped body is detected at the worker. */
 export function requestBodyOf (id: string): string {
   return `${id}:${createHash('sha256').update(id).digest('hex')}`
@@ -130,6 +167,26 @@
     if (runs.length > 0) this.recordViolation('REFUSED', `${request.id} is answered with status ${status} and has run at ${runs[0]!.worker}`)
   }
 
+  /** Records a request that a planned stop ended without a response, and checks that the process had not read it. */
+  recordCut (cut: CutRequest): void {
+    const { sent, connection, stoppedAt, endedAt, writtenAt } = cut
+    if (endedAt >= sent.sentAt + (sent.limitMilliseconds ?? Infinity)) return
+    const runs = this.runs.get(sent.id) ?? []
+    if (runs.some(run => run.isBrokenOff?.() === true) || this.mayBeCut(cut, runs)) return
+    const times = `sent ${Math.round(sent.sentAt - stoppedAt)} ms after SIGTERM, cut at ${Math.round(endedAt - stoppedAt)} ms, ${connection}`
+    if (runs.length > 0) {
+      this.recordViolation('LOST', `${sent.id} (${sent.kind}) is cut by a planned stop of ${sent.host} after it reached ${runs[0]!.worker}; ${times}`)
+    } else if (cut.checksUnread && writtenAt !== undefined && endedAt - writtenAt > maxReadMilliseconds) {
+      this.recordViolation('LOST', `${sent.id} (${sent.kind}) gets no response from ${sent.host} around a planned stop; ${times}`)
+    }
+  }
+
+  /** True if a worker was still at work near the end of the grace period on a request from the start of the stop. */
+  private mayBeCut ({ sent, stoppedAt, graceMilliseconds }: CutRequest, runs: Run[]): boolean {
+    const lastPartAt = stoppedAt + graceMilliseconds * (1 - lastPartOfGrace)
+    return sent.sentAt <= stoppedAt + maxExcusedSendMilliseconds && runs.some(({ endedAt = Infinity }) => endedAt >= lastPartAt)
+  }
+
   /**
    * Records that a worker accepted an order. Checks that an order from a new holder has a greater fencing number than the
    * last order of the previous holder, and comes at least one lease after it.
--- a/src/platform/soak/SoakWorker.ts
+++ b/src/platform/soak/SoakWorker.ts
@@ -5,7 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { FakeWorker, type ReceivedRequest } from '../testing/FakeWorker.js'
 import { LoopbackProxy } from './LoopbackProxy.js'
-import { requestBodyOf, type SoakJournal } from './SoakJournal.js'
+import { requestBodyOf, type Run, type SoakJournal } from './SoakJournal.js'
 
 /**
  * How a worker behaves: `normal`; `busy`, refuses requests; `errors`, responds with status 500; `resets`, resets
@@ -21,7 +21,7 @@
 /** Time that a request takes at a slow worker, in milliseconds; within the callers' time limit. */
 const slowServiceMilliseconds = 400
 
-/** Number of events of a stream, and the time between two events in milliseconds. */
+/** Number of events of a stream, and the time between two events in milliseconds unless the request states another. */
 const eventsPerStream = 5
 const eventIntervalMilliseconds = 20
 
@@ -56,6 +56,8 @@
   private isChangingStage = false
   private readonly startedAt = Date.now()
   private handleCount = 0
+  private readonly openRuns = new Set<Run>()
+  private readonly brokenRuns = new WeakSet<Run>()
 
   private constructor (readonly options: SoakWorkerOptions, private readonly server: FakeWorker, readonly link: LoopbackProxy) {
     this.stage = options.stage
@@ -81,6 +83,7 @@
 
   async stop (): Promise<void> {
     this.isStopped = true
+    for (const run of this.openRuns) this.brokenRuns.add(run)
     await this.server.stop()
     await this.link.stop()
   }
@@ -106,18 +109,39 @@
     if (!this.consumeHandle(request)) return this.refuse(request)
     const { service, journal } = this.options
     const id = headers['dogwooddale-request-id'] ?? ''
-    const { drainingSince } = this
-    journal.recordRun({ id, worker: this.id, service, at: performance.now(), drainingSince }, request.method, path, request.body)
-    if (this.behaviour === 'unresponsive') return
+    const { remotePort } = socket
+    const run: Run = {
+      id,
+      worker: this.id,
+      service,
+      at: performance.now(),
+      drainingSince: this.drainingSince,
+      isBrokenOff: () => this.brokenRuns.has(run) || this.link.hasLostBytes(remotePort)
+    }
+    journal.recordRun(run, request.method, path, request.body)
+    this.openRuns.add(run)
+    this.work(request, run).catch(() => {}).finally(() => {
+      if (this.behaviour !== 'normal' && this.behaviour !== 'slow') this.brokenRuns.add(run)
+      this.openRuns.delete(run)
+      run.endedAt = performance.now()
+    })
+  }
+
+  private async work (request: ReceivedRequest, run: Run): Promise<void> {
+    const { path, socket } = request
+    if (this.behaviour === 'unresponsive') {
+      this.brokenRuns.add(run)
+      return
+    }
     const isStream = path.startsWith('/answers/') || path.startsWith('/tags/')
-    setTimeout(() => {
-      if (socket.destroyed) return
-      if (this.behaviour === 'resets') socket.resetAndDestroy()
-      else if (this.behaviour === 'garbage') socket.write('this is not HTTP\r\n\r\n')
-      else if (this.behaviour === 'errors') this.send(request, 'failed', 500)
-      else if (isStream) this.sendStream(request).catch(() => {})
-      else this.sendResponse(request)
-    }, this.behaviour === 'slow' ? slowServiceMilliseconds : serviceMilliseconds)
+    const workMilliseconds = workMillisecondsOf(path)
+    await sleep(this.behaviour === 'slow' ? slowServiceMilliseconds : isStream ? serviceMilliseconds : workMilliseconds)
+    if (socket.destroyed) return
+    if (this.behaviour === 'resets') socket.resetAndDestroy()
+    else if (this.behaviour === 'garbage') socket.write('this is not HTTP\r\n\r\n')
+    else if (this.behaviour === 'errors') this.send(request, 'failed', 500)
+    else if (isStream) await this.sendStream(request, Math.max(eventIntervalMilliseconds, workMilliseconds / eventsPerStream))
+    else this.sendResponse(request)
   }
 
   private sendResponse (request: ReceivedRequest): void {
@@ -127,7 +151,7 @@
     else request.socket.write(this.behaviour === 'duplicated' ? responseText + responseText : responseText)
   }
 
-  private async sendStream (request: ReceivedRequest): Promise<void> {
+  private async sendStream (request: ReceivedRequest, eventMilliseconds: number): Promise<void> {
     const id = request.headers['dogwooddale-request-id'] ?? ''
     const { socket } = request
     const head = [`dogwooddale-request-id: ${id}`, `dogwooddale-server-stamp: signed-by-${this.id}`, 'transfer-encoding: chunked']
@@ -140,7 +164,8 @@
         return
       }
       socket.write(`${text.length.toString(16)}\r\n${text}\r\n`)
-      await sleep(eventIntervalMilliseconds)
+      await sleep(eventMilliseconds)
+      if (socket.destroyed) return
     }
     socket.write('0\r\n\r\n')
   }
@@ -196,6 +221,11 @@
   }
 }
 
+/** Time that a worker takes for a request, in milliseconds, as the path states it. */
+function workMillisecondsOf (path: string): number {
+  return Number(/[?]work=(\d+)/.exec(path)?.[1] ?? serviceMilliseconds)
+}
+
 /** Body of a worker's response to a request. */
 export function responseBodyOf (worker: string, id: string): string {
   return `${worker} answers ${requestBodyOf(id)}`
--- a/src/platform/soak/main.ts
+++ b/src/platform/soak/main.ts
@@ -12,7 +12,7 @@
   seeds: { type: 'string', default: '1-10', describe: 'first and last seed, joined by a hyphen' },
   seconds: { type: 'number', default: 10, describe: 'time during which faults start, in seconds' },
   hosts: { type: 'number', default: 3, describe: 'number of host processes' },
-  callers: { type: 'number', default: 6, describe: 'number of callers for each host' },
+  callers: { type: 'number', default: 10, describe: 'number of callers for each host' },
   jobs: { type: 'number', default: 3, describe: 'number of seeds that run at the same time' },
   times: { type: 'boolean', default: true, describe: 'check time limits too; needs a machine without other load' },
   logs: { type: 'string', default: 'target/soak', describe: 'directory for the logs of seeds that violated a guarantee' }
