Add prompts that crash workers to the soak, off by default

Cause: a part of prompts that crashes each worker that answers it takes worker after worker, since each host sees few of its requests. No test shows it with real host processes.

A worker that answers one sends the head and an event, crashes 50 ms later, and has a successor with a new id after 2 to 4 s. Checked: more than three such requests reach workers, to be answered or computed, over 3 s after the fifth crash, from hosts undisturbed for the stable window (BUDGET); from 6 s after the last crash, workers begin less than half as many of the other prompts as before the first (LOST). Faults are eight times rarer in such a soak, as hosts that are always disturbed are bound to nothing. PromptCrashes.test.ts shows that each check finds its violation, and the bounds of both.

--- a/src/platform/soak/Soak.ts
+++ b/src/platform/soak/Soak.ts
@@ -11,6 +11,7 @@
 import { FakeStore } from '../testing/FakeStore.js'
 import { configurationDocument } from '../testing/platformTestSupport.js'
 import { linkStates, type LoopbackProxy } from './LoopbackProxy.js'
+import { type PromptCrashCounts, PromptCrashes } from './PromptCrashes.js'
 import { SoakCaller } from './SoakCaller.js'
 import { SoakHost } from './SoakHost.js'
 import { requestKinds, SoakJournal, streamKinds } from './SoakJournal.js'
@@ -25,6 +26,8 @@
   callersPerHost: number
   /** True if time limits are checked too; a busy machine exceeds them. */
   checksDeadlines: boolean
+  /** True if a part of some prompts crashes the workers that answer them. */
+  crashingPrompts?: boolean
 }
 
 /** Result of a soak. */
@@ -35,6 +38,8 @@
   orders: number
   /** Number of runs of requests whose time limit was checked. */
   deadlineChecks: number
+  /** Undefined in a soak without prompts that crash workers. */
+  crashCounts: PromptCrashCounts | undefined
   /** Log lines of all hosts. */
   log: string[]
 }
@@ -48,6 +53,7 @@
 /** Number of workers of each service, and of engines, at the start. */
 const workersPerService = 2
 const engineCount = 4
+const engineCountOfCrashes = 8
 
 /** Lease and grace period of the hosts: as short as the program allows, so that both end within a soak of seconds. */
 const leaseMilliseconds = 1500
@@ -74,6 +80,18 @@
 /** Time after the last fault within which the hosts have to serve requests again, in milliseconds. */
 const recoveryMilliseconds = 4000
 
+/**
+ * Times of a soak with prompts that crash workers, in milliseconds: until the first of these prompts; from a crash until
+ * the worker's entry is removed, and until its successor starts; and from the last crash to the end of the soak.
+ */
+const calmMilliseconds = 2000
+const entryRemovalMilliseconds = 1500
+const successorMilliseconds = [2000, 4000] as const
+const recoveryFromCrashesMilliseconds = 11_000
+
+/** Factor on the time between two faults in a soak with prompts that crash workers, which needs undisturbed hosts. */
+const faultIntervalFactorOfCrashes = 8
+
 /** Time after SIGTERM at which a process is killed, as on the platform, in milliseconds. */
 const killMilliseconds = graceSeconds * 1000
 
@@ -89,9 +107,12 @@
   private hosts: SoakHost[] = []
   private configurationVersion = 1
   private workerCount = 0
+  private readonly crashes: PromptCrashes | undefined
+  private sendsCrashingPrompts = false
 
   private constructor (private readonly options: SoakOptions, private readonly store: FakeStore) {
     this.random = new SeededRandom(options.seed)
+    if (options.crashingPrompts === true) this.crashes = new PromptCrashes(stableWindowMilliseconds)
     this.isPlannedWorkOnly = this.random.fraction() < plannedWorkRatio
   }
 
@@ -112,7 +133,8 @@
   private async prepare (directory: string): Promise<void> {
     this.publishConfiguration('app')
     for (const service of services) for (let count = 0; count < workersPerService; count += 1) await this.addWorker(service)
-    for (let count = 0; count < engineCount; count += 1) await this.addWorker('llm')
+    const engines = this.crashes === undefined ? engineCount : engineCountOfCrashes
+    for (let count = 0; count < engines; count += 1) await this.addWorker('llm')
     this.hosts = await Promise.all(Array.from({ length: this.options.hosts }, (_, index) => SoakHost.start({
       name: `host-${index + 1}`,
       zone: zones[index % zones.length]!,
@@ -145,21 +167,28 @@
       random: new SeededRandom(this.random.integer(1, 1_000_000)),
       graceMilliseconds: killMilliseconds,
       checksDeadlines: this.options.checksDeadlines,
-      stableWindowMilliseconds
+      stableWindowMilliseconds,
+      crashes: this.crashes,
+      sendsCrashingPrompts: () => this.sendsCrashingPrompts
     }))
     const callerRuns = callers.map(async caller => await caller.run(callerAbort.signal))
+    if (this.crashes !== undefined) await sleep(calmMilliseconds)
+    this.sendsCrashingPrompts = this.crashes !== undefined
+    const intervalFactor = this.crashes === undefined ? 1 : faultIntervalFactorOfCrashes
     const end = performance.now() + this.options.milliseconds
     while (performance.now() < end) {
-      await sleep(this.random.integer(minFaultIntervalMilliseconds, maxFaultIntervalMilliseconds))
+      await sleep(intervalFactor * this.random.integer(minFaultIntervalMilliseconds, maxFaultIntervalMilliseconds))
       this.startFault()
     }
+    this.sendsCrashingPrompts = false
     await Promise.all(this.activeFaults)
     const servedBeforeRecovery = this.journal.outcomeCounts.whole
-    await sleep(recoveryMilliseconds)
+    await sleep(this.crashes === undefined ? recoveryMilliseconds : recoveryFromCrashesMilliseconds)
     callerAbort.abort()
     await Promise.all(callerRuns)
     if (this.journal.outcomeCounts.whole === servedBeforeRecovery) this.journal.recordViolation('RECOVER', 'no request is served after the last fault')
     this.checkRequestLogs()
+    for (const [guarantee, description] of this.crashes?.violations() ?? []) this.journal.recordViolation(guarantee, description)
   }
 
   /** Checks that no host logs the end of a request more than once, since usage is counted from these log lines. */
@@ -183,6 +212,7 @@
       faults: this.faults,
       orders: orders.length,
       deadlineChecks,
+      crashCounts: this.crashes?.counts,
       log: this.hosts.flatMap(({ log }) => log)
     }
   }
@@ -198,7 +228,10 @@
       () => this.disturbLink(milliseconds), () => this.disturbLink(milliseconds), () => this.disturbStore(milliseconds),
       () => this.changeWorkerBehaviour(milliseconds), () => this.changeWorkerBehaviour(milliseconds)
     ]
-    const fault = this.random.pick(this.isPlannedWorkOnly ? plannedWork : faults)()
+    this.startFaultTask(this.random.pick(this.isPlannedWorkOnly ? plannedWork : faults)())
+  }
+
+  private startFaultTask (fault: Promise<void>): void {
     this.activeFaults.add(fault)
     fault.then(() => { this.activeFaults.delete(fault) }, error => { this.journal.recordViolation('SOAK', String(error)) })
   }
@@ -339,7 +372,29 @@
       stage: service === 'llm' ? 'decode' : undefined,
       journal: this.journal,
       leaseMilliseconds,
-      writeEntry: (id, entry) => { this.store.write('keyed.servers', id, entry) }
+      writeEntry: (id, entry) => { this.store.write('keyed.servers', id, entry) },
+      onCrashingPrompt: id => this.recordCrashingPrompt(id),
+      onCrash: worker => this.startFaultTask(this.crashWorker(worker))
     }))
   }
+
+  /** Records a prompt that crashes workers if its host was undisturbed when it was sent. */
+  private recordCrashingPrompt (id: string): void {
+    const sent = this.journal.sentRequest(id)
+    const host = this.hosts.find(({ name }) => name === sent?.host)
+    if (sent === undefined || host === undefined || host.disturbedUntil + stableWindowMilliseconds > sent.sentAt) return
+    this.crashes?.recordArrival(id, performance.now())
+  }
+
+  /** Ends a worker whose prompt crashes it, and starts its successor. */
+  private async crashWorker (worker: SoakWorker): Promise<void> {
+    this.recordFault(`a prompt crashes ${worker.id}`)
+    this.crashes?.recordCrash(performance.now())
+    const successorAfterMilliseconds = this.random.integer(...successorMilliseconds)
+    await worker.stop()
+    await sleep(entryRemovalMilliseconds)
+    this.store.write('keyed.servers', worker.id, undefined)
+    await sleep(successorAfterMilliseconds - entryRemovalMilliseconds)
+    await this.addWorker(worker.options.service)
+  }
 }
--- a/src/platform/soak/SoakCaller.ts
+++ b/src/platform/soak/SoakCaller.ts
@@ -6,6 +6,7 @@
 import { connect, type Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { SeededRandom } from '../../common/index.js'
+import { crashingPart, type PromptCrashes } from './PromptCrashes.js'
 import type { SoakHost } from './SoakHost.js'
 import { requestBodyOf, requestKinds, type RequestKind, type SentRequest, type SoakJournal, streamKinds } from './SoakJournal.js'
 import { responseBodyOf, streamBodyOf } from './SoakWorker.js'
@@ -41,6 +42,13 @@
 /** Share of requests whose caller disconnects early. */
 const disconnectRatio = 0.03
 
+/** Parts of prompts that requests share: the first part, and the parts from which the second one is chosen. */
+const sharedFirstPart = 'a1'
+const sharedSecondParts = ['b1', 'b2', 'b3']
+
+/** Share of prompts with the part that crashes workers, in a soak with such prompts. */
+const crashingPromptRatio = 0.05
+
 /** Maximum pause between two requests of a caller, in milliseconds. */
 const maxPauseMilliseconds = 40
 
@@ -58,6 +66,10 @@
   checksDeadlines: boolean
   /** Time after the end of a disturbance until a host has to keep its time limits again, in milliseconds. */
   stableWindowMilliseconds: number
+  /** Undefined in a soak without prompts that crash workers. */
+  crashes: PromptCrashes | undefined
+  /** True while callers send prompts that crash workers. */
+  sendsCrashingPrompts: () => boolean
 }
 
 interface Outcome {
@@ -150,7 +162,8 @@
       body: requestBodyOf(id),
       host: host.name,
       sentAt: performance.now(),
-      limitMilliseconds: random.pick(requestTimeoutsMilliseconds)
+      limitMilliseconds: random.pick(requestTimeoutsMilliseconds),
+      ...(streamKinds.has(kind) ? { promptParts: this.promptPartsOf(id) } : {})
     }
     journal.recordSent(sent)
     const processNumber = host.processCount
@@ -158,9 +171,25 @@
     const outcome = await this.exchange(sent, address, disconnectAfterMilliseconds)
     if (disconnectAfterMilliseconds !== undefined) return
     this.checkOutcome(sent, outcome)
+    this.recordPrompt(sent, outcome)
     if (outcome.status === undefined || !outcome.isWhole) this.checkPlannedStop(sent, outcome, host, processNumber)
   }
 
+  private promptPartsOf (id: string): string[] {
+    const { random, sendsCrashingPrompts } = this.options
+    const isCrashing = sendsCrashingPrompts() && random.fraction() < crashingPromptRatio
+    const secondPart = isCrashing ? crashingPart : random.pick(sharedSecondParts)
+    return [`${sharedFirstPart}:20`, `${secondPart}:5`, `${Buffer.from(id).toString('hex')}:10`]
+  }
+
+  /** Records whether a worker began a prompt without the part that crashes workers; lost connections are not counted. */
+  private recordPrompt ({ id, sentAt, promptParts = [] }: SentRequest, { status }: Outcome): void {
+    const { crashes, journal } = this.options
+    const isBegun = journal.runs.has(id)
+    if (promptParts.length === 0 || promptParts[1]!.startsWith(crashingPart) || (status === undefined && !isBegun)) return
+    crashes?.recordOther(sentAt, isBegun)
+  }
+
   /** Query that states how long the worker takes. */
   private workOf (kind: RequestKind, { isStopping }: SoakHost): string {
     const { random } = this.options
@@ -232,7 +261,9 @@
         'content-length': Buffer.byteLength(sent.body),
         'dogwooddale-request-id': sent.id,
         'dogwooddale-deadline-ms': String(sent.limitMilliseconds),
-        ...(streamKinds.has(sent.kind) ? { 'dogwooddale-model': 'm', 'dogwooddale-token-counts': '30,5', 'dogwooddale-prompt-prefix': `a1:20,${sent.id}:10` } : {})
+        ...(sent.promptParts === undefined
+          ? {}
+          : { 'dogwooddale-model': 'm', 'dogwooddale-token-counts': '35,5', 'dogwooddale-prompt-prefix': sent.promptParts.join(',') })
       }
     })
     let timer: NodeJS.Timeout | undefined
--- a/src/platform/soak/SoakJournal.ts
+++ b/src/platform/soak/SoakJournal.ts
@@ -27,6 +27,8 @@
   sentAt: number
   /** Time limit that the caller states, in milliseconds; infinite by default. */
   limitMilliseconds?: number
+  /** Parts of the prompt, as `ID:TOKENS`; undefined without a prompt. */
+  promptParts?: string[]
 }
 
 /** A request whose connection ended without a complete response while its process was stopping. */
@@ -120,6 +122,11 @@
     this.allowedUntil.set(kind, untilByService)
   }
 
+  /** The request with this id, as its caller sent it. */
+  sentRequest (id: string): SentRequest | undefined {
+    return this.sentRequests.get(id)
+  }
+
   recordSent (request: SentRequest): void {
     this.sentRequests.set(request.id, request)
   }
--- a/src/platform/soak/SoakWorker.ts
+++ b/src/platform/soak/SoakWorker.ts
@@ -5,6 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { FakeWorker, type ReceivedRequest } from '../testing/FakeWorker.js'
 import { LoopbackProxy } from './LoopbackProxy.js'
+import { crashingPart } from './PromptCrashes.js'
 import { requestBodyOf, type Run, type SoakJournal } from './SoakJournal.js'
 
 /**
@@ -25,6 +26,9 @@
 const eventsPerStream = 5
 const eventIntervalMilliseconds = 20
 
+/** Time from the first event of a response to a prompt that crashes the worker until the crash, in milliseconds. */
+const crashMilliseconds = 50
+
 /** Time for which a worker runs nothing while it changes its stage, in milliseconds. The owners' workers take 3 s. */
 const stageChangeMilliseconds = 600
 
@@ -39,6 +43,10 @@
   leaseMilliseconds: number
   /** Writes the worker's entry to the store. */
   writeEntry: (id: string, entry: Record<string, unknown>) => void
+  /** Called when a request with the part that crashes workers arrives, before the worker answers it. */
+  onCrashingPrompt: (id: string) => void
+  /** Called when such a request crashes the worker. */
+  onCrash: (worker: SoakWorker) => void
 }
 
 interface Order { stage: 'prefill' | 'decode', holder: string, 'fencing-token': number, expect: number }
@@ -105,10 +113,11 @@
     const requestedStage = headers['dogwooddale-stage'] === 'prefill' ? 'prefill' : 'decode'
     if (this.stage !== undefined && requestedStage !== this.stage) return this.send(request, 'wrong stage', 421)
     if (this.isChangingStage || this.behaviour === 'busy') return this.refuse(request)
+    const id = headers['dogwooddale-request-id'] ?? ''
+    if (hasCrashingPart(request)) this.options.onCrashingPrompt(id)
     if (requestedStage === 'prefill' && this.stage !== undefined) return this.computePrompt(request)
     if (!this.consumeHandle(request)) return this.refuse(request)
     const { service, journal } = this.options
-    const id = headers['dogwooddale-request-id'] ?? ''
     const { remotePort } = socket
     const run: Run = {
       id,
@@ -164,6 +173,11 @@
         return
       }
       socket.write(`${text.length.toString(16)}\r\n${text}\r\n`)
+      if (hasCrashingPart(request)) {
+        await sleep(crashMilliseconds)
+        if (!this.isStopped) this.options.onCrash(this)
+        return
+      }
       await sleep(eventMilliseconds)
       if (socket.destroyed) return
     }
@@ -221,6 +235,10 @@
   }
 }
 
+function hasCrashingPart ({ headers }: ReceivedRequest): boolean {
+  return headers['dogwooddale-prompt-prefix']?.split(',').some(part => part.startsWith(`${crashingPart}:`)) ?? false
+}
+
 /** Time that a worker takes for a request, in milliseconds, as the path states it. */
 function workMillisecondsOf (path: string): number {
   return Number(/[?]work=(\d+)/.exec(path)?.[1] ?? serviceMilliseconds)
--- a/src/platform/soak/main.ts
+++ b/src/platform/soak/main.ts
@@ -15,6 +15,7 @@
   callers: { type: 'number', default: 10, describe: 'number of callers for each host' },
   jobs: { type: 'number', default: 3, describe: 'number of seeds that run at the same time' },
   times: { type: 'boolean', default: true, describe: 'check time limits too; needs a machine without other load' },
+  crashes: { type: 'boolean', default: false, describe: 'a part of some prompts crashes the workers that answer them' },
   logs: { type: 'string', default: 'target/soak', describe: 'directory for the logs of seeds that violated a guarantee' }
 }).strict()
 
@@ -25,9 +26,9 @@
   let failedSeeds = 0
   const runSeeds = async (): Promise<void> => {
     for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
-      const { hosts, callers, seconds, times } = options
+      const { hosts, callers, seconds, times, crashes } = options
       const result = await Soak.run({
-        seed, milliseconds: seconds * 1000, hosts, callersPerHost: callers, checksDeadlines: times
+        seed, milliseconds: seconds * 1000, hosts, callersPerHost: callers, checksDeadlines: times, crashingPrompts: crashes
       })
       if (result.violations.length > 0) failedSeeds += 1
       report(seed, result, options.logs)
@@ -40,18 +41,24 @@
 
 function report (
   seed: number,
-  { violations, outcomeCounts, faults, orders, deadlineChecks, log }: SoakResult,
+  { violations, outcomeCounts, faults, orders, deadlineChecks, crashCounts, log }: SoakResult,
   directory: string
 ): void {
   const { whole, refused, failed, cut } = outcomeCounts
   const counts = `whole=${whole} refused=${refused} failed=${failed} cut=${cut} orders=${orders} timed=${deadlineChecks} faults=${faults.length}`
-  process.stdout.write(`seed=${seed} broken=${violations.length} ${counts}\n`)
+  process.stdout.write(`seed=${seed} broken=${violations.length} ${counts}${textOf(crashCounts)}\n`)
   if (violations.length === 0) return
   mkdirSync(directory, { recursive: true })
   writeFileSync(join(directory, `seed-${seed}.log`), `${[...violations, '', ...faults, '', ...log].join('\n')}\n`)
   for (const violation of violations.slice(0, 5)) process.stdout.write(`  ${violation}\n`)
 }
 
+function textOf (counts: SoakResult['crashCounts']): string {
+  if (counts === undefined) return ''
+  const { crashes, lateRequests, before, after } = counts
+  return ` crashes=${crashes} late=${lateRequests} begun=${before.begun}/${before.sent},${after.begun}/${after.sent}`
+}
+
 run().catch(error => {
   process.stderr.write(`${String(error)}\n`)
   process.exitCode = 1
