--- a/src/platform/CallerListener.test.ts
+++ b/src/platform/CallerListener.test.ts
@@ -1,31 +1,45 @@
 /**
  * Guards against a host whose processor is used up that takes on more requests than it can forward, and that sends
- * requests on whose callers have already left.
+ * requests on whose callers have already left, and against a stop that takes requests it cannot finish.
  */
-import { afterEach, expect, test } from '@jest/globals'
+import { afterEach, describe, expect, test } from '@jest/globals'
 import { Result } from 'true-myth'
-import { failure, loadHash, SystemClock } from '../common/index.js'
-import type { RequestManager, ServiceRequest } from '../forwarding/index.js'
-import { Metrics } from '../observability/index.js'
-import { discardingEventLog } from '../streams/testSupport.js'
+import { type Failure, failure, loadHash, SystemClock } from '../common/index.js'
+import type { RequestManager, ServiceRequest, ServiceResponse } from '../forwarding/index.js'
+import { EventLog, HybridClock, Metrics, Timeline } from '../observability/index.js'
 import { CallerListener } from './CallerListener.js'
 import { RequestMetrics } from './RequestMetrics.js'
 import { decodeRouteConfiguration, RouteTable } from './RouteConfiguration.js'
-import { configurationDocument, RawCaller, requestHeaders } from './testing/platformTestSupport.js'
+import { configurationDocument, RawCaller, requestHeaders, waitUntil } from './testing/platformTestSupport.js'
 
 let listener: CallerListener | undefined
 
 afterEach(async () => { await listener?.closeAll() })
 
-/** Starts a listener whose event loop is late by the given time; returns the requests that it forwards. */
-async function start (delayMilliseconds: number): Promise<{ caller: RawCaller, forwarded: ServiceRequest[] }> {
+type Outcome = Result<ServiceResponse, Failure>
+
+type Run = (request: ServiceRequest, forwarded: ServiceRequest[], signal: AbortSignal) => Promise<Outcome>
+
+const refused: Run = async () => Result.err(failure('not_run', 'no worker'))
+
+interface ListenerTest {
+  caller: RawCaller
+  /** Requests that the listener forwarded. */
+  forwarded: ServiceRequest[]
+  /** Log lines of the listener. */
+  lines: string[]
+}
+
+/** Starts a listener whose event loop is late by the given time and whose requests end as `run` says. */
+async function start (delayMilliseconds: number, run: Run = refused): Promise<ListenerTest> {
   const clock = new SystemClock()
+  const lines: string[] = []
   const forwarded: ServiceRequest[] = []
   const requests = {
     begin: () => () => {},
     serviceCall: (request: ServiceRequest) => {
       forwarded.push(request)
-      return { attempts: 0, worker: undefined, run: async () => Result.err(failure('not_run', 'no worker')) }
+      return { attempts: 0, worker: undefined, run: async (signal: AbortSignal) => await run(request, forwarded, signal) }
     }
   } as unknown as RequestManager
   const configuration = decodeRouteConfiguration(Buffer.from(JSON.stringify(configurationDocument(1))))
@@ -35,14 +49,17 @@
     routes: () => routes,
     requests,
     clock,
-    events: discardingEventLog(clock),
+    events: new EventLog({
+      timeline: new Timeline('test', new HybridClock(clock)),
+      level: 'info',
+      write: line => { lines.push(line) }
+    }),
     hash: await loadHash(),
     metrics: new RequestMetrics(new Metrics()),
-    isStopping: () => false,
     eventLoopDelay: () => delayMilliseconds
   })
   await listener.listen()
-  return { caller: await RawCaller.connect(listener.address), forwarded }
+  return { caller: await RawCaller.connect(listener.address), forwarded, lines }
 }
 
 test.each([
@@ -65,3 +82,125 @@
   await next.readResponse()
   expect(forwarded.map(({ requestId }) => requestId as string)).toEqual(['r2'])
 })
+
+/** A complete response with the request's id as the body. */
+function answerTo ({ requestId }: ServiceRequest): Result<ServiceResponse, Failure> {
+  return Result.ok({ status: 200, headers: {}, body: Buffer.from(requestId), remainingBody: undefined })
+}
+
+describe('during a stop', () => {
+  // Guards against pipelined requests that are passed on although the connection closes after an earlier response.
+  test.each([['first', 'r1'], ['second', 'r2']])('answers two pipelined requests of which the %s ends first', async (_name, firstToEnd) => {
+    let finishOther = (): void => {}
+    const otherMayEnd = new Promise<void>(resolve => { finishOther = resolve })
+    const { caller, forwarded } = await start(0, async (request, forwarded) => {
+      await waitUntil(() => forwarded.length === 2)
+      if (request.requestId !== firstToEnd) await otherMayEnd
+      return answerTo(request)
+    })
+    listener!.startStop()
+    caller.send('POST', '/votes/1', requestHeaders('r1'), 'yes')
+    caller.send('POST', '/votes/2', requestHeaders('r2'), 'yes')
+    await waitUntil(() => forwarded.length === 2)
+    await new Promise(resolve => setImmediate(resolve))
+    finishOther()
+    expect(await caller.readResponse()).toMatchObject({ body: 'r1', headers: { connection: 'keep-alive' } })
+    expect(await caller.readResponse()).toMatchObject({ body: 'r2', headers: { connection: 'close' } })
+  })
+
+  test('passes no request on that arrives behind a response which announced that the connection closes', async () => {
+    let finish = (): void => {}
+    const finished = new Promise<void>(resolve => { finish = resolve })
+    async function * stream (): AsyncGenerator<Buffer> {
+      yield Buffer.from('piece')
+      await finished
+    }
+    const { caller, forwarded } = await start(0, async request => request.requestId === 'r1'
+      ? Result.ok({ status: 200, headers: {}, body: Buffer.alloc(0), remainingBody: stream() })
+      : answerTo(request))
+    listener!.startStop()
+    caller.send('POST', '/tags/1', requestHeaders('r1'), 'post')
+    await waitUntil(() => caller.received.includes('piece'))
+    caller.send('POST', '/tags/2', requestHeaders('r2'), 'post')
+    const other = await RawCaller.connect(listener!.address)
+    other.send('POST', '/votes/1', requestHeaders('r3'), 'yes')
+    await other.readResponse()
+    finish()
+    await waitUntil(() => caller.closed)
+    expect(forwarded.map(({ requestId }) => requestId as string)).toEqual(['r1', 'r3'])
+  })
+})
+
+describe('a listener that closes', () => {
+  // Guards against requests that are passed on to a worker although the listener has closed.
+  test.each([
+    ['the rest of its body', 'content-length: 4\r\n\r\nye', 's!'],
+    ['a chunk of its body', 'transfer-encoding: chunked\r\n\r\n', '4\r\nyes!\r\n0\r\n\r\n']
+  ])('refuses a request, as not run, if %s arrives afterwards', async (_name, firstPart, rest) => {
+    const { caller, forwarded, lines } = await start(0)
+    caller.socket.write(`POST /votes/1 HTTP/1.1\r\nhost: forum.example\r\ndogwooddale-request-id: r1\r\n${firstPart}`)
+    await waitUntil(() => listener!.stopSummary.idle === 0)
+    listener!.startStop()
+    const closed = listener!.close()
+    caller.socket.write(rest)
+    expect(await caller.readResponse()).toMatchObject({
+      status: 503, headers: { connection: 'close', 'retry-after': expect.any(String) }
+    })
+    await closed
+    expect(forwarded).toEqual([])
+    expect(lines.filter(line => /event=request_refused .*kind=draining/.test(line))).toHaveLength(1)
+  })
+
+  // Guards against responses that are cut because they had been ended, but not sent completely, when the listener closed.
+  test('sends a response completely to a caller that reads slowly', async () => {
+    const body = Buffer.alloc(40_000_000, 'x')
+    const { caller } = await start(0, async () => Result.ok({ status: 200, headers: {}, body, remainingBody: undefined }))
+    caller.send('POST', '/votes/1', requestHeaders('r1'), 'yes')
+    let received = 0
+    // The first bytes show that the response has been ended; the caller then reads nothing until the listener closes.
+    await new Promise<void>(resolve => caller.socket.once('data', bytes => {
+      received = bytes.length
+      caller.socket.pause()
+      resolve()
+    }))
+    caller.socket.removeAllListeners('data')
+    const closed = listener!.close()
+    caller.socket.on('data', bytes => { received += bytes.length })
+    caller.socket.resume()
+    await closed
+    await waitUntil(() => caller.closed)
+    expect(received).toBeGreaterThan(body.length)
+  })
+})
+
+describe('when the process exits soon', () => {
+  const untilAborted = async (signal: AbortSignal): Promise<void> => await new Promise(resolve => signal.addEventListener('abort', () => resolve()))
+
+  const openRequests: Array<[string, string, string, Run, number]> = [
+    ['that no worker has received', '/reads/1', 'yes', async (_request, _forwarded, signal) => {
+      await untilAborted(signal)
+      return Result.err(failure('not_run', 'not sent'))
+    }, 503],
+    ['at a worker that may run it again', '/reads/1', 'yes', async (_request, _forwarded, signal) => {
+      await untilAborted(signal)
+      return Result.err(failure('cancelled', 'the caller disconnected'))
+    }, 502],
+    ['at a worker that may run it once', '/votes/1', 'yes', async () => await new Promise(() => {}), 502],
+    ['whose body is incomplete', '/votes/1', 'ye', refused, 503]
+  ]
+
+  // Guards against requests that end without an answer, because the process exits while they are open.
+  test.each(openRequests)('a request %s receives a final answer', async (_name, path, body, run, status) => {
+    const { caller, forwarded } = await start(0, run)
+    caller.send('POST', path, requestHeaders('r1', { 'content-length': '3' }), undefined)
+    caller.socket.write(body)
+    await waitUntil(() => listener!.stopSummary.idle === 0 && (body.length < 3 || forwarded.length === 1))
+    listener!.startStop()
+    const closed = listener!.close()
+    expect(listener!.answerOpenRequests()).toBe(1)
+    const response = await caller.readResponse()
+    expect(response).toMatchObject({ status, headers: { connection: 'close' } })
+    expect(response.headers['retry-after'] !== undefined).toBe(status === 503)
+    await closed
+  })
+})
--- a/src/platform/CallerListener.ts
+++ b/src/platform/CallerListener.ts
@@ -2,14 +2,16 @@
  * HTTP listener for callers. Request targets and header fields have to reach the workers unchanged, so the listener
  * uses Node's message objects: the `Request` object of the web platform would change both.
  */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { Result } from 'true-myth'
 import { type Clock, errorResponses, errorBodyOf, type Failure, failure, type Hash } from '../common/index.js'
+import { type ConnectionCounts, GracefulServer } from '../entry/index.js'
 import type { RequestManager, ServiceResponse, ServiceCall } from '../forwarding/index.js'
 import type { EventLog } from '../observability/index.js'
 import { decodeRequest, type DecodedRequest } from './decodeRequest.js'
 import type { CallerLimits, RouteTable } from './RouteConfiguration.js'
+import { type InterruptionCause, RequestInterruption } from './RequestInterruption.js'
 import type { RequestMetrics } from './RequestMetrics.js'
 import { headerNames } from './WorkerProtocol.js'
 
@@ -23,8 +25,6 @@
   events: EventLog
   hash: Hash
   metrics: RequestMetrics
-  /** True once the process was told to stop; each connection then closes after its current response. */
-  isStopping: () => boolean
   /** Average delay of the event loop, in milliseconds. */
   eventLoopDelay: () => number
 }
@@ -71,17 +71,43 @@
   startedAt: number
   firstByteMilliseconds: number
   longestPauseMilliseconds: number
-  /** True if the caller disconnected before the response was complete. */
-  callerDisconnected: boolean
+  /** Reason for which the response was not completed, if there is one. */
+  interruption: InterruptionCause | undefined
+}
+
+/** Ends of a stop, as monotonic times in milliseconds. */
+export interface StopLimits {
+  /** Requests whose response has not begun receive a final answer. */
+  finalAnswerAt: number
+  /** The process exits. */
+  exitAt: number
+}
+
+/** What a stop left open or took on late. */
+export interface StopSummary extends ConnectionCounts {
+  /** Number of requests that were read after the listener had closed. */
+  lateRequests: number
+  /** Time from the start of the stop to the latest request that was read, in milliseconds. */
+  lastRequestMilliseconds: number | undefined
 }
 
 /** Accepts connections of callers and forwards their requests to workers. */
 export class CallerListener {
-  private readonly server: Server
+  private readonly server: GracefulServer
   private limits: CallerLimits | undefined
+  /** Monotonic time in milliseconds of the start of the stop. */
+  private stoppingSince: number | undefined
+  private stopLimits: StopLimits | undefined
+  private isClosed = false
+  /** Requests whose response has not begun. */
+  private readonly unanswered = new Set<RequestInterruption>()
+  /** Requests whose response has begun. */
+  private readonly answered = new Set<RequestInterruption>()
+  private lateRequests = 0
+  private lastRequestMilliseconds: number | undefined
 
   constructor (private readonly options: CallerListenerOptions) {
-    this.server = createServer({
+    this.server = new GracefulServer({
       maxHeaderSize: maxHeaderBytes,
       connectionsCheckingInterval: timeoutCheckMilliseconds,
       requestTimeout: bodyTimeoutMilliseconds,
@@ -121,16 +147,37 @@
     this.server.keepAliveTimeout = limits.idleTimeoutMilliseconds
   }
 
-  /** Stops accepting connections and resolves when the open ones have ended. */
+  /** Announces with each response from now on that its connection closes; new connections are still accepted. */
+  startStop (limits: StopLimits = { finalAnswerAt: Infinity, exitAt: Infinity }): void {
+    this.stoppingSince ??= this.options.clock.monotonic()
+    this.stopLimits = limits
+  }
+
+  /** State of the connections and requests since the start of the stop. */
+  get stopSummary (): StopSummary {
+    const { lateRequests, lastRequestMilliseconds } = this
+    return { ...this.server.connectionCounts(), lateRequests, lastRequestMilliseconds }
+  }
+
+  /** Stops accepting connections, closes each open one after its open requests, and resolves when all have closed. */
   async close (): Promise<void> {
-    await new Promise<void>(resolve => {
-      this.server.close(() => { resolve() })
-      this.server.closeIdleConnections()
-    })
+    this.isClosed = true
+    await this.server.closeGracefully()
+  }
+
+  /**
+   * Ends the requests whose response has not begun with a final answer: `draining` if it is certain that no worker runs
+   * them, and `outcome_unknown` otherwise. Returns their number.
+   */
+  answerOpenRequests (): number {
+    const requests = [...this.unanswered]
+    for (const interruption of requests) interruption.interrupt('host_stopped')
+    return requests.length
   }
 
   /** Closes the listener and all connections at once. */
   async closeAll (): Promise<void> {
+    for (const interruption of [...this.unanswered, ...this.answered]) interruption.interrupt('host_stopped')
     const closed = this.close()
     this.server.closeAllConnections()
     await closed
@@ -139,18 +186,28 @@
   private async handle (message: IncomingMessage, response: ServerResponse): Promise<void> {
     const { clock, metrics } = this.options
     const startedAt = clock.monotonic()
-    const callerDisconnect = disconnectSignal(message, response)
+    this.countRequestOfStop(startedAt)
+    if (!this.server.canRespond(response)) {
+      // The caller sends it again, since it was told that the connection closes.
+      this.options.events.info('request_ignored', { request: String(message.headers[headerNames.requestId] ?? '') })
+      return
+    }
+    const interruption = this.track(message, response)
     const decoded = this.admit().andThen(() => this.decode(message, startedAt))
     if (decoded.isErr) return this.refuse(message, response, decoded.error, startedAt)
-    const body = await readBody(message, this.limits?.maxBodyBytes ?? Infinity)
+    const bodyRead = readBody(message, this.limits?.maxBodyBytes ?? Infinity)
+    const body = await interruption.unlessHostStops(bodyRead, () => Result.err(refusalOfStop))
     if (body.isErr) return this.refuse(message, response, body.error, startedAt)
     if (this.options.eventLoopDelay() > busyEventLoopDelayMilliseconds) await pendingEvents()
-    if (callerDisconnect.aborted) return
+    if (interruption.cause === 'caller_disconnected') return
+    if (this.isClosed) return this.refuse(message, response, refusalOfStop, startedAt)
     const { route, call: head } = decoded.value
     const call = this.options.requests.serviceCall({ ...head, body: body.value })
     const endRequest = this.options.requests.begin({ requestId: head.requestId, kind: 'service' })
     try {
-      const result = await call.run(callerDisconnect)
+      const result = await this.runCall(call, head, interruption)
+      this.unanswered.delete(interruption)
+      this.answered.add(interruption)
       const timing = new ResponseTiming(clock)
       const outcome = result.isOk
         ? await this.sendResponse(response, result.value, timing)
@@ -158,15 +215,50 @@
       const firstByteMilliseconds = timing.firstByteAt - startedAt
       metrics.recordResponse(route.name, head.pool, outcome, firstByteMilliseconds)
       const { longestPauseMilliseconds } = timing
-      const callerDisconnected = callerDisconnect.aborted
       this.logEnd(decoded.value, call, {
-        outcome, result, startedAt, firstByteMilliseconds, longestPauseMilliseconds, callerDisconnected
+        outcome, result, startedAt, firstByteMilliseconds, longestPauseMilliseconds, interruption: interruption.cause
       })
     } finally {
       endRequest()
     }
   }
 
+  /** Records a request as open until its response is complete or its connection has closed. */
+  private track (message: IncomingMessage, response: ServerResponse): RequestInterruption {
+    const interruption = new RequestInterruption(message, response)
+    this.unanswered.add(interruption)
+    response.once('close', () => {
+      this.unanswered.delete(interruption)
+      this.answered.delete(interruption)
+    })
+    return interruption
+  }
+
+  private async runCall (
+    call: ServiceCall,
+    { idempotent, delivery }: DecodedRequest['call'],
+    interruption: RequestInterruption
+  ): Promise<Result<ServiceResponse, Failure>> {
+    const ran = call.run(interruption.signal)
+    // Any other call goes on when its signal aborts, and may still be sent to a worker.
+    const endsWhenAborted = idempotent || delivery === 'stream'
+    const result = await (endsWhenAborted ? ran : interruption.unlessHostStops(ran, () => Result.err(unknownOutcomeOfStop)))
+    return interruption.cause === 'host_stopped' ? result.mapErr(failureOfStop) : result
+  }
+
+  private countRequestOfStop (now: number): void {
+    const { stoppingSince } = this
+    if (stoppingSince === undefined) return
+    this.lastRequestMilliseconds = Math.round(now - stoppingSince)
+    if (this.isClosed) this.lateRequests += 1
+  }
+
+  /** Time from the start of the stop to the reading of a request; undefined if it was read before. */
+  private millisecondsAfterStop (readAt: number): number | undefined {
+    const { stoppingSince } = this
+    return stoppingSince === undefined || readAt < stoppingSince ? undefined : Math.round(readAt - stoppingSince)
+  }
+
   /** Refuses requests that this host would only hold up, since its processor is used up. */
   private admit (): Result<void, Failure> {
     const delay = this.options.eventLoopDelay()
@@ -180,7 +272,9 @@
     if (this.limits !== undefined && headerBytesOf(message) > this.limits.maxHeaderBytes) {
       return Result.err(failure('headers_too_large', `the header is larger than ${this.limits.maxHeaderBytes} bytes`))
     }
-    return decodeRequest(message, { routes, now, hashToFraction: id => this.options.hash.h32(id) / hashRange })
+    const decoded = decodeRequest(message, { routes, now, hashToFraction: id => this.options.hash.h32(id) / hashRange })
+    const { stopLimits } = this
+    return stopLimits === undefined ? decoded : decoded.map(request => limitedByStop(request, stopLimits))
   }
 
   /** Sends a worker's response to the caller. Returns its status, or `broken` if it ended early. */
@@ -219,6 +313,7 @@
       status,
       kind: failed.kind,
       version: this.options.routes()?.configuration.version,
+      after_stop: this.millisecondsAfterStop(startedAt),
       reason: failed.message
     })
     // The unread rest of the body would be taken for the next request, so the connection is closed.
@@ -244,7 +339,7 @@
   }
 
   private closeConnectionIfStopping (response: ServerResponse): void {
-    if (this.options.isStopping()) response.setHeader('connection', 'close')
+    if (this.stoppingSince !== undefined) this.server.announceClose(response)
   }
 
   private logEnd (
@@ -252,6 +347,7 @@
     call: ServiceCall,
     summary: RequestSummary
   ): void {
+    const { outcome, interruption } = summary
     const failed = summary.result.isErr ? summary.result.error : undefined
     this.options.events.info('request_ended', {
       request: requestId,
@@ -260,10 +356,11 @@
       version: this.options.routes()?.configuration.version,
       worker: call.worker,
       attempts: call.attempts,
-      outcome: summary.callerDisconnected && summary.outcome !== '200' ? 'left' : summary.outcome,
+      outcome: interruption === 'caller_disconnected' && outcome !== '200' ? 'left' : outcome,
       kind: failed?.kind,
-      reason: failed?.message,
+      reason: failed?.message ?? (interruption === 'host_stopped' ? 'the process exits' : undefined),
       tokens: prompt?.promptTokens,
+      after_stop: this.millisecondsAfterStop(summary.startedAt),
       first: Math.round(summary.firstByteMilliseconds),
       pause: Math.round(summary.longestPauseMilliseconds),
       total: Math.round(this.options.clock.monotonic() - summary.startedAt)
@@ -299,18 +396,25 @@
 }
 
 /**
- * Signal that aborts when the caller closes the connection before the response is complete. The end of the caller's side
- * counts as the close: Node then ends the connection, but reports its close only in a later turn of the event loop.
+ * The request with no more time than the stop leaves, so that a worker or the queue for prompts declines it at once if
+ * that does not suffice.
  */
-function disconnectSignal ({ socket }: IncomingMessage, response: ServerResponse): AbortSignal {
-  const disconnected = new AbortController()
-  const disconnect = (): void => { if (!response.writableFinished) disconnected.abort() }
-  socket.once('end', disconnect)
-  response.once('close', () => {
-    socket.off('end', disconnect)
-    disconnect()
-  })
-  return disconnected.signal
+function limitedByStop (request: DecodedRequest, { finalAnswerAt, exitAt }: StopLimits): DecodedRequest {
+  const { delivery, deadline, startLostAt = deadline } = request.call
+  const end = delivery === 'stream' ? exitAt : finalAnswerAt
+  return {
+    ...request,
+    call: { ...request.call, deadline: Math.min(deadline, end), startLostAt: Math.min(startLostAt, finalAnswerAt) }
+  }
+}
+
+const unknownOutcomeOfStop = failure('outcome_unknown', 'the host stops before the worker has answered')
+
+const refusalOfStop = failure('draining', 'the host stops before a worker has received the request')
+
+/** The failure of a call that a stop has ended. */
+function failureOfStop (failed: Failure): Failure {
+  return errorResponses[failed.kind].notRun ? refusalOfStop : unknownOutcomeOfStop
 }
 
 /** Time after which a caller should come back, in seconds: that of the failure if it states one, at least the usual one. */
