--- a/src/platform/soak/SoakHost.ts
+++ b/src/platform/soak/SoakHost.ts
@@ -32,10 +32,13 @@
   readonly loggedEndCounts = new Map<string, number>()
   /** Number of processes that this host has started; identifies the current one. */
   processCount = 0
-  /** Numbers of the processes that were told to stop by SIGTERM. */
-  readonly stoppedProcessNumbers = new Set<number>()
+  /** Monotonic times in milliseconds at which processes were told to stop by SIGTERM, by the number of the process. */
+  readonly stopTimes = new Map<number, number>()
+  /** Numbers of the processes that were paused when SIGTERM was sent, so that they learned of it late. */
+  readonly lateStops = new Set<number>()
   /** Monotonic time in milliseconds until which a fault disturbs the host. */
   disturbedUntil = 0
+  private isPaused = false
   private child: ChildProcess | undefined
   private exited: Promise<void> = Promise.resolve()
 
@@ -53,13 +56,19 @@
 
   /** True while a process runs that was not told to stop. */
   get isServing (): boolean {
-    return this.child !== undefined && !this.stoppedProcessNumbers.has(this.processCount)
+    return this.child !== undefined && !this.isStopping
+  }
+
+  /** True if the current or latest process was told to stop. */
+  get isStopping (): boolean {
+    return this.stopTimes.has(this.processCount)
   }
 
   /** Starts a process. Resolves when it listens or has exited. */
   async launch (): Promise<void> {
     this.writeSettings(0)
     this.processCount += 1
+    this.isPaused = false
     const { directory, name, clockJumps } = this.options
     const child = spawn(process.execPath, [resolve('dist/soakHost.cjs')], {
       stdio: ['ignore', 'pipe', 'pipe'],
@@ -82,7 +91,9 @@
   }
 
   signal (signal: NodeJS.Signals): void {
-    if (signal === 'SIGTERM') this.stoppedProcessNumbers.add(this.processCount)
+    if (signal === 'SIGTERM') this.stopTimes.set(this.processCount, performance.now())
+    if (signal === 'SIGTERM' && this.isPaused) this.lateStops.add(this.processCount)
+    if (signal === 'SIGSTOP' || signal === 'SIGCONT') this.isPaused = signal === 'SIGSTOP'
     this.child?.kill(signal)
   }
 
