Show that bodies without end are read as their caller reads

The body of a safe response, and the comments of a stream, have no limit in bytes: both are passed on until the deadline. The tests show with real sockets that a caller that reads nothing stops the worker within 16 MiB, and that the worker and the caller are disconnected at the deadline, without the end of the body. No fault was found.

--- a/src/platform/endlessResponses.test.ts
+++ b/src/platform/endlessResponses.test.ts
@@ -81,6 +81,22 @@
     await expectClosedByHost()
   })
 
+  // Guards against a host that reads such a body faster than its caller, or longer than the caller's deadline allows.
+  test.each([
+    ['body of a safe response', '/reads/1', 'x', {}],
+    ['row of comments in a stream', '/tags/1', ': wait\n', { 'content-type': 'text/event-stream' }],
+    ['row of comments in a resumable stream', '/answers/1', ': wait\n', { 'content-type': 'text/event-stream' }]
+  ])('an endless %s is read as its caller reads, and disconnected at the deadline', async (_name, path, piece, headers) => {
+    const caller = await start((worker, request) => openHead(worker, request, { headers }), piece)
+    caller.socket.pause()
+    caller.send(path === '/reads/1' ? 'GET' : 'POST', path, requestHeaders('r1', { 'dogwooddale-deadline-ms': '500' }))
+    await expectClosedByHost()
+    caller.socket.resume()
+    await waitUntil(() => caller.closed)
+    expect(caller.received).toContain('HTTP/1.1 200')
+    expect(caller.received.endsWith('0\r\n\r\n')).toBe(false)
+  })
+
   test('a refusal whose body has no end is disconnected, and the request is answered by another worker', async () => {
     const caller = await start((worker, request) => openHead(worker, request, { status: 503, headers: { 'dogwooddale-not-run': '1' } }), 'x')
     caller.send('POST', '/votes/1', requestHeaders('r1'), 'yes')
