Combine the timeout of store calls as for other calls

AbortSignal.any holds its sources weakly on Node 20, so a timeout that only a combined signal refers to can be dropped at a garbage collection. StoreClient built such a signal.

--- a/src/common/timeoutSignal.test.ts
+++ b/src/common/timeoutSignal.test.ts
@@ -2,16 +2,9 @@
  * Guards against calls without a time limit after a garbage collection, which drops a timeout that nothing refers to.
  */
 import { expect, test } from '@jest/globals'
-import { setFlagsFromString } from 'node:v8'
-import { runInNewContext } from 'node:vm'
+import { collectGarbage } from './testing/collectGarbage.js'
 import { timeoutSignal } from './timeoutSignal.js'
 
-function collectGarbage (): void {
-  setFlagsFromString('--expose_gc')
-  const collect = runInNewContext('gc') as () => void
-  collect()
-}
-
 /** Resolves with the name of the reason for which a signal aborts; keeps no reference to the signal. */
 async function reasonOf (createSignal: () => AbortSignal): Promise<string> {
   return await new Promise(resolve => {
@@ -25,9 +18,7 @@
   ['beside another signal', () => timeoutSignal(100, new AbortController().signal)]
 ])('a timeout %s ends after a garbage collection', async (_name, createSignal) => {
   const reason = reasonOf(createSignal)
-  // A new turn of the event loop, so that the stack refers to no signal.
-  await new Promise(resolve => { setImmediate(resolve) })
-  collectGarbage()
+  await collectGarbage()
   expect(await reason).toBe('TimeoutError')
 })
 
--- a/src/platform/StoreClient.test.ts
+++ b/src/platform/StoreClient.test.ts
@@ -1,12 +1,14 @@
 /**
- * Guards against responses of the store that fill the memory of a host, and against appends that the store refuses as a
- * whole because they exceed its limits.
+ * Guards against responses of the store that fill the memory of a host, against calls to a silent store that never end, and
+ * against appends that the store refuses as a whole because they exceed its limits.
  */
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
 import { createServer as createHttpServer } from 'node:http'
 import { type AddressInfo, createServer, type Server, type Socket } from 'node:net'
+import { collectGarbage } from '../common/testing/collectGarbage.js'
 import { maxResponseBytes, StoreClient } from './StoreClient.js'
 import { FakeStore } from './testing/FakeStore.js'
+import { waitUntil } from './testing/platformTestSupport.js'
 
 const topic = 'keyed.test'
 
@@ -36,6 +38,19 @@
   return socket.bytesWritten
 }
 
+// A timeout that only a combined signal refers to is dropped with the garbage, and the follower of a topic then stays silent.
+test('a read of a silent store ends although garbage was collected meanwhile', async () => {
+  const store = await FakeStore.start()
+  store.mode = 'silent'
+  const client = new StoreClient(store.address)
+  const read = client.read(topic, 0, 0, new AbortController().signal)
+  await waitUntil(() => store.calls.length === 1)
+  await collectGarbage()
+  expect(await read).toMatchObject({ isErr: true })
+  await client.close()
+  await store.stop()
+})
+
 describe('responses without end', () => {
   let server: Server
   let client: StoreClient
--- a/src/platform/StoreClient.ts
+++ b/src/platform/StoreClient.ts
@@ -5,7 +5,7 @@
 import { Result } from 'true-myth'
 import { Client } from 'undici'
 import { z } from 'zod'
-import { type Failure, failure, parseJson } from '../common/index.js'
+import { type Failure, failure, parseJson, timeoutSignal } from '../common/index.js'
 
 /** A record of a compacted topic. */
 export interface KeyedRecord {
@@ -248,7 +248,6 @@
   private async send (
     { method, path, body, waitMilliseconds = 0, signal }: StoreRequest
   ): Promise<Result<StoreResponse, Failure>> {
-    const timeout = AbortSignal.timeout(waitMilliseconds + responseTimeoutMilliseconds)
     this.client ??= new Client(`http://${this.address}`, {
       connectTimeout: connectTimeoutMilliseconds,
       headersTimeout: 0,
@@ -261,7 +260,7 @@
         method,
         path,
         ...bodyOptions(body),
-        signal: signal === undefined ? timeout : AbortSignal.any([timeout, signal])
+        signal: timeoutSignal(waitMilliseconds + responseTimeoutMilliseconds, signal)
       })
       return Result.ok({ status: response.statusCode, body: Buffer.from(await response.body.arrayBuffer()) })
     } catch (caught) {
