Reset the connection of an HTTP/1.0 caller whose response is cut

A response to HTTP/1.0 has no chunks and ends with its connection, so closing it regularly made a cut answer look complete. Ruled out: HTTP/1.1, where the missing last chunk shows it. The connection of such a caller is now reset. The new test timed out before (the connection was closed without an error); the 25 tests of streams pass.

--- a/src/platform/CallerListener.ts
+++ b/src/platform/CallerListener.ts
@@ -299,8 +299,10 @@
       response.end()
       return String(workerResponse.status)
     } catch {
-      // Once the head is sent, only closing the connection tells the caller that the response is incomplete.
-      response.destroy()
+      // Once the head is sent, only the end of the connection tells the caller that the response is incomplete. Without chunks,
+      // as in HTTP/1.0, a regular close would look like the end of the response.
+      if (response.useChunkedEncodingByDefault) response.destroy()
+      else response.socket?.resetAndDestroy()
       return 'broken'
     }
   }
--- a/src/platform/PlatformHost.test.ts
+++ b/src/platform/PlatformHost.test.ts
@@ -286,6 +286,24 @@
     expect(countRequests(models)).toBe(1)
   })
 
+  // Guards against an answer that looks complete to a caller of HTTP/1.0, who gets no chunks.
+  test('that is cut is reset for a caller of HTTP/1.0', async () => {
+    const { models } = await start()
+    for (const worker of models) {
+      worker.onRequest = request => {
+        request.socket.write(streamHead(request, worker) + streamChunk(streamEvent(1)))
+      }
+    }
+    const client = await connectCaller()
+    const failed = new Promise<NodeJS.ErrnoException>(resolve => { client.socket.once('error', resolve) })
+    client.socket.write('POST /tags/1 HTTP/1.0\r\nhost: forum.example\r\ndogwooddale-request-id: r1\r\ncontent-length: 4\r\n\r\npost')
+    await waitUntil(() => client.received.includes('piece-1'))
+    for (const { requests: [request] } of models) request?.socket.destroy()
+    await waitUntil(() => client.closed)
+    expect(client.received).not.toContain('transfer-encoding')
+    expect(await failed).toMatchObject({ code: 'ECONNRESET' })
+  })
+
   const openHead = (request: ReceivedRequest, worker: FakeWorker): string => streamHead(request, worker).replace('transfer-encoding: chunked\r\n', '')
   const reset = (socket: Socket): void => { socket.resetAndDestroy() }
   const finish = (socket: Socket): void => { socket.end() }
