Report the end of prompts to the scheduler that placed them

A host that stops leaves the group at once, while prompts of other hosts wait for the decisions of its scheduler. From then on it sent the ends of its own prompts to the next scheduler, which does not know them. Its own one took their workers for busy, and for silent after 400 ms, and held the waiting prompts of other hosts.

Ruled out: leaving the group later, since the duty to send orders has to end first.

The scheduler of a host now also learns the ends for cells that it has scheduled before; it ignores those of prompts that it does not know.

The case "scheduled before" of the new test failed before (no end was reported). The tests of src/placement pass.

--- a/src/placement/PromptScheduler.ts
+++ b/src/placement/PromptScheduler.ts
@@ -91,6 +91,11 @@
     return [...this.schedules.values()].map(({ cell }) => cell)
   }
 
+  /** True if this host was asked about the cell. */
+  knows (cell: PlacementCell): boolean {
+    return this.schedules.has(cellName(cell))
+  }
+
   private scheduleOf (cell: PlacementCell): PromptSchedule {
     const name = cellName(cell)
     const known = this.schedules.get(name)
--- a/src/platform/PeerSchedulerClient.ts
+++ b/src/platform/PeerSchedulerClient.ts
@@ -48,8 +48,8 @@
   }
 
   end (cell: PlacementCell, id: string, outcome: PromptOutcome): void {
-    if (this.schedules(cell)) this.options.scheduler.end(cell, id, outcome)
-    else this.connectionTo(cell)?.end(cell, id, outcome)
+    if (this.mayHavePlaced(cell)) this.options.scheduler.end(cell, id, outcome)
+    if (!this.schedules(cell)) this.connectionTo(cell)?.end(cell, id, outcome)
   }
 
   answered (
@@ -58,8 +58,8 @@
     worker: WorkerId | undefined,
     startMilliseconds: number | undefined
   ): void {
-    if (this.schedules(cell)) this.options.scheduler.answered(cell, id, worker, startMilliseconds)
-    else this.connectionTo(cell)?.answered(cell, id, worker, startMilliseconds)
+    if (this.mayHavePlaced(cell)) this.options.scheduler.answered(cell, id, worker, startMilliseconds)
+    if (!this.schedules(cell)) this.connectionTo(cell)?.answered(cell, id, worker, startMilliseconds)
   }
 
   /** Closes the connections. */
@@ -68,6 +68,11 @@
     this.connections.clear()
   }
 
+  /** True if the scheduler of this host may have placed prompts of the cell, also if the group has moved the cell since. */
+  private mayHavePlaced (cell: PlacementCell): boolean {
+    return this.schedules(cell) || this.options.scheduler.knows(cell)
+  }
+
   private async placeHere (
     cell: PlacementCell,
     task: PromptTask,
