Judge prompts by answers that are not streamed

Losses were reported for such a call only before the head of its answer, and its complete answer never. A part whose worker crashed within the answer was never refused, and a harmless part of such prompts was refused after two losses, since nothing could show that it is harmless.

Ruled out: reading such answers as streams, which would end their retries.

A call that is buffered now reports the loss of its worker within half a second of the head, and its complete answer, under the conditions of a stream.

Both new cases of PromptQuarantine.test.ts failed before (502 in place of 503, and 503 in place of 200). The tests of the file and of src/forwarding pass.

--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -302,9 +302,11 @@
    */
   private async deliver (openResponse: OpenResponse, stop: AbortSignal): Promise<Result<ServiceResponse, Failure>> {
     if (this.request.delivery === 'stream') return Result.ok(this.createStreamedResponse(openResponse, stop))
+    const startedAt = this.context.clock.monotonic()
     try {
       return Result.ok(await this.readResponse(openResponse))
     } catch (caught) {
+      if (isConnectionLost(caught)) this.recordLoss(openResponse.tracker.upstream, stop, startedAt)
       const failedAttempt = this.endFailedAttempt(caught as Error, openResponse.tracker, stop)
       // This attempt was already counted when the head of its response arrived.
       this.possibleRuns -= 1
@@ -334,7 +336,10 @@
       throw new Error(`the response is larger than ${limit} bytes`)
     }
     const end = async (): Promise<void> => { this.endRequest(openResponse) }
-    if (done) await end()
+    if (done) {
+      this.recordAnswer(openResponse)
+      await end()
+    }
     return {
       ...this.headOf(openResponse),
       body: Buffer.concat(parts),
--- a/src/platform/PromptQuarantine.test.ts
+++ b/src/platform/PromptQuarantine.test.ts
@@ -36,18 +36,23 @@
   platform = undefined
 })
 
-/** Sends a streaming request whose prompt has these parts. */
-async function send (host: PlatformHost, id: string, parts: string): Promise<RawCaller> {
+/** Sends a request, for a stream by default, whose prompt has these parts. */
+async function send (host: PlatformHost, id: string, parts: string, path = '/tags/1'): Promise<RawCaller> {
   const caller = await RawCaller.connect(host.addresses.callers)
-  caller.send('POST', '/tags/1', requestHeaders(id, {
+  caller.send('POST', path, requestHeaders(id, {
     'dogwooddale-model': 'm', 'dogwooddale-token-counts': '30,5', 'dogwooddale-prompt-prefix': parts
   }), 'tag')
   return caller
 }
 
-/** Sends a streaming request whose prompt has these parts; resolves to its status, or 0 if the answer broke off. */
-async function ask (host: PlatformHost, id: string, parts: string): Promise<{ status: number, retryAfter: number }> {
-  const caller = await send(host, id, parts)
+/** Sends such a request; resolves to its status, or 0 if the answer broke off. */
+async function ask (
+  host: PlatformHost,
+  id: string,
+  parts: string,
+  path?: string
+): Promise<{ status: number, retryAfter: number }> {
+  const caller = await send(host, id, parts, path)
   try {
     const { status, headers } = await caller.readResponse()
     return { status, retryAfter: Number(headers['retry-after']) }
@@ -143,3 +148,36 @@
   last.socket.destroy()
   answered.socket.destroy()
 })
+
+// Guards against a part that goes on crashing workers since its answers are not streamed.
+test('a part is refused after two answers that are not streamed and broke off', async () => {
+  platform = await startPlatform({ clock, appWorkers: 4 })
+  const { host, app } = platform
+  for (const worker of app) {
+    worker.onRequest = request => {
+      request.socket.write(worker.responseTo(request, 'short', { headers: { 'content-length': '50' } }), () => request.socket.destroy())
+    }
+  }
+  for (const name of ['a', 'b']) {
+    expect(await ask(host, name, `dead:10,${name}:10`, '/votes/1')).toMatchObject({ status: 502 })
+    clock.shiftMilliseconds += 5000
+  }
+  expect(await ask(host, 'c', 'dead:10,c:10', '/votes/1')).toMatchObject({ status: 503 })
+})
+
+// Guards against harmless prompts that are refused since their answers are not streamed.
+test('a complete answer that is not streamed shows that the parts of its prompt are harmless', async () => {
+  platform = await startPlatform({ clock, appWorkers: 4 })
+  const { host, app } = platform
+  for (const worker of app) {
+    worker.onRequest = request => {
+      if (request.headers['dogwooddale-request-id']!.startsWith('lost')) request.socket.resetAndDestroy()
+      else request.socket.write(worker.responseTo(request, 'fine'))
+    }
+  }
+  for (const name of ['lost-1', 'answered', 'lost-2']) {
+    await ask(host, name, `shared:10,${name}:10`, '/votes/1')
+    clock.shiftMilliseconds += 5000
+  }
+  expect(await ask(host, 'last', 'shared:10,last:10', '/votes/1')).toMatchObject({ status: 200 })
+})
