Count a cut connection against a prompt only if its worker has ended

Full workers reset connections, failing ones cut answers and links reset them, each of which counted as the loss of the worker: in review, one prompt whose answers were cut by three workers that went on running was refused for an hour. Ruled out: an answer of the same worker as the sign that it runs, which comes too late and does not withdraw what other hosts have read.

A host now opens a connection to the worker's address, once for all prompts of one loss; only if nobody accepts it does the loss count. With it: a host that reads a record without losses that it knows publishes them all after a random delay, since two hosts may overwrite each other's record; and four lost workers mean a long quarantine also if they were lost in two short series.

--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -427,7 +427,8 @@
     const { prompt, requestId } = this.request
     if (prompt === undefined || stop.aborted) return
     if (startedAt !== undefined && this.context.clock.monotonic() - startedAt > suspectedMilliseconds) return
-    this.context.quarantine?.recordLoss(prompt, upstream.id, requestId)
+    const { id: worker, description: { worker: { address } } } = upstream
+    this.context.quarantine?.recordConnectionLoss(prompt, { worker, address }, requestId)
   }
 
   private endInterrupted (openResponse: OpenResponse, stop: AbortSignal): void {
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -13,7 +13,7 @@
 import { PartQuarantine } from '../quarantine/index.js'
 import { DemandCollector, SplitRolePlanner } from '../roles/index.js'
 import { PowerOfTwoPolicy, PrefixIndex, PromptPlacementPolicy } from '../routing/index.js'
-import { UpstreamManager, type UpstreamView } from '../upstreams/index.js'
+import { acceptsConnections, UpstreamManager, type UpstreamView } from '../upstreams/index.js'
 import { CallerListener } from './CallerListener.js'
 import { type ErrorEmitter, handleUnexpectedErrors } from './handleUnexpectedErrors.js'
 import { PlacementPart } from './PlacementPart.js'
@@ -195,6 +195,7 @@
     })
     const quarantine = new PartQuarantine({
       publish: evidence => { quarantinePart.exchange.publish(evidence) },
+      acceptsConnections,
       clock,
       events,
       seed: hash.h32(settings.host.id)
--- a/src/platform/PromptQuarantine.test.ts
+++ b/src/platform/PromptQuarantine.test.ts
@@ -79,8 +79,10 @@
       const head = worker.responseTo(request, '', { headers })
       const event = 'id: 1\ndata\n\n'
       request.socket.write(head + (headers['transfer-encoding'] === undefined ? event : `c\r\n${event}\r\n`), () => {
-        if (isDeadly) crash(request.socket)
-        else request.socket.write('0\r\n\r\n')
+        if (isDeadly) {
+          worker.crash(request.socket)
+          crash(request.socket)
+        } else request.socket.write('0\r\n\r\n')
       })
     }
   }
@@ -109,39 +111,49 @@
   platform = await startPlatform({ clock, modelWorkers: 4 })
   const { host, models } = platform
   for (const worker of models) {
-    worker.onRequest = request => { request.socket.end(`${headWithoutLength(worker, request)}id: 1\nda`) }
+    worker.onRequest = request => {
+      worker.crash(request.socket)
+      request.socket.end(`${headWithoutLength(worker, request)}id: 1\nda`)
+    }
   }
   for (const name of ['a', 'b']) {
     expect(await ask(host, name, `dead:10,${name}:10`)).toMatchObject({ status: 0 })
     clock.shiftMilliseconds += 5000
   }
+  await waitUntil(() => host.quarantinedParts > 0)
   expect(await ask(host, 'c', 'dead:10,c:10')).toMatchObject({ status: 503 })
 })
 
 // Guards against harmless prompts that are refused since their answers have neither a length nor chunks, and against a
 // part that is taken for harmless since its worker crashed between two events.
 test.each([
-  ['that goes on after its start shows that the parts of its prompt are harmless', 600, 200],
-  ['that ends soon after its start shows nothing', 0, 503]
-])('a stream without length or chunks %s', async (_name, milliseconds, status) => {
+  // The second part of the lost prompts is never answered, so that it shows when the losses are known.
+  ['that goes on after its start shows that the parts of its prompt are harmless', 600, 'shared:10,unanswered:10', 200],
+  ['that ends soon after its start shows nothing', 0, 'shared:10', 503]
+])('a stream without length or chunks %s', async (_name, milliseconds, lostParts, status) => {
   platform = await startPlatform({ clock, modelWorkers: 4 })
   const { host, models } = platform
   const answers: ReceivedRequest[] = []
   for (const worker of models) {
     worker.onRequest = request => {
-      if (request.headers['dogwooddale-request-id']!.startsWith('lost')) return request.socket.resetAndDestroy()
+      if (request.headers['dogwooddale-request-id']!.startsWith('lost')) {
+        worker.crash(request.socket)
+        request.socket.resetAndDestroy()
+        return
+      }
       request.socket.write(`${headWithoutLength(worker, request)}id: 1\ndata: a\n\n`)
       answers.push(request)
     }
   }
-  await ask(host, 'lost-1', 'shared:10,x1:10')
+  await ask(host, 'lost-1', `${lostParts},x1:10`)
   clock.shiftMilliseconds += 5000
   const answered = await send(host, 'answered', 'shared:10,x2:10')
   await waitUntil(() => answered.received.includes('data: a'))
   clock.monotonicShiftMilliseconds += milliseconds
   answers[0]!.socket.end('id: 2\ndata: b\n\n')
   expect(await answered.readResponse()).toMatchObject({ status: 200 })
-  await ask(host, 'lost-2', 'shared:10,x3:10')
+  await ask(host, 'lost-2', `${lostParts},x3:10`)
+  await waitUntil(() => host.quarantinedParts > 0)
   const last = await send(host, 'last', 'shared:10,x4:10')
   await waitUntil(() => last.received.includes('\r\n\r\n'))
   expect(last.received).toContain(` ${status} `)
@@ -155,6 +167,7 @@
   const { host, app } = platform
   for (const worker of app) {
     worker.onRequest = request => {
+      worker.crash(request.socket)
       request.socket.write(worker.responseTo(request, 'short', { headers: { 'content-length': '50' } }), () => request.socket.destroy())
     }
   }
@@ -162,6 +175,7 @@
     expect(await ask(host, name, `dead:10,${name}:10`, '/votes/1')).toMatchObject({ status: 502 })
     clock.shiftMilliseconds += 5000
   }
+  await waitUntil(() => host.quarantinedParts > 0)
   expect(await ask(host, 'c', 'dead:10,c:10', '/votes/1')).toMatchObject({ status: 503 })
 })
 
@@ -171,13 +185,19 @@
   const { host, app } = platform
   for (const worker of app) {
     worker.onRequest = request => {
-      if (request.headers['dogwooddale-request-id']!.startsWith('lost')) request.socket.resetAndDestroy()
-      else request.socket.write(worker.responseTo(request, 'fine'))
+      if (!request.headers['dogwooddale-request-id']!.startsWith('lost')) {
+        request.socket.write(worker.responseTo(request, 'fine'))
+        return
+      }
+      worker.crash(request.socket)
+      request.socket.resetAndDestroy()
     }
   }
-  for (const name of ['lost-1', 'answered', 'lost-2']) {
-    await ask(host, name, `shared:10,${name}:10`, '/votes/1')
+  // The second part of the lost prompts is never answered, so that it shows when the losses are known.
+  for (const [name, parts] of [['lost-1', 'shared:10,unanswered:10'], ['answered', 'shared:10'], ['lost-2', 'shared:10,unanswered:10']]) {
+    await ask(host, name!, `${parts},${name}:10`, '/votes/1')
     clock.shiftMilliseconds += 5000
   }
+  await waitUntil(() => host.quarantinedParts > 0)
   expect(await ask(host, 'last', 'shared:10,last:10', '/votes/1')).toMatchObject({ status: 200 })
 })
--- a/src/platform/testing/FakeWorker.ts
+++ b/src/platform/testing/FakeWorker.ts
@@ -60,6 +60,12 @@
     while (this.requests.length < count) await new Promise<void>(resolve => { this.waiters.push(resolve) })
   }
 
+  /** Stops like a process that ends: accepts no connection any more, and closes all but the given one, which the test ends. */
+  crash (exceptFor: Socket): void {
+    this.server.close()
+    for (const socket of this.sockets) if (socket !== exceptFor) socket.destroy()
+  }
+
   async stop (): Promise<void> {
     for (const socket of this.sockets) socket.destroy()
     await new Promise<void>(resolve => { this.server.close(() => { resolve() }) })
--- a/src/quarantine/PartQuarantine.test.ts
+++ b/src/quarantine/PartQuarantine.test.ts
@@ -16,13 +16,18 @@
   readonly clock = new ManualClock()
   readonly quarantines: PartQuarantine[]
   readonly published: PartEvidence[] = []
+  /** True if the workers keep running although their connections end. */
+  acceptConnections = false
 
-  constructor (count: number) {
+  /** `shares`: hosts receive what others publish. */
+  constructor (count: number, shares = true) {
     this.quarantines = Array.from({ length: count }, (_, seed) => new PartQuarantine({
       publish: evidence => {
         this.published.push(...evidence)
+        if (!shares) return
         for (const [index, quarantine] of this.quarantines.entries()) if (index !== seed) quarantine.receive(evidence)
       },
+      acceptsConnections: async () => this.acceptConnections,
       clock: this.clock,
       events: discardingEventLog(this.clock),
       seed
@@ -36,7 +41,8 @@
   /** Lets workers crash one second apart under prompts with these parts, each at another host. */
   async loseWorkers (prompts: string[][]): Promise<void> {
     for (const [index, parts] of prompts.entries()) {
-      this.host(index).recordLoss(promptOf(...parts), `worker-${this.clock.monotonic()}` as WorkerId, 'r' as RequestId)
+      loseConnection(this.host(index), promptOf(...parts), `worker-${this.clock.monotonic()}`)
+      await settled()
       await this.clock.advance(1000)
     }
   }
@@ -46,6 +52,15 @@
   return { promptTokens: promptBlocks.length, promptBlocks }
 }
 
+/** Resolves when the checks of workers have ended. */
+async function settled (): Promise<void> {
+  await new Promise(resolve => { setImmediate(resolve) })
+}
+
+function loseConnection (host: PartQuarantine, prompt: RoutingRequest, worker: string): void {
+  host.recordConnectionLoss(prompt, { worker: worker as WorkerId, address: worker }, 'r' as RequestId)
+}
+
 describe('a part with which workers are lost at several hosts', () => {
   test.each([
     ['not refused after one loss', 1, undefined],
@@ -85,6 +100,38 @@
   })
 })
 
+// Guards against prompts that are refused because a worker in use cut connections, which full and failing workers do too.
+test('the end of a connection is no evidence while the process of the worker runs', async () => {
+  const hosts = new Hosts(4)
+  hosts.acceptConnections = true
+  await hosts.loseWorkers([['rare', 'x1'], ['rare', 'x1'], ['rare', 'x1']])
+  expect(hosts.published).toEqual([])
+  expect(hosts.host(0).refusalOf(promptOf('rare', 'x4'))).toBeUndefined()
+})
+
+// Guards against a host that starts later and knows only the losses of the record that was written last.
+test('two hosts that overwrite the record of each other publish the losses of both', async () => {
+  const hosts = new Hosts(2, false)
+  await hosts.loseWorkers([['deadly', 'x1'], ['deadly', 'x2']])
+  const [first, second] = hosts.published.splice(0)
+  for (const quarantine of hosts.quarantines) quarantine.receive([first!])
+  for (const quarantine of hosts.quarantines) quarantine.receive([second!])
+  await hosts.clock.advance(1000)
+  expect(hosts.published.at(-1)!.losses).toHaveLength(2)
+})
+
+// Guards against a part that is tried again soon after many workers were lost with it in two short series.
+test('four workers lost in two series put a part in quarantine for longer than two workers', async () => {
+  const hosts = new Hosts(4)
+  for (const series of [1, 2]) {
+    for (const worker of ['a', 'b']) loseConnection(hosts.host(0), promptOf('deadly', worker), `${worker}${series}`)
+    await settled()
+    await hosts.clock.advance(20_000)
+  }
+  await hosts.clock.advance(minuteMilliseconds)
+  expect(hosts.host(1).refusalOf(promptOf('deadly', 'x'))).toMatchObject({ kind: 'quarantined' })
+})
+
 test('losses that are more than ten minutes apart are no evidence together', async () => {
   const hosts = new Hosts(4)
   await hosts.loseWorkers([['rare', 'x1']])
@@ -135,7 +182,8 @@
     if (refusal === undefined) open.push({ host, prompt })
     if (refusal === undefined && isDeadly) {
       losses += 1
-      for (const call of open) call.host.recordLoss(call.prompt, `worker-${losses}` as WorkerId, 'r' as RequestId)
+      for (const call of open) loseConnection(call.host, call.prompt, `worker-${losses}`)
+      await settled()
       open = []
     }
     if (open.length > 8) {
--- a/src/quarantine/PartQuarantine.ts
+++ b/src/quarantine/PartQuarantine.ts
@@ -19,12 +19,21 @@
 export interface PartQuarantineOptions {
   /** Publishes evidence to all hosts. */
   publish: EvidenceExchange['publish']
+  /** True if the process of a worker at this address (`ip:port`) still accepts connections. */
+  acceptsConnections: (address: string) => Promise<boolean>
   clock: Clock
   events: EventLog
-  /** Seed of the delays before contradictions; each host needs its own. */
+  /** Seed of the delays before the answers to evidence; each host needs its own. */
   seed: number
 }
 
+/** A worker whose connection ended. */
+export interface LostWorker {
+  worker: WorkerId
+  /** `ip:port` */
+  address: string
+}
+
 /** Time for which evidence against a part that is not to blame is kept after the latest loss, in milliseconds. */
 const suspicionMilliseconds = 10 * 60_000
 
@@ -37,14 +46,15 @@
 /** Time for which prompts with a part that is to blame for more incidents are refused, in milliseconds. */
 const quarantineMilliseconds = 60 * 60_000
 
-/** Number of incidents that are too few for a long quarantine. */
+/** Numbers of incidents and of lost workers that are too few for a long quarantine. */
 const coincidentIncidents = 2
+const coincidentLosses = 3
 
 /**
- * Maximum delay of a contradiction, in milliseconds. Many hosts may know that a part is harmless; the first one that says
- * so saves the others the call.
+ * Maximum delay before a host contradicts or completes the evidence of another one, in milliseconds. Many hosts may be able
+ * to; the first one saves the others the call.
  */
-const maxContradictionDelayMilliseconds = 400
+const maxPublicationDelayMilliseconds = 400
 
 /** Maximum number of parts with evidence; those that are not to blame and were reported first are forgotten first. */
 const maxSuspectedParts = 2000
@@ -55,6 +65,10 @@
   private readonly answered: AnsweredParts
   private readonly random: SeededRandom
   private culprits: Culprit[] = []
+  /** Parts whose record in the exchange lacks losses that this host knows. */
+  private readonly incomplete = new Set<string>()
+  /** Checks whether the process at an address has ended, by address. */
+  private readonly checks = new Map<string, Promise<boolean>>()
 
   constructor (private readonly options: PartQuarantineOptions) {
     this.answered = new AnsweredParts(options.clock)
@@ -73,8 +87,8 @@
     const culprit = this.culprits.find(candidate =>
       now < endOf(candidate) && candidate.parts.every(part => promptBlocks.includes(part)))
     if (culprit === undefined) return undefined
-    const { parts, incidents } = culprit
-    return failure('quarantined', `workers were lost ${incidents} times as they began to answer prompts with ${parts.join(' and ')}`, {
+    const { parts, losses } = culprit
+    return failure('quarantined', `${losses} workers were lost as they began to answer prompts with ${parts.join(' and ')}`, {
       retryAfterMilliseconds: endOf(culprit) - now
     })
   }
@@ -90,42 +104,88 @@
     this.decide()
   }
 
-  /** Records that a worker was lost shortly after it had begun to answer the prompt, or before it began. */
-  recordLoss (prompt: RoutingRequest, worker: WorkerId, request: RequestId): void {
-    const { clock, events, publish } = this.options
+  /**
+   * Records that the connection to a worker ended shortly after the worker had begun to answer the prompt, or before it
+   * began. It is evidence against the prompt only if the process of the worker has ended too.
+   */
+  recordConnectionLoss (prompt: RoutingRequest, { worker, address }: LostWorker, request: RequestId): void {
+    const { clock, events } = this.options
+    if (sharedPartsOf(prompt).every(part => this.answered.has(part))) return
+    const at = clock.wall()
+    this.hasEnded(address).then(hasEnded => {
+      if (hasEnded) this.recordLoss(prompt, worker, at, request)
+    }, error => { events.error('worker_loss_unconfirmed', { request, worker, reason: String(error) }) })
+  }
+
+  /** True if no process accepts connections at the address. Losses at the same time share one check. */
+  private async hasEnded (address: string): Promise<boolean> {
+    const running = this.checks.get(address)
+    if (running !== undefined) return await running
+    const check = this.options.acceptsConnections(address).then(accepts => !accepts)
+      .finally(() => { this.checks.delete(address) })
+    this.checks.set(address, check)
+    return await check
+  }
+
+  private recordLoss (prompt: RoutingRequest, worker: WorkerId, at: number, request: RequestId): void {
+    const { events, publish } = this.options
     const suspected = sharedPartsOf(prompt).filter(part => !this.answered.has(part))
     if (suspected.length === 0) return
     this.forgetOld()
-    const loss = { worker, at: clock.wall(), prompts: prompt.promptBlocks.slice(-1) }
+    const loss = { worker, at, prompts: prompt.promptBlocks.slice(-1) }
     events.info('worker_loss_suspected', { request, worker, parts: suspected.join(',') })
     publish(suspected.map(part => ({ part, losses: this.addLosses(part, [loss]) })))
     this.decide()
   }
 
-  /** Adds the evidence of other hosts, and contradicts it if this host has seen a complete answer. */
+  /**
+   * Adds the evidence of other hosts. Contradicts it if this host has seen a complete answer; publishes it again with the
+   * losses that this host knows and the record lacks, which another host has overwritten.
+   */
   receive (evidence: readonly PartEvidence[]): void {
     this.forgetOld()
     const contradicted: string[] = []
+    const incomplete: string[] = []
     for (const { part, losses } of evidence) {
       if (losses.length === 0) {
         this.lossesByPart.delete(part)
         continue
       }
-      this.addLosses(part, losses)
+      const merged = this.addLosses(part, losses)
+      if (merged.length > losses.length) incomplete.push(part)
+      else this.incomplete.delete(part)
       if (this.answered.has(part)) contradicted.push(part)
     }
     this.decide()
     if (contradicted.length > 0) this.contradictLater(contradicted)
+    if (incomplete.length > 0) this.completeLater(incomplete)
+  }
+
+  private completeLater (parts: readonly string[]): void {
+    for (const part of parts) this.incomplete.add(part)
+    this.later(() => {
+      const evidence = parts.flatMap(part => {
+        const losses = this.incomplete.delete(part) ? this.lossesByPart.get(part) : undefined
+        return losses === undefined ? [] : [{ part, losses }]
+      })
+      if (evidence.length > 0) this.options.publish(evidence)
+    })
   }
 
   private contradictLater (parts: readonly string[]): void {
-    const { clock, events, publish } = this.options
-    clock.sleep(this.random.integer(0, maxContradictionDelayMilliseconds)).then(() => {
+    this.later(() => {
       const disproved = parts.filter(part => this.lossesByPart.delete(part))
       if (disproved.length === 0) return
-      publish(disproved.map(part => ({ part, losses: [] })))
+      this.options.publish(disproved.map(part => ({ part, losses: [] })))
       this.decide()
-    }).catch(error => { events.error('contradiction_failed', { reason: String(error) }) })
+    })
+  }
+
+  /** Runs an action after a random delay, in which another host may make it needless. */
+  private later (action: () => void): void {
+    const { clock, events } = this.options
+    clock.sleep(this.random.integer(0, maxPublicationDelayMilliseconds)).then(action)
+      .catch(error => { events.error('evidence_not_published', { reason: String(error) }) })
   }
 
   private addLosses (part: string, losses: readonly WorkerLoss[]): WorkerLoss[] {
@@ -183,8 +243,9 @@
 }
 
 /** Unix time in milliseconds until which prompts with the parts are refused. */
-function endOf ({ incidents, lastLossAt }: Culprit): number {
-  return lastLossAt + (incidents > coincidentIncidents ? quarantineMilliseconds : shortQuarantineMilliseconds)
+function endOf ({ incidents, losses, lastLossAt }: Culprit): number {
+  const isCoincidence = incidents <= coincidentIncidents && losses <= coincidentLosses
+  return lastLossAt + (isCoincidence ? shortQuarantineMilliseconds : quarantineMilliseconds)
 }
 
 function nameOf ({ parts }: Culprit): string {
--- a/src/quarantine/findCulprits.ts
+++ b/src/quarantine/findCulprits.ts
@@ -16,6 +16,8 @@
   parts: string[]
   /** Number of independent losses of workers. */
   incidents: number
+  /** Number of lost workers. */
+  losses: number
   /** Unix time in milliseconds of the latest loss. */
   lastLossAt: number
 }
@@ -32,6 +34,7 @@
   part: string
   /** Names of the prompts with the part, by incident. */
   promptsByIncident: Map<Incident, Set<string>>
+  losses: number
   lastLossAt: number
 }
 
@@ -51,6 +54,7 @@
     culprits.push({
       parts: inseparable.map(({ part }) => part),
       incidents: suspect.promptsByIncident.size,
+      losses: suspect.losses,
       lastLossAt: suspect.lastLossAt
     })
     for (const incident of suspect.promptsByIncident.keys()) explained.add(incident)
@@ -86,7 +90,7 @@
     for (const prompt of loss.prompts) prompts.add(prompt)
     promptsByIncident.set(incident, prompts)
   }
-  return { part, promptsByIncident, lastLossAt: Math.max(0, ...losses.map(({ at }) => at)) }
+  return { part, promptsByIncident, losses: losses.length, lastLossAt: Math.max(0, ...losses.map(({ at }) => at)) }
 }
 
 /** The suspect with most incidents that no culprit explains; undefined if none has enough. */
