Publish evidence that the store refuses for a minute, and read it sooner

It is now repeated for a minute, with pauses of up to four seconds.

At rest a host reads the topic every 20 s; if its connection has become silent without a reset, it was blind to the evidence of others for as long. A worker that disappears or restarts without having drained, which the directory of workers tells every host, now starts a short poll. Both found in review; ruled out: short polls at all times, which are priced.

--- a/src/platform/PlatformDirectory.test.ts
+++ b/src/platform/PlatformDirectory.test.ts
@@ -12,6 +12,7 @@
 let clock: ManualClock
 let connectedSince: number
 let directory: PlatformDirectory
+let lossCount: number
 
 function createRecord (id: string, overrides: Record<string, unknown> = {}): KeyedRecord {
   const value = { service: 'app', address: '10.0.0.1:80', zone: 'a', slots: 6, state: 'ready', born: 1, sequence: 1, ...overrides }
@@ -25,11 +26,13 @@
 beforeEach(() => {
   clock = new ManualClock()
   connectedSince = -Infinity
+  lossCount = 0
   directory = new PlatformDirectory({
     clock,
     events: new EventLog({ timeline: new Timeline('host-1', new HybridClock(clock)), level: 'error', write: () => {} }),
     workersConnectedSince: () => connectedSince,
-    onWorkerRestarted: () => {}
+    onWorkerRestarted: () => {},
+    onWorkerLost: () => { lossCount += 1 }
   })
   directory.configurationReceiver.replace([{ key: 'config', value: Buffer.from(JSON.stringify(configurationDocument(1))) }])
   directory.workerReceiver.replace([createRecord('worker-1'), createRecord('worker-2')])
@@ -70,3 +73,16 @@
   directory.workerReceiver.apply([{ key: 'worker-2', value: undefined }])
   expect(workerIds()).toEqual(['worker-1'])
 })
+
+// Guards against a host without a loss of its own that learns late why workers are lost, since its connection is silent.
+test.each<[string, KeyedRecord[], number]>([
+  ['whose entry disappears is lost', [{ key: 'worker-1', value: undefined }], 1],
+  ['that restarts is lost', [createRecord('worker-1', { born: 2 })], 1],
+  ['that drains before its entry disappears is not lost', [
+    createRecord('worker-1', { state: 'draining', sequence: 2 }), { key: 'worker-1', value: undefined }
+  ], 0],
+  ['that reports again is not lost', [createRecord('worker-1', { sequence: 2 })], 0]
+])('a worker %s', (_name, records, count) => {
+  directory.workerReceiver.apply(records)
+  expect(lossCount).toBe(count)
+})
--- a/src/platform/PlatformDirectory.ts
+++ b/src/platform/PlatformDirectory.ts
@@ -27,6 +27,8 @@
   workersConnectedSince: () => number
   /** Called when a worker has restarted, which empties its cache. */
   onWorkerRestarted: (id: WorkerId) => void
+  /** Called when a worker has disappeared or restarted without having drained. */
+  onWorkerLost: () => void
 }
 
 /** Documents of the pools and roles, rebuilt from the operators' configuration and the workers' entries. */
@@ -117,7 +119,7 @@
 
   private applyEntry (key: string, value: Buffer): boolean {
     const entry = decodeWorkerEntry(key, value)
-    const { events, onWorkerRestarted } = this.options
+    const { events, onWorkerRestarted, onWorkerLost } = this.options
     if (entry === undefined) {
       events.warn('worker_entry_unusable', { worker: key, bytes: value.length })
       return false
@@ -125,7 +127,10 @@
     const known = this.workers.get(entry.id)
     if (known !== undefined && isOlder(entry, known)) return false
     this.workers.set(entry.id, entry)
-    if (known !== undefined && known.startedAt !== entry.startedAt) onWorkerRestarted(entry.id)
+    if (known !== undefined && known.startedAt !== entry.startedAt) {
+      onWorkerRestarted(entry.id)
+      if (!known.leaving) onWorkerLost()
+    }
     const { id, pool, zone, address, leaving, role, report } = entry
     events.info('worker_reported', { worker: id, pool, zone, address, leaving, role, report })
     return true
@@ -154,8 +159,10 @@
   }
 
   private remove (id: WorkerId): void {
+    const wasLeaving = this.workers.get(id)?.leaving
     this.workers.delete(id)
     this.options.events.info('worker_entry_removed', { worker: id })
+    if (wasLeaving === false) this.options.onWorkerLost()
   }
 
   /** Rebuilds the documents of pools and roles and notifies the listeners. */
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -157,7 +157,8 @@
       onWorkerRestarted: id => {
         index.removeWorker(id)
         placement.held.removeWorker(id)
-      }
+      },
+      onWorkerLost: () => { quarantinePart.expectEvidence() }
     })
     const { stableWindowMilliseconds } = settings.bounds
     const createFollower = (topic: string, receiver: TopicReceiver): TopicFollower => new TopicFollower({
--- a/src/platform/QuarantinePart.ts
+++ b/src/platform/QuarantinePart.ts
@@ -38,6 +38,11 @@
     return this.topic
   }
 
+  /** Reads the evidence of other hosts without delay for a while, since a worker was lost. */
+  expectEvidence (): void {
+    this.topic.expectEvidence()
+  }
+
   start (): void {
     this.topic.start()
   }
--- a/src/platform/QuarantineTopic.test.ts
+++ b/src/platform/QuarantineTopic.test.ts
@@ -8,7 +8,7 @@
 import { EventLog, HybridClock, Timeline } from '../observability/index.js'
 import type { PartEvidence } from '../quarantine/index.js'
 import {
-  maxEvidenceAgeMilliseconds, maxLosses, maxPrompts, maxQueuedParts, QuarantineTopic, repeatMilliseconds
+  longestPauseMilliseconds, maxEvidenceAgeMilliseconds, maxLosses, maxPrompts, maxQueuedParts, QuarantineTopic, repeatMilliseconds
 } from './QuarantineTopic.js'
 import type { AppendedRecords, AppendOptions, KeyedRecord } from './StoreClient.js'
 
@@ -89,13 +89,13 @@
 afterEach(async () => { await topic.stop() })
 
 describe('publishing', () => {
-  // Repeated calls without an end are priced, and their evidence is useless by the time the store is back.
+  // Repeated calls without an end are priced.
   test('gives up after the repeat time with one log line, and publishes later evidence', async () => {
     answerAtOnce = refused
     topic.publish([evidenceAgainst('m/a'), evidenceAgainst('m/b')])
-    await clock.advance(repeatMilliseconds - 1500)
+    await clock.advance(repeatMilliseconds - longestPauseMilliseconds - 1000)
     expect(logged('evidence_dropped')).toHaveLength(0)
-    await clock.advance(1500)
+    await clock.advance(longestPauseMilliseconds + 1000)
     expect(logged('evidence_dropped')).toHaveLength(1)
     const calls = appends.length
     await clock.advance(60_000)
--- a/src/platform/QuarantineTopic.ts
+++ b/src/platform/QuarantineTopic.ts
@@ -25,10 +25,13 @@
 const maxNamedParts = 8
 
 /** Time for which a failed append is repeated, in milliseconds. */
-export const repeatMilliseconds = 5000
+export const repeatMilliseconds = 60_000
 
-/** Delays after failed appends, in milliseconds. */
-const backoffOptions = { firstMilliseconds: 100, maxMilliseconds: 1000 }
+/** Longest pause after a failed append, in milliseconds. */
+export const longestPauseMilliseconds = 4000
+
+/** Delays after failed appends. */
+const backoffOptions = { firstMilliseconds: 100, maxMilliseconds: longestPauseMilliseconds }
 
 /** Age of a part's newest loss after which its evidence is ignored and deleted, in milliseconds. */
 export const maxEvidenceAgeMilliseconds = 3_600_000
@@ -98,6 +101,11 @@
     this.follower.start()
   }
 
+  /** Reads evidence of other hosts without delay for a while, also if the connection to the store has become silent. */
+  expectEvidence (): void {
+    this.follower.expectChanges()
+  }
+
   /** Stops reading and drops evidence that was not published yet. */
   async stop (): Promise<void> {
     this.isStopped = true
