Close the listener of a stopping host 0.4 s earlier

The listener closed 3 s after the process had handled the signal, which is later than 3 s after the signal; a stream that is sent after the third second must not be cut. Ruled out: a worker that broke off, and the connection, which was in use for the first time.

The listener closes after 2.6 s. The balancer has stopped sending after two failed checks, a second apart.

--- a/src/platform/PlatformHost.test.ts
+++ b/src/platform/PlatformHost.test.ts
@@ -487,7 +487,7 @@
     await idle.readResponse()
     const countBefore = countRequests(models)
     const stopped = host.stop()
-    await clock.advance(3000)
+    await clock.advance(2600)
     await waitUntil(() => idle.closed)
     await complete()
     caller.send('POST', '/tags/2', requestHeaders('late'), 'post')
@@ -507,11 +507,11 @@
     const { host, app, models } = await start({ clock, appWorkers: 1, modelWorkers: 1 })
     for (const worker of [...app, ...models]) worker.onRequest = () => {}
     const stopped = host.stop()
-    await clock.advance(2900)
+    await clock.advance(2550)
     const caller = await connectCaller()
     caller.send(method, path, requestHeaders('r1', { 'dogwooddale-deadline-ms': '20000' }), method === 'GET' ? undefined : 'body')
     await waitUntil(() => countRequests([...app, ...models]) === 1)
-    await clock.advance(4600)
+    await clock.advance(4950)
     expect(await stopped).toBe(endsByDeadline)
     await host.close()
     await waitUntil(() => caller.closed)
@@ -520,13 +520,13 @@
 
   // Guards against workers, and the queue for prompts, that are given more time than the process has left.
   test.each([
-    ['a whole response has to be complete for the final answers', '/votes/1', 4350],
-    ['a stream may last until the exit', '/tags/1', 4600]
+    ['a whole response has to be complete for the final answers', '/votes/1', 4700],
+    ['a stream may last until the exit', '/tags/1', 4950]
   ])('gives a worker the time that is left: %s', async (_name, path, milliseconds) => {
     const clock = new ManualClock()
     const { host, app, models } = await start({ clock, appWorkers: 1, modelWorkers: 1 })
     const stopped = host.stop()
-    await clock.advance(2900)
+    await clock.advance(2550)
     const caller = await connectCaller()
     caller.send('POST', path, requestHeaders('r1', { 'dogwooddale-deadline-ms': '20000' }), 'body')
     expect((await caller.readResponse()).status).toBe(200)
@@ -541,11 +541,11 @@
     const { host, models } = await start({ clock, modelWorkers: 1 })
     models[0]!.onRequest = request => { request.socket.write(streamHead(request, models[0]!) + streamChunk(streamEvent(1))) }
     const stopped = host.stop()
-    await clock.advance(2900)
+    await clock.advance(2550)
     const caller = await connectCaller()
     caller.send('POST', '/tags/1', requestHeaders('r1', { 'dogwooddale-deadline-ms': '20000' }), 'post')
     await waitUntil(() => caller.received.includes('piece-1'))
-    await clock.advance(4550)
+    await clock.advance(4900)
     models[0]!.requests[0]!.socket.write(streamChunk(streamEvent(2)))
     await waitUntil(() => caller.received.includes('piece-2'))
     await clock.advance(100)
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -33,9 +33,10 @@
 
 /**
  * Time for which the listener stays open after SIGTERM, in milliseconds. The load balancer checks readiness once a
- * second and stops sending requests after two failed checks; the third second covers its last connections.
+ * second and stops sending requests after two failed checks. Requests that are sent 3 s after SIGTERM or later must not be
+ * cut by the exit, so the listener closes earlier by more than a busy event loop delays it.
  */
-const listenAfterStopMilliseconds = 3000
+const listenAfterStopMilliseconds = 2600
 
 /**
  * Time between the end of a stop and the end of the grace period, when the platform kills the process, in milliseconds.
