Take a worker that resets a new connection for one that runs

The check whether a lost worker's process has ended took every failed connection for the end of the process. A full worker accepts a connection and resets it at once, which the connecting side may see as a reset without a connection.

--- a/src/upstreams/acceptsConnections.ts
+++ b/src/upstreams/acceptsConnections.ts
@@ -18,6 +18,7 @@
     }
     socket.once('connect', () => settle(true))
     socket.once('timeout', () => settle(false))
-    socket.on('error', () => settle(false))
+    // A listener that is full may reset a connection right after accepting it.
+    socket.on('error', (error: NodeJS.ErrnoException) => settle(error.code === 'ECONNRESET'))
   })
 }
