Read the era of the store from its responses

What callers saw: nothing; after a restore from an older copy an operator could not tell from the logs that the store had lost its last seconds.

Cause: the header field with the era was read by nothing.

Change: all store clients of a host share its newest era (StoreEra). A rise is logged once (store_restored), results of reads and joins state their era, the pages of one read have to be of one era, and a response of an earlier era than the host knows counts as a failed call. FakeStore can be copied and restored.

No decision depends on the era yet.

--- a/src/platform/PlacementPart.ts
+++ b/src/platform/PlacementPart.ts
@@ -18,10 +18,12 @@
 import { SchedulerDirectory } from './SchedulerDirectory.js'
 import { StoreClient } from './StoreClient.js'
 import type { StoreDutyGroup } from './StoreDutyGroup.js'
+import type { StoreEra } from './StoreEra.js'
 
 /** Options of a `PlacementPart`. */
 export interface PlacementPartOptions {
   settings: PlatformSettings
+  era: StoreEra
   clock: Clock
   events: EventLog
   hash: Hash
@@ -48,9 +50,9 @@
   private readonly cacheFeed: CacheFeed
 
   constructor (private readonly options: PlacementPartOptions) {
-    const { settings: { host, store, listen }, clock, events, hash, upstreams, group, costs, fallback } = options
+    const { settings: { host, store, listen }, era, clock, events, hash, upstreams, group, costs, fallback } = options
     const phase = hash.h32(host.id) / hashRange
-    this.directory = new SchedulerDirectory({ store: new StoreClient(store.address), clock, events, random: () => phase })
+    this.directory = new SchedulerDirectory({ store: new StoreClient(store.address, era), clock, events, random: () => phase })
     const { held } = this
     const scheduler = new PromptScheduler({
       clock,
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -25,6 +25,7 @@
 import { RequestMetrics } from './RequestMetrics.js'
 import { StoreClient } from './StoreClient.js'
 import { StoreDutyGroup } from './StoreDutyGroup.js'
+import { StoreEra } from './StoreEra.js'
 import { TopicFollower, type TopicReceiver } from './TopicFollower.js'
 import { WorkerOrders } from './WorkerOrders.js'
 import { WorkerProtocol } from './WorkerProtocol.js'
@@ -164,8 +165,9 @@
       onWorkerLost: () => { quarantinePart.expectEvidence() }
     })
     const { stableWindowMilliseconds } = settings.bounds
+    const era = new StoreEra(events)
     const createFollower = (topic: string, receiver: TopicReceiver): TopicFollower => new TopicFollower({
-      topic, receiver, store: new StoreClient(settings.store.address), clock, events, stableWindowMilliseconds
+      topic, receiver, store: new StoreClient(settings.store.address, era), clock, events, stableWindowMilliseconds
     })
     const workerFollower = createFollower(workerTopic, directory.workerReceiver)
     const configurationFollower = createFollower(configurationTopic, directory.configurationReceiver)
@@ -183,9 +185,10 @@
     })
     const budget = new RetryBudget(clock, retryLimitsOf(settings))
     const policy = createPlacementPolicy(settings, hash, index)
-    const group = createDutyGroup(settings, events)
+    const group = createDutyGroup(settings, era, events)
     const placement = new PlacementPart({
       settings,
+      era,
       clock,
       events,
       hash,
@@ -205,7 +208,7 @@
       events,
       seed: hash.h32(settings.host.id)
     })
-    const quarantinePart: QuarantinePart = new QuarantinePart({ settings, clock, events, receiver: quarantine })
+    const quarantinePart: QuarantinePart = new QuarantinePart({ settings, era, clock, events, receiver: quarantine })
     metrics.gauge('quarantined_prompt_parts', 'Parts of prompts that are refused since they crash workers.', [], gauge => {
       gauge.set(quarantine.size)
     })
@@ -402,9 +405,9 @@
 /** Required by `RolePlannerTask`; `SplitRolePlanner` plans a fixed split and ignores capacities. */
 const placeholderCapacity = { prefillTokensPerSecond: 1, decodeTokensPerSecond: 1, changeSeconds: 0, mixedEfficiency: 1 }
 
-function createDutyGroup ({ host, store, bounds, listen }: PlatformSettings, events: EventLog): StoreDutyGroup {
+function createDutyGroup ({ host, store, bounds, listen }: PlatformSettings, era: StoreEra, events: EventLog): StoreDutyGroup {
   return new StoreDutyGroup({
-    store: new StoreClient(store.address),
+    store: new StoreClient(store.address, era),
     events,
     hostId: host.id,
     incarnation: newIncarnation(),
--- a/src/platform/QuarantinePart.test.ts
+++ b/src/platform/QuarantinePart.test.ts
@@ -8,6 +8,7 @@
 import type { PartEvidence, WorkerLoss } from '../quarantine/index.js'
 import { platformSettingsSchema } from './PlatformSettings.js'
 import { QuarantinePart } from './QuarantinePart.js'
+import { StoreEra } from './StoreEra.js'
 import { maxEvidenceAgeMilliseconds, quarantineTopic } from './QuarantineTopic.js'
 import { FakeStore } from './testing/FakeStore.js'
 import { waitUntil } from './testing/platformTestSupport.js'
@@ -43,7 +44,7 @@
     const receive = (evidence: readonly PartEvidence[]): void => {
       for (const { part, losses } of evidence) this.received.set(part, [...this.received.get(part) ?? [], losses])
     }
-    this.part = new QuarantinePart({ settings, clock, events, receiver: { receive } })
+    this.part = new QuarantinePart({ settings, era: new StoreEra(), clock, events, receiver: { receive } })
   }
 
   publish (...evidence: PartEvidence[]): void {
--- a/src/platform/QuarantinePart.ts
+++ b/src/platform/QuarantinePart.ts
@@ -8,10 +8,12 @@
 import type { PlatformSettings } from './PlatformSettings.js'
 import { QuarantineTopic } from './QuarantineTopic.js'
 import { StoreClient } from './StoreClient.js'
+import type { StoreEra } from './StoreEra.js'
 
 /** Options of a `QuarantinePart`. */
 export interface QuarantinePartOptions {
   settings: PlatformSettings
+  era: StoreEra
   clock: Clock
   events: EventLog
   /** Receives the evidence of all hosts. */
@@ -22,10 +24,10 @@
 export class QuarantinePart {
   private readonly topic: QuarantineTopic
 
-  constructor ({ settings: { store, bounds }, clock, events, receiver }: QuarantinePartOptions) {
+  constructor ({ settings: { store, bounds }, era, clock, events, receiver }: QuarantinePartOptions) {
     this.topic = new QuarantineTopic({
-      reader: new StoreClient(store.address),
-      writer: new StoreClient(store.address),
+      reader: new StoreClient(store.address, era),
+      writer: new StoreClient(store.address, era),
       receiver,
       clock,
       events,
--- a/src/platform/QuarantineTopic.test.ts
+++ b/src/platform/QuarantineTopic.test.ts
@@ -71,10 +71,10 @@
   received = []
   topic = new QuarantineTopic({
     reader: {
-      newest: async () => Result.ok({ records: standing, end }),
+      newest: async () => Result.ok({ records: standing, end, era: 1 }),
       read: async (_topic, from, waitMilliseconds, signal) => {
         await clock.sleep(waitMilliseconds, signal)
-        return signal?.aborted === true ? Result.err(failure('platform_unavailable', 'aborted')) : Result.ok({ records: [], next: from })
+        return signal?.aborted === true ? Result.err(failure('platform_unavailable', 'aborted')) : Result.ok({ records: [], next: from, era: 1 })
       },
       close: async () => {}
     },
--- a/src/platform/StoreClient.test.ts
+++ b/src/platform/StoreClient.test.ts
@@ -113,7 +113,7 @@
       { key: 'm/part', value: undefined }
     ]
     expect((await client.append(topic, records)).unwrapOr(undefined)).toEqual({ offset: 0, end: 4 })
-    expect((await client.read(topic, 0, 0)).unwrapOr(undefined)).toEqual({ records, next: 4 })
+    expect((await client.read(topic, 0, 0)).unwrapOr(undefined)).toEqual({ records, next: 4, era: 1 })
   })
 
   // The store refuses a call as a whole if its records exceed the limit.
--- a/src/platform/StoreClient.ts
+++ b/src/platform/StoreClient.ts
@@ -6,6 +6,7 @@
 import { Client } from 'undici'
 import { z } from 'zod'
 import { type Failure, failure, parseJson, timeoutSignal } from '../common/index.js'
+import { StoreEra } from './StoreEra.js'
 
 /** A record of a compacted topic. */
 export interface KeyedRecord {
@@ -19,6 +20,8 @@
   records: KeyedRecord[]
   /** Offset at which the next read starts. */
   next: number
+  /** Era of the store; offsets are valid within one era only. */
+  era: number
 }
 
 /** The newest records of all keys of a topic. */
@@ -26,6 +29,8 @@
   records: KeyedRecord[]
   /** Offset from which later changes can be read. */
   end: number
+  /** Era of the store; offsets are valid within one era only. */
+  era: number
 }
 
 /** Result of a read: its records, or `expired` if the store no longer retains all records starting at the offset. */
@@ -49,6 +54,9 @@
 /** Maximum size of all responses of one read of the newest records, in bytes. */
 const maxNewestBytes = 16_777_216
 
+/** Name of the header field with the era of the store, lower case. */
+const eraHeaderName = 'store-era'
+
 /** Limits of the store: length of a key, size of a record, and size of the records of one append, in bytes. */
 export const maxKeyBytes = 255
 const maxRecordBytes = 262_144
@@ -73,7 +81,7 @@
   signal?: AbortSignal | undefined
 }
 
-interface StoreResponse { status: number, body: Buffer }
+interface StoreResponse { status: number, body: Buffer, era: number }
 
 /** The offsets that an append wrote. If it took several calls, records of other writers may lie between its own. */
 export interface AppendedRecords {
@@ -94,8 +102,10 @@
 
 /** A member's assignment in a group. */
 export interface JoinResult {
-  /** Increases with each change of the group's members. */
+  /** Increases with each change of the group's members; a restored store counts on from its copy. */
   generation: number
+  /** Era of the store. */
+  era: number
   /** Partitions that are assigned to the member. */
   partitions: Array<{ topic: string, partition: number }>
 }
@@ -118,13 +128,14 @@
 export class StoreClient {
   private client: Client | undefined
 
-  /** `address`: `ip:port` */
-  constructor (private readonly address: string) {}
+  /** `address`: `ip:port`; `era` is shared by the clients of a host. */
+  constructor (private readonly address: string, private readonly era = new StoreEra()) {}
 
   /** Reads the newest record of each key. Errors: `platform_unavailable`. */
   async newest (topic: string, signal?: AbortSignal): Promise<Result<NewestRecords, Failure>> {
     const records: KeyedRecord[] = []
     let end: number | undefined
+    let era: number | undefined
     let after: string | undefined
     let bytes = 0
     for (;;) {
@@ -135,11 +146,13 @@
       if (bytes > maxNewestBytes) return Result.err(failure('platform_unavailable', `the newest records of ${topic} exceed ${maxNewestBytes} bytes`))
       const page = newestSchema.safeParse(parseJson(response.value.body.toString('utf8')))
       if (response.value.status !== 200 || !page.success) return Result.err(unexpectedStatus('a read of the newest records', response.value.status))
+      era ??= response.value.era
+      if (response.value.era !== era) return Result.err(failure('platform_unavailable', `the store was restored while ${topic} was read`))
       // The pages are not one snapshot: changes between two pages are read again from the end offset of the first page.
       end ??= page.data.end
       for (const { key, value } of page.data.items) records.push({ key, value: Buffer.from(value, 'base64') })
       after = page.data.items.at(-1)?.key
-      if (!page.data.truncated || after === undefined) return Result.ok({ records, end })
+      if (!page.data.truncated || after === undefined) return Result.ok({ records, end, era })
     }
   }
 
@@ -156,12 +169,12 @@
     const query = new URLSearchParams({ topic, part: '0', from: String(from), 'wait-ms': String(waitMilliseconds) })
     const response = await this.send({ method: 'GET', path: `/v1/log-read?${query}`, waitMilliseconds, signal })
     if (response.isErr) return Result.err(response.error)
-    const { status, body } = response.value
+    const { status, body, era } = response.value
     if (status === 410) return Result.ok('expired')
     if (status !== 200) return Result.err(unexpectedStatus('a read', status))
     const page = parseRecords(body, from)
     if (page === undefined) return Result.err(failure('platform_unavailable', 'the store answered a read with malformed records'))
-    return Result.ok(page)
+    return Result.ok({ ...page, era })
   }
 
   /**
@@ -203,7 +216,7 @@
     const joined = joinSchema.safeParse(parseJson(response.value.body.toString('utf8')))
     if (response.value.status !== 200 || !joined.success) return Result.err(unexpectedStatus('a group join', response.value.status))
     const partitions = joined.data.parts.map(([topic, partition]) => ({ topic, partition }))
-    return Result.ok({ generation: joined.data.generation, partitions })
+    return Result.ok({ generation: joined.data.generation, era: response.value.era, partitions })
   }
 
   /**
@@ -262,7 +275,11 @@
         ...bodyOptions(body),
         signal: timeoutSignal(waitMilliseconds + responseTimeoutMilliseconds, signal)
       })
-      return Result.ok({ status: response.statusCode, body: Buffer.from(await response.body.arrayBuffer()) })
+      const responseBody = Buffer.from(await response.body.arrayBuffer())
+      const statedEra = response.headers[eraHeaderName]
+      const era = this.era.accept(typeof statedEra === 'string' ? statedEra : undefined)
+      if (era === undefined) return Result.err(failure('platform_unavailable', `${method} ${path}: the response is from before a restore of the store`))
+      return Result.ok({ status: response.statusCode, body: responseBody, era })
     } catch (caught) {
       // A connection that lost a response delivers no later ones, so the next call opens another connection.
       await this.close()
@@ -285,7 +302,7 @@
  * Parses the body of the response to a read: end offset, first retained offset, then the records. Undefined if the body
  * is malformed.
  */
-export function parseRecords (body: Buffer, from: number): RecordPage | undefined {
+export function parseRecords (body: Buffer, from: number): Omit<RecordPage, 'era'> | undefined {
   if (body.length < 2 * offsetBytes) return undefined
   const records: KeyedRecord[] = []
   let count = 0
--- a/src/platform/TopicFollower.test.ts
+++ b/src/platform/TopicFollower.test.ts
@@ -32,7 +32,7 @@
   async newest (): Promise<Result<NewestRecords, Failure>> {
     this.newestCalls += 1
     if (!this.reachable) return Result.err(unreachableFailure)
-    return Result.ok({ records: this.records, end: this.records.length })
+    return Result.ok({ records: this.records, end: this.records.length, era: 1 })
   }
 
   async read (
@@ -48,7 +48,7 @@
     if (this.records.length <= from) await this.clock.sleep(waitMilliseconds, AbortSignal.any([signal, written.signal]))
     if (this.silent) await this.clock.sleep(Infinity, signal)
     if (!this.reachable || signal.aborted) return Result.err(unreachableFailure)
-    return Result.ok({ records: this.records.slice(from), next: this.records.length })
+    return Result.ok({ records: this.records.slice(from), next: this.records.length, era: 1 })
   }
 
   async close (): Promise<void> {}
--- a/src/platform/testing/FakeStore.ts
+++ b/src/platform/testing/FakeStore.ts
@@ -10,6 +10,11 @@
 
 interface Topic { records: StoredRecord[], firstOffset: number }
 
+type Members = Map<string, { topics: string[], expiresAt: number }>
+
+/** State of the store at one moment, from which it can be restored. */
+export interface StoreCopy { topics: ReadonlyMap<string, Topic>, members: Members, generation: number }
+
 /** Topics to which hosts may not append. */
 const readOnlyTopics = ['keyed.op', 'keyed.servers']
 
@@ -17,6 +22,9 @@
 const maxRecordBytes = 262_144
 const maxAppendBytes = 2_097_152
 
+/** Time to live of the members of a restored store, in milliseconds. */
+const restoredTimeToLiveMilliseconds = 3000
+
 /** Number of partitions of each topic of the group. */
 const partitionsPerTopic = 8
 
@@ -32,9 +40,11 @@
   mode: 'normal' | 'silent' | 'refused' = 'normal'
   /** Increases with each change of the group's members. */
   generation = 0
+  /** Era that each response states; undefined if the responses state none. */
+  era: number | undefined = 1
   /** Members of the group, the oldest first, with their topics and the monotonic time in milliseconds at which they expire. */
-  private readonly members = new Map<string, { topics: string[], expiresAt: number }>()
-  private readonly topics = new Map<string, Topic>()
+  private members: Members = new Map()
+  private topics = new Map<string, Topic>()
   private pendingReads: Array<() => void> = []
 
   private constructor (private readonly server: Server) {
@@ -72,6 +82,22 @@
     this.wakePendingReads()
   }
 
+  /** Copies the state of the store. */
+  copy (): StoreCopy {
+    return { topics: copyTopics(this.topics), members: copyMembers(this.members), generation: this.generation }
+  }
+
+  /** Comes back from a copy, in a new era. Connections break, and members have their full time to live again. */
+  restore ({ topics, members, generation }: StoreCopy): void {
+    this.server.closeAllConnections()
+    this.topics = copyTopics(topics)
+    this.members = copyMembers(members)
+    for (const member of this.members.values()) member.expiresAt = performance.now() + restoredTimeToLiveMilliseconds
+    this.generation = generation
+    this.era = (this.era ?? 0) + 1
+    this.wakePendingReads()
+  }
+
   private wakePendingReads (): void {
     for (const waiter of this.pendingReads.splice(0)) waiter()
   }
@@ -84,6 +110,7 @@
 
   private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://store')
+    if (this.era !== undefined) response.setHeader('store-era', String(this.era))
     this.calls.push(`${request.method} ${url.pathname}`)
     if (this.mode === 'silent') return
     if (this.mode === 'refused') {
@@ -179,7 +206,7 @@
     const waitMilliseconds = Number(url.searchParams.get('wait-ms'))
     this.reads.push({ topic: name, waitMilliseconds })
     const deadline = Date.now() + waitMilliseconds
-    while (this.topicOf(name).records.length <= from && this.topicOf(name).firstOffset <= from && Date.now() < deadline) {
+    while (this.topicOf(name).records.length === from && this.topicOf(name).firstOffset <= from && Date.now() < deadline) {
       await new Promise<void>(resolve => {
         const timer = setTimeout(resolve, deadline - Date.now())
         this.pendingReads.push(() => { clearTimeout(timer); resolve() })
@@ -187,7 +214,7 @@
       if (this.mode === 'silent' || response.destroyed) return
     }
     const { records, firstOffset } = this.topicOf(name)
-    if (from < firstOffset) {
+    if (from < firstOffset || from > records.length) {
       response.writeHead(410).end(JSON.stringify({ first: firstOffset }))
       return
     }
@@ -195,6 +222,14 @@
   }
 }
 
+function copyTopics (topics: ReadonlyMap<string, Topic>): Map<string, Topic> {
+  return new Map([...topics].map(([name, { records, firstOffset }]) => [name, { records: [...records], firstOffset }]))
+}
+
+function copyMembers (members: Members): Members {
+  return new Map([...members].map(([name, member]) => [name, { ...member }]))
+}
+
 /**
  * Encodes the body of the response to a read: end offset, first retained offset, and the records with their length
  * prefixes.
