Count buffered log lines in bytes

Cause: the limit of 256 KiB on buffered lines was compared with UTF-16 code units, so that lines of other scripts took up to three times the memory.

Evidence: three of the four new cases of LineWriter.test.ts failed (up to 783,261 bytes buffered); they pass now.

--- a/src/observability/LineWriter.test.ts
+++ b/src/observability/LineWriter.test.ts
@@ -1,9 +1,12 @@
-/** Guards against log lines that are lost because the process exits while they are buffered or being written. */
+/**
+ * Guards against log lines that are lost because the process exits while they are buffered or being written, and against
+ * buffered lines that take more memory than the limit allows.
+ */
 import { afterEach, beforeEach, expect, test } from '@jest/globals'
 import { closeSync, mkdtempSync, openSync, readFileSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { LineWriter } from './LineWriter.js'
+import { LineWriter, maxPendingBytes } from './LineWriter.js'
 
 let directory: string
 let file: string
@@ -36,3 +39,18 @@
   await writer.drain()
   closeSync(readOnly)
 })
+
+// A limit in UTF-16 code units lets lines of other scripts take up to three times the memory.
+test.each([
+  ['ASCII', 'x'],
+  ['characters of two bytes', 'ż'],
+  ['characters of three bytes', '水'],
+  ['characters of four bytes', '🐟']
+])('buffers at most the limit in bytes of lines in %s', (_name, character) => {
+  const writer = new LineWriter(descriptor)
+  const line = character.repeat(1000)
+  for (let count = 0; count < 1000; count += 1) writer.writeLine(line)
+  const buffered = 1000 - writer.droppedLines
+  expect(buffered * (Buffer.byteLength(line) + 1)).toBeLessThanOrEqual(maxPendingBytes)
+  expect((buffered + 1) * (Buffer.byteLength(line) + 1)).toBeGreaterThan(maxPendingBytes)
+})
--- a/src/observability/LineWriter.ts
+++ b/src/observability/LineWriter.ts
@@ -4,8 +4,8 @@
  */
 import { write } from 'node:fs'
 
-/** Maximum number of buffered bytes, about 1,000 lines. Lines above the limit are dropped and counted. */
-const maxPendingBytes = 262_144
+/** Maximum number of buffered bytes, line ends included, about 1,000 lines. Lines above the limit are dropped and counted. */
+export const maxPendingBytes = 262_144
 
 /** Time for which lines are buffered before a write, so that a busy process makes few writes. */
 const flushDelayMilliseconds = 50
@@ -30,12 +30,13 @@
 
   /** Buffers a line, given without a line end, or drops it if the buffer is full. */
   readonly writeLine = (line: string): void => {
-    if (this.pendingBytes + line.length > maxPendingBytes) {
+    const bytes = Buffer.byteLength(line) + 1
+    if (this.pendingBytes + bytes > maxPendingBytes) {
       this.droppedCount += 1
       return
     }
     this.pendingLines.push(line)
-    this.pendingBytes += line.length + 1
+    this.pendingBytes += bytes
     this.timer ??= setTimeout(() => this.flush(), flushDelayMilliseconds)
   }
 
