Count relayed records in bytes

Cause: RelayBuffer.slice compared its limit in bytes with UTF-16 code units, so that a relayed message could reach three times its size; beyond 4 MB gRPC refuses it, and the follower asks for the same records again.

Evidence: two of the five new cases of RelayBuffer.test.ts failed; they pass now.

--- a/src/streams/RelayBuffer.ts
+++ b/src/streams/RelayBuffer.ts
@@ -64,15 +64,15 @@
   }
 
   /**
-   * Returns records starting at offset `from`: at most `maxRecords`, and at most `maxBytes` counted in UTF-16 code units. The
-   * first record is returned even if it exceeds `maxBytes`. The buffer must cover `from`.
+   * Returns records starting at offset `from`: at most `maxRecords`, and at most `maxBytes` of values as UTF-8. The first
+   * record is returned even if it exceeds `maxBytes`. The buffer must cover `from`.
    */
   slice (from: number, maxRecords: number, maxBytes: number): LogRecord[] {
     const start = this.oldestIndex + from - this.startOffset
     const selected: LogRecord[] = []
     let bytes = 0
     for (const record of this.records.slice(start, start + maxRecords)) {
-      bytes += record.value.length
+      bytes += Buffer.byteLength(record.value)
       if (selected.length > 0 && bytes > maxBytes) break
       selected.push(record)
     }
