Request the missing cache event of a restarted engine once more

Cause: a missing event that had been requested once more was remembered by its number alone. A restarted engine numbers its events anew, so that a gap at the same number counted as requested, and all hints about the engine were removed although the event was only late.

Evidence: the new case of PrefixIndex.test.ts failed (the hints were resynchronised); it passes now.

--- a/src/routing/PrefixIndex.test.ts
+++ b/src/routing/PrefixIndex.test.ts
@@ -149,6 +149,40 @@
     await engine.stop()
   })
 
+  // Guards against hints that are removed although the missing event was only late: the number of an event that an earlier
+  // process had been asked for again must not count for its successor.
+  test('a gap at the same number in the events of a restarted engine is read once more', async () => {
+    engine = await EngineStandIn.start({ models: [{ model: 'carassius' as never }] })
+    const stored = (incarnation: string, sequence: number): string =>
+      `data: ${JSON.stringify({ kind: 'stored', sequence, incarnation, blocks: [`${incarnation.at(0)}${sequence}`] })}\n\n`
+    const earlierEvents = timeline.events().length
+    const [first, second] = ['a'.repeat(16), 'b'.repeat(16)] as [string, string]
+    // The second event of each process precedes its first one.
+    const connections: Array<[incarnation: string, events: string]> = [
+      [first, stored(first, 2)],
+      [first, stored(first, 1) + stored(first, 2)],
+      [second, stored(second, 2)],
+      [second, stored(second, 1) + stored(second, 2)]
+    ]
+    const server = createServer(socket => {
+      const [incarnation, text] = connections.shift() ?? [second, '']
+      const responses = [`HTTP/1.1 200 OK\r\ncontent-length: 34\r\n\r\n{"incarnation":"${incarnation}"}`, `HTTP/1.1 200 OK\r\n\r\n${text}`]
+      socket.on('error', () => {})
+      socket.on('data', () => {
+        const response = responses.shift() ?? ''
+        if (responses.length === 0) socket.end(response)
+        else socket.write(response)
+      })
+    })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    const origin = `http://127.0.0.1:${(server.address() as AddressInfo).port}`
+    task = Task.start(signal => followCacheEvents({ worker, origin, index, clock, events }, signal), error => { throw error })
+    await waitUntil(() => cachedBlockCount(index, ['b2']) === 1)
+    await task.stop()
+    await new Promise(resolve => { server.close(resolve) })
+    expect(timeline.events().slice(earlierEvents).some(({ event: name }) => name === 'cache_hints_resynchronised')).toBe(false)
+  })
+
   test('the tokenizer computes the same block hashes as the cache events of the engine', async () => {
     await startEngine()
     const blocks = await generate('one two three four five six seven eight nine')
--- a/src/routing/followCacheEvents.ts
+++ b/src/routing/followCacheEvents.ts
@@ -3,7 +3,7 @@
  */
 import { z } from 'zod'
 import { BoundedClient, createEventParser, readBounded } from '../clients/index.js'
-import { type Clock, incarnationSchema, parseJson, type WorkerId } from '../common/index.js'
+import { type Clock, type Incarnation, incarnationSchema, parseJson, type WorkerId } from '../common/index.js'
 import type { EventLog } from '../observability/index.js'
 import { cacheEventSchema, type PrefixIndex } from './PrefixIndex.js'
 
@@ -29,9 +29,12 @@
 /** Number of characters that are logged of the reason for the end of a connection, which may quote a response. */
 const maxReasonLength = 200
 
+/** A missing event that was requested once more. Each incarnation of an engine numbers its events anew. */
+interface RetriedEvent { incarnation: Incarnation, sequence: number }
+
 /** Follows the events of one engine until the signal aborts, then removes the hints about the engine. */
 export async function followCacheEvents (options: FollowCacheEventsOptions, signal: AbortSignal): Promise<void> {
-  let retriedSequence = 0
+  let retried: RetriedEvent | undefined
   let lastReason: string | undefined
   while (!signal.aborted) {
     const client = new BoundedClient(options.origin, {
@@ -40,7 +43,7 @@
     const destroyClient = (): void => { client.destroy().catch(() => {}) }
     signal.addEventListener('abort', destroyClient, { once: true })
     try {
-      retriedSequence = await readEvents(client, options, retriedSequence)
+      retried = await readEvents(client, options, retried)
       lastReason = undefined
     } catch (caught) {
       const reason = (caught as Error).message.slice(0, maxReasonLength)
@@ -55,17 +58,16 @@
 }
 
 /**
- * Reads events over one connection. At a gap, returns the sequence number of the first missing event, so that the next
- * connection requests this event once more: the event may only be late. If the missing event is
- * `previousRetrySequence`, it was already requested once more; the index is then resynchronised at the event after the
- * gap and reading continues. If the connection ends without a further gap, returns `previousRetrySequence`, or 0 after
- * a resynchronisation.
+ * Reads events over one connection. At a gap, returns the first missing event, so that the next connection requests it
+ * once more: the event may only be late. If the missing event is `previous`, it was already requested once more; the
+ * index is then resynchronised at the event after the gap and reading continues. If the connection ends without a
+ * further gap, returns `previous`, or undefined after a resynchronisation.
  */
 async function readEvents (
   client: BoundedClient,
   options: FollowCacheEventsOptions,
-  previousRetrySequence: number
-): Promise<number> {
+  previous: RetriedEvent | undefined
+): Promise<RetriedEvent | undefined> {
   const { worker, index } = options
   const stateResponse = await client.request({
     method: 'GET', path: '/state', signal: AbortSignal.timeout(stateTimeoutMilliseconds)
@@ -76,19 +78,20 @@
   const receivedData: string[] = []
   const parser = createEventParser(data => { receivedData.push(data) })
   const decoder = new TextDecoder()
-  let retriedSequence = previousRetrySequence
+  let retried = previous
   for await (const bytes of eventsResponse.body) {
     parser.feed(decoder.decode(bytes as Buffer, { stream: true }))
     for (const data of receivedData.splice(0)) {
       const event = cacheEventSchema.parse(JSON.parse(data))
       if (index.apply(worker, event) !== 'gap') continue
-      const missingSequence = index.nextSequence(worker, event.incarnation)
-      if (retriedSequence !== missingSequence) return missingSequence
-      retriedSequence = 0
+      const { incarnation } = event
+      const sequence = index.nextSequence(worker, incarnation)
+      if (retried?.incarnation !== incarnation || retried.sequence !== sequence) return { incarnation, sequence }
+      retried = undefined
       index.resynchronise(worker, event.sequence)
       index.apply(worker, event)
       options.events.info('cache_hints_resynchronised', { worker, sequence: event.sequence })
     }
   }
-  return retriedSequence
+  return retried
 }
