Limit what a server may send to a watch of the command line

Cause: the watch of the settings read through undici's default client and an event parser without a limit, so that a head, an event, a line or the body of an error without end was read for ever and kept in memory.

Evidence: the eight new cases of administrationCommands.test.ts did not end within 100 s on the previous code (the run was ended; which of the cases pass by themselves was not looked at); all pass now.

Change: a bounded connection for each watch, 1 MiB for an event and for the body of an error. What exceeds it ends the watch with a failure.

--- a/src/commands/AdministrationClient.ts
+++ b/src/commands/AdministrationClient.ts
@@ -3,12 +3,11 @@
  * one in the given order. A change carries an id and takes effect once, so it is also sent to the next server if
  * its response was lost.
  */
-import { EventSourceParserStream } from 'eventsource-parser/stream'
+import { EventSourceParserStream, ParseError } from 'eventsource-parser/stream'
 import { Result } from 'true-myth'
-import { request } from 'undici'
 import { z } from 'zod'
-import { type Clock, errorResponses, type Failure, failure, failureFromBody, failureOf, SystemClock } from '../common/index.js'
-import { type HttpCall, HttpClient } from '../clients/index.js'
+import { type Clock, errorResponses, type Failure, failure, failureFromBody, failureOf, parseJson, SystemClock } from '../common/index.js'
+import { BoundedClient, type HttpCall, HttpClient, readBounded } from '../clients/index.js'
 
 /** Time limit for a response: long enough for an append and for reading it back from the log, with one retry of each. */
 const responseTimeoutMilliseconds = 15_000
@@ -16,6 +15,10 @@
 /** Maximum size of a response, in bytes; the largest is a backup of all settings. */
 const maxResponseBytes = 67_108_864
 
+/** Maximum size of the data of one event of a watch, in characters, and of the body of an error, in bytes. */
+const maxEventCharacters = 1_048_576
+const maxErrorBytes = 1_048_576
+
 /** Time without a byte after which a watch is aborted; the server sends at least a heartbeat every 10 s. */
 const watchIdleTimeoutMilliseconds = 25_000
 
@@ -127,20 +130,25 @@
     const query = new URLSearchParams({ prefix, ...(after === undefined ? {} : { after: String(after) }) })
     let connected = false
     let through: number | undefined
+    const connection = new BoundedClient(`http://${server}`, { bodyTimeout: watchIdleTimeoutMilliseconds })
     try {
-      const response = await request(`http://${server}/watch?${query}`, {
+      const response = await connection.request({
+        method: 'GET',
+        path: `/watch?${query}`,
         headers: { authorization: `Bearer ${this.options.token}` },
-        bodyTimeout: watchIdleTimeoutMilliseconds,
         signal
       })
       if (response.statusCode !== 200) {
-        const body = await response.body.json().catch(() => undefined)
+        const body = parseJson((await readBounded(response.body, maxErrorBytes)).toString('utf8'))
         return { connected, serverFailure: failureFromBody(body) ?? failure('upstream_failed', `status ${response.statusCode}`) }
       }
       connected = true
       const events = ReadableStream.from(response.body)
         .pipeThrough(new TextDecoderStream())
-        .pipeThrough(new EventSourceParserStream())
+        .pipeThrough(new EventSourceParserStream({
+          maxBufferSize: maxEventCharacters,
+          onError: error => { if (error instanceof ParseError && error.type === 'max-buffer-size-exceeded') throw error }
+        }))
       for await (const { event, data, id } of events) {
         const body = JSON.parse(data) as unknown
         if (event === 'error') return { connected, through, serverFailure: failureOfErrorEvent(body) }
@@ -148,8 +156,10 @@
         if (id !== undefined) through = Number(id)
       }
     } catch (caught) {
-      const isMalformed = caught instanceof z.ZodError || caught instanceof SyntaxError
+      const isMalformed = caught instanceof z.ZodError || caught instanceof SyntaxError || caught instanceof ParseError
       if (isMalformed) return { connected, serverFailure: failureOf(caught, 'upstream_failed') }
+    } finally {
+      connection.destroy().catch(() => {})
     }
     return { connected, through }
   }
--- a/src/commands/administrationCommands.test.ts
+++ b/src/commands/administrationCommands.test.ts
@@ -11,6 +11,7 @@
 import { text } from 'node:stream/consumers'
 import { afterEach, describe, expect, jest, test } from '@jest/globals'
 import { getRequestListener } from '@hono/node-server'
+import { EndlessServer, endlessHeads, maxAcceptedBytes } from '../clients/testing/EndlessSender.js'
 import { createExampleApplication } from '../administration/administrationTestSupport.js'
 import { type AdministrationOptions, type FleetReport, fleetReportSchema } from '../administration/index.js'
 import { ManualClock } from '../common/index.js'
@@ -226,6 +227,22 @@
     expect(seen.slice(initialCount).map(change => change.value)).toEqual([{ forum: 1 }, { forum: 2 }])
   })
 
+  // Guards against a command that takes up the memory of its machine with what a faulty server sends.
+  test.each([
+    ...endlessHeads,
+    ['an event without an end', 'HTTP/1.1 200 OK\r\n\r\n', 'data: x\n'],
+    ['a line without an end', 'HTTP/1.1 200 OK\r\n\r\ndata: ', 'x'],
+    ['an error without an end', 'HTTP/1.1 500 X\r\n\r\n', ' ']
+  ])('ends with a failure after %s', async (_name, head, piece) => {
+    const server = await EndlessServer.start(head, piece)
+    const client = new AdministrationClient({ servers: [server.address], token: operatorToken })
+    const ended = await client.watch('', 0, () => {}, new AbortController().signal)
+    expect(ended.isErr).toBe(true)
+    expect(server.sentBytes).toBeLessThan(maxAcceptedBytes)
+    await client.close()
+    await server.stop()
+  })
+
   test('does not try the next server after an error for which a retry cannot help', async () => {
     const { address } = await startExampleServer()
     let requestCount = 0
