Read cache events over a connection of their own

Cause: reads of cache events bear no id and went over the connections of the requests. When a worker's late second copy of a request's response arrived in place of the response to a read, the read failed, but its own response was still to come on a connection that was back in the pool. The next request received that one.

Change: each followed worker has one connection for reads, which is closed after a response that cannot be read. A refused read (429) keeps it.

Evidence: in CacheFeed.test.ts, the request after such a read received the response without an id, and both unreadable responses were followed by a read on the same connection. All three cases pass now.

--- a/src/platform/CacheFeed.test.ts
+++ b/src/platform/CacheFeed.test.ts
@@ -1,6 +1,6 @@
 /**
- * Guards against a scheduler that keeps the parts of a restarted worker, and against a worker's unusable events ending the
- * feed of all others.
+ * Guards against a scheduler that keeps the parts of a restarted worker, against a worker's unusable events ending the
+ * feed of all others, and against responses to reads that are taken for those to requests.
  */
 import { afterEach, beforeEach, expect, test } from '@jest/globals'
 import { EndlessSender, maxAcceptedBytes } from '../clients/testing/EndlessSender.js'
@@ -9,7 +9,7 @@
 import { EventLog, HybridClock, Timeline } from '../observability/index.js'
 import { Upstream, type UpstreamDescription } from '../upstreams/index.js'
 import { CacheFeed } from './CacheFeed.js'
-import { FakeWorker } from './testing/FakeWorker.js'
+import { FakeWorker, type ReceivedRequest } from './testing/FakeWorker.js'
 import { waitUntil } from './testing/platformTestSupport.js'
 
 const clock = new SystemClock()
@@ -99,3 +99,69 @@
   expect(senders[0]!.sentBytes).toBeLessThan(maxAcceptedBytes)
   await waitUntil(() => lines.some(line => line.includes('event=cache_events_unread worker=w0')))
 })
+
+/** The number after which a read asks for events; undefined for other requests. */
+function sinceOf ({ path }: ReceivedRequest): number | undefined {
+  const since = /^\/v1\/kv-events\?since=(\d+)$/.exec(path)?.[1]
+  return since === undefined ? undefined : Number(since)
+}
+
+/** The position of the first request on the connection of each request. */
+function connectionsOf ({ requests }: FakeWorker): number[] {
+  return requests.map(({ socket }) => requests.findIndex(request => request.socket === socket))
+}
+
+// Guards against a request that is lost because the response to a read arrives in its place.
+test('a request after a read that received a late copy of an earlier response receives its own response', async () => {
+  const worker = workers[0]!
+  answerReads(workers[1]!, page('1', 0))
+  const send = async (id: string): Promise<unknown> => {
+    const response = await upstreams[0]!.request({ method: 'POST', path: '/votes/1', headers: { 'dogwooddale-request-id': id } })
+    await response.body.dump()
+    return response.headers['dogwooddale-request-id']
+  }
+  const copies = new Map<number | undefined, string>()
+  worker.onRequest = request => {
+    const { socket } = request
+    if (sinceOf(request) === undefined) {
+      const response = worker.responseTo(request, 'voted')
+      // A worker serves one request at a time on a connection.
+      setTimeout(() => { socket.write(response) }, copies.size === 0 ? 0 : 150)
+      copies.set(socket.remotePort, response)
+      return
+    }
+    socket.write(copies.get(socket.remotePort) ?? '')
+    setTimeout(() => { socket.write(worker.responseTo(request, JSON.stringify(page('1', 5, ['a', 100])))) }, 100)
+  }
+  const pause = async (): Promise<void> => { await new Promise(resolve => setTimeout(resolve, 50)) }
+  expect(await send('r1')).toBe('r1')
+  await pause()
+  feed.start()
+  await waitUntil(() => worker.requests.some(request => sinceOf(request) !== undefined))
+  await pause()
+  expect(await send('r2')).toBe('r2')
+  await waitUntil(() => tokensOf('w0') === 100)
+})
+
+// Guards against a connection whose responses arrive one read late from then on.
+test.each([
+  ['no JSON', 'garbage'],
+  ['of another shape', '{"kv-handle":"h"}']
+])('a response that is %s ends its connection', async (_name, body) => {
+  answerReads(workers[0]!, body, page('1', 5, ['a', 100]))
+  answerReads(workers[1]!, page('1', 0))
+  feed.start()
+  await waitUntil(() => tokensOf('w0') === 100)
+  expect(connectionsOf(workers[0]!).slice(0, 2)).toEqual([0, 1])
+})
+
+// Guards against a new connection every 300 ms to a worker that is asked by too many hosts.
+test('a read that the worker refuses is logged and keeps its connection', async () => {
+  const worker = workers[0]!
+  worker.onRequest = request => { request.socket.write(worker.responseTo(request, 'too many', { status: 429 })) }
+  answerReads(workers[1]!, page('1', 0))
+  feed.start()
+  await worker.waitForRequests(3)
+  expect(connectionsOf(worker).slice(0, 3)).toEqual([0, 0, 0])
+  expect(lines.filter(line => line.includes('event=cache_events_unread worker=w0'))).toHaveLength(1)
+})
--- a/src/upstreams/Upstream.ts
+++ b/src/upstreams/Upstream.ts
@@ -122,7 +122,7 @@
     return response
   }
 
-  /** Opens a connection for one request alone; the caller destroys it. */
+  /** Opens a connection that is not part of the pool; the caller destroys it. */
   openConnection (): BoundedClient {
     return new BoundedClient(this.origin, {
       connect: connectUpstream(connectTimeoutMilliseconds), headersTimeout: 0, bodyTimeout: 0
