Drop copies of earlier reads of cache events

Callers saw: answers that started late, since prompts went to workers that no longer held their parts. The position of the reads also went back, so that all events from there on were applied once more.

Cause: a late second copy of the response to an earlier read was taken for the response to the next one.

Change: within an epoch, a response whose `next-token` is below the position of the read, or with an event numbered below it, ends its connection, and the read is repeated on a new one. The first response on a connection cannot be a copy and is believed: if its position is lower, the worker counts anew and its parts are forgotten; if only an event is older, the event was late.

--- a/src/platform/CacheEventReader.ts
+++ b/src/platform/CacheEventReader.ts
@@ -45,9 +45,10 @@
 
   /**
    * Reads the events since the previous read. The error states why there are none; the next read then asks for the same
-   * events. A response that cannot be read ends the connection.
+   * events. A response that cannot be read, or is a copy of an earlier one, ends the connection.
    */
   async read (signal: AbortSignal): Promise<Result<CacheEvents, string>> {
+    const isFirstRead = this.connection === undefined
     this.connection ??= this.worker.openConnection()
     try {
       const since = this.position?.next ?? 0
@@ -62,7 +63,11 @@
       const body = responseSchema.parse(JSON.parse(text))
       const epoch = String(body.epoch)
       const next = body['next-token']
-      const isContinuous = this.position === undefined || this.position.epoch === epoch
+      const isSameEpoch = this.position?.epoch === epoch
+      const isEarlier = isSameEpoch && (next < since || body.events.some(([number]) => number < since))
+      // The first response on a connection cannot be a copy: the worker may count anew, or send an event late.
+      if (isEarlier && !isFirstRead) throw new Error(`the response to a read from ${since} is an earlier one`)
+      const isContinuous = this.position === undefined || (isSameEpoch && next >= since)
       this.position = { epoch, next }
       return Result.ok({
         isContinuous: isContinuous && body.lost !== true,
