Follow the cache events of a worker's new process

Callers saw: answers that started late after a worker restarted under its id at another address.

Cause: the feed kept its tasks by the id of the worker, so that it went on reading at the address of the ended process, which another worker may have by then.

Change: the tasks are kept by upstream, which stands for one process.

Evidence: the new case of CacheFeed.test.ts waited for the new process to be read until its time limit of 6 s; now it passes after 1.1 s.

--- a/src/platform/CacheFeed.test.ts
+++ b/src/platform/CacheFeed.test.ts
@@ -198,3 +198,20 @@
   expect(connectionsOf(worker).slice(0, 3)).toEqual([0, 0, 0])
   expect(lines.filter(line => line.includes('event=cache_events_unread worker=w0'))).toHaveLength(1)
 })
+
+// Guards against reads at the address of a process that has ended, which another worker may have by then.
+test('a worker that restarts at another address under the same id is read there', async () => {
+  const [first, second] = workers as [FakeWorker, FakeWorker]
+  answerReads(first, page('1', 5, ['a', 100]))
+  answerReads(second, page('2', 3, ['a', 40]))
+  const restarted = upstreams.pop()!
+  restarted.description = { ...restarted.description, worker: { ...restarted.description.worker, id: 'w0' as WorkerId } }
+  feed.start()
+  await waitUntil(() => tokensOf('w0') === 100)
+  upstreams.push(restarted)
+  await upstreams.shift()!.close()
+  await waitUntil(() => tokensOf('w0') === 40)
+  const { length } = first.requests
+  await second.waitForRequests(3)
+  expect(first.requests).toHaveLength(length)
+})
--- a/src/platform/CacheFeed.ts
+++ b/src/platform/CacheFeed.ts
@@ -2,7 +2,7 @@
  * Follows the cache events of the workers of the cells that this host schedules, so that the scheduler knows which
  * worker holds which shared parts. Events arrive late and a few are lost; what is wrong is corrected by later events.
  */
-import { type Clock, Task, type WorkerId } from '../common/index.js'
+import { type Clock, Task } from '../common/index.js'
 import type { EventLog } from '../observability/index.js'
 import type { HeldParts } from '../placement/index.js'
 import type { Upstream } from '../upstreams/index.js'
@@ -28,7 +28,7 @@
 
 /** Follows the events of all workers of this host's cells. */
 export class CacheFeed {
-  private readonly tasks = new Map<WorkerId, Task>()
+  private readonly tasks = new Map<Upstream, Task>()
   private task: Task | undefined
 
   constructor (private readonly options: CacheFeedOptions) {}
@@ -47,13 +47,13 @@
 
   private async reconcileRepeatedly (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const wanted = new Map(this.options.workers().map(worker => [worker.id, worker]))
-      for (const [id, task] of this.tasks) {
-        if (wanted.has(id)) continue
-        this.tasks.delete(id)
+      const wanted = new Set(this.options.workers())
+      for (const [worker, task] of this.tasks) {
+        if (wanted.has(worker)) continue
+        this.tasks.delete(worker)
         await task.stop()
       }
-      for (const [id, worker] of wanted) if (!this.tasks.has(id)) this.tasks.set(id, this.follow(worker))
+      for (const worker of wanted) if (!this.tasks.has(worker)) this.tasks.set(worker, this.follow(worker))
       await this.options.clock.sleep(reconcileMilliseconds, signal)
     }
   }
