Free computed prompts over connections of their own

Cause: the call that frees a prompt bears no id and went over the connections of the requests, so that a late copy of another response was taken for its response, and its own response arrived in place of that to the next request.

Change: each such call has a connection of its own. The calls are rare: no worker fetched the prompt.

Evidence: in the new case of brokenResponses.test.ts, the next answer was generated without its computed prompt; now it goes on from it.

--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -13,7 +13,7 @@
 import type { PromptPlacementPolicy } from '../routing/index.js'
 import type { Upstream, UpstreamManager } from '../upstreams/index.js'
 import type { CallProtocol, KvSource } from './CallProtocol.js'
-import { destroyBody, discardBody } from './responseBodies.js'
+import { destroyBody } from './responseBodies.js'
 import { permitUseOf } from './permitUseOf.js'
 import type { RetryBudget } from './RetryBudget.js'
 import type { ServiceRequest } from './ServiceRequest.js'
@@ -124,16 +124,22 @@
     return chosen.unwrapOr(undefined)
   }
 
-  /** Frees a computed prompt that no worker will fetch. */
+  /**
+   * Frees a computed prompt that no worker will fetch. The call bears no id by which its response could be told from a late
+   * copy of another, so it has a connection of its own.
+   */
   async release (request: ServiceRequest, { upstream, handle }: KvSource): Promise<void> {
     const call = this.context.protocol.releaseCallOf(handle)
     if (call === undefined) return
+    const connection = upstream.openConnection()
     try {
-      const response = await upstream.request({ ...call, signal: AbortSignal.timeout(releaseTimeoutMilliseconds) })
-      discardBody(response.body)
+      const response = await upstream.request({ ...call, signal: AbortSignal.timeout(releaseTimeoutMilliseconds) }, connection)
+      destroyBody(response.body)
     } catch (caught) {
       // Not retried, since the worker frees the prompt by itself a few seconds later.
       this.logFailure(request, upstream, `the computed prompt was not freed: ${(caught as Error).message}`)
+    } finally {
+      connection.destroy().catch(() => {})
     }
   }
 
--- a/src/platform/brokenResponses.test.ts
+++ b/src/platform/brokenResponses.test.ts
@@ -79,6 +79,46 @@
   expect(decode.requests.map(({ headers }) => headers['dogwooddale-kv-from'])).toEqual([undefined])
 })
 
+// Guards against a computed prompt that is lost because the response to an earlier release arrives in its place.
+test('a late copy of the response to a prompt that arrives in place of that to a release does not affect the next prompt', async () => {
+  const { host, store, models } = await start({ modelWorkers: 2 })
+  const [prefill, decode] = models as [FakeWorker, FakeWorker]
+  store.write('keyed.servers', prefill.id, prefill.createEntry('llm', { stage: 'prefill', sequence: 2 }))
+  store.write('keyed.servers', decode.id, decode.createEntry('llm', { stage: 'decode', sequence: 2 }))
+  await waitUntil(() => host.workers().some(({ role }) => role === 'prefill') && host.workers().some(({ role }) => role === 'decode'))
+  const copies = new Map<unknown, string>()
+  prefill.onRequest = request => {
+    const { socket, method, headers } = request
+    if (method === 'DELETE') {
+      socket.write(copies.get(socket) ?? '')
+      setTimeout(() => { socket.write(prefill.responseTo(request, '{}')) }, 100)
+      return
+    }
+    const response = prefill.responseTo(request, JSON.stringify({ 'kv-handle': `of-${headers['dogwooddale-request-id']}`, tokens: 30 }))
+    // A worker serves one request at a time on a connection.
+    setTimeout(() => { socket.write(response) }, copies.size === 0 ? 0 : 150)
+    copies.set(socket, response)
+  }
+  decode.onRequest = request => {
+    const isRefused = request.headers['dogwooddale-request-id'] === 'r1'
+    const overrides = isRefused ? { status: 503, headers: { 'dogwooddale-not-run': '1' } } : {}
+    request.socket.write(decode.responseTo(request, '', overrides))
+  }
+  const caller = await connectCaller()
+  const send = async (id: string): Promise<number> => {
+    caller.send('POST', '/tags/1', requestHeaders(id, {
+      'dogwooddale-model': 'm', 'dogwooddale-token-counts': '30,5', 'dogwooddale-prompt-prefix': `aa:20,${id}:10`
+    }), 'text')
+    return (await caller.readResponse()).status
+  }
+  expect(await send('r1')).toBe(503)
+  await waitUntil(() => prefill.requests.some(({ method }) => method === 'DELETE'))
+  await new Promise(resolve => setTimeout(resolve, 50))
+  expect(await send('r2')).toBe(200)
+  expect(decode.requests.map(({ headers }) => headers['dogwooddale-kv-from']?.split('/')[1])).toEqual(['of-r1', 'of-r2'])
+  await waitUntil(() => prefill.connections === 2)
+})
+
 // Guards against the text or the head of an error in the middle of a stream, and against a stream that looks complete.
 describe('a stream that broke off', () => {
   const event = (id: number): string => `id: ${id}\ndata: piece-${id}\n\n`
