Send orders on a connection that has carried no other call

Cause: the report of a worker and the order went over the same connection. A late copy of the report, status 200, was taken for the response to the order: a refusal with 412 did not end the authority of the host, and a refused order was waited for over 15 s.

Change: each of the two calls has a new connection.

Evidence: the new case of WorkerOrders.test.ts received `outcome_unknown` in place of `conflict`; now the 412 is read and ends the authority.

--- a/src/platform/WorkerOrders.test.ts
+++ b/src/platform/WorkerOrders.test.ts
@@ -99,6 +99,21 @@
   expect(lease.authority()).toBeUndefined()
 })
 
+// Guards against a host that keeps its authority, or takes a refused order for an accepted one.
+test('a late copy of the report that arrives in place of the response to an order is not taken for it', async () => {
+  const copies = new Map<unknown, string>()
+  worker.onRequest = request => {
+    const report = worker.responseTo(request, JSON.stringify({ sequence: 4, busy }))
+    if (request.path === '/v1/order') request.socket.write(copies.get(request.socket) ?? worker.responseTo(request, '{}', { status: 412 }))
+    else request.socket.write(report)
+    copies.set(request.socket, report)
+  }
+  const settled = changeRole().then(result => result.isErr && result.error.kind)
+  while (await Promise.race([settled, Promise.resolve('pending')]) === 'pending') await clock.advance(250)
+  expect(await settled).toBe('conflict')
+  expect(lease.authority()).toBeUndefined()
+})
+
 test('an order without a response is not sent again and succeeds once the worker has the new role', async () => {
   onOrder = request => { request.socket.destroy() }
   const changing = changeRole()
--- a/src/platform/WorkerOrders.ts
+++ b/src/platform/WorkerOrders.ts
@@ -6,7 +6,7 @@
 import { Result } from 'true-myth'
 import { z } from 'zod'
 import { type Clock, type Failure, failure, type HostId, type WorkerId } from '../common/index.js'
-import { HttpClient } from '../clients/index.js'
+import { type HttpCall, HttpClient, type HttpResponse } from '../clients/index.js'
 import type { EngineRole } from '../configuration/index.js'
 import type { RoleChanger } from '../fleet/index.js'
 import type { GroupLease } from '../leases/index.js'
@@ -55,22 +55,20 @@
   async changeRole (id: WorkerId, role: EngineRole): Promise<Result<{ result: string }, Failure>> {
     const worker = this.options.upstreams.worker(id)
     if (worker === undefined) return Result.err(failure('not_run', `worker ${id} no longer exists`))
-    const http = new HttpClient(worker.origin)
-    const orderResult = await this.sendOrder(worker, role, http)
-    await http.close()
+    const orderResult = await this.sendOrder(worker, role)
     if (orderResult.isErr && orderResult.error.kind !== 'outcome_unknown') return Result.err(orderResult.error)
     return await this.waitForRole(worker, role)
   }
 
-  private async sendOrder (worker: Upstream, role: EngineRole, http: HttpClient): Promise<Result<void, Failure>> {
+  private async sendOrder (worker: Upstream, role: EngineRole): Promise<Result<void, Failure>> {
     const { lease, hostId, events } = this.options
-    const reportResponse = await http.send({ method: 'GET', path: '/v1/report', timeoutMilliseconds: responseTimeoutMilliseconds })
+    const reportResponse = await this.call(worker, { method: 'GET', path: '/v1/report', timeoutMilliseconds: responseTimeoutMilliseconds })
     const report = reportResponse.isOk ? reportSchema.safeParse(reportResponse.value.body) : undefined
     if (report?.success !== true) return Result.err(failure('not_run', `worker ${worker.id} did not report its state`))
     if (report.data.busy) return Result.err(failure('conflict', `worker ${worker.id} is carrying out another order`))
     const fencingNumber = await lease.confirmedAuthority()
     if (fencingNumber === undefined) return Result.err(failure('lost_authority', 'the store did not confirm that this host holds the duty'))
-    const orderResponse = await http.send({
+    const orderResponse = await this.call(worker, {
       method: 'POST',
       path: '/v1/order',
       headers: { [headerNames.expectedWorker]: worker.id },
@@ -85,6 +83,17 @@
     return Result.err(failure('conflict', `worker ${worker.id} rejected the order with status ${status}`))
   }
 
+  /**
+   * Makes a call on a new connection. Its response bears no id, so that a late copy of the report could otherwise be taken
+   * for the response to the order.
+   */
+  private async call (worker: Upstream, call: HttpCall): Promise<Result<HttpResponse, Failure>> {
+    const http = new HttpClient(worker.origin)
+    const response = await http.send(call)
+    await http.close()
+    return response
+  }
+
   private async waitForRole (worker: Upstream, role: EngineRole): Promise<Result<{ result: string }, Failure>> {
     const { clock } = this.options
     const deadline = clock.monotonic() + maxEffectMilliseconds
