Send a further call of a request on a connection of its own

What callers saw: an answer that was not whole or not theirs, 'not run, try again' for a request that a worker ran, or an answer that went on from a prompt that was no longer held, where a worker wrote an earlier response a second time, late.

Cause: a worker echoes the id of the request, not of the call. The computation of a prompt, the answer's stream, a second computation and a request that the caller sends again bear the same id, and could share a kept connection. The check of the id then took the late copy of one for the response to the next.

Change: an upstream remembers the latest 2,048 requests of which it was sent a call, and sends a further call of one of them on a new connection that is closed when the call has ended. Requests with ids of their own share kept connections as before.

--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -167,6 +167,7 @@
     const timer = abortAfter(clock, maxMilliseconds, new Error(`the prompt was not computed within ${Math.round(maxMilliseconds)} ms`))
     try {
       const response = await upstream.request({
+        requestId: request.requestId,
         method: request.method as Dispatcher.HttpMethod,
         path: request.path,
         headers,
--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -274,6 +274,7 @@
     const timers = [responseTimer, connectTimer].flatMap(timer => timer === undefined ? [] : [timer.signal])
     try {
       const response = await upstream.request({
+        requestId: request.requestId,
         method: request.method as Dispatcher.HttpMethod,
         path: request.path,
         headers: protocol.requestHeaders({ request, upstream, remainingMilliseconds, resumeAfter, kvSource }),
--- a/src/upstreams/Upstream.ts
+++ b/src/upstreams/Upstream.ts
@@ -4,7 +4,7 @@
  */
 import { Pool as ConnectionPool, type Dispatcher } from 'undici'
 import { BoundedClient, type SendOptions, sendRequest } from '../clients/index.js'
-import type { Clock, Model, Pool, WorkerId, Zone } from '../common/index.js'
+import { BoundedTable, type Clock, type Model, type Pool, type RequestId, type WorkerId, type Zone } from '../common/index.js'
 import type { EngineRole, WorkerDocument } from '../configuration/index.js'
 import { connectUpstream } from './connectUpstream.js'
 import { LoadEstimate } from './LoadEstimate.js'
@@ -18,6 +18,15 @@
 /** Default time after which an idle connection is closed: sooner than by Node's HTTP server, which usually waits 5 s. */
 const defaultKeepAliveMilliseconds = 4000
 
+/** Number of requests of which it is remembered that a kept connection may have carried a call. */
+const maxCarriedRequests = 2048
+
+/**
+ * A call to the upstream. `requestId`: the request that the call is made for, if its responses bear that id; undefined
+ * otherwise.
+ */
+export type UpstreamCall = SendOptions & { requestId?: RequestId }
+
 /** Properties of an upstream that the configuration defines. */
 export interface UpstreamDescription {
   pool: Pool
@@ -50,6 +59,8 @@
   readonly limit = new StatedLimit()
   readonly origin: string
   private connectionPool: ConnectionPool | undefined
+  /** The latest requests of which the upstream was sent a call. */
+  private readonly carriedRequests = new BoundedTable<true>(maxCarriedRequests)
   /** True if the last load report states that the upstream is about to stop. */
   leaving = false
   /** True if the upstream has stated in a response that it is about to stop; holds as long as its process. */
@@ -112,16 +123,29 @@
   }
 
   /**
-   * Sends a request, by default on a pooled connection, and resolves when the head of the response has arrived. Rejects
-   * with the errors of `sendRequest`.
+   * Makes a call and resolves when the head of the response has arrived. Rejects with the errors of `sendRequest`. The
+   * call is sent on the given dispatcher or on a pooled connection. A further call for the same request has a connection
+   * to itself: a late response to the earlier call bears the same id.
    */
-  async request (request: SendOptions, dispatcher: Dispatcher = this.connections): Promise<Dispatcher.ResponseData> {
+  async request ({ requestId, ...call }: UpstreamCall, dispatcher?: Dispatcher): Promise<Dispatcher.ResponseData> {
     const sentAt = this.options.clock.monotonic()
-    const response = await sendRequest(dispatcher, request)
+    const isFurtherCall = requestId !== undefined && this.carriedRequests.get(requestId) === true
+    if (requestId !== undefined) this.carriedRequests.set(requestId, true)
+    const response = dispatcher === undefined && isFurtherCall
+      ? await this.sendAlone(call)
+      : await sendRequest(dispatcher ?? this.connections, call)
     this.options.onResponse?.(this, { status: response.statusCode, headers: response.headers }, sentAt)
     return response
   }
 
+  /** Sends a call on a connection that is closed when the call has ended. */
+  private async sendAlone (call: SendOptions): Promise<Dispatcher.ResponseData> {
+    const client = this.openConnection()
+    const response = sendRequest(client, call)
+    client.close().catch(() => {})
+    return await response
+  }
+
   /** Opens a connection for one request alone; the caller destroys it. */
   openConnection (): BoundedClient {
     return new BoundedClient(this.origin, {
