Take only a stream of events for the answer to a streaming route

What callers saw: a complete stream with status 200 that was the handle of a prompt, or another text.

Cause: a success with the id and the signature counted as the answer whatever its type; only a stream that was continued was checked for it.

Change: a success on a streaming route that states a type other than text/event-stream does not belong to the call. A success that states no type is passed on as before, and so are failures of any type.

--- a/src/forwarding/responseBodies.ts
+++ b/src/forwarding/responseBodies.ts
@@ -2,7 +2,7 @@
  * Helpers for the bodies of workers' responses.
  */
 import type { Dispatcher } from 'undici'
-import type { ResponseHead } from './CallProtocol.js'
+import type { HeaderFields, ResponseHead } from './CallProtocol.js'
 
 /** The body of a worker's response. */
 export type ResponseBody = Dispatcher.ResponseData['body']
@@ -30,8 +30,13 @@
 
 /** True if a response carries a stream of events. */
 export function isEventStream ({ status, headers }: ResponseHead): boolean {
+  return status === 200 && hasEventStreamType(headers)
+}
+
+/** True if the header fields state the type of a stream of events. */
+export function hasEventStreamType (headers: HeaderFields): boolean {
   const contentType = headers['content-type']
-  return status === 200 && typeof contentType === 'string' && /^text\/event-stream *(;|$)/i.test(contentType)
+  return typeof contentType === 'string' && /^text\/event-stream *(;|$)/i.test(contentType)
 }
 
 /**
--- a/src/platform/WorkerProtocol.ts
+++ b/src/platform/WorkerProtocol.ts
@@ -4,7 +4,8 @@
  */
 import { parseJson } from '../common/index.js'
 import {
-  type ResponseHead, type CallAttempt, CallProtocol, type HeaderFields, type ServiceRequest, type ResponseClass
+  type ResponseHead, type CallAttempt, CallProtocol, hasEventStreamType, type HeaderFields,
+  type ServiceRequest, type ResponseClass
 } from '../forwarding/index.js'
 import type { Upstream } from '../upstreams/index.js'
 
@@ -79,6 +80,7 @@
     if (status === misdirectedRequestStatus || headers[headerNames.notRun] !== undefined) return 'not_run'
     if (headers[headerNames.signature] === undefined) return 'foreign'
     if (headers['content-encoding'] !== undefined) return 'foreign'
+    if (request.delivery === 'stream' && status < 300 && statesAnotherType(headers)) return 'foreign'
     return status >= 500 ? 'failed' : 'answered'
   }
 
@@ -111,3 +113,8 @@
     return { method: 'DELETE', path: `/v1/kv-handle/${encodeURIComponent(handle)}` }
   }
 }
+
+/** True if the header fields state a type other than that of a stream of events, as those of a computed prompt do. */
+function statesAnotherType (headers: HeaderFields): boolean {
+  return headers['content-type'] !== undefined && !hasEventStreamType(headers)
+}
--- a/src/platform/brokenResponses.test.ts
+++ b/src/platform/brokenResponses.test.ts
@@ -136,6 +136,45 @@
   expect(caller.received).not.toContain('failed')
 })
 
+// Guards against the handle of a prompt, or another text, that is passed on as a complete stream.
+describe('a success of another type in place of a stream', () => {
+  const prompt = { headers: { 'content-type': 'application/json' } }
+  const page = { headers: { 'content-type': 'text/html; charset=utf-8' } }
+
+  test.each([
+    ['the handle of a prompt', '{"kv-handle":"h1","tokens":30}', prompt],
+    ['a page', '<p>fine</p>', page],
+    ['a page with another status', '<p>fine</p>', { ...page, status: 203 }]
+  ])('%s is not the answer to a request that may run once', async (_name, body, overrides) => {
+    const { models } = await start()
+    for (const worker of models) {
+      worker.onRequest = request => { request.socket.write(worker.responseTo(request, body, overrides)) }
+    }
+    expect((await ask(await connectCaller(), 'r1', '/tags/1'))?.status).toBe(502)
+    expect(models.flatMap(({ requests }) => requests)).toHaveLength(1)
+  })
+
+  test('does not keep another worker from answering a stream that may be resumed', async () => {
+    const { models } = await start()
+    let attempts = 0
+    for (const worker of models) {
+      worker.onRequest = request => {
+        attempts += 1
+        const response = attempts === 1 ? worker.responseTo(request, '{}', prompt) : worker.responseTo(request, 'data: 1\n\n', { headers: { 'content-type': 'text/event-stream' } })
+        request.socket.write(response)
+      }
+    }
+    expect(await ask(await connectCaller(), 'r1', '/answers/1')).toMatchObject({ status: 200, body: 'data: 1' })
+  })
+
+  test.each([400, 404, 500])('does not change the failure with status %d of a worker', async status => {
+    const { models } = await start({ modelWorkers: 1 })
+    const [worker] = models as [FakeWorker]
+    worker.onRequest = request => { request.socket.write(worker.responseTo(request, '{"error":"x"}', { ...prompt, status })) }
+    expect(await ask(await connectCaller(), 'r1', '/tags/1')).toMatchObject({ status, body: '{"error":"x"}', headers: { 'dogwooddale-server-stamp': `signed-by-${worker.id}` } })
+  })
+})
+
 // Guards against a success with an empty or short body that is framed as whole.
 describe('a response whose worker stops in the middle of the head', () => {
   const id = (request: ReceivedRequest): string => `dogwooddale-request-id: ${request.headers['dogwooddale-request-id']}\r\n`
