Keep no connection to a worker that has just answered out of turn

What callers saw: one request after the other was lost at a worker that writes responses a second time: 502 where it may not be repeated, a prompt that was computed in vain otherwise.

Cause: only the connection on which the foreign response came was closed. The others to that worker, and each new one once it had carried a request, were used as before, although a late response was as likely there.

Evidence: four of the five new cases of lateResponses.test.ts fail on the previous code: of four votes in a row the first and the third were lost (502); of four prompts the second and the fourth had to be computed again; of two votes behind surplus bytes on another, idle connection one was lost. The fifth, that open requests go on, holds before and after.

Change: a response without the id of its request, or bytes on a connection on which no call is open, put the connections of the host to that process in doubt. The idle ones are closed, open calls go on, and for three seconds after the latest such evidence each call has a connection to itself, as a further call of a request has. Each time this begins is logged (`connections_doubted`). A response that bears the id and is unusable for other reasons is no such evidence.

--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -176,6 +176,7 @@
       })
       if (!protocol.isResponseTo(request, { status: response.statusCode, headers: response.headers })) {
         destroyBody(response.body)
+        upstreams.doubtConnections(upstream, 'foreign_response')
         throw new Error(`the response with status ${response.statusCode} does not belong to the prompt`)
       }
       const body = await readBounded(response.body, maxResponseBytes)
--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -297,6 +297,7 @@
         return Result.err({ kind: 'not_run', failure: failure('not_run', `the worker declined the call with status ${head.status}`) })
       }
       destroyBody(response.body)
+      if (!protocol.isResponseTo(request, head)) this.context.upstreams.doubtConnections(upstream, 'foreign_response')
       throw new Error(`the response with status ${head.status} does not belong to the call`)
     } catch (caught) {
       responseTimer?.cancel()
--- a/src/platform/lateResponses.test.ts
+++ b/src/platform/lateResponses.test.ts
@@ -127,3 +127,87 @@
   }
   expect(app[0]!.connections).toBe(1)
 })
+
+// Guards against requests that are lost one after the other, each on another kept connection of the same worker.
+describe('a worker that has answered out of turn', () => {
+  /** Makes the worker repeat, before each response, the one that it sent on the same connection before. */
+  function repeatEarlierResponses (worker: FakeWorker, bodyOf: (request: ReceivedRequest) => string = () => 'yes'): void {
+    const earlier = new WeakMap<object, string>()
+    worker.onRequest = request => {
+      const response = worker.responseTo(request, bodyOf(request))
+      request.socket.write((earlier.get(request.socket) ?? '') + response)
+      earlier.set(request.socket, response)
+    }
+  }
+
+  async function send (id: string, path: string, headers: Record<string, string> = {}): Promise<number> {
+    const caller = await connectCaller()
+    caller.send('POST', path, requestHeaders(id, headers), 'text')
+    return (await caller.readResponse()).status
+  }
+
+  /** Has two requests answered at once, so that the host keeps two connections to the worker. */
+  async function keepTwoConnections (worker: FakeWorker): Promise<void> {
+    const respond = worker.onRequest
+    const held: ReceivedRequest[] = []
+    worker.onRequest = request => {
+      held.push(request)
+      if (held.length === 2) for (const each of held) respond(each)
+    }
+    await Promise.all(['kept-1', 'kept-2'].map(async id => await send(id, '/votes/1')))
+    worker.onRequest = respond
+    expect(worker.connections).toBe(2)
+  }
+
+  test('is sent the next requests on connections of their own', async () => {
+    const { app } = await start({ appWorkers: 1 })
+    const [worker] = app as [FakeWorker]
+    repeatEarlierResponses(worker)
+    await keepTwoConnections(worker)
+    const statuses: number[] = []
+    for (const id of ['r1', 'r2', 'r3', 'r4']) statuses.push(await send(id, '/votes/1'))
+    expect(statuses).toEqual([502, 200, 200, 200])
+  })
+
+  test('computes the next prompts on connections of their own', async () => {
+    const { models } = await start({ modelWorkers: 2 })
+    await assign(2, ['prefill', 'decode'])
+    const [prefill, decode] = models as [FakeWorker, FakeWorker]
+    repeatEarlierResponses(prefill, ({ headers }) => `{"kv-handle":"of-${headers['dogwooddale-request-id']}","tokens":30}`)
+    decode.onRequest = request => { request.socket.write(decode.responseTo(request, event, { headers: stream })) }
+    for (const id of ['r1', 'r2', 'r3', 'r4']) expect(await send(id, '/tags/1', prompt)).toBe(200)
+    const sources = decode.requests.map(({ headers }) => headers['dogwooddale-kv-from']?.replace(`${prefill.address}/`, ''))
+    expect(sources).toEqual(['of-r1', undefined, 'of-r3', 'of-r4'])
+  })
+
+  test.each([
+    ['a second response', (worker: FakeWorker, request: ReceivedRequest) => worker.responseTo(request, 'yes')],
+    ['bytes that are no response', () => 'yes']
+  ])('on an idle connection with %s is sent the next requests on connections of their own', async (_name, surplus) => {
+    const { app } = await start({ appWorkers: 1 })
+    const [worker] = app as [FakeWorker]
+    repeatEarlierResponses(worker)
+    await keepTwoConnections(worker)
+    const [idle] = worker.requests as [ReceivedRequest]
+    idle.socket.write(surplus(worker, idle))
+    await waitUntil(() => idle.socket.destroyed)
+    expect(await Promise.all(['r1', 'r2'].map(async id => await send(id, '/votes/1')))).toEqual([200, 200])
+  })
+
+  test('completes the requests that it is working on', async () => {
+    const { app } = await start({ appWorkers: 1 })
+    const [worker] = app as [FakeWorker]
+    repeatEarlierResponses(worker)
+    expect(await send('r1', '/votes/1')).toBe(200)
+    const respond = worker.onRequest
+    let complete = (): void => {}
+    worker.onRequest = request => { complete = () => { request.socket.write(worker.responseTo(request, 'yes')) } }
+    const pending = send('r2', '/reads/1')
+    await worker.waitForRequests(2)
+    worker.onRequest = respond
+    expect(await send('r3', '/votes/1')).toBe(200)
+    expect(await send('r4', '/votes/1')).toBe(502)
+    complete()
+    expect(await pending).toBe(200)
+  })
+})
--- a/src/upstreams/Upstream.ts
+++ b/src/upstreams/Upstream.ts
@@ -18,6 +18,12 @@
 /** Default time after which an idle connection is closed: sooner than by Node's HTTP server, which usually waits 5 s. */
 const defaultKeepAliveMilliseconds = 4000
 
+/**
+ * Time after the latest response out of turn for which each call has a connection to itself, in milliseconds. A worker that
+ * repeats responses does so for seconds.
+ */
+const doubtMilliseconds = 3000
+
 /** Number of requests of which it is remembered that a kept connection may have carried a call. */
 const maxCarriedRequests = 2048
 
@@ -49,8 +55,13 @@
    * milliseconds at which the request was passed to the connection.
    */
   onResponse?: (upstream: Upstream, head: UpstreamResponseHead, sentAt: number) => void
+  /** Called when the upstream has sent bytes on a connection on which no call was open. */
+  onSurplus?: (upstream: Upstream) => void
 }
 
+/** Why connections are in doubt. `foreign_response`: a response belonged to no call; `surplus`: bytes while no call was open. */
+export type DoubtReason = 'foreign_response' | 'surplus'
+
 /** Holds the state of one upstream process and the connections of this host to it. */
 export class Upstream {
   readonly load = new LoadEstimate()
@@ -61,6 +72,8 @@
   private connectionPool: ConnectionPool | undefined
   /** The latest requests of which the upstream was sent a call. */
   private readonly carriedRequests = new BoundedTable<true>(maxCarriedRequests)
+  /** Monotonic time until which each call has a connection to itself. */
+  private doubtedUntil = -Infinity
   /** True if the last load report states that the upstream is about to stop. */
   leaving = false
   /** True if the upstream has stated in a response that it is about to stop; holds as long as its process. */
@@ -124,20 +137,36 @@
 
   /**
    * Makes a call and resolves when the head of the response has arrived. Rejects with the errors of `sendRequest`. The
-   * call is sent on the given dispatcher or on a pooled connection. A further call for the same request has a connection
-   * to itself: a late response to the earlier call bears the same id.
+   * call is sent on the given dispatcher or on a pooled connection. It has a connection to itself while the connections
+   * are in doubt, and if it is a further call for the same request: a late response to the earlier call bears the same id.
    */
   async request ({ requestId, ...call }: UpstreamCall, dispatcher?: Dispatcher): Promise<Dispatcher.ResponseData> {
     const sentAt = this.options.clock.monotonic()
     const isFurtherCall = requestId !== undefined && this.carriedRequests.get(requestId) === true
     if (requestId !== undefined) this.carriedRequests.set(requestId, true)
-    const response = dispatcher === undefined && isFurtherCall
+    const response = dispatcher === undefined && (isFurtherCall || this.isDoubted)
       ? await this.sendAlone(call)
       : await sendRequest(dispatcher ?? this.connections, call)
     this.options.onResponse?.(this, { status: response.statusCode, headers: response.headers }, sentAt)
     return response
   }
 
+  /**
+   * Keeps no connection for the next seconds, since the upstream has answered out of turn: a late response may arrive on
+   * any connection that has carried a call. Open calls go on. Returns false if the connections were already in doubt.
+   */
+  doubtConnections (): boolean {
+    const { isDoubted } = this
+    this.doubtedUntil = this.options.clock.monotonic() + doubtMilliseconds
+    this.close().catch(() => {})
+    this.connectionPool = undefined
+    return !isDoubted
+  }
+
+  private get isDoubted (): boolean {
+    return this.options.clock.monotonic() < this.doubtedUntil
+  }
+
   /** Sends a call on a connection that is closed when the call has ended. */
   private async sendAlone (call: SendOptions): Promise<Dispatcher.ResponseData> {
     const client = this.openConnection()
@@ -149,15 +178,17 @@
   /** Opens a connection for one request alone; the caller destroys it. */
   openConnection (): BoundedClient {
     return new BoundedClient(this.origin, {
-      connect: connectUpstream(connectTimeoutMilliseconds), headersTimeout: 0, bodyTimeout: 0
+      connect: connectUpstream(connectTimeoutMilliseconds), headersTimeout: 0, bodyTimeout: 0, onSurplus: this.onSurplus
     })
   }
 
+  private readonly onSurplus = (): void => { this.options.onSurplus?.(this) }
+
   /** Pool of connections for requests. */
   private get connections (): ConnectionPool {
     const { keepAliveMilliseconds = defaultKeepAliveMilliseconds } = this.options
     this.connectionPool ??= new ConnectionPool(this.origin, {
-      factory: (origin, options) => new BoundedClient(origin, options),
+      factory: (origin, options) => new BoundedClient(origin, { ...options, onSurplus: this.onSurplus }),
       pipelining: 1,
       connect: connectUpstream(connectTimeoutMilliseconds),
       keepAliveTimeout: keepAliveMilliseconds,
--- a/src/upstreams/UpstreamManager.ts
+++ b/src/upstreams/UpstreamManager.ts
@@ -10,7 +10,7 @@
 import type { LoadReport } from './LoadReport.js'
 import { pollLoad } from './pollLoad.js'
 import { RequestTracker } from './RequestTracker.js'
-import { Upstream, type UpstreamDescription } from './Upstream.js'
+import { type DoubtReason, Upstream, type UpstreamDescription } from './Upstream.js'
 import type { StatedLimit, WorkerLimit } from './StatedLimit.js'
 import type { UpstreamResponseHead, WorkerNotice } from './WorkerNotice.js'
 
@@ -157,6 +157,11 @@
     return new RequestTracker(upstream, prefillTokens, this.options.clock, () => this.updateAvailability(upstream))
   }
 
+  /** Records that a worker has answered out of turn, so that none of its connections is kept for the next seconds. */
+  doubtConnections (upstream: Upstream, reason: DoubtReason): void {
+    if (upstream.doubtConnections()) this.options.events.warn('connections_doubted', { worker: upstream.id, reason })
+  }
+
   /** Removes a worker from the candidate lists for a role change, or adds it again. */
   setDraining (id: WorkerId, draining: boolean): void {
     const upstream = this.worker(id)
@@ -244,7 +249,8 @@
     const upstream = new Upstream(description, {
       clock,
       keepAliveMilliseconds,
-      onResponse: (from, head, sentAt) => { if (readNotice !== undefined) this.recordNotice(from, readNotice(head), sentAt) }
+      onResponse: (from, head, sentAt) => { if (readNotice !== undefined) this.recordNotice(from, readNotice(head), sentAt) },
+      onSurplus: from => { this.doubtConnections(from, 'surplus') }
     })
     upstream.hasAnnouncedStop = this.leavingProcesses.get(processKeyOf(description)) === true
     // The limit ends with its process, also for the hosts that do not know yet that it has ended.
