--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -173,6 +173,7 @@
     const timer = abortAfter(clock, maxMilliseconds, new Error(`the prompt was not computed within ${Math.round(maxMilliseconds)} ms`))
     try {
       const response = await upstream.request({
+        requestId: request.requestId,
         method: request.method as Dispatcher.HttpMethod,
         path: request.path,
         headers,
@@ -181,6 +182,7 @@
       })
       if (!protocol.isResponseTo(request, { status: response.statusCode, headers: response.headers })) {
         destroyBody(response.body)
+        upstreams.doubtConnections(upstream, 'foreign_response')
         throw new Error(`the response with status ${response.statusCode} does not belong to the prompt`)
       }
       const body = await readBounded(response.body, maxResponseBytes)
