Wait for the started host itself in the tests of the evidence

The case 'is ignored by a host that starts, and deleted with its next evidence' failed once beside the load of five other test runs.

Cause: startHost waited until any host made a long poll. The polls of the hosts that were started before count too, so that the evidence of the new host was looked at before it had read the topic.

Change: FakeStore counts connections that have read a topic as a whole and go on from an offset; only the started host does so then. What the tests check is unchanged.

--- a/src/platform/QuarantinePart.test.ts
+++ b/src/platform/QuarantinePart.test.ts
@@ -65,9 +65,9 @@
 async function startHost (id: string): Promise<TestHost> {
   const host = new TestHost(id)
   hosts.push(host)
-  const reads = store.reads.length
+  const { followers } = store
   host.part.start()
-  await waitUntil(() => store.reads.length > reads)
+  await waitUntil(() => store.followers > followers)
   return host
 }
 
--- a/src/platform/testing/FakeStore.ts
+++ b/src/platform/testing/FakeStore.ts
@@ -4,7 +4,7 @@
  * without a renewal.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 
 interface StoredRecord { key: string, value: string | undefined }
 
@@ -36,6 +36,10 @@
   readonly calls: string[] = []
   /** Reads so far, with the wait that they asked for in milliseconds. */
   readonly reads: Array<{ topic: string, waitMilliseconds: number }> = []
+  /** Number of times that a connection has read a topic as a whole and then from an offset. */
+  followers = 0
+  /** Connections whose latest call read a topic as a whole. */
+  private readonly wholeReaders = new WeakSet<Socket>()
   /** How calls are answered: `normal`, as by the store; `silent`, never; `refused`, with status 503. */
   mode: 'normal' | 'silent' | 'refused' = 'normal'
   /** Increases with each change of the group's members. */
@@ -121,8 +125,14 @@
     for await (const chunk of request) chunks.push(chunk as Buffer)
     if (url.pathname === '/v1/log-append') return this.append(url, Buffer.concat(chunks), response)
     const body = chunks.length === 0 ? {} : JSON.parse(Buffer.concat(chunks).toString()) as Record<string, unknown>
-    if (url.pathname === '/v1/log-newest') return this.newest(url, response)
-    if (url.pathname === '/v1/log-read') return await this.read(url, response)
+    if (url.pathname === '/v1/log-newest') {
+      this.wholeReaders.add(request.socket)
+      return this.newest(url, response)
+    }
+    if (url.pathname === '/v1/log-read') {
+      if (this.wholeReaders.delete(request.socket)) this.followers += 1
+      return await this.read(url, response)
+    }
     if (url.pathname === '/v1/log-owners') {
       this.removeExpiredMembers()
       response.end(JSON.stringify({ parts: this.owners() }))
