End a response as broken where another one stands in its body

What callers saw: a complete answer with a part of another response in it, where a worker wrote an earlier response a second time into a later one.

Cause: only the lines of an event stream were searched for the head of another response. Other bodies, and the inside of a line of an event, were passed on: a length covers bytes that are not the response's own, and a body that ends with its connection covers all that the worker writes behind it.

What holds before and after: chunks never pass it on, since their framing breaks; behind a body with a length or chunks it does no harm; the start of a head at the start of a line of an event was found.

Change: bodies are searched, however they are cut, for the head of a response with the id of one of the requests that this host recently sent to that worker; a text that quotes another response is passed on. If a body ends inside a head, the response is complete only if no surplus puts the connections in doubt within 20 ms. A response with a head in its body counts as broken: a safe request goes to another worker, a resumable stream is continued, another call ends with 502 or with its connection. The connections to that worker come into doubt.

What the bytes do not tell: an earlier response in a body that shows less than 'HTTP' of it, one without an id, one that breaks off before its id at the end of a connection, and the bytes of its body alone. A streamed response has passed on what came before, and ends early.

--- a/src/forwarding/CallProtocol.ts
+++ b/src/forwarding/CallProtocol.ts
@@ -36,6 +36,9 @@
 
 /** Creates the header fields of calls to workers and classifies the responses. */
 export abstract class CallProtocol {
+  /** Header field in which a response bears the id of its request, lower case; undefined if responses bear none. */
+  readonly requestIdField: string | undefined = undefined
+
   /** Header fields of the request that carries an attempt. */
   abstract requestHeaders (attempt: CallAttempt): Record<string, string | string[]>
   /** True if a response answers the request, and not an earlier one on the same connection. */
--- /dev/null
+++ b/src/forwarding/ResponseHeadScanner.ts
@@ -0,0 +1,78 @@
+/**
+ * Finds the head of another response in the bytes of a body. A faulty worker may write an earlier response a second time
+ * into a later one, whose length, chunks or end then cover bytes that are not its own.
+ */
+
+const headStart = Buffer.from('HTTP/1.')
+const lineFeed = 0x0A
+
+/** Start of a status line, at any position of a line, and each start of it at the end that is long enough to stand for it. */
+const status = /HTTP\/1\.[01] \d{3}/
+const partialStatus = /HTTP(\/(1(\.([01]( \d{0,2})?)?)?)?)?$/
+
+/** Size of the longest match of `partialStatus`, in bytes. */
+const maxPartialBytes = 'HTTP/1.1 20'.length
+
+const field = /^([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*(.*?)[ \t]*\r?$/
+
+/** Maximum number of fields of a head that are searched, and size of each; the id of the request is among the first. */
+const maxFields = 32
+const maxLineBytes = 1024
+
+/** Follows the lines of a body. */
+export class ResponseHeadScanner {
+  /** The end of the present line; all of it while fields may follow. */
+  private line: Buffer = Buffer.alloc(0)
+  private isLineCut = false
+  /** True if the part of the present line that is not kept contains the start of a status line. */
+  private hasStatus = false
+  /** Number of lines that may still be fields of the head that began last; 0 if there is none. */
+  private fieldsLeft = 0
+
+  /**
+   * `idField`: name of the header field with the id of the request, lower case. `isKnown`: true if the id is one of a request
+   * to the worker. Others may be part of the body, as in a text about a response.
+   */
+  constructor (private readonly idField: string, private readonly isKnown: (id: string) => boolean) {}
+
+  /** True if the bytes so far may end inside the head of a response. */
+  get endsInsideHead (): boolean {
+    const line = this.line.toString('latin1')
+    return this.fieldsLeft > 0 || this.hasStatus || status.test(line) || partialStatus.test(line)
+  }
+
+  /** Adds bytes. Throws if the bytes so far contain the head of a response to a request to the worker. */
+  add (bytes: Uint8Array): void {
+    const buffer = Buffer.concat([this.line, bytes])
+    if (this.fieldsLeft === 0 && !this.hasStatus && !buffer.includes(headStart)) {
+      this.line = Buffer.from(buffer.subarray(Math.max(buffer.lastIndexOf(lineFeed) + 1, buffer.length - maxPartialBytes)))
+      return
+    }
+    let start = 0
+    for (let end = buffer.indexOf(lineFeed); end >= 0; end = buffer.indexOf(lineFeed, start)) {
+      this.endLine(buffer.toString('latin1', start, end))
+      start = end + 1
+    }
+    this.keep(buffer.subarray(start))
+  }
+
+  private endLine (line: string): void {
+    if (this.fieldsLeft > 0) {
+      const [, name, value = ''] = (this.isLineCut ? undefined : field.exec(line)) ?? []
+      if (name?.toLowerCase() === this.idField && this.isKnown(value)) throw new Error('the head of another response stands in the body')
+      this.fieldsLeft = name === undefined ? 0 : this.fieldsLeft - 1
+    }
+    if (this.hasStatus || status.test(line)) this.fieldsLeft = maxFields
+    this.hasStatus = false
+    this.isLineCut = false
+  }
+
+  private keep (line: Buffer): void {
+    const isWhole = this.fieldsLeft > 0 && !this.isLineCut && line.length <= maxLineBytes
+    if (!isWhole) {
+      this.hasStatus ||= status.test(line.toString('latin1'))
+      this.isLineCut = true
+    }
+    this.line = Buffer.from(isWhole ? line : line.subarray(-maxPartialBytes))
+  }
+}
--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -17,6 +17,7 @@
 import { EventScanner } from './EventScanner.js'
 import { EventSplitter } from './EventSplitter.js'
 import { permitUseOf } from './permitUseOf.js'
+import { ResponseHeadScanner } from './ResponseHeadScanner.js'
 import type { ServiceResponse, ServiceContext, ServiceRequest } from './ServiceRequest.js'
 
 /**
@@ -61,6 +62,12 @@
  */
 const maxDeclinedAttempts = 2
 
+/**
+ * Time after a body that ends inside the head of a response within which the rest of that response puts the connections in
+ * doubt, in milliseconds.
+ */
+const surplusMilliseconds = 20
+
 /** Shortest time that a connection to a worker may take while others could serve the call, in milliseconds. */
 const minConnectMilliseconds = 100
 
@@ -361,7 +368,7 @@
 
   private async readResponse (openResponse: OpenResponse): Promise<ServiceResponse> {
     const limit = this.request.idempotent ? this.context.maxBufferedBytes : this.context.maxNonIdempotentResponseBytes
-    const iterator = openResponse.body[Symbol.asyncIterator]()
+    const iterator = this.bytesOf(openResponse)
     const parts: Buffer[] = []
     let size = 0
     let done = false
@@ -389,6 +396,25 @@
     }
   }
 
+  /** The bytes of a response as they arrive. Throws if they contain the head of another response, or a part of one. */
+  private async * bytesOf ({ body, tracker: { upstream } }: OpenResponse): AsyncGenerator<Buffer> {
+    const { protocol: { requestIdField }, upstreams, clock } = this.context
+    if (requestIdField === undefined) return yield * body
+    const scanner = new ResponseHeadScanner(requestIdField, id => upstream.hasCarried(id))
+    for await (const piece of body) {
+      try {
+        scanner.add(piece)
+      } catch (caught) {
+        upstreams.doubtConnections(upstream, 'foreign_response')
+        throw caught
+      }
+      yield piece
+    }
+    if (!scanner.endsInsideHead) return
+    await clock.sleep(surplusMilliseconds)
+    if (upstream.isDoubted) throw new Error('the body ends inside the head of another response')
+  }
+
   private headOf ({ head }: OpenResponse): Pick<ServiceResponse, 'status' | 'headers'> {
     return { status: head.status, headers: this.context.protocol.responseHeaders(head.headers) }
   }
@@ -435,7 +461,7 @@
     let isComplete = false
     let startedAt: number | undefined
     try {
-      for await (const piece of openResponse.body) {
+      for await (const piece of this.bytesOf(openResponse)) {
         startedAt ??= this.context.clock.monotonic()
         openResponse.tracker.recordFirstToken()
         this.prompt.answerStarted()
--- a/src/platform/WorkerProtocol.ts
+++ b/src/platform/WorkerProtocol.ts
@@ -57,6 +57,8 @@
 
 /** Sets the header fields of calls to the platform's workers, and classifies the responses. */
 export class WorkerProtocol extends CallProtocol {
+  override readonly requestIdField = headerNames.requestId
+
   requestHeaders (attempt: CallAttempt): Record<string, string | string[]> {
     const { request, upstream, remainingMilliseconds, resumeAfter, kvSource } = attempt
     const headers: Record<string, string | string[]> = {
--- a/src/upstreams/Upstream.ts
+++ b/src/upstreams/Upstream.ts
@@ -142,7 +142,7 @@
    */
   async request ({ requestId, ...call }: UpstreamCall, dispatcher?: Dispatcher): Promise<Dispatcher.ResponseData> {
     const sentAt = this.options.clock.monotonic()
-    const isFurtherCall = requestId !== undefined && this.carriedRequests.get(requestId) === true
+    const isFurtherCall = requestId !== undefined && this.hasCarried(requestId)
     if (requestId !== undefined) this.carriedRequests.set(requestId, true)
     const response = dispatcher === undefined && (isFurtherCall || this.isDoubted)
       ? await this.sendAlone(call)
@@ -151,6 +151,11 @@
     return response
   }
 
+  /** True if the upstream was recently sent a call for the request. */
+  hasCarried (requestId: string): boolean {
+    return this.carriedRequests.get(requestId) === true
+  }
+
   /**
    * Keeps no connection for the next seconds, since the upstream has answered out of turn: a late response may arrive on
    * any connection that has carried a call. Open calls go on. Returns false if the connections were already in doubt.
@@ -163,7 +168,8 @@
     return !isDoubted
   }
 
-  private get isDoubted (): boolean {
+  /** True while each call has a connection to itself. */
+  get isDoubted (): boolean {
     return this.options.clock.monotonic() < this.doubtedUntil
   }
 
