Refuse entries of workers whose numbers cannot be counts

What callers saw: requests went on reaching a worker that had left, or its old slots, on every host that followed the list.

Cause: another writer's entry under the id of a worker, with a sequence of 1e308, 1e17 or 2^53, was taken as that worker's newest one. isOlder() then dropped each later true entry, a draining one included, until the entry was deleted.

Change: slots, sequence and born have to be whole numbers that are not negative (slots: positive), at most 2^32, 2^32 and the start of the year 2100.

What remains: an entry with plausible but wrong numbers under the id of a worker cannot be told from one of the worker.

--- a/src/platform/WorkerEntry.ts
+++ b/src/platform/WorkerEntry.ts
@@ -35,15 +35,22 @@
   return isIPv4(host) && /^[1-9]\d{0,4}$/.test(port) && Number(port) <= maxPort && rest.length === 0
 }
 
+/**
+ * Upper bounds of counts and times. A record with a larger number is not from a worker, and all later entries of the worker
+ * would seem older than it.
+ */
+const maxCount = 2 ** 32
+const maxStart = Date.UTC(2100)
+
 const entrySchema = z.object({
   service: z.string().min(1),
   address: z.string().refine(isSocketAddress),
   zone: zoneSchema,
-  slots: z.number().positive(),
+  slots: z.number().int().positive().max(maxCount),
   state: z.enum(['ready', 'draining']),
   stage: z.enum(['prefill', 'decode', 'colocated']).default('colocated'),
-  born: z.number().int().default(0),
-  sequence: z.number()
+  born: z.number().int().nonnegative().max(maxStart).default(0),
+  sequence: z.number().int().nonnegative().max(maxCount)
 })
 
 /** Decodes an entry; undefined if it is not a valid entry of a worker. */
--- a/src/platform/decoding.test.ts
+++ b/src/platform/decoding.test.ts
@@ -64,6 +64,14 @@
     expect(decode(entry)).toBeUndefined()
   })
 
+  // Guards against an entry of another writer whose number is so large that all later entries of the worker seem older.
+  test.each(['born', 'sequence', 'slots'].flatMap(field =>
+    ['1e400', '-1e400', '1e308', '9007199254740992', '9007199254740991', '-1', '1.5', '"1"', '"NaN"', 'null'].map(number => [number, field])
+  ))('with %s as %s are rejected', (number, field) => {
+    const text = JSON.stringify(validEntry).replace(/}$/, `,"${field}":${number}}`)
+    expect(decodeWorkerEntry('i-1', Buffer.from(text))).toBeUndefined()
+  })
+
   test.each([
     ['the same report', { ...validEntry }, false],
     ['a later report', { ...validEntry, sequence: 3 }, false],
