Ignore members of the group whose name contains no usable address

What callers saw: each request with a prompt of a zone whose partition such a member holds, and each one to a limited worker, ended with a closed connection (request_handler_failed).

Cause: the address after the @ in a member's name went to net.connect as it was. A port out of range makes it throw in the constructor of SchedulerConnection, inside the request.

Evidence: 10 cases in SchedulerDirectory.test.ts failed; the ports 99999, 65536, -1 and none threw 'RangeError [ERR_SOCKET_BAD_PORT]' out of PeerSchedulerClient, the others became the address of the holder (a host name would be looked up).

Change: addressOfMember returns an address only if it is ip:port as in the entries of workers; the check moves to src/common.

--- a/src/platform/SchedulerDirectory.test.ts
+++ b/src/platform/SchedulerDirectory.test.ts
@@ -4,11 +4,13 @@
  */
 import { afterEach, beforeEach, expect, test } from '@jest/globals'
 import { Result } from 'true-myth'
-import { failure, type Failure, type HostId, type Incarnation, ManualClock } from '../common/index.js'
+import { failure, type Failure, type HostId, type Incarnation, loadHash, ManualClock, type Pool } from '../common/index.js'
+import type { PromptScheduler } from '../placement/index.js'
 import { discardingEventLog } from '../streams/testSupport.js'
+import { PeerSchedulerClient } from './PeerSchedulerClient.js'
 import { SchedulerDirectory } from './SchedulerDirectory.js'
 import type { PartitionOwner } from './StoreClient.js'
-import { addressOfMember, memberNameOf, placementTopic } from './StoreDutyGroup.js'
+import { addressOfMember, memberNameOf, placementTopic, type StoreDutyGroup } from './StoreDutyGroup.js'
 
 const incarnation = '0123456789abcdef' as Incarnation
 
@@ -93,3 +95,27 @@
 ] as Array<[string, string | undefined, string | undefined]>)('the name of a member of %s with address %s contains %s', (host, address, expected) => {
   expect(addressOfMember(memberNameOf(host as HostId, incarnation, address))).toBe(expected)
 })
+
+// Guards against a member of another program whose name contains an address that cannot be connected to.
+test.each(['127.0.0.1:99999', '127.0.0.1:65536', '127.0.0.1:0', '127.0.0.1:-1', '127.0.0.1', 'host.example:80', '999.0.0.1:80', ':80', '', '127.0.0.1:80@127.0.0.1:80'])('a member with the address "%s" cannot be reached, and a question fails without an exception', async address => {
+  owners = ownedBy('host-1', address)
+  directory.start()
+  await clock.advance(10_000)
+  const client = new PeerSchedulerClient({
+    directory,
+    scheduler: { knows: () => false, limitsOf: () => [] } as unknown as PromptScheduler,
+    group: { holdsPlacement: () => false, holdsDutyPartition: () => false } as unknown as StoreDutyGroup,
+    clock,
+    hash: await loadHash(),
+    limitsOf: () => [],
+    learnLimits: () => {},
+    askingHosts: () => 1
+  })
+  const cell = { pool: 'llm' as Pool, zone: undefined }
+  client.end(cell, 'p1', 'computed')
+  const placed = client.place(cell, { id: 'p1', parts: [], partTokens: [], dueAt: 0, lostAt: 0 }, new AbortController().signal)
+  const answer = await Promise.race([placed, clock.advance(1000)])
+  client.stop()
+  expect(answer?.isErr && answer.error.kind).toBe('not_ready')
+  expect(directory.holderOf(0)).toBeUndefined()
+})
--- a/src/platform/StoreDutyGroup.ts
+++ b/src/platform/StoreDutyGroup.ts
@@ -6,7 +6,7 @@
  * also tells the hosts how to reach each other.
  */
 import { Result } from 'true-myth'
-import type { Failure, HostId, Incarnation } from '../common/index.js'
+import { type Failure, type HostId, type Incarnation, isSocketAddress } from '../common/index.js'
 import { DutyGroup, type GroupMembership } from '../leases/index.js'
 import type { EventLog } from '../observability/index.js'
 import type { StoreClient } from './StoreClient.js'
@@ -42,10 +42,11 @@
   return `${hostId}.${incarnation}${peerAddress === undefined ? '' : `@${peerAddress}`}`
 }
 
-/** `ip:port` at which other hosts reach the host of a member; undefined if they cannot. */
+/** `ip:port` at which other hosts reach the host of a member; undefined if they cannot. Other programs may join too. */
 export function addressOfMember (member: string): string | undefined {
   const separator = member.indexOf('@')
-  return separator < 0 ? undefined : member.slice(separator + 1)
+  const address = member.slice(separator + 1)
+  return separator >= 0 && isSocketAddress(address) ? address : undefined
 }
 
 /** Duty group that is backed by a consumer group of the store. */
--- a/src/platform/WorkerEntry.ts
+++ b/src/platform/WorkerEntry.ts
@@ -2,9 +2,8 @@
  * Decodes the entries that workers write about themselves to the store. Other programs can write to the same topic, so
  * an incomplete entry is ignored.
  */
-import { isIPv4 } from 'node:net'
 import { z } from 'zod'
-import { type Pool, type WorkerId, workerIdSchema, type Zone, zoneSchema, parseJson } from '../common/index.js'
+import { isSocketAddress, type Pool, type WorkerId, workerIdSchema, type Zone, zoneSchema, parseJson } from '../common/index.js'
 import type { EngineRole } from '../configuration/index.js'
 
 /** A worker as its entry describes it. */
@@ -27,14 +26,6 @@
 
 const roles = { prefill: 'prefill', decode: 'decode', colocated: 'mixed' } as const
 
-const maxPort = 65_535
-
-/** True for `ip:port` with an IPv4 address and a port that can be connected to. */
-function isSocketAddress (text: string): boolean {
-  const [host = '', port = '', ...rest] = text.split(':')
-  return isIPv4(host) && /^[1-9]\d{0,4}$/.test(port) && Number(port) <= maxPort && rest.length === 0
-}
-
 /**
  * Upper bounds of counts and times. A record with a larger number is not from a worker, and all later entries of the worker
  * would seem older than it.
