Follow a topic on after an unexpected error for one of its records

What callers saw: nothing known yet; the host would have kept its last view of the list of workers, or of the routes, until it was restarted.

Cause: an exception of the receiver ended the task of TopicFollower (topic_follower_ended), and nothing starts it again.

Evidence: three tests in TopicFollower.test.ts failed, with a receiver that throws for one key: after that record nothing was received any more, neither from the same read nor from later ones.

Change: if the receiver throws, the records are passed one by one, and those for which it throws are left out with a log line (record_failed, at most eight a read).

Measured: the three tests pass, as do those of the two receivers.

--- a/src/platform/TopicFollower.test.ts
+++ b/src/platform/TopicFollower.test.ts
@@ -120,6 +120,59 @@
   })
 })
 
+// Guards against a record that ends the task of the follower, so that the host follows the topic no longer.
+describe('a follower whose receiver throws for one record', () => {
+  let state: Set<string>
+  let lines: string[]
+
+  beforeEach(async () => {
+    state = new Set()
+    lines = []
+    const add = (records: KeyedRecord[]): void => {
+      for (const { key } of records) {
+        if (key === 'odd') throw new Error('an unexpected error')
+        state.add(key)
+      }
+    }
+    await startFollower({
+      receiver: { replace: records => { state.clear(); add(records) }, apply: add },
+      events: new EventLog({
+        timeline: new Timeline('host-1', new HybridClock(clock)), level: 'warn', write: line => { lines.push(line) }
+      })
+    })
+  })
+
+  const failures = (): string[] => lines.filter(line => line.includes('event=record_failed '))
+
+  test('passes on the records of the same read, and those of later ones', async () => {
+    for (const key of ['worker-1', 'odd', 'worker-2']) topic.write(key)
+    await clock.advance(1000)
+    topic.write('worker-3')
+    await clock.advance(1000)
+    expect([...state]).toEqual(['worker-1', 'worker-2', 'worker-3'])
+    expect(failures()).toHaveLength(1)
+    expect(failures()[0]).toContain('key=odd')
+  })
+
+  test('passes on the other records of a read of the whole topic, and those of later reads', async () => {
+    topic.records.push(...['worker-1', 'odd', 'worker-2'].map(key => ({ key, value: Buffer.from('1') })))
+    topic.firstOffset = 3
+    await clock.advance(4000)
+    topic.write('worker-3')
+    await clock.advance(1000)
+    expect([...state]).toEqual(['worker-1', 'worker-2', 'worker-3'])
+    expect(failures()).toHaveLength(1)
+  })
+
+  test('logs no more than eight of many', async () => {
+    for (let count = 0; count < 5000; count += 1) topic.records.push({ key: 'odd', value: Buffer.from('1') })
+    topic.write('worker-1')
+    await clock.advance(1000)
+    expect([...state]).toEqual(['worker-1'])
+    expect(failures()).toHaveLength(8)
+  })
+})
+
 describe('a follower that polls rarely at rest', () => {
   const restMilliseconds = 20_000
   const shortMilliseconds = 3000
--- a/src/platform/TopicFollower.ts
+++ b/src/platform/TopicFollower.ts
@@ -31,6 +31,9 @@
 /** Delays after failed calls. The platform charges for each call to the store, also for rejected ones. */
 const backoffOptions = { firstMilliseconds: 100, maxMilliseconds: 1000 }
 
+/** Maximum number of records of one read for which a failure is logged. */
+const maxLoggedFailures = 8
+
 /** Receives the records of a topic. */
 export interface TopicReceiver {
   /** Takes the newest record of each key as the whole state; a key that is missing was deleted. */
@@ -125,7 +128,7 @@
       if (newest.isErr) return newest.error
       this.recordReconnect()
       this.nextOffset = newest.value.end
-      receiver.replace(newest.value.records)
+      this.deliver(newest.value.records, records => { receiver.replace(records) })
       return undefined
     }
     const restMilliseconds = clock.monotonic() < this.changesExpectedUntil ? undefined : this.options.restMilliseconds
@@ -143,11 +146,47 @@
     this.nextOffset = read.value.next
     if (read.value.records.length === 0) return undefined
     this.changesExpectedUntil = clock.monotonic() + expectedChangeMilliseconds
-    receiver.apply(read.value.records)
+    this.deliver(read.value.records, records => { receiver.apply(records) })
     await clock.sleep(this.options.batchMilliseconds ?? changeBatchMilliseconds, signal)
     return undefined
   }
 
+  /** Passes records to the receiver. If it throws, passes them one by one, and leaves out those for which it throws. */
+  private deliver (records: KeyedRecord[], take: (records: KeyedRecord[]) => void): void {
+    try {
+      take(records)
+    } catch {
+      const failed = records.flatMap(record => {
+        const reason = this.failureOf(record)
+        return reason === undefined ? [] : [{ record, reason }]
+      })
+      this.logFailures(failed)
+      const unusable = new Set(failed.map(({ record }) => record))
+      try {
+        take(records.filter(record => !unusable.has(record)))
+      } catch (caught) {
+        this.options.events.error('records_failed', { topic: this.options.topic, count: records.length, reason: String(caught) })
+      }
+    }
+  }
+
+  /** Passes one record to the receiver; returns the reason if it throws. */
+  private failureOf (record: KeyedRecord): string | undefined {
+    try {
+      this.options.receiver.apply([record])
+      return undefined
+    } catch (caught) {
+      return caught instanceof Error ? caught.stack ?? caught.message : String(caught)
+    }
+  }
+
+  private logFailures (failed: Array<{ record: KeyedRecord, reason: string }>): void {
+    const { events, topic } = this.options
+    for (const { record: { key, value }, reason } of failed.slice(0, maxLoggedFailures)) {
+      events.error('record_failed', { topic, key, bytes: value?.length ?? 0, count: failed.length, reason })
+    }
+  }
+
   private recordDisconnect (failed: Failure): void {
     if (this.disconnectedAt !== undefined) return
     this.disconnectedAt = this.options.clock.monotonic()
