Log unusable records of the store with one bounded line a read

What callers saw: nothing; each line costs processor time that requests need.

Cause: one line for each unusable entry of a worker at each read of the whole list, and the reasons for all faults of a configuration in one line.

Change: worker_entries_unusable counts the entries of a read and names eight; a reason is cut after 1,000 characters.

Measured: one line of under 3,000 and one of under 1,500 characters; the workers with valid entries stay.

--- a/src/platform/PlatformDirectory.test.ts
+++ b/src/platform/PlatformDirectory.test.ts
@@ -13,6 +13,7 @@
 let connectedSince: number
 let directory: PlatformDirectory
 let lossCount: number
+let lines: string[]
 
 function createRecord (id: string, overrides: Record<string, unknown> = {}): KeyedRecord {
   const value = { service: 'app', address: '10.0.0.1:80', zone: 'a', slots: 6, state: 'ready', born: 1, sequence: 1, ...overrides }
@@ -27,9 +28,10 @@
   clock = new ManualClock()
   connectedSince = -Infinity
   lossCount = 0
+  lines = []
   directory = new PlatformDirectory({
     clock,
-    events: new EventLog({ timeline: new Timeline('host-1', new HybridClock(clock)), level: 'error', write: () => {} }),
+    events: new EventLog({ timeline: new Timeline('host-1', new HybridClock(clock)), level: 'warn', write: line => { lines.push(line) } }),
     workersConnectedSince: () => connectedSince,
     onWorkerRestarted: () => {},
     onWorkerLost: () => { lossCount += 1 }
@@ -86,3 +88,21 @@
   directory.workerReceiver.apply(records)
   expect(lossCount).toBe(count)
 })
+
+// Guards against thousands of log lines, at each read of the whole list, about records of another program.
+test('entries that name no worker are logged with one line a read, and change no worker', () => {
+  const odd = Array.from({ length: 5000 }, (_, index) => ({ key: `odd-${index}`, value: Buffer.from('{') }))
+  directory.workerReceiver.replace([...odd, createRecord('worker-1', { sequence: 2 }), { key: 'worker-2', value: Buffer.from('[') }])
+  expect(workerIds()).toEqual(['worker-1', 'worker-2'])
+  expect(lines).toHaveLength(1)
+  expect(lines[0]).toContain('event=worker_entries_unusable count=5001 ')
+  expect(lines[0]!.length).toBeLessThan(3000)
+})
+
+test('a configuration with thousands of faults is refused with one short log line', () => {
+  const routes = Array.from({ length: 3000 }, () => ({}))
+  directory.configurationReceiver.apply([{ key: 'config', value: Buffer.from(JSON.stringify({ ...configurationDocument(2), routes })) }])
+  expect(directory.routes?.configuration.version).toBe(1)
+  expect(lines).toHaveLength(1)
+  expect(lines[0]!.length).toBeLessThan(1500)
+})
--- a/src/platform/PlatformDirectory.ts
+++ b/src/platform/PlatformDirectory.ts
@@ -19,6 +19,10 @@
  */
 const expiredEntryGraceMilliseconds = 2000
 
+/** Number of unusable entries that a log line names, and of characters that it quotes of a reason. */
+const maxNamedEntries = 8
+const maxReasonLength = 1000
+
 /** Options of a `PlatformDirectory`. */
 export interface PlatformDirectoryOptions {
   clock: Clock
@@ -98,7 +102,8 @@
     const { events } = this.options
     const decoded = decodeRouteConfiguration(value)
     if (decoded.isErr) {
-      events.error('configuration_refused', { version: this.routeTable?.configuration.version, reason: decoded.error.message })
+      const reason = decoded.error.message.slice(0, maxReasonLength)
+      events.error('configuration_refused', { version: this.routeTable?.configuration.version, reason })
       return
     }
     const previousVersion = this.routeTable?.configuration.version
@@ -111,19 +116,22 @@
 
   private applyWorkerRecords (records: KeyedRecord[]): void {
     let changed = false
+    const unusable: string[] = []
     for (const { key, value } of records) {
-      changed = (value === undefined ? this.applyDeletion(key as WorkerId) : this.applyEntry(key, value)) || changed
+      const entry = value === undefined ? undefined : decodeWorkerEntry(key, value)
+      if (value === undefined) changed = this.applyDeletion(key as WorkerId) || changed
+      else if (entry === undefined) unusable.push(key)
+      else changed = this.applyEntry(entry) || changed
+    }
+    if (unusable.length > 0) {
+      const workers = unusable.slice(0, maxNamedEntries).join(',')
+      this.options.events.warn('worker_entries_unusable', { count: unusable.length, workers })
     }
     if (changed) this.publish()
   }
 
-  private applyEntry (key: string, value: Buffer): boolean {
-    const entry = decodeWorkerEntry(key, value)
+  private applyEntry (entry: WorkerEntry): boolean {
     const { events, onWorkerRestarted, onWorkerLost } = this.options
-    if (entry === undefined) {
-      events.warn('worker_entry_unusable', { worker: key, bytes: value.length })
-      return false
-    }
     const known = this.workers.get(entry.id)
     if (known !== undefined && isOlder(entry, known)) return false
     this.workers.set(entry.id, entry)
