Ignore evidence with times far ahead also when it arrives as a change

What callers saw: 503 for every prompt with a part that such evidence names, for as long as the host ran.

Cause: QuarantineTopic left out stale evidence, and evidence far ahead, only at a read of the whole topic. Changes went to the receiver as they were, and a quarantine ends an hour after its latest loss.

Evidence: oddRecords.test.ts, 'evidence with times far ahead, from a long poll' failed: two parts were in quarantine, one of them because of losses at 1e15, 1e17 and 1e300 ms. From a read of the newest records it passed.

Change: both ways leave out evidence whose newest loss is more than an hour from now.

Measured: passes both ways.

--- a/src/platform/QuarantineTopic.ts
+++ b/src/platform/QuarantineTopic.ts
@@ -185,16 +185,17 @@
     const present = new Set(records.map(({ key }) => key))
     const missing = [...this.newestLosses.keys()].filter(part => !present.has(part))
     for (const part of missing) this.newestLosses.delete(part)
-    const recent = this.decode(records).filter(({ losses }) => !this.isStale(newestOf(losses)))
-    this.deliver([...recent, ...missing.map(part => ({ part, losses: [] }))])
+    this.deliver([...this.decode(records), ...missing.map(part => ({ part, losses: [] }))])
   }
 
   private apply (records: KeyedRecord[]): void {
     this.deliver(this.decode(records))
   }
 
+  /** Passes on evidence that is recent, and deletions. */
   private deliver (evidence: PartEvidence[]): void {
-    if (evidence.length > 0) this.options.receiver.receive(evidence)
+    const usable = evidence.filter(({ losses }) => losses.length === 0 || !this.isStale(newestOf(losses)))
+    if (usable.length > 0) this.options.receiver.receive(usable)
   }
 
   /** Decodes records, ignores unusable ones, and notes the newest loss of each part. */
