Send a worker that states no requests one at times while no host grants permits

What callers saw: 429 with 'retry-after: Infinity', until a host granted permits again or the worker restarted.

Cause: a host that grants permits raises a rate of 0 to one request in 4 s, so that a response shows when the limit ends. RequestPermits.shareOf did not, so its share was 0, and the time until the next permit infinite.

Evidence: four tests in RequestPermits.test.ts failed: no request was sent in 20 or 80 s with 1, 4 or an unknown number of hosts, and the refusal said retryAfterMilliseconds: Infinity. Found by reading; no run of the system has shown it.

Change: the share is that of at least one request in 4 s over all hosts, the bound of PermitQueue.

Measured: one request in 4 s with one host, in 16 s with 4 or an unknown number, and a refusal says 16 s.

--- a/src/limits/PermitQueue.ts
+++ b/src/limits/PermitQueue.ts
@@ -35,8 +35,8 @@
 
 interface LimitedWorker { bucket: RateBucket, evidence: LimitEvidence }
 
-/** Lowest rate at which permits are granted, per second: requests show whether a statement still holds. */
-const minPerSecond = 0.25
+/** Lowest rate at which all hosts together send to a worker, per second: requests show whether a statement still holds. */
+export const minPerSecond = 0.25
 
 /** Shortest time for which a limit is taken to hold without new evidence, in milliseconds. */
 const minEvidenceMilliseconds = 10_000
--- a/src/limits/RequestPermits.test.ts
+++ b/src/limits/RequestPermits.test.ts
@@ -62,6 +62,36 @@
   })
 })
 
+// Guards against a limit that no request can find ended, and against `retry-after: Infinity`.
+describe('while no host grants permits, a worker that states no requests at all', () => {
+  test.each([
+    ['1 host shares', 1, 4000],
+    ['4 hosts share', 4, 16_000],
+    ['an unknown number of hosts share', undefined, 16_000]
+  ])('is sent one request at times if %s the limit', async (_name, sharingHosts, interval) => {
+    client.sharingHosts = sharingHosts
+    candidates = [upstream('w0', 0)]
+    const sent: number[] = []
+    for (let time = 0; time < 5.5 * interval; time += 100) {
+      if (await choose() !== undefined) sent.push(time)
+      await clock.advance(100)
+    }
+    expect(sent).toHaveLength(5)
+    for (const [index, time] of sent.entries()) {
+      expect(time).toBeGreaterThanOrEqual((index + 1) * interval)
+      expect(time).toBeLessThan((index + 1) * interval + 1000)
+    }
+  })
+
+  test('refuses with the time until then', async () => {
+    client.sharingHosts = 4
+    candidates = [upstream('w0', 0)]
+    const use = { requestId: 'r', pool: 'p' as Pool, urgency: 0, dueAt: 100, lostAt: 1000, candidates: () => candidates }
+    const chosen = await permits.choose({ ...use, choose: ([first]) => first }, candidates[0]!, never)
+    expect(chosen.isErr && chosen.error.detail).toEqual({ retryAfterMilliseconds: 16_000 })
+  })
+})
+
 describe('a request', () => {
   test('to a worker without a limit needs no permit', async () => {
     candidates = [upstream('w0', undefined)]
--- a/src/limits/RequestPermits.ts
+++ b/src/limits/RequestPermits.ts
@@ -6,7 +6,7 @@
 import { type Clock, failure, type Failure, type Pool } from '../common/index.js'
 import type { EventLog } from '../observability/index.js'
 import type { Upstream } from '../upstreams/index.js'
-import type { PermitDecision, PermitRequest } from './PermitQueue.js'
+import { minPerSecond, type PermitDecision, type PermitRequest } from './PermitQueue.js'
 import { RateBucket } from './RateBucket.js'
 
 /** Connection to the hosts that grant permits. */
@@ -120,7 +120,7 @@
 
   private shareOf (upstream: Upstream, now: number): RateBucket {
     const { sharingHosts } = this.options.client
-    const stated = upstream.limit.perSecond ?? Infinity
+    const stated = Math.max(minPerSecond, upstream.limit.perSecond ?? Infinity)
     const perSecond = sharingHosts === undefined ? Math.min(stated, perSecondAlone) : stated / sharingHosts
     const share = this.shares.get(upstream) ?? new RateBucket(0)
     if (share.perSecond !== perSecond) share.setRate(perSecond, now)
