Test computed prompts whose response contains another one

Ruled out by three cases that hold on the previous code: a response to a prompt in which an earlier one stands, in front of, behind or inside its own body, yields no handle, since the whole body has to be JSON. The worker that generates the answer computes the prompt.

--- a/src/platform/lateResponses.test.ts
+++ b/src/platform/lateResponses.test.ts
@@ -96,6 +96,27 @@
     expect(sources).toEqual([`${prefill.address}/h1`, `${prefill.address}/h2`])
   })
 
+  // The computed prompt is the short body of a response, which is read whole.
+  test.each([
+    ['behind a body that ends with its connection', undefined, (earlier: string, own: string) => own + earlier],
+    ['in front of a body that ends with its connection', undefined, (earlier: string, own: string) => earlier + own],
+    ['inside a body with a length', '30', (earlier: string, own: string) => own.slice(0, 20) + earlier + own.slice(20)]
+  ])('that computed the prompt yields no handle %s', async (_name, length, join) => {
+    const { models } = await start({ modelWorkers: 2 })
+    await assign(2, ['prefill', 'decode'])
+    const [prefill, decode] = models as [FakeWorker, FakeWorker]
+    prefill.onRequest = request => {
+      const head = prefill.responseTo(request, '', { headers: { 'content-length': length } })
+      request.socket.end(head + join(prefill.responseTo(request, '{"kv-handle":"h1","tokens":30}'), '{"kv-handle":"h2","tokens":30}'))
+    }
+    decode.onRequest = request => { request.socket.write(decode.responseTo(request, event, { headers: stream })) }
+    const caller = await connectCaller()
+    caller.send('POST', '/tags/1', requestHeaders('r1', prompt), 'text')
+    expect((await caller.readResponse()).status).toBe(200)
+    expect(prefill.requests).toHaveLength(1)
+    expect(decode.requests.map(({ headers }) => headers['dogwooddale-kv-from'])).toEqual([undefined])
+  })
+
   test('that refused it is not taken for the response when a caller sends the request again under its id', async () => {
     const { app } = await start({ appWorkers: 1 })
     const [worker] = app as [FakeWorker]
