Number orders by the era of the store and the generation

What callers saw: nothing so far.

Cause: the fencing number was the generation of the group, which the store counts on from its copy.

Change: StoreDutyGroup makes the number from the era (upper bits) and the generation (lower 32 bits). GroupLease knows only a number that rises; the generation that a join or a commit names stays the store's own. The first join that knows of a restore names generation 0: a greater one would acknowledge changes that the member has not seen. A generation out of range is a failed renewal (duty_renewal_failed), so it cannot run over into the next era. duty_gained and duty_lost log fencing, era and generation.

--- a/src/leases/GroupLease.test.ts
+++ b/src/leases/GroupLease.test.ts
@@ -5,7 +5,7 @@
  */
 import { beforeEach, describe, expect, test } from '@jest/globals'
 import { Result } from 'true-myth'
-import { type Failure, failure, ManualClock } from '../common/index.js'
+import { type Failure, failure, type FencingNumber, ManualClock } from '../common/index.js'
 import { EventLog, HybridClock, Timeline } from '../observability/index.js'
 import { DutyGroup, GroupLease, type GroupMembership } from './GroupLease.js'
 
@@ -18,8 +18,12 @@
   }
 }
 
+function membership (fencingNumber: number, holdsDuty: boolean): GroupMembership {
+  return { fencingNumber: fencingNumber as FencingNumber, holdsDuty }
+}
+
 class FakeGroup extends DutyGroup {
-  membership: GroupMembership = { generation: 1, holdsDuty: true }
+  membership = membership(1, true)
   isReachable = true
   isConfirming = true
   hasLeft = false
@@ -35,6 +39,8 @@
     return this.isReachable ? Result.ok(this.isConfirming) : Result.err(failure('platform_unavailable', 'no response'))
   }
 
+  describe (): Record<string, number> { return {} }
+
   async leave (): Promise<void> { this.hasLeft = true }
 }
 
@@ -76,7 +82,7 @@
       await clock.advance(2900)
     }],
     ['when the store assigns the duty to another member', async () => {
-      group.membership = { generation: 2, holdsDuty: false }
+      group.membership = membership(2, false)
       await clock.advance(1000)
     }],
     ['when a worker has seen a greater fencing number', () => { lease.handleRefusal(lease.authority()!) }],
@@ -104,7 +110,7 @@
   lease.handleRefusal(lease.authority()!)
   await clock.advance(8000)
   expect(lease.authority()).toBeUndefined()
-  group.membership = { generation: 2, holdsDuty: true }
+  group.membership = membership(2, true)
   await clock.advance(4000)
   expect(lease.authority()).toBe(2)
 })
--- a/src/leases/GroupLease.ts
+++ b/src/leases/GroupLease.ts
@@ -1,7 +1,7 @@
 /**
  * Authority for a duty that a store assigns to one member of a group. The store assigns the duty to another member
- * when the holder leaves or does not renew its membership within the time to live. The group's generation increases
- * with each change and serves as the fencing number.
+ * when the holder leaves or does not renew its membership within the time to live. Each change of the group has a
+ * fencing number greater than that of all changes before it.
  *
  * The monotonic clock stops while the machine is suspended, and the wall clock can be set, so neither alone measures
  * how long authority has lasted. If the times that elapsed on the two clocks differ, the difference is treated as a
@@ -12,15 +12,17 @@
 import { type Clock, type Failure, type FencingNumber, Task } from '../common/index.js'
 import type { EventLog } from '../observability/index.js'
 
-/** The group's generation, and whether this member holds the duty in it. */
-export interface GroupMembership { generation: number, holdsDuty: boolean }
+/** The fencing number of the group's last change, and whether this member holds the duty since then. */
+export interface GroupMembership { fencingNumber: FencingNumber, holdsDuty: boolean }
 
 /** Client of a group whose store assigns a duty to one member; this process is one of the members. */
 export abstract class DutyGroup {
   /** Joins the group or renews the membership. Errors: `platform_unavailable`. */
-  abstract join (generation: number, signal?: AbortSignal): Promise<Result<GroupMembership, Failure>>
-  /** Asks the store whether this member holds the duty in the given generation. Errors: `platform_unavailable`. */
-  abstract confirm (generation: number): Promise<Result<boolean, Failure>>
+  abstract join (signal?: AbortSignal): Promise<Result<GroupMembership, Failure>>
+  /** Asks the store whether this member holds the duty under a fencing number. Errors: `platform_unavailable`. */
+  abstract confirm (fencingNumber: FencingNumber): Promise<Result<boolean, Failure>>
+  /** What a fencing number stands for, as fields of log lines. */
+  abstract describe (fencingNumber: FencingNumber): Record<string, number>
   /** Leaves the group, so that the store assigns the duty to another member at once. */
   abstract leave (): Promise<void>
 }
@@ -49,7 +51,8 @@
 
 /** Renews the membership in a group and tells whether this process has authority for the duty at the moment. */
 export class GroupLease {
-  private generation = 0
+  /** Fencing number of the newest membership; undefined before the first. */
+  private fencingNumber: FencingNumber | undefined
   private heldSince: number | undefined
   private renewedAt: ClockReadings | undefined
   /** Greatest fencing number of this process that a worker refused; -1 if none did. */
@@ -75,15 +78,15 @@
   /** The fencing number if this process may act; undefined otherwise. Valid only at the moment of the call. */
   authority (): FencingNumber | undefined {
     const { clock, durationMilliseconds, handoverMilliseconds } = this.options
-    if (this.heldSince === undefined || this.renewedAt === undefined) return undefined
+    if (this.fencingNumber === undefined || this.heldSince === undefined || this.renewedAt === undefined) return undefined
     if (this.clockDisagreementSince(this.renewedAt) > maxClockDisagreementMilliseconds) {
       this.endAuthority('clocks_disagree')
       return undefined
     }
     const now = clock.monotonic()
     if (now >= this.renewedAt.monotonic + durationMilliseconds - marginMilliseconds) return undefined
-    if (now < this.heldSince + handoverMilliseconds || this.generation <= this.greatestRefusedNumber) return undefined
-    return this.generation as FencingNumber
+    if (now < this.heldSince + handoverMilliseconds || this.fencingNumber <= this.greatestRefusedNumber) return undefined
+    return this.fencingNumber
   }
 
   /** The fencing number if the store confirms that this process holds the duty; undefined otherwise. */
@@ -112,26 +115,31 @@
   private async renew (signal: AbortSignal): Promise<void> {
     const { group, events } = this.options
     const sentAt = this.readClocks()
-    const joined = await group.join(this.generation, signal)
+    const joined = await group.join(signal)
     if (joined.isErr) {
-      if (!signal.aborted) events.warn('duty_renewal_failed', { generation: this.generation, reason: joined.error.message })
+      if (!signal.aborted) events.warn('duty_renewal_failed', { ...this.numberFields(), reason: joined.error.message })
       return
     }
-    this.generation = joined.value.generation
+    this.fencingNumber = joined.value.fencingNumber
     if (!joined.value.holdsDuty) return this.endAuthority('given_to_another')
     if (this.clockDisagreementSince(sentAt) > maxClockDisagreementMilliseconds) return this.endAuthority('clocks_disagree')
     this.renewedAt = sentAt
     if (this.heldSince !== undefined) return
     this.heldSince = sentAt.monotonic
-    events.info('duty_gained', { generation: this.generation })
+    events.info('duty_gained', this.numberFields())
   }
 
   private endAuthority (reason: string): void {
-    if (this.heldSince !== undefined) this.options.events.info('duty_lost', { generation: this.generation, reason })
+    if (this.heldSince !== undefined) this.options.events.info('duty_lost', { ...this.numberFields(), reason })
     this.heldSince = undefined
     this.renewedAt = undefined
   }
 
+  private numberFields (): Record<string, number> {
+    if (this.fencingNumber === undefined) return {}
+    return { fencing: this.fencingNumber, ...this.options.group.describe(this.fencingNumber) }
+  }
+
   private readClocks (): ClockReadings {
     return { monotonic: this.options.clock.monotonic(), wall: this.options.clock.wall() }
   }
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -408,6 +408,7 @@
 function createDutyGroup ({ host, store, bounds, listen }: PlatformSettings, era: StoreEra, events: EventLog): StoreDutyGroup {
   return new StoreDutyGroup({
     store: new StoreClient(store.address, era),
+    era,
     events,
     hostId: host.id,
     incarnation: newIncarnation(),
--- a/src/platform/StoreDutyGroup.ts
+++ b/src/platform/StoreDutyGroup.ts
@@ -4,12 +4,16 @@
  * decide where prompts are computed, and grant the permits of limited workers. While no host schedules prompts, the
  * holders of the partitions of `duties` grant the permits. Each member's name contains its address, so that the group
  * also tells the hosts how to reach each other.
+ *
+ * A store that comes back from an older copy gives the generations of the lost seconds out again. The fencing number of
+ * an order therefore consists of the era of the store and the generation, so that it is greater after each restore.
  */
 import { Result } from 'true-myth'
-import type { Failure, HostId, Incarnation } from '../common/index.js'
+import { type Failure, failure, type FencingNumber, type HostId, type Incarnation } from '../common/index.js'
 import { DutyGroup, type GroupMembership } from '../leases/index.js'
 import type { EventLog } from '../observability/index.js'
 import type { StoreClient } from './StoreClient.js'
+import type { StoreEra } from './StoreEra.js'
 
 export const hostGroup = 'hosts'
 
@@ -22,9 +26,14 @@
 /** Partition whose holder sends the orders. */
 const orderPartition = 0
 
+/** Number of generations for which a fencing number has room in each era. */
+const generationsPerEra = 2 ** 32
+
 /** Options of a `StoreDutyGroup`. */
 export interface StoreDutyGroupOptions {
-  store: StoreClient
+  store: Pick<StoreClient, 'join' | 'commit' | 'leave' | 'close'>
+  /** Newest known era of the store. */
+  era: StoreEra
   events: EventLog
   hostId: HostId
   /** Identifies this start of the host, so that a restarted host joins as another member without partitions. */
@@ -48,11 +57,24 @@
   return separator < 0 ? undefined : member.slice(separator + 1)
 }
 
+/** A number that is greater than all of earlier generations and eras; undefined if the generation is out of range. */
+function fencingNumberOf (era: number, generation: number): FencingNumber | undefined {
+  if (generation < 0 || generation >= generationsPerEra) return undefined
+  return era * generationsPerEra + generation as FencingNumber
+}
+
+/** The era and the generation of which a fencing number consists. */
+function partsOf (fencingNumber: FencingNumber): { era: number, generation: number } {
+  return { era: Math.floor(fencingNumber / generationsPerEra), generation: fencingNumber % generationsPerEra }
+}
+
 /** Duty group that is backed by a consumer group of the store. */
 export class StoreDutyGroup extends DutyGroup {
   private readonly member: string
   private placementPartitions: ReadonlySet<number> = new Set()
   private dutyPartitions: ReadonlySet<number> = new Set()
+  /** Fencing number of the newest membership; undefined before the first. */
+  private joinedNumber: FencingNumber | undefined
 
   constructor (private readonly options: StoreDutyGroupOptions) {
     super()
@@ -69,16 +91,20 @@
     return this.dutyPartitions.has(partition)
   }
 
-  async join (generation: number, signal?: AbortSignal): Promise<Result<GroupMembership, Failure>> {
+  async join (signal?: AbortSignal): Promise<Result<GroupMembership, Failure>> {
     const { store, timeToLiveMilliseconds, schedulesPrompts } = this.options
     const topics = schedulesPrompts ? [dutyTopic, placementTopic] : [dutyTopic]
+    const generation = this.seenGeneration()
     const joined = await store.join(hostGroup, this.member, { topics, timeToLiveMilliseconds, generation, signal })
-    return joined.map(({ generation, partitions }) => {
+    return joined.andThen(({ generation, era, partitions }) => {
+      const fencingNumber = fencingNumberOf(era, generation)
+      if (fencingNumber === undefined) return Result.err(failure('platform_unavailable', `generation ${generation} is out of range`))
       const partitionsOf = (topic: string): ReadonlySet<number> =>
         new Set(partitions.filter(assigned => assigned.topic === topic).map(({ partition }) => partition))
+      this.joinedNumber = fencingNumber
       this.placementPartitions = partitionsOf(placementTopic)
       this.dutyPartitions = partitionsOf(dutyTopic)
-      return { generation, holdsDuty: this.dutyPartitions.has(orderPartition) }
+      return Result.ok({ fencingNumber, holdsDuty: this.dutyPartitions.has(orderPartition) })
     })
   }
 
@@ -86,12 +112,17 @@
    * Confirms the duty with a commit, which the store rejects unless the member holds the partition; the offset is
    * unused.
    */
-  async confirm (generation: number): Promise<Result<boolean, Failure>> {
+  async confirm (fencingNumber: FencingNumber): Promise<Result<boolean, Failure>> {
+    const { generation } = partsOf(fencingNumber)
     return await this.options.store.commit(hostGroup, this.member, {
       generation, topic: dutyTopic, partition: orderPartition, offset: 0
     })
   }
 
+  describe (fencingNumber: FencingNumber): Record<string, number> {
+    return partsOf(fencingNumber)
+  }
+
   async leave (): Promise<void> {
     this.placementPartitions = new Set()
     this.dutyPartitions = new Set()
@@ -99,4 +130,15 @@
     if (leaveResult.isErr) this.options.events.warn('group_leave_failed', { reason: leaveResult.error.message })
     await this.options.store.close()
   }
+
+  /**
+   * The generation that a join names. It tells the store which changes of the group this member has seen, so that the
+   * store passes on what the member no longer holds; a generation of an earlier era would speak for changes that it has
+   * not seen.
+   */
+  private seenGeneration (): number {
+    if (this.joinedNumber === undefined) return 0
+    const { era, generation } = partsOf(this.joinedNumber)
+    return era === this.options.era.current ? generation : 0
+  }
 }
--- a/src/platform/WorkerOrders.test.ts
+++ b/src/platform/WorkerOrders.test.ts
@@ -5,7 +5,7 @@
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
 import { Result } from 'true-myth'
 import { EndlessSender, maxAcceptedBytes } from '../clients/testing/EndlessSender.js'
-import { type Failure, type HostId, ManualClock, type WorkerId } from '../common/index.js'
+import { type Failure, type FencingNumber, type HostId, ManualClock, type WorkerId } from '../common/index.js'
 import type { EngineRole } from '../configuration/index.js'
 import { DutyGroup, GroupLease, type GroupMembership } from '../leases/index.js'
 import { EventLog, HybridClock, Timeline } from '../observability/index.js'
@@ -18,8 +18,9 @@
 class ConfirmingGroup extends DutyGroup {
   confirms = true
 
-  async join (): Promise<Result<GroupMembership, Failure>> { return Result.ok({ generation: 7, holdsDuty: true }) }
+  async join (): Promise<Result<GroupMembership, Failure>> { return Result.ok({ fencingNumber: 7 as FencingNumber, holdsDuty: true }) }
   async confirm (): Promise<Result<boolean, Failure>> { return Result.ok(this.confirms) }
+  describe (): Record<string, number> { return {} }
   async leave (): Promise<void> {}
 }
 
--- a/src/platform/testing/FakeStore.ts
+++ b/src/platform/testing/FakeStore.ts
@@ -36,6 +36,8 @@
   readonly calls: string[] = []
   /** Reads so far, with the wait that they asked for in milliseconds. */
   readonly reads: Array<{ topic: string, waitMilliseconds: number }> = []
+  /** Joins so far. */
+  readonly joins: Array<{ member: string, generation: number }> = []
   /** How calls are answered: `normal`, as by the store; `silent`, never; `refused`, with status 503. */
   mode: 'normal' | 'silent' | 'refused' = 'normal'
   /** Increases with each change of the group's members. */
@@ -163,6 +165,7 @@
   private join (body: Record<string, unknown>, response: ServerResponse): void {
     this.removeExpiredMembers()
     const member = String(body.member)
+    this.joins.push({ member, generation: Number(body.generation) })
     if (!this.members.has(member)) this.generation += 1
     this.members.set(member, { topics: body.topics as string[], expiresAt: performance.now() + Number(body['ttl-ms']) })
     const parts = this.owners().filter(([, , owner]) => owner === member).map(([topic, partition]) => [topic, partition, 0])
