End the authority for orders when the store is restored

What callers saw: nothing so far. A host that held the duty of orders in the lost seconds kept its authority until its next renewal, and went on without a handover time if the restored store named it again.

Cause: the lease did not look at the era. The commit before an order was taken for a proof also if a restored store accepted it, for a generation that stands for another change by then.

Evidence: four cases fail without the change: authority 1 instead of none, 2 before its handover time (GroupLease.test.ts), and a commit that confirms true after a restore (StoreDutyGroup.test.ts).

Change: DutyGroup tells whether a number is outdated. Authority then ends at the next look at it (duty_lost reason=store_restored), whichever client of the host has learned the era first, and the handover time starts anew.

Result: the 35 tests of GroupLease, StoreDutyGroup and WorkerOrders pass.

--- a/src/leases/GroupLease.test.ts
+++ b/src/leases/GroupLease.test.ts
@@ -26,6 +26,8 @@
   membership = membership(1, true)
   isReachable = true
   isConfirming = true
+  /** Greatest number of which the store has forgotten the change. */
+  outdated = 0
   hasLeft = false
   beforeResponse: () => void = () => {}
 
@@ -39,6 +41,8 @@
     return this.isReachable ? Result.ok(this.isConfirming) : Result.err(failure('platform_unavailable', 'no response'))
   }
 
+  isOutdated (fencingNumber: FencingNumber): boolean { return fencingNumber <= this.outdated }
+
   describe (): Record<string, number> { return {} }
 
   async leave (): Promise<void> { this.hasLeft = true }
@@ -47,12 +51,14 @@
 let clock: SuspendableClock
 let group: FakeGroup
 let lease: GroupLease
+let lines: string[]
 
 beforeEach(() => {
   clock = new SuspendableClock()
   group = new FakeGroup()
   const timeline = new Timeline('host-1', new HybridClock(clock))
-  const events = new EventLog({ timeline, level: 'error', write: () => {} })
+  lines = []
+  const events = new EventLog({ timeline, level: 'info', write: line => { lines.push(line) } })
   const times = { durationMilliseconds: 3000, renewMilliseconds: 1000, handoverMilliseconds: 3000 }
   lease = new GroupLease({ group, clock, events, ...times })
 })
@@ -85,6 +91,7 @@
       group.membership = membership(2, false)
       await clock.advance(1000)
     }],
+    ['when the store has forgotten the change that gave the duty to this process', () => { group.outdated = 1 }],
     ['when a worker has seen a greater fencing number', () => { lease.handleRefusal(lease.authority()!) }],
     ['when the machine was suspended before the response to a renewal arrived', async () => {
       group.beforeResponse = () => { clock.wallOffset += 2000 }
@@ -115,6 +122,26 @@
   expect(lease.authority()).toBe(2)
 })
 
+// Another process may have held the duty in the seconds that the store has lost.
+test('a holder that a restored store names again gets authority only after the handover time', async () => {
+  await acquireAuthority()
+  group.outdated = 1
+  group.membership = membership(2, true)
+  await clock.advance(1000)
+  expect(lease.authority()).toBeUndefined()
+  await clock.advance(2400)
+  expect(lease.authority()).toBeUndefined()
+  await clock.advance(200)
+  expect(lease.authority()).toBe(2)
+  const changes = lines.flatMap(line => {
+    const parsed = /event=(duty_lost|duty_gained).*?fencing=(\d+)(?:.*reason=(\w+))?/.exec(line)
+    return parsed === null ? [] : [parsed.slice(1)]
+  })
+  expect(changes).toEqual([
+    ['duty_gained', '1', undefined], ['duty_lost', '1', 'store_restored'], ['duty_gained', '2', undefined]
+  ])
+})
+
 test.each([
   ['does not confirm', () => { group.isConfirming = false }],
   ['does not respond', () => { group.isReachable = false }]
--- a/src/leases/GroupLease.ts
+++ b/src/leases/GroupLease.ts
@@ -21,6 +21,11 @@
   abstract join (signal?: AbortSignal): Promise<Result<GroupMembership, Failure>>
   /** Asks the store whether this member holds the duty under a fencing number. Errors: `platform_unavailable`. */
   abstract confirm (fencingNumber: FencingNumber): Promise<Result<boolean, Failure>>
+  /**
+   * True if the store has since forgotten the change to which the number belongs. It may have assigned the duty to
+   * another member.
+   */
+  abstract isOutdated (fencingNumber: FencingNumber): boolean
   /** What a fencing number stands for, as fields of log lines. */
   abstract describe (fencingNumber: FencingNumber): Record<string, number>
   /** Leaves the group, so that the store assigns the duty to another member at once. */
@@ -78,6 +83,7 @@
   /** The fencing number if this process may act; undefined otherwise. Valid only at the moment of the call. */
   authority (): FencingNumber | undefined {
     const { clock, durationMilliseconds, handoverMilliseconds } = this.options
+    this.endOutdatedAuthority()
     if (this.fencingNumber === undefined || this.heldSince === undefined || this.renewedAt === undefined) return undefined
     if (this.clockDisagreementSince(this.renewedAt) > maxClockDisagreementMilliseconds) {
       this.endAuthority('clocks_disagree')
@@ -94,6 +100,7 @@
     const before = this.authority()
     if (before === undefined) return undefined
     const confirmed = await this.options.group.confirm(before)
+    this.endOutdatedAuthority()
     if (confirmed.isErr) return undefined
     if (!confirmed.value) this.endAuthority('store_refused')
     return this.authority() === before ? before : undefined
@@ -116,6 +123,8 @@
     const { group, events } = this.options
     const sentAt = this.readClocks()
     const joined = await group.join(signal)
+    // A holder that the store names again waits like a new one, since another may have held the duty meanwhile.
+    this.endOutdatedAuthority()
     if (joined.isErr) {
       if (!signal.aborted) events.warn('duty_renewal_failed', { ...this.numberFields(), reason: joined.error.message })
       return
@@ -129,6 +138,10 @@
     events.info('duty_gained', this.numberFields())
   }
 
+  private endOutdatedAuthority (): void {
+    if (this.fencingNumber !== undefined && this.options.group.isOutdated(this.fencingNumber)) this.endAuthority('store_restored')
+  }
+
   private endAuthority (reason: string): void {
     if (this.heldSince !== undefined) this.options.events.info('duty_lost', { ...this.numberFields(), reason })
     this.heldSince = undefined
--- a/src/platform/StoreDutyGroup.test.ts
+++ b/src/platform/StoreDutyGroup.test.ts
@@ -102,6 +102,17 @@
   expect(store.joins.filter(({ member }) => member.startsWith('host-1')).map(({ generation }) => generation)).toEqual([0, 1, 3, 0, 3])
 })
 
+// The same generation may stand for another change in the lost seconds and after the restore.
+test('a commit that a restored store accepts confirms no number of before', async () => {
+  const { group, store: client } = createHost('host-1')
+  const { fencingNumber } = (await group.join()).unwrapOr({ fencingNumber: undefined })
+  expect((await group.confirm(fencingNumber!)).unwrapOr(false)).toBe(true)
+  store.restore(store.copy())
+  await client.owners('hosts')
+  expect((await group.confirm(fencingNumber!)).unwrapOr(true)).toBe(false)
+  expect(group.isOutdated(fencingNumber!)).toBe(true)
+})
+
 describe('a generation without room in the fencing number', () => {
   // A number that runs over into the next era would be used again after the next restore.
   test.each([
--- a/src/platform/StoreDutyGroup.ts
+++ b/src/platform/StoreDutyGroup.ts
@@ -110,13 +110,18 @@
 
   /**
    * Confirms the duty with a commit, which the store rejects unless the member holds the partition; the offset is
-   * unused.
+   * unused. A commit that a restored store accepts is about a generation that it has given out again.
    */
   async confirm (fencingNumber: FencingNumber): Promise<Result<boolean, Failure>> {
     const { generation } = partsOf(fencingNumber)
-    return await this.options.store.commit(hostGroup, this.member, {
+    const committed = await this.options.store.commit(hostGroup, this.member, {
       generation, topic: dutyTopic, partition: orderPartition, offset: 0
     })
+    return committed.map(isHolder => isHolder && !this.isOutdated(fencingNumber))
+  }
+
+  isOutdated (fencingNumber: FencingNumber): boolean {
+    return partsOf(fencingNumber).era !== this.options.era.current
   }
 
   describe (fencingNumber: FencingNumber): Record<string, number> {
--- a/src/platform/WorkerOrders.test.ts
+++ b/src/platform/WorkerOrders.test.ts
@@ -18,8 +18,12 @@
 class ConfirmingGroup extends DutyGroup {
   confirms = true
 
-  async join (): Promise<Result<GroupMembership, Failure>> { return Result.ok({ fencingNumber: 7 as FencingNumber, holdsDuty: true }) }
+  async join (): Promise<Result<GroupMembership, Failure>> {
+    return Result.ok({ fencingNumber: 7 as FencingNumber, holdsDuty: true })
+  }
+
   async confirm (): Promise<Result<boolean, Failure>> { return Result.ok(this.confirms) }
+  isOutdated (): boolean { return false }
   describe (): Record<string, number> { return {} }
   async leave (): Promise<void> {}
 }
