Begin the handover time anew after a gap between renewals

What callers saw: nothing so far. A host whose renewals had failed for longer than its lease (cut off, or the store away for it) acted at once when the store named it the holder again, also if another host had held the duty meanwhile and had just acted.

Cause: only a renewal that named another holder ended the time since which the duty is held; authority that expired came back with the next renewal.

Evidence: restoredGroups.test.ts, a table of restores and returns with two processes against a store model. The case without a restore failed: b acts with 1006 at 16500 ms, a with 1007 at 17100 ms, with a lease of 3000 ms.

Change: if the response to a renewal arrives later than the lease's duration after the last successful one was sent, the authority has ended (duty_lost reason=expired) and the handover time begins anew. After an outage of the store that is longer than the lease, orders thus wait one lease more.

Result: the 47 tests of GroupLease, StoreDutyGroup and WorkerOrders pass.

--- a/src/leases/GroupLease.ts
+++ b/src/leases/GroupLease.ts
@@ -120,7 +120,7 @@
   }
 
   private async renew (signal: AbortSignal): Promise<void> {
-    const { group, events } = this.options
+    const { group, events, clock, durationMilliseconds } = this.options
     const sentAt = this.readClocks()
     const joined = await group.join(signal)
     // A holder that the store names again waits like a new one, since another may have held the duty meanwhile.
@@ -132,6 +132,8 @@
     this.fencingNumber = joined.value.fencingNumber
     if (!joined.value.holdsDuty) return this.endAuthority('given_to_another')
     if (this.clockDisagreementSince(sentAt) > maxClockDisagreementMilliseconds) return this.endAuthority('clocks_disagree')
+    // Another member may have held the duty and acted between two renewals that are further apart.
+    if (this.renewedAt !== undefined && clock.monotonic() >= this.renewedAt.monotonic + durationMilliseconds) this.endAuthority('expired')
     this.renewedAt = sentAt
     if (this.heldSince !== undefined) return
     this.heldSince = sentAt.monotonic
