--- a/src/leases/GroupLease.test.ts
+++ b/src/leases/GroupLease.test.ts
@@ -5,7 +5,7 @@
  */
 import { beforeEach, describe, expect, test } from '@jest/globals'
 import { Result } from 'true-myth'
-import { type Failure, failure, ManualClock } from '../common/index.js'
+import { type Failure, failure, type FencingNumber, ManualClock } from '../common/index.js'
 import { EventLog, HybridClock, Timeline } from '../observability/index.js'
 import { DutyGroup, GroupLease, type GroupMembership } from './GroupLease.js'
 
@@ -18,10 +18,16 @@
   }
 }
 
+function membership (fencingNumber: number, holdsDuty: boolean): GroupMembership {
+  return { fencingNumber: fencingNumber as FencingNumber, holdsDuty }
+}
+
 class FakeGroup extends DutyGroup {
-  membership: GroupMembership = { generation: 1, holdsDuty: true }
+  membership = membership(1, true)
   isReachable = true
   isConfirming = true
+  /** Greatest number of which the store has forgotten the change. */
+  outdated = 0
   hasLeft = false
   beforeResponse: () => void = () => {}
 
@@ -35,18 +41,24 @@
     return this.isReachable ? Result.ok(this.isConfirming) : Result.err(failure('platform_unavailable', 'no response'))
   }
 
+  isOutdated (fencingNumber: FencingNumber): boolean { return fencingNumber <= this.outdated }
+
+  describe (): Record<string, number> { return {} }
+
   async leave (): Promise<void> { this.hasLeft = true }
 }
 
 let clock: SuspendableClock
 let group: FakeGroup
 let lease: GroupLease
+let lines: string[]
 
 beforeEach(() => {
   clock = new SuspendableClock()
   group = new FakeGroup()
   const timeline = new Timeline('host-1', new HybridClock(clock))
-  const events = new EventLog({ timeline, level: 'error', write: () => {} })
+  lines = []
+  const events = new EventLog({ timeline, level: 'info', write: line => { lines.push(line) } })
   const times = { durationMilliseconds: 3000, renewMilliseconds: 1000, handoverMilliseconds: 3000 }
   lease = new GroupLease({ group, clock, events, ...times })
 })
@@ -76,9 +88,10 @@
       await clock.advance(2900)
     }],
     ['when the store assigns the duty to another member', async () => {
-      group.membership = { generation: 2, holdsDuty: false }
+      group.membership = membership(2, false)
       await clock.advance(1000)
     }],
+    ['when the store has forgotten the change that gave the duty to this process', () => { group.outdated = 1 }],
     ['when a worker has seen a greater fencing number', () => { lease.handleRefusal(lease.authority()!) }],
     ['when the machine was suspended before the response to a renewal arrived', async () => {
       group.beforeResponse = () => { clock.wallOffset += 2000 }
@@ -104,11 +117,31 @@
   lease.handleRefusal(lease.authority()!)
   await clock.advance(8000)
   expect(lease.authority()).toBeUndefined()
-  group.membership = { generation: 2, holdsDuty: true }
+  group.membership = membership(2, true)
   await clock.advance(4000)
   expect(lease.authority()).toBe(2)
 })
 
+// Another process may have held the duty in the seconds that the store has lost.
+test('a holder that a restored store names again gets authority only after the handover time', async () => {
+  await acquireAuthority()
+  group.outdated = 1
+  group.membership = membership(2, true)
+  await clock.advance(1000)
+  expect(lease.authority()).toBeUndefined()
+  await clock.advance(2400)
+  expect(lease.authority()).toBeUndefined()
+  await clock.advance(200)
+  expect(lease.authority()).toBe(2)
+  const changes = lines.flatMap(line => {
+    const parsed = /event=(duty_lost|duty_gained).*?fencing=(\d+)(?:.*reason=(\w+))?/.exec(line)
+    return parsed === null ? [] : [parsed.slice(1)]
+  })
+  expect(changes).toEqual([
+    ['duty_gained', '1', undefined], ['duty_lost', '1', 'store_restored'], ['duty_gained', '2', undefined]
+  ])
+})
+
 test.each([
   ['does not confirm', () => { group.isConfirming = false }],
   ['does not respond', () => { group.isReachable = false }]
