Read a topic again as a whole when the store was restored

Callers: after a restore of the store, a host could go on without records that were written again, such as a confirmed change of the configuration or the drain of a worker.

Cause: a follower of a topic read the whole topic again only after a failed call or a 410. If neither happened (it paused after a change, its long poll was open, its connection had become silent), it went on at an offset that belonged to other records by then, and skipped those below it.

Change: an offset belongs to the era in which it was learnt. A page from a later era is not applied, an offset from an earlier era is not read from, and a rise of the era that any client of the host learns of ends the open long poll. The whole topic is read once for each restore; `topic_restored` logs the topic, the eras and the offsets.

--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -167,7 +167,7 @@
     const { stableWindowMilliseconds } = settings.bounds
     const era = new StoreEra(events)
     const createFollower = (topic: string, receiver: TopicReceiver): TopicFollower => new TopicFollower({
-      topic, receiver, store: new StoreClient(settings.store.address, era), clock, events, stableWindowMilliseconds
+      topic, receiver, store: new StoreClient(settings.store.address, era), era, clock, events, stableWindowMilliseconds
     })
     const workerFollower = createFollower(workerTopic, directory.workerReceiver)
     const configurationFollower = createFollower(configurationTopic, directory.configurationReceiver)
--- a/src/platform/QuarantinePart.ts
+++ b/src/platform/QuarantinePart.ts
@@ -28,6 +28,7 @@
     this.topic = new QuarantineTopic({
       reader: new StoreClient(store.address, era),
       writer: new StoreClient(store.address, era),
+      era,
       receiver,
       clock,
       events,
--- a/src/platform/QuarantineTopic.test.ts
+++ b/src/platform/QuarantineTopic.test.ts
@@ -11,6 +11,7 @@
   longestPauseMilliseconds, maxEvidenceAgeMilliseconds, maxLosses, maxPrompts, maxQueuedParts, QuarantineTopic, repeatMilliseconds
 } from './QuarantineTopic.js'
 import type { AppendedRecords, AppendOptions, KeyedRecord } from './StoreClient.js'
+import { StoreEra } from './StoreEra.js'
 
 /** An append that waits for its answer. */
 interface PendingAppend {
@@ -78,6 +79,7 @@
       },
       close: async () => {}
     },
+    era: new StoreEra(),
     writer: { append, close: async () => {} },
     receiver: { receive: evidence => { received.push(...evidence) } },
     clock,
--- a/src/platform/QuarantineTopic.ts
+++ b/src/platform/QuarantineTopic.ts
@@ -7,6 +7,7 @@
 import type { EventLog } from '../observability/index.js'
 import { EvidenceExchange, type EvidenceReceiver, type PartEvidence } from '../quarantine/index.js'
 import { type KeyedRecord, maxKeyBytes, type StoreClient } from './StoreClient.js'
+import type { StoreEra } from './StoreEra.js'
 import { TopicFollower } from './TopicFollower.js'
 
 /** Topic of the evidence. */
@@ -59,6 +60,8 @@
   reader: Pick<StoreClient, 'newest' | 'read' | 'close'>
   /** Client for the appends. */
   writer: Pick<StoreClient, 'append' | 'close'>
+  /** Newest era of the store that this host knows. */
+  era: StoreEra
   receiver: EvidenceReceiver
   clock: Clock
   events: EventLog
@@ -84,10 +87,11 @@
 
   constructor (private readonly options: QuarantineTopicOptions) {
     super()
-    const { reader, clock, events, stableWindowMilliseconds } = options
+    const { reader, era, clock, events, stableWindowMilliseconds } = options
     this.follower = new TopicFollower({
       topic: quarantineTopic,
       store: reader,
+      era,
       receiver: { replace: records => this.replace(records), apply: records => this.apply(records) },
       clock,
       events,
--- a/src/platform/StoreEra.ts
+++ b/src/platform/StoreEra.ts
@@ -11,6 +11,7 @@
 /** The newest era that responses have stated. All clients of a host share one, since any of them may be the first to learn it. */
 export class StoreEra {
   private newest = 0
+  private readonly listeners = new Set<() => void>()
 
   constructor (private readonly events?: EventLog) {}
 
@@ -19,6 +20,12 @@
     return this.newest
   }
 
+  /** Calls the listener when the era rises, until the returned function is called. */
+  onRise (listener: () => void): () => void {
+    this.listeners.add(listener)
+    return () => { this.listeners.delete(listener) }
+  }
+
   /**
    * Reads the era that a response states; a response without a valid one belongs to the newest known era. Returns
    * undefined if the response is from before a restore that this host knows of, so that its content no longer counts.
@@ -29,6 +36,7 @@
     if (era > this.newest && era <= maxEra) {
       if (this.newest > 0) this.events?.warn('store_restored', { era, before: this.newest })
       this.newest = era
+      for (const listener of this.listeners) listener()
     }
     return this.newest
   }
--- a/src/platform/TopicFollower.test.ts
+++ b/src/platform/TopicFollower.test.ts
@@ -1,12 +1,13 @@
 /**
  * Guards against needless calls to the store, since every host makes them and the platform charges for each, and against
- * changes that are missed because a connection became silent or the store dropped its history.
+ * changes that are missed because a connection became silent, the store dropped its history or came back from an older copy.
  */
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
 import { Result } from 'true-myth'
 import { type Failure, failure, ManualClock } from '../common/index.js'
 import { EventLog, HybridClock, Timeline } from '../observability/index.js'
 import type { KeyedRecord, NewestRecords, ReadOutcome } from './StoreClient.js'
+import { StoreEra } from './StoreEra.js'
 import { TopicFollower, type TopicFollowerOptions } from './TopicFollower.js'
 
 const unreachableFailure = failure('platform_unavailable', 'no response')
@@ -15,6 +16,7 @@
 class FakeTopic {
   records: KeyedRecord[] = []
   firstOffset = 0
+  era = 1
   reachable = true
   /** If true, reads that are open now or start from now on are not answered. */
   silent = false
@@ -22,7 +24,15 @@
   newestCalls = 0
   private wake: () => void = () => {}
 
-  constructor (private readonly clock: ManualClock) {}
+  constructor (private readonly clock: ManualClock, private readonly storeEra: StoreEra) {}
+
+  /** Comes back in a new era with the first `count` records, and then `rewritten` ones. Open reads are answered only then. */
+  restore (count: number, rewritten: string[] = []): void {
+    this.records = this.records.slice(0, count)
+    this.era += 1
+    for (const key of rewritten) this.records.push({ key, value: Buffer.from(`value of ${key}`) })
+    this.wake()
+  }
 
   write (key: string): void {
     this.records.push({ key, value: Buffer.from(`value of ${key}`) })
@@ -32,7 +42,7 @@
   async newest (): Promise<Result<NewestRecords, Failure>> {
     this.newestCalls += 1
     if (!this.reachable) return Result.err(unreachableFailure)
-    return Result.ok({ records: this.records, end: this.records.length, era: 1 })
+    return Result.ok({ records: [...this.records], end: this.records.length, era: this.stateEra() })
   }
 
   async read (
@@ -42,13 +52,25 @@
     signal: AbortSignal = new AbortController().signal
   ): Promise<Result<ReadOutcome, Failure>> {
     this.longPollTimes.push(waitMilliseconds)
-    if (from < this.firstOffset) return Result.ok('expired')
+    if (from < this.firstOffset || from > this.records.length) return this.expired()
     const written = new AbortController()
     this.wake = () => { written.abort() }
     if (this.records.length <= from) await this.clock.sleep(waitMilliseconds, AbortSignal.any([signal, written.signal]))
     if (this.silent) await this.clock.sleep(Infinity, signal)
     if (!this.reachable || signal.aborted) return Result.err(unreachableFailure)
-    return Result.ok({ records: this.records.slice(from), next: this.records.length, era: 1 })
+    if (from > this.records.length) return this.expired()
+    return Result.ok({ records: this.records.slice(from), next: this.records.length, era: this.stateEra() })
+  }
+
+  private expired (): Result<ReadOutcome, Failure> {
+    this.stateEra()
+    return Result.ok('expired')
+  }
+
+  /** States the era in a response. */
+  private stateEra (): number {
+    this.storeEra.accept(String(this.era))
+    return this.era
   }
 
   async close (): Promise<void> {}
@@ -58,20 +80,25 @@
 let topic: FakeTopic
 let follower: TopicFollower
 let received: string[]
+let era: StoreEra
+let lines: string[]
 
 /** Starts a follower with a stable window of 4 s. */
 async function startFollower (options: Partial<TopicFollowerOptions> = {}): Promise<void> {
   clock = new ManualClock()
-  topic = new FakeTopic(clock)
+  era = new StoreEra()
+  topic = new FakeTopic(clock, era)
   received = []
+  lines = []
   const collect = (records: KeyedRecord[]): void => { received.push(...records.map(({ key }) => key)) }
   const timeline = new Timeline('host-1', new HybridClock(clock))
   follower = new TopicFollower({
     topic: 'keyed.servers',
     store: topic,
+    era,
     receiver: { replace: collect, apply: collect },
     clock,
-    events: new EventLog({ timeline, level: 'error', write: () => {} }),
+    events: new EventLog({ timeline, level: 'info', write: line => { lines.push(line) } }),
     stableWindowMilliseconds: 4000,
     ...options
   })
@@ -177,3 +204,78 @@
     expect(topic.longPollTimes.length).toBeLessThanOrEqual(2)
   })
 })
+
+describe('a follower of a topic of a store that is restored without a failed call', () => {
+  beforeEach(async () => {
+    await startFollower({ restMilliseconds: 20_000, batchMilliseconds: 500 })
+    for (const key of ['kept', 'lost-1', 'lost-2']) topic.write(key)
+    await clock.advance(0)
+    await clock.advance(500)
+    received = []
+  })
+
+  // A follower that goes on at its offset skips the records that were written again below it.
+  test.each<[string, () => Promise<void>]>([
+    ['while it waits for changes', async () => { topic.restore(1, ['again-1', 'again-2', 'again-3']) }],
+    ['before fewer records are written again', async () => { topic.restore(1, ['again-1']) }],
+    ['and as many records are written again', async () => { topic.restore(1, ['again-1', 'again-2']) }],
+    ['while it pauses after a change', async () => {
+      topic.write('lost-3')
+      await clock.advance(0)
+      topic.restore(1, ['again-1', 'again-2', 'again-3', 'again-4'])
+      received = []
+      await clock.advance(500)
+    }],
+    ['twice in a row', async () => {
+      topic.restore(2, ['lost-again-1', 'lost-again-2'])
+      topic.restore(1, ['again-1', 'again-2', 'again-3'])
+    }]
+  ])('reads the whole topic again if it happens %s', async (_name, restore) => {
+    await restore()
+    await clock.advance(0)
+    await clock.advance(600)
+    const keys = topic.records.map(({ key }) => key)
+    expect(received).toEqual(keys)
+    expect(topic.newestCalls).toBe(2)
+  })
+
+  // The long poll may hang on a connection that became silent, for up to 20 s.
+  test('reads the whole topic again as soon as another client learns of the restore', async () => {
+    await clock.advance(31_000)
+    topic.silent = true
+    topic.restore(1, ['again-1'])
+    await clock.advance(10)
+    topic.silent = false
+    era.accept('2')
+    await clock.advance(0)
+    expect(received).toEqual(['kept', 'again-1'])
+    topic.write('later')
+    await clock.advance(10)
+    expect(received).toEqual(['kept', 'again-1', 'later'])
+  })
+
+  // An offset that was learnt before the restore belongs to other records after it.
+  test('does not read from its offset if another client learns of the restore during its pause', async () => {
+    topic.write('lost-3')
+    await clock.advance(0)
+    const reads = topic.longPollTimes.length
+    topic.restore(1, ['again-1', 'again-2', 'again-3'])
+    era.accept('2')
+    await clock.advance(500)
+    expect(topic.newestCalls).toBe(2)
+    expect(topic.longPollTimes.length).toBe(reads + 1)
+  })
+
+  // Each read of the whole topic is priced, and every host makes it.
+  test('reads the whole topic once for each restore and logs it once', async () => {
+    topic.restore(1, ['again-1', 'again-2', 'again-3'])
+    await clock.advance(60_000)
+    topic.restore(1, ['again-4', 'again-5', 'again-6'])
+    await clock.advance(60_000)
+    expect(topic.newestCalls).toBe(3)
+    expect(lines.filter(line => line.includes('event=topic_restored'))).toEqual([
+      expect.stringMatching(/topic=keyed.servers era=2 before=1 offset=3/),
+      expect.stringMatching(/topic=keyed.servers era=3 before=2 offset=4/)
+    ])
+  })
+})
--- a/src/platform/TopicFollower.ts
+++ b/src/platform/TopicFollower.ts
@@ -1,10 +1,11 @@
 /**
  * Follows a compacted topic of the store: reads the newest record of each key, then waits for changes by long polls,
- * and starts over when the store has dropped records that were not read yet.
+ * and starts over when the store has dropped records that were not read yet, or has come back from an older copy.
  */
 import { Backoff, type Clock, type Failure, Task } from '../common/index.js'
 import type { EventLog } from '../observability/index.js'
-import type { KeyedRecord, StoreClient } from './StoreClient.js'
+import type { KeyedRecord, NewestRecords, StoreClient } from './StoreClient.js'
+import type { StoreEra } from './StoreEra.js'
 
 /**
  * Part of the stable window that is reserved for the time limit of a read (0.7 s) and for reading the topic again, in
@@ -43,6 +44,8 @@
 export interface TopicFollowerOptions {
   topic: string
   store: Pick<StoreClient, 'newest' | 'read' | 'close'>
+  /** Newest era of the store that any client of this host knows. */
+  era: Pick<StoreEra, 'current' | 'onRise'>
   receiver: TopicReceiver
   clock: Clock
   events: EventLog
@@ -61,12 +64,17 @@
 export class TopicFollower {
   private task: Task | undefined
   private nextOffset: number | undefined
+  /** Era in which `nextOffset` was learnt; undefined before the first read. */
+  private offsetEra: number | undefined
   private disconnectedAt: number | undefined
   private reconnectedAt = -Infinity
 
   private changesExpectedUntil = -Infinity
-  /** Aborts the open long poll if it is longer than the stable window allows. */
-  private restingPoll: AbortController | undefined
+  /** Aborts the open long poll. */
+  private openPoll: AbortController | undefined
+  /** True if the open long poll is longer than the stable window allows. */
+  private isResting = false
+  private stopListening: () => void = () => {}
 
   private readonly longPollMilliseconds: number
 
@@ -81,7 +89,7 @@
 
   /** Offset up to which the topic was read; undefined while it has to be read as a whole. */
   get position (): number | undefined {
-    return this.disconnectedAt === undefined ? this.nextOffset : undefined
+    return this.mustReadWhole ? undefined : this.nextOffset
   }
 
   /**
@@ -89,18 +97,21 @@
    */
   expectChanges (): void {
     this.changesExpectedUntil = this.options.clock.monotonic() + expectedChangeMilliseconds
-    this.restingPoll?.abort()
-    this.restingPoll = undefined
+    if (this.isResting) this.openPoll?.abort()
   }
 
   start (): void {
-    const { events, topic } = this.options
+    const { events, topic, era } = this.options
+    this.stopListening()
+    // The connection of the open poll may have become silent at the restore.
+    this.stopListening = era.onRise(() => { this.openPoll?.abort() })
     this.task ??= Task.start(signal => this.run(signal), error => {
       events.error('topic_follower_ended', { topic, reason: String(error) })
     })
   }
 
   async stop (): Promise<void> {
+    this.stopListening()
     await this.task?.stop()
     await this.options.store.close()
   }
@@ -117,26 +128,42 @@
     }
   }
 
+  /** True if no offset is known, or if records may have been missed since it was learnt. */
+  private get mustReadWhole (): boolean {
+    return this.nextOffset === undefined || this.disconnectedAt !== undefined || this.isFromEarlierEra
+  }
+
+  /** True if the known offset is from before a restore of the store, after which it belongs to other records. */
+  private get isFromEarlierEra (): boolean {
+    return this.offsetEra !== undefined && this.offsetEra < this.options.era.current
+  }
+
   /** Makes one call to the store. Returns its failure, if any. */
   private async poll (signal: AbortSignal): Promise<Failure | undefined> {
+    const { store, topic, receiver } = this.options
+    if (!this.mustReadWhole) return await this.readChanges(this.nextOffset!, signal)
+    const newest = await store.newest(topic, signal)
+    if (newest.isErr) return newest.error
+    this.recordReconnect()
+    this.recordPosition(newest.value)
+    receiver.replace(newest.value.records)
+    return undefined
+  }
+
+  /** Makes one long poll from an offset. Returns its failure, if any. */
+  private async readChanges (from: number, signal: AbortSignal): Promise<Failure | undefined> {
     const { store, topic, receiver, clock, events } = this.options
-    if (this.nextOffset === undefined || this.disconnectedAt !== undefined) {
-      const newest = await store.newest(topic, signal)
-      if (newest.isErr) return newest.error
-      this.recordReconnect()
-      this.nextOffset = newest.value.end
-      receiver.replace(newest.value.records)
-      return undefined
-    }
     const restMilliseconds = clock.monotonic() < this.changesExpectedUntil ? undefined : this.options.restMilliseconds
     const replaced = new AbortController()
-    if (restMilliseconds !== undefined) this.restingPoll = replaced
+    this.openPoll = replaced
+    this.isResting = restMilliseconds !== undefined
     const read = await store.read(
-      topic, this.nextOffset, restMilliseconds ?? this.longPollMilliseconds, AbortSignal.any([signal, replaced.signal]))
-    this.restingPoll = undefined
+      topic, from, restMilliseconds ?? this.longPollMilliseconds, AbortSignal.any([signal, replaced.signal]))
+    this.openPoll = undefined
     if (read.isErr) return replaced.signal.aborted ? undefined : read.error
+    if (this.isFromEarlierEra) return undefined
     if (read.value === 'expired') {
-      events.info('topic_history_expired', { topic, offset: this.nextOffset })
+      events.info('topic_history_expired', { topic, offset: from })
       this.nextOffset = undefined
       return undefined
     }
@@ -148,6 +175,16 @@
     return undefined
   }
 
+  /** Notes the end of the topic as a whole and its era. */
+  private recordPosition ({ end, era }: NewestRecords): void {
+    const { events, topic } = this.options
+    if (this.offsetEra !== undefined && this.offsetEra < era) {
+      events.info('topic_restored', { topic, era, before: this.offsetEra, offset: this.nextOffset, end })
+    }
+    this.offsetEra = era
+    this.nextOffset = end
+  }
+
   private recordDisconnect (failed: Failure): void {
     if (this.disconnectedAt !== undefined) return
     this.disconnectedAt = this.options.clock.monotonic()
