Keep workers for two seconds after a restore without an outage

Callers: a host that noticed a restore of the store by its era alone removed each worker whose entry was written in the lost seconds at once, although a live worker writes its entry again within two seconds. Requests had fewer workers, or none.

Cause: the grace period for a missing entry starts at a reconnection after a failed call. A restore whose outage fell between two calls of the host is none.

Change: the first read in a new era counts as a reconnection, before its records are passed on.

--- a/src/platform/PlatformDirectory.ts
+++ b/src/platform/PlatformDirectory.ts
@@ -14,8 +14,8 @@
 const configurationKey = 'config'
 
 /**
- * Time after a reconnection to the store within which a live worker renews an entry that expired during the outage, in
- * milliseconds. Afterwards, a worker whose entry is still missing is removed.
+ * Time after a reconnection to the store within which a live worker renews an entry that expired during the outage, or
+ * that a restored store lacks, in milliseconds. Afterwards, a worker whose entry is still missing is removed.
  */
 const expiredEntryGraceMilliseconds = 2000
 
@@ -23,7 +23,10 @@
 export interface PlatformDirectoryOptions {
   clock: Clock
   events: EventLog
-  /** Monotonic time in milliseconds of the last reconnection to the store; `-Infinity` before the first one. */
+  /**
+   * Monotonic time in milliseconds of the last reconnection to the store, or of the first read of a restored one;
+   * `-Infinity` before the first of them.
+   */
   workersConnectedSince: () => number
   /** Called when a worker has restarted, which empties its cache. */
   onWorkerRestarted: (id: WorkerId) => void
--- a/src/platform/TopicFollower.test.ts
+++ b/src/platform/TopicFollower.test.ts
@@ -82,6 +82,8 @@
 let received: string[]
 let era: StoreEra
 let lines: string[]
+/** `connectedSince` as the receiver saw it when it last took the whole topic. */
+let connectedSinceAtReplace: number
 
 /** Starts a follower with a stable window of 4 s. */
 async function startFollower (options: Partial<TopicFollowerOptions> = {}): Promise<void> {
@@ -96,7 +98,13 @@
     topic: 'keyed.servers',
     store: topic,
     era,
-    receiver: { replace: collect, apply: collect },
+    receiver: {
+      replace: records => {
+        connectedSinceAtReplace = follower.connectedSince
+        collect(records)
+      },
+      apply: collect
+    },
     clock,
     events: new EventLog({ timeline, level: 'info', write: line => { lines.push(line) } }),
     stableWindowMilliseconds: 4000,
@@ -266,6 +274,17 @@
     expect(topic.longPollTimes.length).toBe(reads + 1)
   })
 
+  // A worker whose entry was written in the lost seconds would be removed at once, although it writes the entry again.
+  test('counts the restore as a reconnection before it passes the records on', async () => {
+    const restoredAt = clock.monotonic()
+    topic.restore(1, ['again-1', 'again-2', 'again-3'])
+    await clock.advance(0)
+    expect(received).toEqual(['kept', 'again-1', 'again-2', 'again-3'])
+    expect(connectedSinceAtReplace).toBe(restoredAt)
+    await clock.advance(10_000)
+    expect(follower.connectedSince).toBe(restoredAt)
+  })
+
   // Each read of the whole topic is priced, and every host makes it.
   test('reads the whole topic once for each restore and logs it once', async () => {
     topic.restore(1, ['again-1', 'again-2', 'again-3'])
--- a/src/platform/TopicFollower.ts
+++ b/src/platform/TopicFollower.ts
@@ -82,7 +82,10 @@
     this.longPollMilliseconds = Math.max(minLongPollMilliseconds, options.stableWindowMilliseconds - rereadReserveMilliseconds)
   }
 
-  /** Monotonic time in milliseconds of the last reconnection to the store; `-Infinity` before the first one. */
+  /**
+   * Monotonic time in milliseconds of the last reconnection to the store, or of the first read of a restored one;
+   * `-Infinity` before the first of them.
+   */
   get connectedSince (): number {
     return this.reconnectedAt
   }
@@ -177,8 +180,9 @@
 
   /** Notes the end of the topic as a whole and its era. */
   private recordPosition ({ end, era }: NewestRecords): void {
-    const { events, topic } = this.options
+    const { clock, events, topic } = this.options
     if (this.offsetEra !== undefined && this.offsetEra < era) {
+      this.reconnectedAt = clock.monotonic()
       events.info('topic_restored', { topic, era, before: this.offsetEra, offset: this.nextOffset, end })
     }
     this.offsetEra = era
