Keep evidence against parts of prompts that a restored store lacks

Callers: after a restore of the store, prompts with a part that had crashed workers in the lost seconds were sent to workers again, which crashed again, so that unrelated requests on these workers were lost.

Cause: a host took a part that was missing from the whole read for one that was released, and forgot its losses. Nobody wrote lost evidence again, so that hosts that started later did not know it either.

Evidence: on with the tests, a host receives the losses [1, 0] of the lost part instead of [1]: it was released. The tests of PartQuarantine fail as it has no notion of a restore.

Change: the first whole read of a later era is passed on as such. PartQuarantine keeps what is missing and publishes it again, parts to blame first, after a random pause of up to 2 s unless another host has done so meanwhile. Losses that a restored record lacks follow the same way. Evidence that no longer counts stays away. The bounds of the queue hold.

Result: of 50 hosts that share at once, one publishes, also over two restores.

--- a/src/platform/PlatformDirectory.test.ts
+++ b/src/platform/PlatformDirectory.test.ts
@@ -34,14 +34,14 @@
     onWorkerRestarted: () => {},
     onWorkerLost: () => { lossCount += 1 }
   })
-  directory.configurationReceiver.replace([{ key: 'config', value: Buffer.from(JSON.stringify(configurationDocument(1))) }])
-  directory.workerReceiver.replace([createRecord('worker-1'), createRecord('worker-2')])
+  directory.configurationReceiver.replace([{ key: 'config', value: Buffer.from(JSON.stringify(configurationDocument(1))) }], 1)
+  directory.workerReceiver.replace([createRecord('worker-1'), createRecord('worker-2')], 1)
 })
 
 async function reconnectStore (present: KeyedRecord[]): Promise<void> {
   await clock.advance(10_000)
   connectedSince = clock.monotonic()
-  directory.workerReceiver.replace(present)
+  directory.workerReceiver.replace(present, 1)
 }
 
 describe('an entry that expired during an outage of the store', () => {
--- a/src/platform/QuarantinePart.test.ts
+++ b/src/platform/QuarantinePart.test.ts
@@ -22,6 +22,8 @@
 /** A host with the evidence that it received: the losses of each part in the order of arrival. */
 class TestHost {
   readonly received = new Map<string, WorkerLoss[][]>()
+  /** Parts in the topic at each restore of the store. */
+  readonly restored: string[][] = []
   readonly lines: string[] = []
   readonly part: QuarantinePart
 
@@ -44,7 +46,8 @@
     const receive = (evidence: readonly PartEvidence[]): void => {
       for (const { part, losses } of evidence) this.received.set(part, [...this.received.get(part) ?? [], losses])
     }
-    this.part = new QuarantinePart({ settings, era: new StoreEra(), clock, events, receiver: { receive } })
+    const restore = (evidence: readonly PartEvidence[]): void => { this.restored.push(evidence.map(({ part }) => part)) }
+    this.part = new QuarantinePart({ settings, era: new StoreEra(), clock, events, receiver: { receive, restore } })
   }
 
   publish (...evidence: PartEvidence[]): void {
@@ -145,6 +148,42 @@
   })
 })
 
+describe('a store that is restored', () => {
+  /** Publishes evidence against `m/kept`, then against `m/lost`, and restores the store with the former alone. */
+  async function loseEvidence (host: TestHost): Promise<void> {
+    host.publish(evidenceAgainst('m/kept'))
+    await waitUntil(() => host.counts('m/kept').length === 1)
+    const copy = store.copy()
+    host.publish(evidenceAgainst('m/lost'))
+    await waitUntil(() => host.counts('m/lost').length === 1)
+    store.restore(copy)
+  }
+
+  // A part whose evidence was lost with the store would crash workers again on all hosts.
+  test('does not release a part that it lacks', async () => {
+    const host = await startHost('host-1')
+    await loseEvidence(host)
+    await waitUntil(() => host.restored.length > 0 || host.counts('m/lost').length > 1)
+    expect(host.counts('m/lost')).toEqual([1])
+    expect(host.restored).toEqual([['m/kept']])
+  })
+
+  // Only a part that was lost with the restore is kept.
+  test('releases a part that is deleted afterwards, also if its history is dropped', async () => {
+    const host = await startHost('host-1')
+    await loseEvidence(host)
+    await waitUntil(() => host.restored.length > 0)
+    host.publish(evidenceAgainst('m/lost'))
+    await waitUntil(() => host.counts('m/lost').length === 2)
+    store.write(quarantineTopic, 'm/kept', undefined)
+    store.write(quarantineTopic, 'm/lost', undefined)
+    store.compact(quarantineTopic)
+    await waitUntil(() => host.counts('m/kept').length === 2 && host.counts('m/lost').length === 3)
+    expect([host.counts('m/kept'), host.counts('m/lost')]).toEqual([[1, 0], [1, 1, 0]])
+    expect(host.restored).toHaveLength(1)
+  })
+})
+
 describe('records that are no evidence', () => {
   const loss = { worker: 'w1', at: 1, prompts: ['p'] }
 
--- a/src/platform/QuarantineTopic.test.ts
+++ b/src/platform/QuarantineTopic.test.ts
@@ -81,7 +81,7 @@
     },
     era: new StoreEra(),
     writer: { append, close: async () => {} },
-    receiver: { receive: evidence => { received.push(...evidence) } },
+    receiver: { receive: evidence => { received.push(...evidence) }, restore: () => {} },
     clock,
     events: new EventLog({ timeline: new Timeline('host-1', new HybridClock(clock)), level: 'info', write: line => { lines.push(line) } }),
     stableWindowMilliseconds: 3000
--- a/src/platform/QuarantineTopic.ts
+++ b/src/platform/QuarantineTopic.ts
@@ -1,6 +1,6 @@
 /**
  * Exchanges evidence against parts of prompts through a compacted topic of the store: the key is the part's name, the
- * value its losses as JSON. A deleted key means that the part is harmless.
+ * value its losses as JSON. A deleted key means that the part is harmless, unless the store was restored from an older copy.
  */
 import { z } from 'zod'
 import { Backoff, type Clock, Task, workerIdSchema, parseJson } from '../common/index.js'
@@ -82,6 +82,8 @@
   private readonly queued = new Map<string, QueuedEvidence>()
   /** Unix time in milliseconds of the newest loss of each part in the topic, that of ignored parts included. */
   private readonly newestLosses = new Map<string, number>()
+  /** Era of the store in which the topic was last read as a whole; undefined before. */
+  private readEra: number | undefined
   private sending: Task | undefined
   private isStopped = false
 
@@ -92,7 +94,7 @@
       topic: quarantineTopic,
       store: reader,
       era,
-      receiver: { replace: records => this.replace(records), apply: records => this.apply(records) },
+      receiver: { replace: (records, era) => this.replace(records, era), apply: records => this.apply(records) },
       clock,
       events,
       stableWindowMilliseconds,
@@ -185,12 +187,15 @@
     else events.info('evidence_published', { ...nameParts(stale), offset: end, reason: 'old evidence deleted' })
   }
 
-  private replace (records: KeyedRecord[]): void {
+  private replace (records: KeyedRecord[], era: number): void {
+    const isRestored = this.readEra !== undefined && this.readEra < era
+    this.readEra = era
     const present = new Set(records.map(({ key }) => key))
     const missing = [...this.newestLosses.keys()].filter(part => !present.has(part))
     for (const part of missing) this.newestLosses.delete(part)
     const recent = this.decode(records).filter(({ losses }) => !this.isStale(newestOf(losses)))
-    this.deliver([...recent, ...missing.map(part => ({ part, losses: [] }))])
+    if (isRestored) this.options.receiver.restore(recent)
+    else this.deliver([...recent, ...missing.map(part => ({ part, losses: [] }))])
   }
 
   private apply (records: KeyedRecord[]): void {
--- a/src/platform/TopicFollower.ts
+++ b/src/platform/TopicFollower.ts
@@ -34,9 +34,12 @@
 
 /** Receives the records of a topic. */
 export interface TopicReceiver {
-  /** Takes the newest record of each key as the whole state; a key that is missing was deleted. */
-  replace: (records: KeyedRecord[]) => void
-  /** Takes changes in the order in which they were written. */
+  /**
+   * Takes the newest record of each key as the whole state, with the era of the store. A key that is missing was deleted,
+   * or written shortly before the store was restored if the era is later than before.
+   */
+  replace: (records: KeyedRecord[], era: number) => void
+  /** Takes changes in the order in which they were written, in the era of the last whole state. */
   apply: (records: KeyedRecord[]) => void
 }
 
@@ -149,7 +152,7 @@
     if (newest.isErr) return newest.error
     this.recordReconnect()
     this.recordPosition(newest.value)
-    receiver.replace(newest.value.records)
+    receiver.replace(newest.value.records, newest.value.era)
     return undefined
   }
 
--- a/src/quarantine/Evidence.ts
+++ b/src/quarantine/Evidence.ts
@@ -33,4 +33,9 @@
 export interface EvidenceReceiver {
   /** Adds evidence of a host, which may be this one. */
   receive: (evidence: readonly PartEvidence[]) => void
+  /**
+   * Takes all evidence of an exchange that came back from an older copy. What was published since that copy is missing
+   * from it, and what was deleted since then is back.
+   */
+  restore: (evidence: readonly PartEvidence[]) => void
 }
--- a/src/quarantine/PartQuarantine.test.ts
+++ b/src/quarantine/PartQuarantine.test.ts
@@ -149,6 +149,67 @@
   expect(hosts.host(0).refusalOf(promptOf('deadly', 'x5'))).toMatchObject({ kind: 'quarantined' })
 })
 
+describe('an exchange that is restored from an older copy', () => {
+  // Nobody writes lost evidence again by itself, so that hosts that start later lose workers to the part.
+  test.each([1, 2])('receives the evidence that it lacks again from one of many hosts (restore %i)', async restores => {
+    const hosts = new Hosts(50)
+    await hosts.loseWorkers([['deadly', 'x1'], ['deadly', 'x2'], ['deadly', 'x3']])
+    for (let restore = 0; restore < restores; restore += 1) {
+      hosts.published.length = 0
+      for (const quarantine of hosts.quarantines) quarantine.restore([])
+      await hosts.clock.advance(3000)
+      expect(hosts.published.map(({ part, losses }) => [part, losses.length])).toEqual([['deadly', 3]])
+    }
+    const late = new PartQuarantine({
+      publish: () => {},
+      acceptsConnections: async () => false,
+      clock: hosts.clock,
+      events: discardingEventLog(hosts.clock),
+      seed: 99
+    })
+    late.receive(hosts.published)
+    for (const quarantine of [...hosts.quarantines, late]) {
+      expect(quarantine.refusalOf(promptOf('deadly', 'x4'))).toMatchObject({ kind: 'quarantined' })
+    }
+  })
+
+  // The copy may hold the first losses of a part and lack the latest ones.
+  test('receives the losses that its record lacks from one of many hosts', async () => {
+    const hosts = new Hosts(50)
+    await hosts.loseWorkers([['deadly', 'x1']])
+    const copy = hosts.published.slice(-1)
+    await hosts.loseWorkers([['deadly', 'x2'], ['deadly', 'x3']])
+    hosts.published.length = 0
+    for (const quarantine of hosts.quarantines) quarantine.restore(copy)
+    await hosts.clock.advance(3000)
+    expect(hosts.published.map(({ part, losses }) => [part, losses.length])).toEqual([['deadly', 3]])
+  })
+
+  // The queue of a host is bounded, and what is beyond it is dropped.
+  test('receives evidence against parts that are to blame first', async () => {
+    const hosts = new Hosts(1)
+    await hosts.loseWorkers([[...Array.from({ length: 300 }, (_, index) => `suspect-${index}`), 'x0']])
+    await hosts.loseWorkers([['deadly', 'x1'], ['deadly', 'x2'], ['deadly', 'x3']])
+    hosts.published.length = 0
+    hosts.host(0).restore([])
+    await hosts.clock.advance(3000)
+    expect(hosts.published).toHaveLength(301)
+    expect(hosts.published[0]!.part).toBe('deadly')
+  })
+
+  // Evidence of long ago, or against a part that was answered since, would be written again with each restore.
+  test('does not receive evidence that no longer counts', async () => {
+    const hosts = new Hosts(4)
+    await hosts.loseWorkers([['deadly', 'x1'], ['deadly', 'x2'], ['deadly', 'x3'], ['shared', 'x4']])
+    hosts.host(0).recordAnswer(promptOf('shared', 'y'))
+    await hosts.clock.advance(61 * minuteMilliseconds)
+    hosts.published.length = 0
+    for (const quarantine of hosts.quarantines) quarantine.restore([])
+    await hosts.clock.advance(3000)
+    expect(hosts.published).toEqual([])
+  })
+})
+
 test('the last part of a prompt, which belongs to one request alone, is never reported', async () => {
   const hosts = new Hosts(2)
   await hosts.loseWorkers([['session'], ['session'], ['session']])
--- a/src/quarantine/PartQuarantine.ts
+++ b/src/quarantine/PartQuarantine.ts
@@ -56,6 +56,12 @@
  */
 const maxPublicationDelayMilliseconds = 400
 
+/**
+ * Maximum delay before a host publishes what a restored exchange lacks, in milliseconds. All hosts learn of a restore at
+ * the same time, and each of them goes on refusing the prompts meanwhile.
+ */
+const maxRestoreDelayMilliseconds = 2000
+
 /** Maximum number of parts with evidence; those that are not to blame and were reported first are forgotten first. */
 const maxSuspectedParts = 2000
 
@@ -143,6 +149,22 @@
    * losses that this host knows and the record lacks, which another host has overwritten.
    */
   receive (evidence: readonly PartEvidence[]): void {
+    this.add(evidence, maxPublicationDelayMilliseconds)
+  }
+
+  /** Adds the evidence of an exchange that came back from an older copy, and publishes again what it lacks. */
+  restore (evidence: readonly PartEvidence[]): void {
+    this.add(evidence, maxRestoreDelayMilliseconds)
+    const present = new Set(evidence.map(({ part }) => part))
+    const lost = [...this.lossesByPart.keys()].filter(part => !present.has(part) && !this.answered.has(part))
+    const blamed = this.blamedParts
+    const blamedFirst = [...lost.filter(part => blamed.has(part)), ...lost.filter(part => !blamed.has(part))]
+    if (blamedFirst.length === 0) return
+    this.options.events.info('evidence_lost', { count: lost.length, quarantined: lost.filter(part => blamed.has(part)).length })
+    this.completeLater(blamedFirst, maxRestoreDelayMilliseconds)
+  }
+
+  private add (evidence: readonly PartEvidence[], maxDelayMilliseconds: number): void {
     this.forgetOld()
     const contradicted: string[] = []
     const incomplete: string[] = []
@@ -158,12 +180,12 @@
     }
     this.decide()
     if (contradicted.length > 0) this.contradictLater(contradicted)
-    if (incomplete.length > 0) this.completeLater(incomplete)
+    if (incomplete.length > 0) this.completeLater(incomplete, maxDelayMilliseconds)
   }
 
-  private completeLater (parts: readonly string[]): void {
+  private completeLater (parts: readonly string[], maxDelayMilliseconds: number): void {
     for (const part of parts) this.incomplete.add(part)
-    this.later(() => {
+    this.later(maxDelayMilliseconds, () => {
       const evidence = parts.flatMap(part => {
         const losses = this.incomplete.delete(part) ? this.lossesByPart.get(part) : undefined
         return losses === undefined ? [] : [{ part, losses }]
@@ -173,7 +195,7 @@
   }
 
   private contradictLater (parts: readonly string[]): void {
-    this.later(() => {
+    this.later(maxPublicationDelayMilliseconds, () => {
       const disproved = parts.filter(part => this.lossesByPart.delete(part))
       if (disproved.length === 0) return
       this.options.publish(disproved.map(part => ({ part, losses: [] })))
@@ -182,9 +204,9 @@
   }
 
   /** Runs an action after a random delay, in which another host may make it needless. */
-  private later (action: () => void): void {
+  private later (maxDelayMilliseconds: number, action: () => void): void {
     const { clock, events } = this.options
-    clock.sleep(this.random.integer(0, maxPublicationDelayMilliseconds)).then(action)
+    clock.sleep(this.random.integer(0, maxDelayMilliseconds)).then(action)
       .catch(error => { events.error('evidence_not_published', { reason: String(error) }) })
   }
 
