Delete evidence again that a restored store brought back

Callers: a part of prompts that had turned out to be harmless in the seconds that the store lost was refused again by all hosts after the restore, for up to an hour.

Cause: a complete answer counts as proof for 10 s on the host that saw it. Nobody deleted the record again that came back with the restore.

Change: a host remembers the losses of up to 2,000 parts that were cleared. A restored record with no other or newer losses is not believed, and one of the hosts deletes it again after a random pause. A record with a newer loss is believed.

--- a/src/quarantine/PartQuarantine.test.ts
+++ b/src/quarantine/PartQuarantine.test.ts
@@ -197,6 +197,50 @@
     expect(hosts.published[0]!.part).toBe('deadly')
   })
 
+  /** Loses three workers to a part that is then answered; returns the evidence before the answer, 15 s later. */
+  async function clearPart (hosts: Hosts): Promise<PartEvidence[]> {
+    await hosts.loseWorkers([['shared', 'x1'], ['shared', 'x2'], ['shared', 'x3']])
+    const copy = hosts.published.slice(-1)
+    hosts.host(1).recordAnswer(promptOf('shared', 'y'))
+    await hosts.clock.advance(15_000)
+    hosts.published.length = 0
+    return copy
+  }
+
+  // Harmless prompts would be refused for an hour, since nobody deletes the evidence again.
+  test('is told again by one of many hosts that a part is harmless, and no host refuses it meanwhile', async () => {
+    const hosts = new Hosts(50)
+    const copy = await clearPart(hosts)
+    for (const quarantine of hosts.quarantines) quarantine.restore(copy)
+    for (const quarantine of hosts.quarantines) expect(quarantine.refusalOf(promptOf('shared', 'x4'))).toBeUndefined()
+    await hosts.clock.advance(3000)
+    expect(hosts.published).toEqual([{ part: 'shared', losses: [] }])
+    for (const quarantine of hosts.quarantines) expect(quarantine.refusalOf(promptOf('shared', 'x4'))).toBeUndefined()
+  })
+
+  // A part that crashed workers after it was answered would be deleted with its newer losses.
+  test('keeps a record with losses that are newer than the answer', async () => {
+    const hosts = new Hosts(4)
+    const [{ part, losses } = { part: '', losses: [] }] = await clearPart(hosts)
+    const newer = { worker: 'worker-9' as WorkerId, at: hosts.clock.wall(), prompts: ['x9'] }
+    for (const quarantine of hosts.quarantines) quarantine.restore([{ part, losses: [...losses, newer] }])
+    await hosts.clock.advance(3000)
+    expect(hosts.published).toEqual([])
+    expect(hosts.host(2).refusalOf(promptOf('shared', 'x4'))).toMatchObject({ kind: 'quarantined' })
+  })
+
+  // Losses that were disproved would count again together with a single later one.
+  test('receives only the losses after the answer', async () => {
+    const hosts = new Hosts(4)
+    const copy = await clearPart(hosts)
+    await hosts.loseWorkers([['shared', 'x5']])
+    hosts.published.length = 0
+    for (const quarantine of hosts.quarantines) quarantine.restore(copy)
+    await hosts.clock.advance(3000)
+    expect(hosts.published.map(({ part, losses }) => [part, losses.length])).toEqual([['shared', 1]])
+    expect(hosts.host(2).refusalOf(promptOf('shared', 'x6'))).toBeUndefined()
+  })
+
   // Evidence of long ago, or against a part that was answered since, would be written again with each restore.
   test('does not receive evidence that no longer counts', async () => {
     const hosts = new Hosts(4)
--- a/src/quarantine/PartQuarantine.ts
+++ b/src/quarantine/PartQuarantine.ts
@@ -13,7 +13,7 @@
 import { AnsweredParts } from './AnsweredParts.js'
 import type { EvidenceExchange, EvidenceReceiver, PartEvidence, WorkerLoss } from './Evidence.js'
 import { type Culprit, findCulprits } from './findCulprits.js'
-import { mergeLosses } from './mergeLosses.js'
+import { isSameLoss, mergeLosses } from './mergeLosses.js'
 
 /** Options of a `PartQuarantine`. */
 export interface PartQuarantineOptions {
@@ -65,6 +65,9 @@
 /** Maximum number of parts with evidence; those that are not to blame and were reported first are forgotten first. */
 const maxSuspectedParts = 2000
 
+/** Maximum number of parts that are remembered as harmless; those that were cleared first are forgotten first. */
+const maxClearedParts = 2000
+
 /** Decides which prompts are refused. */
 export class PartQuarantine implements EvidenceReceiver {
   private readonly lossesByPart = new Map<string, WorkerLoss[]>()
@@ -73,6 +76,10 @@
   private culprits: Culprit[] = []
   /** Parts whose record in the exchange lacks losses that this host knows. */
   private readonly incomplete = new Set<string>()
+  /** Losses of parts that turned out to be harmless, since a restored exchange may hold them again. */
+  private readonly cleared = new Map<string, WorkerLoss[]>()
+  /** Parts whose record in the exchange holds only losses that were cleared. */
+  private readonly outdated = new Set<string>()
   /** Checks whether the process at an address has ended, by address. */
   private readonly checks = new Map<string, Promise<boolean>>()
 
@@ -103,7 +110,7 @@
   recordAnswer (prompt: RoutingRequest): void {
     const disproved = sharedPartsOf(prompt).filter(part => {
       this.answered.record(part)
-      return this.lossesByPart.delete(part)
+      return this.clear(part)
     })
     if (disproved.length === 0) return
     this.options.publish(disproved.map(part => ({ part, losses: [] })))
@@ -152,16 +159,24 @@
     this.add(evidence, maxPublicationDelayMilliseconds)
   }
 
-  /** Adds the evidence of an exchange that came back from an older copy, and publishes again what it lacks. */
+  /**
+   * Adds the evidence of an exchange that came back from an older copy. Publishes again what it lacks, and deletes again
+   * what was cleared.
+   */
   restore (evidence: readonly PartEvidence[]): void {
-    this.add(evidence, maxRestoreDelayMilliseconds)
-    const present = new Set(evidence.map(({ part }) => part))
+    const valid = evidence.filter(item => !this.isCleared(item))
+    this.add(valid, maxRestoreDelayMilliseconds)
+    const present = new Set(valid.map(({ part }) => part))
     const lost = [...this.lossesByPart.keys()].filter(part => !present.has(part) && !this.answered.has(part))
+    const outdated = evidence.filter(item => this.isCleared(item) && !this.lossesByPart.has(item.part)).map(({ part }) => part)
+    if (lost.length + outdated.length === 0) return
     const blamed = this.blamedParts
+    this.options.events.info('evidence_lost', {
+      count: lost.length, quarantined: lost.filter(part => blamed.has(part)).length, cleared: outdated.length
+    })
     const blamedFirst = [...lost.filter(part => blamed.has(part)), ...lost.filter(part => !blamed.has(part))]
-    if (blamedFirst.length === 0) return
-    this.options.events.info('evidence_lost', { count: lost.length, quarantined: lost.filter(part => blamed.has(part)).length })
     this.completeLater(blamedFirst, maxRestoreDelayMilliseconds)
+    this.deleteLater(outdated)
   }
 
   private add (evidence: readonly PartEvidence[], maxDelayMilliseconds: number): void {
@@ -169,8 +184,9 @@
     const contradicted: string[] = []
     const incomplete: string[] = []
     for (const { part, losses } of evidence) {
+      this.outdated.delete(part)
       if (losses.length === 0) {
-        this.lossesByPart.delete(part)
+        this.clear(part)
         continue
       }
       const merged = this.addLosses(part, losses)
@@ -196,13 +212,45 @@
 
   private contradictLater (parts: readonly string[]): void {
     this.later(maxPublicationDelayMilliseconds, () => {
-      const disproved = parts.filter(part => this.lossesByPart.delete(part))
+      const disproved = parts.filter(part => this.clear(part))
       if (disproved.length === 0) return
       this.options.publish(disproved.map(part => ({ part, losses: [] })))
       this.decide()
     })
   }
 
+  private deleteLater (parts: readonly string[]): void {
+    for (const part of parts) this.outdated.add(part)
+    this.later(maxRestoreDelayMilliseconds, () => {
+      const outdated = parts.filter(part => this.outdated.delete(part))
+      if (outdated.length > 0) this.options.publish(outdated.map(part => ({ part, losses: [] })))
+    })
+  }
+
+  /** Forgets the losses of a harmless part. Returns false if there were none. */
+  private clear (part: string): boolean {
+    const losses = this.lossesByPart.get(part)
+    if (losses === undefined) return false
+    this.lossesByPart.delete(part)
+    this.cleared.delete(part)
+    this.cleared.set(part, losses)
+    if (this.cleared.size > maxClearedParts) this.forgetFirstCleared()
+    return true
+  }
+
+  private forgetFirstCleared (): void {
+    const first = this.cleared.keys().next()
+    if (first.done !== true) this.cleared.delete(first.value)
+  }
+
+  /** True if the part turned out to be harmless after all of these losses. */
+  private isCleared ({ part, losses }: PartEvidence): boolean {
+    const cleared = this.cleared.get(part)
+    if (cleared === undefined) return false
+    const newestAt = cleared.at(-1)?.at ?? 0
+    return losses.every(loss => loss.at <= newestAt || cleared.some(known => isSameLoss(known, loss)))
+  }
+
   /** Runs an action after a random delay, in which another host may make it needless. */
   private later (maxDelayMilliseconds: number, action: () => void): void {
     const { clock, events } = this.options
