Do not take a worker for ready that left before a restore

Callers: after a restore of the store, requests were sent to workers that had drained or left in the lost seconds. They failed, or reached another service at the same address.

Cause: a host that removes a worker forgets it, so that the entry that the restored store brings back is that of a new worker.

Change: the directory remembers up to 4,096 removed workers for ten minutes with their last entry and the era of their removal. An entry from a later era that is not newer is withheld. A newer report or a restart under the id is taken at once. A worker that did not drain is taken after 15 s if its entry is still there, since its entry may have expired while the store was away; that of a worker that is gone expires earlier. A worker that drained stays out until it restarts, also within one era. `worker_entry_withheld` logs the worker, the report and the era.

--- a/src/platform/PlatformDirectory.ts
+++ b/src/platform/PlatformDirectory.ts
@@ -6,6 +6,7 @@
 import { ConfigurationReader, type VersionedDocument } from '../configuration/index.js'
 import type { EventLog } from '../observability/index.js'
 import { decodeRouteConfiguration, type RouteConfiguration, RouteTable } from './RouteConfiguration.js'
+import { RemovedWorkers } from './RemovedWorkers.js'
 import type { KeyedRecord } from './StoreClient.js'
 import type { TopicReceiver } from './TopicFollower.js'
 import { decodeWorkerEntry, isOlder, type WorkerEntry } from './WorkerEntry.js'
@@ -19,6 +20,12 @@
  */
 const expiredEntryGraceMilliseconds = 2000
 
+/**
+ * Time for which an entry that a restored store brought back is not believed, in milliseconds. The store removes the
+ * entry of a worker that is gone after three missing reports; one that stays belongs to a live worker.
+ */
+const restoredEntryMilliseconds = 15_000
+
 /** Options of a `PlatformDirectory`. */
 export interface PlatformDirectoryOptions {
   clock: Clock
@@ -37,6 +44,11 @@
 /** Documents of the pools and roles, rebuilt from the operators' configuration and the workers' entries. */
 export class PlatformDirectory extends ConfigurationReader {
   private readonly workers = new Map<WorkerId, WorkerEntry>()
+  private readonly removed: RemovedWorkers
+  /** Entries of removed workers that a restored store brought back. */
+  private readonly withheld = new Map<WorkerId, WorkerEntry>()
+  /** Era of the store in which the workers were last read as a whole. */
+  private workersEra = 0
   private documents = new Map<string, VersionedDocument>()
   private readonly listeners = new Set<(paths: string[]) => void>()
   private routeTable: RouteTable | undefined
@@ -45,6 +57,7 @@
 
   constructor (private readonly options: PlatformDirectoryOptions) {
     super()
+    this.removed = new RemovedWorkers(options.clock)
   }
 
   /** The routes in force; undefined before the first configuration. */
@@ -65,10 +78,11 @@
 
   /** Receives the records of the worker topic. */
   readonly workerReceiver: TopicReceiver = {
-    replace: records => {
+    replace: (records, era) => {
       this.hasReadWorkers = true
+      this.workersEra = era
       const present = new Set(records.map(({ key }) => key))
-      const missing = [...this.workers.keys()].filter(id => !present.has(id))
+      const missing = [...this.workers.keys(), ...this.withheld.keys()].filter(id => !present.has(id))
       this.applyWorkerRecords([...records, ...missing.map(key => ({ key, value: undefined }))])
     },
     apply: records => this.applyWorkerRecords(records)
@@ -122,11 +136,23 @@
 
   private applyEntry (key: string, value: Buffer): boolean {
     const entry = decodeWorkerEntry(key, value)
-    const { events, onWorkerRestarted, onWorkerLost } = this.options
+    const { events } = this.options
     if (entry === undefined) {
       events.warn('worker_entry_unusable', { worker: key, bytes: value.length })
       return false
     }
+    if (this.removed.isOutdated(entry, this.workersEra)) {
+      this.withhold(entry)
+      return false
+    }
+    return this.take(entry)
+  }
+
+  /** Adds or updates a worker. Returns false if its entry is older than the known one. */
+  private take (entry: WorkerEntry): boolean {
+    const { events, onWorkerRestarted, onWorkerLost } = this.options
+    this.withheld.delete(entry.id)
+    this.removed.forget(entry.id)
     const known = this.workers.get(entry.id)
     if (known !== undefined && isOlder(entry, known)) return false
     this.workers.set(entry.id, entry)
@@ -139,12 +165,28 @@
     return true
   }
 
+  /** Takes an entry of a removed worker only if it is still there when that of a worker that is gone would have expired. */
+  private withhold (entry: WorkerEntry): void {
+    const { clock, events } = this.options
+    const { id, report } = entry
+    if (this.withheld.has(id)) return
+    events.info('worker_entry_withheld', { worker: id, report, era: this.workersEra })
+    // A worker that drained does not become ready again before it restarts.
+    if (this.removed.hasDrained(id)) return
+    this.withheld.set(id, entry)
+    clock.sleep(restoredEntryMilliseconds).then(() => {
+      if (this.withheld.get(id) !== entry) return
+      if (this.take(entry)) this.publish()
+    }, () => {})
+  }
+
   /**
    * Removes a worker: at once, or after a grace period if its entry may have expired during an outage of the store.
    * Returns true if the worker was removed at once.
    */
   private applyDeletion (id: WorkerId): boolean {
     const { clock, events, workersConnectedSince } = this.options
+    this.withheld.delete(id)
     const known = this.workers.get(id)
     if (known === undefined) return false
     const waitMilliseconds = workersConnectedSince() + expiredEntryGraceMilliseconds - clock.monotonic()
@@ -162,7 +204,9 @@
   }
 
   private remove (id: WorkerId): void {
-    const wasLeaving = this.workers.get(id)?.leaving
+    const known = this.workers.get(id)
+    const wasLeaving = known?.leaving
+    if (known !== undefined) this.removed.add(known, this.workersEra)
     this.workers.delete(id)
     this.options.events.info('worker_entry_removed', { worker: id })
     if (wasLeaving === false) this.options.onWorkerLost()
