Take a configuration whose version was used before a restore

Callers: a change that an operator made after a restore of the store was not in force on running hosts for good, if it bore a version that a lost change had borne. Hosts that started later served it.

Cause: a host ignores a configuration whose version is not higher than that in force. Versions rise only within an era of the store.

Without the memory of replaced documents, the case of two restores, the second one to a copy from before the first one, would go back to the older content.

Change: in a later era, the version in force with other content is taken, once per era, unless it is a document that was replaced at that version. A lower version is never taken; `configuration_older_than_in_force` logs it once per era with the version, the version in force and the era.

--- a/src/platform/PlatformDirectory.test.ts
+++ b/src/platform/PlatformDirectory.test.ts
@@ -13,6 +13,7 @@
 let connectedSince: number
 let directory: PlatformDirectory
 let lossCount: number
+let lines: string[]
 
 function createRecord (id: string, overrides: Record<string, unknown> = {}): KeyedRecord {
   const value = { service: 'app', address: '10.0.0.1:80', zone: 'a', slots: 6, state: 'ready', born: 1, sequence: 1, ...overrides }
@@ -23,17 +24,22 @@
   return [...directory.pools().values()].flatMap(pool => pool.workers.map(({ id }) => id))
 }
 
-beforeEach(() => {
-  clock = new ManualClock()
-  connectedSince = -Infinity
-  lossCount = 0
-  directory = new PlatformDirectory({
+function createDirectory (): PlatformDirectory {
+  return new PlatformDirectory({
     clock,
-    events: new EventLog({ timeline: new Timeline('host-1', new HybridClock(clock)), level: 'error', write: () => {} }),
+    events: new EventLog({ timeline: new Timeline('host-1', new HybridClock(clock)), level: 'info', write: line => { lines.push(line) } }),
     workersConnectedSince: () => connectedSince,
     onWorkerRestarted: () => {},
     onWorkerLost: () => { lossCount += 1 }
   })
+}
+
+beforeEach(() => {
+  clock = new ManualClock()
+  connectedSince = -Infinity
+  lossCount = 0
+  lines = []
+  directory = createDirectory()
   directory.configurationReceiver.replace([{ key: 'config', value: Buffer.from(JSON.stringify(configurationDocument(1))) }], 1)
   directory.workerReceiver.replace([createRecord('worker-1'), createRecord('worker-2')], 1)
 })
@@ -162,6 +168,87 @@
   })
 })
 
+describe('the configuration of a restored store', () => {
+  const route = (name: string): Record<string, unknown> => ({
+    name, host: 'forum.example', 'path-prefix': `/${name}/`, kind: 'safe', 'timeout-ms': 5000, service: 'app'
+  })
+
+  function createConfiguration (version: number, ...routes: string[]): KeyedRecord {
+    return { key: 'config', value: Buffer.from(JSON.stringify(configurationDocument(version, { routes: routes.map(route) }))) }
+  }
+
+  function inForce (): [number | undefined, string[]] {
+    const configuration = directory.routes?.configuration
+    return [configuration?.version, configuration?.routes.slice(4).map(({ name }) => name) ?? []]
+  }
+
+  const unusable: KeyedRecord = { key: 'config', value: Buffer.from('{"version":9,"routes":') }
+  const deleted: KeyedRecord = { key: 'config', value: undefined }
+
+  // Each case starts with version 3, which adds a route, in era 1. A confirmed change must not be reverted, and the
+  // operator's latest change must not be ignored for good.
+  test.each<[string, Array<{ era?: number, record?: KeyedRecord }>, [number, string[]]]>([
+    ['an older version is ignored', [{ era: 2, record: createConfiguration(2) }], [3, ['added']]],
+    ['a missing configuration keeps the one in force', [{ era: 2 }], [3, ['added']]],
+    ['a deleted configuration keeps the one in force', [{ era: 2, record: createConfiguration(2) }, { record: deleted }], [3, ['added']]],
+    ['versions that are written again are ignored up to the one in force', [
+      { era: 2, record: createConfiguration(1) },
+      { record: createConfiguration(2) },
+      { record: createConfiguration(3, 'added') },
+      { record: createConfiguration(4, 'added', 'next') }
+    ], [4, ['added', 'next']]],
+    ['the version in force with other content is taken', [
+      { era: 2, record: createConfiguration(2) }, { record: createConfiguration(3, 'other') }
+    ], [3, ['other']]],
+    ['the version in force with other content is taken from the first read', [
+      { era: 2, record: createConfiguration(3, 'other') }
+    ], [3, ['other']]],
+    ['the version in force with other content is ignored once the era confirmed it', [
+      { era: 2, record: createConfiguration(3, 'added') }, { record: createConfiguration(3, 'other') }
+    ], [3, ['added']]],
+    ['the version in force with other content is ignored within one era', [{ record: createConfiguration(3, 'other') }], [3, ['added']]],
+    ['an unusable configuration keeps the one in force', [{ era: 2, record: unusable }], [3, ['added']]],
+    ['an unusable configuration does not hide a later one', [
+      { era: 2, record: unusable }, { record: createConfiguration(3, 'other') }
+    ], [3, ['other']]],
+    ['of two restores, the version in force with other content is taken again', [
+      { era: 2, record: createConfiguration(3, 'other') }, { era: 3, record: createConfiguration(3, 'latest') }
+    ], [3, ['latest']]],
+    ['of two restores, the content that was replaced after the first one is ignored after the second one', [
+      { era: 2, record: createConfiguration(2) },
+      { record: createConfiguration(3, 'other') },
+      { era: 3, record: createConfiguration(3, 'added') }
+    ], [3, ['other']]]
+  ])('%s', (_name, steps, expected) => {
+    directory.configurationReceiver.apply([createConfiguration(3, 'added')])
+    for (const { era, record } of steps) {
+      const records = record === undefined ? [] : [record]
+      if (era === undefined) directory.configurationReceiver.apply(records)
+      else directory.configurationReceiver.replace(records, era)
+    }
+    expect(inForce()).toEqual(expected)
+  })
+
+  // An operator whose change is ignored has to learn why; each read of the topic would repeat the line.
+  test('logs once that an older version is ignored', () => {
+    directory.configurationReceiver.apply([createConfiguration(3, 'added')])
+    for (let read = 0; read < 3; read += 1) directory.configurationReceiver.replace([createConfiguration(2)], 2)
+    directory.configurationReceiver.replace([createConfiguration(2)], 3)
+    expect(lines.filter(line => line.includes('event=configuration_older_than_in_force'))).toEqual([
+      expect.stringContaining('version=2 in_force=3 era=2'), expect.stringContaining('version=2 in_force=3 era=3')
+    ])
+  })
+
+  // A host that has just started knows only what the restored store tells it.
+  test('is taken by a host that starts after the restore, and the newer one when it is written again', () => {
+    directory = createDirectory()
+    directory.configurationReceiver.replace([createConfiguration(2)], 2)
+    expect(inForce()).toEqual([2, []])
+    directory.configurationReceiver.apply([createConfiguration(3, 'added')])
+    expect(inForce()).toEqual([3, ['added']])
+  })
+})
+
 test('an entry that is deleted while the store is connected removes its worker at once', () => {
   directory.workerReceiver.apply([{ key: 'worker-2', value: undefined }])
   expect(workerIds()).toEqual(['worker-1'])
--- a/src/platform/PlatformDirectory.ts
+++ b/src/platform/PlatformDirectory.ts
@@ -1,6 +1,7 @@
 /**
  * This host's view of the store: the operators' configuration and the workers, published as the configuration documents
- * that the other modules read. An older version never replaces a newer one.
+ * that the other modules read. An older version never replaces a newer one, also if the store is restored from an older
+ * copy.
  */
 import type { Clock, Offset, WorkerId } from '../common/index.js'
 import { ConfigurationReader, type VersionedDocument } from '../configuration/index.js'
@@ -47,6 +48,14 @@
   private readonly removed: RemovedWorkers
   /** Entries of removed workers that a restored store brought back. */
   private readonly withheld = new Map<WorkerId, WorkerEntry>()
+  /** Era of the store in which the configuration was last read as a whole. */
+  private configurationEra = 0
+  /** Era of the store in which the version in force was last read. */
+  private versionEra = 0
+  /** Documents of the version in force that a later era replaced. */
+  private readonly replacedDocuments = new Set<string>()
+  /** Version and era of the ignored configuration that was logged last. */
+  private loggedOlder: string | undefined
   /** Era of the store in which the workers were last read as a whole. */
   private workersEra = 0
   private documents = new Map<string, VersionedDocument>()
@@ -72,7 +81,10 @@
 
   /** Receives the records of the configuration topic. */
   readonly configurationReceiver: TopicReceiver = {
-    replace: records => this.applyConfigurationRecords(records),
+    replace: (records, era) => {
+      this.configurationEra = era
+      this.applyConfigurationRecords(records)
+    },
     apply: records => this.applyConfigurationRecords(records)
   }
 
@@ -118,14 +130,43 @@
       events.error('configuration_refused', { version: this.routeTable?.configuration.version, reason: decoded.error.message })
       return
     }
-    const previousVersion = this.routeTable?.configuration.version
+    const previous = this.routeTable?.configuration
     const { version, routes, services } = decoded.value
-    if (previousVersion !== undefined && version <= previousVersion) return
+    if (previous !== undefined && !this.replaces(decoded.value, previous)) return
+    if (previous?.version === version) this.replacedDocuments.add(JSON.stringify(previous))
+    else this.replacedDocuments.clear()
+    this.versionEra = this.configurationEra
     this.routeTable = new RouteTable(decoded.value)
-    events.info('configuration_in_force', { version, before: previousVersion, routes: routes.length, services: services.length })
+    events.info('configuration_in_force', {
+      version, before: previous?.version, era: this.configurationEra, routes: routes.length, services: services.length
+    })
     this.publish()
   }
 
+  /**
+   * Decides whether a configuration replaces the one in force, and notes the era in which that one was read again. Versions
+   * rise within an era of the store. After a restore, the operator may use a lost version again, for another configuration.
+   */
+  private replaces (read: RouteConfiguration, inForce: RouteConfiguration): boolean {
+    if (read.version > inForce.version) return true
+    if (read.version < inForce.version) {
+      this.logOlder(read.version, inForce.version)
+      return false
+    }
+    if (this.versionEra >= this.configurationEra) return false
+    const document = JSON.stringify(read)
+    if (this.replacedDocuments.has(document)) return false
+    this.versionEra = this.configurationEra
+    return document !== JSON.stringify(inForce)
+  }
+
+  private logOlder (version: number, versionInForce: number): void {
+    const older = `${this.configurationEra}/${version}`
+    if (this.loggedOlder === older) return
+    this.loggedOlder = older
+    this.options.events.warn('configuration_older_than_in_force', { version, in_force: versionInForce, era: this.configurationEra })
+  }
+
   private applyWorkerRecords (records: KeyedRecord[]): void {
     let changed = false
     for (const { key, value } of records) {
