Test a host across restores of its store

Each fault had its own test, but none showed what callers see.

Change: a host, a fake store and fake workers over real sockets. The lost seconds hold an added route, a worker that drains and leaves, and evidence; the restore breaks the open calls of the host or falls between them, once or twice in a row.

--- a/src/platform/testing/FakeStore.ts
+++ b/src/platform/testing/FakeStore.ts
@@ -87,9 +87,12 @@
     return { topics: copyTopics(this.topics), members: copyMembers(this.members), generation: this.generation }
   }
 
-  /** Comes back from a copy, in a new era. Connections break, and members have their full time to live again. */
-  restore ({ topics, members, generation }: StoreCopy): void {
-    this.server.closeAllConnections()
+  /**
+   * Comes back from a copy, in a new era. Members have their full time to live again. Connections break, unless the
+   * outage falls between two calls of each host.
+   */
+  restore ({ topics, members, generation }: StoreCopy, { keepsConnections = false } = {}): void {
+    if (!keepsConnections) this.server.closeAllConnections()
     this.topics = copyTopics(topics)
     this.members = copyMembers(members)
     for (const member of this.members.values()) member.expiresAt = performance.now() + restoredTimeToLiveMilliseconds
@@ -98,6 +101,11 @@
     this.wakePendingReads()
   }
 
+  /** The newest value of a key; undefined if there is none or it was deleted. */
+  newestValue (topic: string, key: string): string | undefined {
+    return this.topicOf(topic).records.filter(record => record.key === key).at(-1)?.value
+  }
+
   private wakePendingReads (): void {
     for (const waiter of this.pendingReads.splice(0)) waiter()
   }
