--- a/src/platform/PlatformDirectory.ts
+++ b/src/platform/PlatformDirectory.ts
@@ -1,11 +1,13 @@
 /**
  * This host's view of the store: the operators' configuration and the workers, published as the configuration documents
- * that the other modules read. An older version never replaces a newer one.
+ * that the other modules read. An older version never replaces a newer one, also if the store is restored from an older
+ * copy.
  */
 import type { Clock, Offset, WorkerId } from '../common/index.js'
 import { ConfigurationReader, type VersionedDocument } from '../configuration/index.js'
 import type { EventLog } from '../observability/index.js'
 import { decodeRouteConfiguration, type RouteConfiguration, RouteTable } from './RouteConfiguration.js'
+import { RemovedWorkers } from './RemovedWorkers.js'
 import type { KeyedRecord } from './StoreClient.js'
 import type { TopicReceiver } from './TopicFollower.js'
 import { decodeWorkerEntry, isOlder, type WorkerEntry } from './WorkerEntry.js'
@@ -14,8 +16,8 @@
 const configurationKey = 'config'
 
 /**
- * Time after a reconnection to the store within which a live worker renews an entry that expired during the outage, in
- * milliseconds. Afterwards, a worker whose entry is still missing is removed.
+ * Time after a reconnection to the store within which a live worker renews an entry that expired during the outage, or
+ * that a restored store lacks, in milliseconds. Afterwards, a worker whose entry is still missing is removed.
  */
 const expiredEntryGraceMilliseconds = 2000
 
@@ -23,11 +25,20 @@
 const maxNamedEntries = 8
 const maxReasonLength = 1000
 
+/**
+ * Time for which an entry that a restored store brought back is not believed, in milliseconds. The store removes the
+ * entry of a worker that is gone after three missing reports; one that stays belongs to a live worker.
+ */
+const restoredEntryMilliseconds = 15_000
+
 /** Options of a `PlatformDirectory`. */
 export interface PlatformDirectoryOptions {
   clock: Clock
   events: EventLog
-  /** Monotonic time in milliseconds of the last reconnection to the store; `-Infinity` before the first one. */
+  /**
+   * Monotonic time in milliseconds of the last reconnection to the store, or of the first read of a restored one;
+   * `-Infinity` before the first of them.
+   */
   workersConnectedSince: () => number
   /** Called when a worker has restarted, which empties its cache. */
   onWorkerRestarted: (id: WorkerId) => void
@@ -38,6 +49,19 @@
 /** Documents of the pools and roles, rebuilt from the operators' configuration and the workers' entries. */
 export class PlatformDirectory extends ConfigurationReader {
   private readonly workers = new Map<WorkerId, WorkerEntry>()
+  private readonly removed: RemovedWorkers
+  /** Entries of removed workers that a restored store brought back. */
+  private readonly withheld = new Map<WorkerId, WorkerEntry>()
+  /** Era of the store in which the configuration was last read as a whole. */
+  private configurationEra = 0
+  /** Era of the store in which the version in force was last read. */
+  private versionEra = 0
+  /** Documents of the version in force that a later era replaced. */
+  private readonly replacedDocuments = new Set<string>()
+  /** Version and era of the ignored configuration that was logged last. */
+  private loggedOlder: string | undefined
+  /** Era of the store in which the workers were last read as a whole. */
+  private workersEra = 0
   private documents = new Map<string, VersionedDocument>()
   private readonly listeners = new Set<(paths: string[]) => void>()
   private routeTable: RouteTable | undefined
@@ -46,6 +70,7 @@
 
   constructor (private readonly options: PlatformDirectoryOptions) {
     super()
+    this.removed = new RemovedWorkers(options.clock)
   }
 
   /** The routes in force; undefined before the first configuration. */
@@ -60,16 +85,20 @@
 
   /** Receives the records of the configuration topic. */
   readonly configurationReceiver: TopicReceiver = {
-    replace: records => this.applyConfigurationRecords(records),
+    replace: (records, era) => {
+      this.configurationEra = era
+      this.applyConfigurationRecords(records)
+    },
     apply: records => this.applyConfigurationRecords(records)
   }
 
   /** Receives the records of the worker topic. */
   readonly workerReceiver: TopicReceiver = {
-    replace: records => {
+    replace: (records, era) => {
       this.hasReadWorkers = true
+      this.workersEra = era
       const present = new Set(records.map(({ key }) => key))
-      const missing = [...this.workers.keys()].filter(id => !present.has(id))
+      const missing = [...this.workers.keys(), ...this.withheld.keys()].filter(id => !present.has(id))
       this.applyWorkerRecords([...records, ...missing.map(key => ({ key, value: undefined }))])
     },
     apply: records => this.applyWorkerRecords(records)
@@ -106,14 +135,43 @@
       events.error('configuration_refused', { version: this.routeTable?.configuration.version, reason })
       return
     }
-    const previousVersion = this.routeTable?.configuration.version
+    const previous = this.routeTable?.configuration
     const { version, routes, services } = decoded.value
-    if (previousVersion !== undefined && version <= previousVersion) return
+    if (previous !== undefined && !this.replaces(decoded.value, previous)) return
+    if (previous?.version === version) this.replacedDocuments.add(JSON.stringify(previous))
+    else this.replacedDocuments.clear()
+    this.versionEra = this.configurationEra
     this.routeTable = new RouteTable(decoded.value)
-    events.info('configuration_in_force', { version, before: previousVersion, routes: routes.length, services: services.length })
+    events.info('configuration_in_force', {
+      version, before: previous?.version, era: this.configurationEra, routes: routes.length, services: services.length
+    })
     this.publish()
   }
 
+  /**
+   * Decides whether a configuration replaces the one in force, and notes the era in which that one was read again. Versions
+   * rise within an era of the store. After a restore, the operator may use a lost version again, for another configuration.
+   */
+  private replaces (read: RouteConfiguration, inForce: RouteConfiguration): boolean {
+    if (read.version > inForce.version) return true
+    if (read.version < inForce.version) {
+      this.logOlder(read.version, inForce.version)
+      return false
+    }
+    if (this.versionEra >= this.configurationEra) return false
+    const document = JSON.stringify(read)
+    if (this.replacedDocuments.has(document)) return false
+    this.versionEra = this.configurationEra
+    return document !== JSON.stringify(inForce)
+  }
+
+  private logOlder (version: number, versionInForce: number): void {
+    const older = `${this.configurationEra}/${version}`
+    if (this.loggedOlder === older) return
+    this.loggedOlder = older
+    this.options.events.warn('configuration_older_than_in_force', { version, in_force: versionInForce, era: this.configurationEra })
+  }
+
   private applyWorkerRecords (records: KeyedRecord[]): void {
     let changed = false
     const unusable: string[] = []
@@ -131,7 +189,18 @@
   }
 
   private applyEntry (entry: WorkerEntry): boolean {
+    if (this.removed.isOutdated(entry, this.workersEra)) {
+      this.withhold(entry)
+      return false
+    }
+    return this.take(entry)
+  }
+
+  /** Adds or updates a worker. Returns false if its entry is older than the known one. */
+  private take (entry: WorkerEntry): boolean {
     const { events, onWorkerRestarted, onWorkerLost } = this.options
+    this.withheld.delete(entry.id)
+    this.removed.forget(entry.id)
     const known = this.workers.get(entry.id)
     if (known !== undefined && isOlder(entry, known)) return false
     this.workers.set(entry.id, entry)
@@ -144,12 +213,28 @@
     return true
   }
 
+  /** Takes an entry of a removed worker only if it is still there when that of a worker that is gone would have expired. */
+  private withhold (entry: WorkerEntry): void {
+    const { clock, events } = this.options
+    const { id, report } = entry
+    if (this.withheld.has(id)) return
+    events.info('worker_entry_withheld', { worker: id, report, era: this.workersEra })
+    // A worker that drained does not become ready again before it restarts.
+    if (this.removed.hasDrained(id)) return
+    this.withheld.set(id, entry)
+    clock.sleep(restoredEntryMilliseconds).then(() => {
+      if (this.withheld.get(id) !== entry) return
+      if (this.take(entry)) this.publish()
+    }, () => {})
+  }
+
   /**
    * Removes a worker: at once, or after a grace period if its entry may have expired during an outage of the store.
    * Returns true if the worker was removed at once.
    */
   private applyDeletion (id: WorkerId): boolean {
     const { clock, events, workersConnectedSince } = this.options
+    this.withheld.delete(id)
     const known = this.workers.get(id)
     if (known === undefined) return false
     const waitMilliseconds = workersConnectedSince() + expiredEntryGraceMilliseconds - clock.monotonic()
@@ -167,7 +252,9 @@
   }
 
   private remove (id: WorkerId): void {
-    const wasLeaving = this.workers.get(id)?.leaving
+    const known = this.workers.get(id)
+    const wasLeaving = known?.leaving
+    if (known !== undefined) this.removed.add(known, this.workersEra)
     this.workers.delete(id)
     this.options.events.info('worker_entry_removed', { worker: id })
     if (wasLeaving === false) this.options.onWorkerLost()
--- a/src/platform/QuarantineTopic.ts
+++ b/src/platform/QuarantineTopic.ts
@@ -1,12 +1,13 @@
 /**
  * Exchanges evidence against parts of prompts through a compacted topic of the store: the key is the part's name, the
- * value its losses as JSON. A deleted key means that the part is harmless.
+ * value its losses as JSON. A deleted key means that the part is harmless, unless the store was restored from an older copy.
  */
 import { z } from 'zod'
 import { Backoff, type Clock, Task, workerIdSchema, parseJson } from '../common/index.js'
 import type { EventLog } from '../observability/index.js'
 import { EvidenceExchange, type EvidenceReceiver, type PartEvidence } from '../quarantine/index.js'
 import { type KeyedRecord, maxKeyBytes, type StoreClient } from './StoreClient.js'
+import type { StoreEra } from './StoreEra.js'
 import { TopicFollower } from './TopicFollower.js'
 
 /** Topic of the evidence. */
@@ -59,6 +60,8 @@
   reader: Pick<StoreClient, 'newest' | 'read' | 'close'>
   /** Client for the appends. */
   writer: Pick<StoreClient, 'append' | 'close'>
+  /** Newest era of the store that this host knows. */
+  era: StoreEra
   receiver: EvidenceReceiver
   clock: Clock
   events: EventLog
@@ -79,16 +82,19 @@
   private readonly queued = new Map<string, QueuedEvidence>()
   /** Unix time in milliseconds of the newest loss of each part in the topic, that of ignored parts included. */
   private readonly newestLosses = new Map<string, number>()
+  /** Era of the store in which the topic was last read as a whole; undefined before. */
+  private readEra: number | undefined
   private sending: Task | undefined
   private isStopped = false
 
   constructor (private readonly options: QuarantineTopicOptions) {
     super()
-    const { reader, clock, events, stableWindowMilliseconds } = options
+    const { reader, era, clock, events, stableWindowMilliseconds } = options
     this.follower = new TopicFollower({
       topic: quarantineTopic,
       store: reader,
-      receiver: { replace: records => this.replace(records), apply: records => this.apply(records) },
+      era,
+      receiver: { replace: (records, era) => this.replace(records, era), apply: records => this.apply(records) },
       clock,
       events,
       stableWindowMilliseconds,
@@ -181,23 +187,31 @@
     else events.info('evidence_published', { ...nameParts(stale), offset: end, reason: 'old evidence deleted' })
   }
 
-  private replace (records: KeyedRecord[]): void {
+  private replace (records: KeyedRecord[], era: number): void {
+    const isRestored = this.readEra !== undefined && this.readEra < era
+    this.readEra = era
     const present = new Set(records.map(({ key }) => key))
     const missing = [...this.newestLosses.keys()].filter(part => !present.has(part))
     for (const part of missing) this.newestLosses.delete(part)
-    this.deliver([...this.decode(records), ...missing.map(part => ({ part, losses: [] }))])
+    const evidence = this.decode(records)
+    if (isRestored) this.options.receiver.restore(this.usable(evidence))
+    else this.deliver([...evidence, ...missing.map(part => ({ part, losses: [] }))])
   }
 
   private apply (records: KeyedRecord[]): void {
     this.deliver(this.decode(records))
   }
 
-  /** Passes on evidence that is recent, and deletions. */
   private deliver (evidence: PartEvidence[]): void {
-    const usable = evidence.filter(({ losses }) => losses.length === 0 || !this.isStale(newestOf(losses)))
+    const usable = this.usable(evidence)
     if (usable.length > 0) this.options.receiver.receive(usable)
   }
 
+  /** Evidence that is recent, and deletions. */
+  private usable (evidence: PartEvidence[]): PartEvidence[] {
+    return evidence.filter(({ losses }) => losses.length === 0 || !this.isStale(newestOf(losses)))
+  }
+
   /** Decodes records, ignores unusable ones, and notes the newest loss of each part. */
   private decode (records: KeyedRecord[]): PartEvidence[] {
     const unusable: string[] = []
--- a/src/quarantine/PartQuarantine.ts
+++ b/src/quarantine/PartQuarantine.ts
@@ -13,7 +13,7 @@
 import { AnsweredParts } from './AnsweredParts.js'
 import type { EvidenceExchange, EvidenceReceiver, PartEvidence, WorkerLoss } from './Evidence.js'
 import { type Culprit, findCulprits } from './findCulprits.js'
-import { mergeLosses } from './mergeLosses.js'
+import { isSameLoss, mergeLosses } from './mergeLosses.js'
 
 /** Options of a `PartQuarantine`. */
 export interface PartQuarantineOptions {
@@ -56,9 +56,18 @@
  */
 const maxPublicationDelayMilliseconds = 400
 
+/**
+ * Maximum delay before a host publishes what a restored exchange lacks, in milliseconds. All hosts learn of a restore at
+ * the same time, and each of them goes on refusing the prompts meanwhile.
+ */
+const maxRestoreDelayMilliseconds = 2000
+
 /** Maximum number of parts with evidence; those that are not to blame and were reported first are forgotten first. */
 const maxSuspectedParts = 2000
 
+/** Maximum number of parts that are remembered as harmless; those that were cleared first are forgotten first. */
+const maxClearedParts = 2000
+
 /** Decides which prompts are refused. */
 export class PartQuarantine implements EvidenceReceiver {
   private readonly lossesByPart = new Map<string, WorkerLoss[]>()
@@ -67,6 +76,10 @@
   private culprits: Culprit[] = []
   /** Parts whose record in the exchange lacks losses that this host knows. */
   private readonly incomplete = new Set<string>()
+  /** Losses of parts that turned out to be harmless, since a restored exchange may hold them again. */
+  private readonly cleared = new Map<string, WorkerLoss[]>()
+  /** Parts whose record in the exchange holds only losses that were cleared. */
+  private readonly outdated = new Set<string>()
   /** Checks whether the process at an address has ended, by address. */
   private readonly checks = new Map<string, Promise<boolean>>()
 
@@ -97,7 +110,7 @@
   recordAnswer (prompt: RoutingRequest): void {
     const disproved = sharedPartsOf(prompt).filter(part => {
       this.answered.record(part)
-      return this.lossesByPart.delete(part)
+      return this.clear(part)
     })
     if (disproved.length === 0) return
     this.options.publish(disproved.map(part => ({ part, losses: [] })))
@@ -143,12 +156,37 @@
    * losses that this host knows and the record lacks, which another host has overwritten.
    */
   receive (evidence: readonly PartEvidence[]): void {
+    this.add(evidence, maxPublicationDelayMilliseconds)
+  }
+
+  /**
+   * Adds the evidence of an exchange that came back from an older copy. Publishes again what it lacks, and deletes again
+   * what was cleared.
+   */
+  restore (evidence: readonly PartEvidence[]): void {
+    const valid = evidence.filter(item => !this.isCleared(item))
+    this.add(valid, maxRestoreDelayMilliseconds)
+    const present = new Set(valid.map(({ part }) => part))
+    const lost = [...this.lossesByPart.keys()].filter(part => !present.has(part) && !this.answered.has(part))
+    const outdated = evidence.filter(item => this.isCleared(item) && !this.lossesByPart.has(item.part)).map(({ part }) => part)
+    if (lost.length + outdated.length === 0) return
+    const blamed = this.blamedParts
+    this.options.events.info('evidence_lost', {
+      count: lost.length, quarantined: lost.filter(part => blamed.has(part)).length, cleared: outdated.length
+    })
+    const blamedFirst = [...lost.filter(part => blamed.has(part)), ...lost.filter(part => !blamed.has(part))]
+    this.completeLater(blamedFirst, maxRestoreDelayMilliseconds)
+    this.deleteLater(outdated)
+  }
+
+  private add (evidence: readonly PartEvidence[], maxDelayMilliseconds: number): void {
     this.forgetOld()
     const contradicted: string[] = []
     const incomplete: string[] = []
     for (const { part, losses } of evidence) {
+      this.outdated.delete(part)
       if (losses.length === 0) {
-        this.lossesByPart.delete(part)
+        this.clear(part)
         continue
       }
       const merged = this.addLosses(part, losses)
@@ -158,12 +196,12 @@
     }
     this.decide()
     if (contradicted.length > 0) this.contradictLater(contradicted)
-    if (incomplete.length > 0) this.completeLater(incomplete)
+    if (incomplete.length > 0) this.completeLater(incomplete, maxDelayMilliseconds)
   }
 
-  private completeLater (parts: readonly string[]): void {
+  private completeLater (parts: readonly string[], maxDelayMilliseconds: number): void {
     for (const part of parts) this.incomplete.add(part)
-    this.later(() => {
+    this.later(maxDelayMilliseconds, () => {
       const evidence = parts.flatMap(part => {
         const losses = this.incomplete.delete(part) ? this.lossesByPart.get(part) : undefined
         return losses === undefined ? [] : [{ part, losses }]
@@ -173,18 +211,50 @@
   }
 
   private contradictLater (parts: readonly string[]): void {
-    this.later(() => {
-      const disproved = parts.filter(part => this.lossesByPart.delete(part))
+    this.later(maxPublicationDelayMilliseconds, () => {
+      const disproved = parts.filter(part => this.clear(part))
       if (disproved.length === 0) return
       this.options.publish(disproved.map(part => ({ part, losses: [] })))
       this.decide()
     })
   }
 
+  private deleteLater (parts: readonly string[]): void {
+    for (const part of parts) this.outdated.add(part)
+    this.later(maxRestoreDelayMilliseconds, () => {
+      const outdated = parts.filter(part => this.outdated.delete(part))
+      if (outdated.length > 0) this.options.publish(outdated.map(part => ({ part, losses: [] })))
+    })
+  }
+
+  /** Forgets the losses of a harmless part. Returns false if there were none. */
+  private clear (part: string): boolean {
+    const losses = this.lossesByPart.get(part)
+    if (losses === undefined) return false
+    this.lossesByPart.delete(part)
+    this.cleared.delete(part)
+    this.cleared.set(part, losses)
+    if (this.cleared.size > maxClearedParts) this.forgetFirstCleared()
+    return true
+  }
+
+  private forgetFirstCleared (): void {
+    const first = this.cleared.keys().next()
+    if (first.done !== true) this.cleared.delete(first.value)
+  }
+
+  /** True if the part turned out to be harmless after all of these losses. */
+  private isCleared ({ part, losses }: PartEvidence): boolean {
+    const cleared = this.cleared.get(part)
+    if (cleared === undefined) return false
+    const newestAt = cleared.at(-1)?.at ?? 0
+    return losses.every(loss => loss.at <= newestAt || cleared.some(known => isSameLoss(known, loss)))
+  }
+
   /** Runs an action after a random delay, in which another host may make it needless. */
-  private later (action: () => void): void {
+  private later (maxDelayMilliseconds: number, action: () => void): void {
     const { clock, events } = this.options
-    clock.sleep(this.random.integer(0, maxPublicationDelayMilliseconds)).then(action)
+    clock.sleep(this.random.integer(0, maxDelayMilliseconds)).then(action)
       .catch(error => { events.error('evidence_not_published', { reason: String(error) }) })
   }
 
