Doubt the connections to a worker longer that answers out of turn again

Cause: while each call has a connection to itself, nothing shows whether the worker still repeats responses. After 3 s the connections were used again, and the next copy met a request.

Change: a response out of turn soon after a doubt doubles the next one, up to a minute (ConnectionDoubt). The calls that are remembered to tell apart further calls of a request are kept in one table for all workers of a host: 2,048 for each of up to 256 workers would take over 50 MB.

Evidence: ConnectionDoubt.test.ts on a manual clock; with a fixed doubt its four cases on renewed doubts fail by construction (not run against the old code, which had no such class).

--- a/src/upstreams/Upstream.ts
+++ b/src/upstreams/Upstream.ts
@@ -7,6 +7,7 @@
 import { BoundedTable, type Clock, type Model, type Pool, type RequestId, type WorkerId, type Zone } from '../common/index.js'
 import type { EngineRole, WorkerDocument } from '../configuration/index.js'
 import { connectUpstream } from './connectUpstream.js'
+import { ConnectionDoubt } from './ConnectionDoubt.js'
 import { LoadEstimate } from './LoadEstimate.js'
 import { StatedLimit } from './StatedLimit.js'
 import { UpstreamHealth } from './UpstreamHealth.js'
@@ -19,13 +20,10 @@
 const defaultKeepAliveMilliseconds = 4000
 
 /**
- * Time after the latest response out of turn for which each call has a connection to itself, in milliseconds. A worker that
- * repeats responses does so for seconds.
+ * Number of calls of which it is remembered that a kept connection may have carried them, over all upstreams of a host: those
+ * of several minutes, in about 2 MB.
  */
-const doubtMilliseconds = 3000
-
-/** Number of requests of which it is remembered that a kept connection may have carried a call. */
-const maxCarriedRequests = 2048
+export const maxCarriedCalls = 16_384
 
 /**
  * A call to the upstream. `requestId`: the request that the call is made for, if its responses bear that id; undefined
@@ -55,6 +53,8 @@
    * milliseconds at which the request was passed to the connection.
    */
   onResponse?: (upstream: Upstream, head: UpstreamResponseHead, sentAt: number) => void
+  /** Shared by the upstreams of a host. Default: a table of its own. */
+  carriedCalls?: BoundedTable<true>
   /** Called when the upstream has sent bytes on a connection on which no call was open. */
   onSurplus?: (upstream: Upstream) => void
 }
@@ -70,10 +70,9 @@
   readonly limit = new StatedLimit()
   readonly origin: string
   private connectionPool: ConnectionPool | undefined
-  /** The latest requests of which the upstream was sent a call. */
-  private readonly carriedRequests = new BoundedTable<true>(maxCarriedRequests)
-  /** Monotonic time until which each call has a connection to itself. */
-  private doubtedUntil = -Infinity
+  /** The latest calls, by upstream and request. */
+  private readonly carriedCalls: BoundedTable<true>
+  private readonly doubt: ConnectionDoubt
   /** True if the last load report states that the upstream is about to stop. */
   leaving = false
   /** True if the upstream has stated in a response that it is about to stop; holds as long as its process. */
@@ -91,6 +90,8 @@
   ) {
     this.health = new UpstreamHealth(options.clock, description.worker.reportsLoad)
     this.origin = `http://${description.worker.address}`
+    this.carriedCalls = options.carriedCalls ?? new BoundedTable(maxCarriedCalls)
+    this.doubt = new ConnectionDoubt(options.clock)
   }
 
   get id (): WorkerId {
@@ -143,7 +144,7 @@
   async request ({ requestId, ...call }: UpstreamCall, dispatcher?: Dispatcher): Promise<Dispatcher.ResponseData> {
     const sentAt = this.options.clock.monotonic()
     const isFurtherCall = requestId !== undefined && this.hasCarried(requestId)
-    if (requestId !== undefined) this.carriedRequests.set(requestId, true)
+    if (requestId !== undefined) this.carriedCalls.set(this.callKey(requestId), true)
     const response = dispatcher === undefined && (isFurtherCall || this.isDoubted)
       ? await this.sendAlone(call)
       : await sendRequest(dispatcher ?? this.connections, call)
@@ -153,24 +154,26 @@
 
   /** True if the upstream was recently sent a call for the request. */
   hasCarried (requestId: string): boolean {
-    return this.carriedRequests.get(requestId) === true
+    return this.carriedCalls.get(this.callKey(requestId)) === true
+  }
+
+  private callKey (requestId: string): string {
+    return `${this.origin} ${requestId}`
   }
 
   /**
-   * Keeps no connection for the next seconds, since the upstream has answered out of turn: a late response may arrive on
+   * Keeps no connection for a while, since the upstream has answered out of turn: a late response may arrive on
    * any connection that has carried a call. Open calls go on. Returns false if the connections were already in doubt.
    */
   doubtConnections (): boolean {
-    const { isDoubted } = this
-    this.doubtedUntil = this.options.clock.monotonic() + doubtMilliseconds
     this.close().catch(() => {})
     this.connectionPool = undefined
-    return !isDoubted
+    return this.doubt.record()
   }
 
   /** True while each call has a connection to itself. */
   get isDoubted (): boolean {
-    return this.options.clock.monotonic() < this.doubtedUntil
+    return this.doubt.isActive
   }
 
   /** Sends a call on a connection that is closed when the call has ended. */
--- a/src/upstreams/UpstreamManager.ts
+++ b/src/upstreams/UpstreamManager.ts
@@ -10,7 +10,7 @@
 import type { LoadReport } from './LoadReport.js'
 import { pollLoad } from './pollLoad.js'
 import { RequestTracker } from './RequestTracker.js'
-import { type DoubtReason, Upstream, type UpstreamDescription } from './Upstream.js'
+import { type DoubtReason, maxCarriedCalls, Upstream, type UpstreamDescription } from './Upstream.js'
 import type { StatedLimit, WorkerLimit } from './StatedLimit.js'
 import type { UpstreamResponseHead, WorkerNotice } from './WorkerNotice.js'
 
@@ -75,6 +75,8 @@
   private readonly idleWaiters = new Map<WorkerId, Array<() => void>>()
   /** Processes that have stated that they leave, also those that were removed and may be listed again. */
   private readonly leavingProcesses = new BoundedTable<true>(maxLeavingProcesses)
+  /** The latest calls of all upstreams, so that their memory does not grow with the number of upstreams. */
+  private readonly carriedCalls = new BoundedTable<true>(maxCarriedCalls)
   private isStarted = false
   private unsubscribe = (): void => {}
 
@@ -157,7 +159,7 @@
     return new RequestTracker(upstream, prefillTokens, this.options.clock, () => this.updateAvailability(upstream))
   }
 
-  /** Records that a worker has answered out of turn, so that none of its connections is kept for the next seconds. */
+  /** Records that a worker has answered out of turn, so that none of its connections is kept for a while. */
   doubtConnections (upstream: Upstream, reason: DoubtReason): void {
     if (upstream.doubtConnections()) this.options.events.warn('connections_doubted', { worker: upstream.id, reason })
   }
@@ -249,6 +251,7 @@
     const upstream = new Upstream(description, {
       clock,
       keepAliveMilliseconds,
+      carriedCalls: this.carriedCalls,
       onResponse: (from, head, sentAt) => { if (readNotice !== undefined) this.recordNotice(from, readNotice(head), sentAt) },
       onSurplus: from => { this.doubtConnections(from, 'surplus') }
     })
