Count the time of slow calls to the store into the handover of orders

What callers saw: nothing so far. If the store is restored while a confirmation or a join is on its way, two hosts could order within the duration of a lease.

Cause: the handover time was the lease alone, counted from the sending of the join. The response to the former holder's commit may take 0.7 s and its order 0.6 s more, and the former holder may hold the duty until the join is answered.

Evidence: restoredGroups.test.ts with a lease of 3000 ms. Responses that take 650 ms: a acts at 10150 ms, b at 13100 ms. With requests of 690 ms besides and the handover counted from the sending: a at 11640 ms, b at 14200 ms. A confirmation that took 800 ms was accepted (GroupLease.test.ts).

Change: the handover begins at the response to the join and includes the longest time from a commit to the arrival of its order (1.3 s); a confirmation older than 0.7 s is none, also after the process was stopped for a moment.

A new holder orders 1.3 s later than before.

--- a/src/leases/GroupLease.test.ts
+++ b/src/leases/GroupLease.test.ts
@@ -152,6 +152,19 @@
   expect(await lease.confirmedAuthority()).toBeUndefined()
 })
 
+// A process that was stopped for a moment finds a response that has waited for it.
+test('a confirmation that took too long is none', async () => {
+  await acquireAuthority()
+  const confirm = group.confirm.bind(group)
+  group.confirm = async () => {
+    await clock.sleep(800)
+    return await confirm()
+  }
+  const confirmed = lease.confirmedAuthority()
+  await clock.advance(800)
+  expect(await confirmed).toBeUndefined()
+})
+
 test('stop ends the authority and leaves the group', async () => {
   await acquireAuthority()
   await lease.stop()
--- a/src/leases/GroupLease.ts
+++ b/src/leases/GroupLease.ts
@@ -41,13 +41,19 @@
   durationMilliseconds: number
   /** Interval between renewals of the membership. */
   renewMilliseconds: number
-  /** Time that a new holder waits before it acts, so that its actions do not interleave with the former holder's. */
+  /**
+   * Time that a new holder waits before it acts, so that its actions do not interleave with the former holder's. It
+   * includes `maxConfirmationMilliseconds` and the longest time from the decision for an action to its arrival.
+   */
   handoverMilliseconds: number
 }
 
 /** Safety margin for the time between a check of the authority and the action that relies on it. */
 const marginMilliseconds = 300
 
+/** Longest time from the question for a confirmation to the decision for the action, in milliseconds. */
+export const maxConfirmationMilliseconds = 700
+
 /** If the times that elapsed on the two clocks since a renewal differ by more, a clock was set or the machine was suspended. */
 const maxClockDisagreementMilliseconds = 100
 
@@ -99,11 +105,14 @@
   async confirmedAuthority (): Promise<FencingNumber | undefined> {
     const before = this.authority()
     if (before === undefined) return undefined
+    const askedAt = this.options.clock.monotonic()
     const confirmed = await this.options.group.confirm(before)
     this.endOutdatedAuthority()
     if (confirmed.isErr) return undefined
     if (!confirmed.value) this.endAuthority('store_refused')
-    return this.authority() === before ? before : undefined
+    // The store may have assigned the duty to another member after it answered.
+    const isRecent = this.options.clock.monotonic() <= askedAt + maxConfirmationMilliseconds
+    return isRecent && this.authority() === before ? before : undefined
   }
 
   /** Ends the authority after a worker refused the fencing number, since the worker has seen that of a later holder. */
@@ -136,7 +145,8 @@
     if (this.renewedAt !== undefined && clock.monotonic() >= this.renewedAt.monotonic + durationMilliseconds) this.endAuthority('expired')
     this.renewedAt = sentAt
     if (this.heldSince !== undefined) return
-    this.heldSince = sentAt.monotonic
+    // The former holder may have held the duty until the store answered.
+    this.heldSince = clock.monotonic()
     events.info('duty_gained', this.numberFields())
   }
 
--- a/src/leases/restoredGroups.test.ts
+++ b/src/leases/restoredGroups.test.ts
@@ -6,7 +6,7 @@
 import { Result } from 'true-myth'
 import { type Failure, failure, type FencingNumber, ManualClock } from '../common/index.js'
 import { EventLog, HybridClock, Timeline } from '../observability/index.js'
-import { DutyGroup, GroupLease, type GroupMembership } from './GroupLease.js'
+import { DutyGroup, GroupLease, type GroupMembership, maxConfirmationMilliseconds } from './GroupLease.js'
 
 const durationMilliseconds = 3000
 const renewMilliseconds = 1000
@@ -53,7 +53,12 @@
     this.clock = new MemberClock(time)
     const events = new EventLog({ timeline: new Timeline(name, new HybridClock(this.clock)), level: 'info', write: line => { this.lines.push(line) } })
     this.lease = new GroupLease({
-      group: this, clock: this.clock, events, durationMilliseconds, renewMilliseconds, handoverMilliseconds: durationMilliseconds
+      group: this,
+      clock: this.clock,
+      events,
+      durationMilliseconds,
+      renewMilliseconds,
+      handoverMilliseconds: durationMilliseconds + maxConfirmationMilliseconds
     })
   }
 
@@ -195,6 +200,19 @@
     await advance(5000)
     store.assign('b')
   }],
+  ['responses take long', async a => {
+    a.delays = { request: 0, response: 650 }
+    await advance(2500)
+    store.restore('b', store.generation)
+  }],
+  ['a response to the holder and requests of the next one take long', async (a, b) => {
+    a.delays = { request: 0, response: 650 }
+    b.delays = { request: 690, response: 0 }
+    await advance(4000)
+    store.restore('b', store.generation)
+    await advance(100)
+    b.delays = { request: 0, response: 0 }
+  }],
   ['requests of the next holder take long', async (_a, b) => {
     b.delays = { request: 690, response: 0 }
     await advance(2500)
@@ -213,5 +231,7 @@
   expect(violations()).toEqual([])
   // The duty does not stay without a holder.
   expect(actions.filter(({ at }) => at > time.monotonic() - 1000)).not.toEqual([])
-  for (const { lease } of members) await lease.stop()
+  const stopped = Promise.all(members.map(async ({ lease }) => { await lease.stop() }))
+  await time.advance(2000)
+  await stopped
 })
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -7,7 +7,7 @@
 import { type ListeningServer, serve } from '../entry/index.js'
 import { defaultAttemptLimits, PromptComputation, RequestManager, type RequestManagerOptions, RetryBudget, type RetryLimits } from '../forwarding/index.js'
 import { type ObservedEngine, RolePlannerTask } from '../fleet/index.js'
-import { GroupLease } from '../leases/index.js'
+import { GroupLease, maxConfirmationMilliseconds } from '../leases/index.js'
 import { RequestPermits } from '../limits/index.js'
 import { EventLog, HybridClock, LineWriter, Metrics, Timeline } from '../observability/index.js'
 import { LocalPromptPlacer, type PromptPlacer } from '../placement/index.js'
@@ -27,7 +27,7 @@
 import { StoreDutyGroup } from './StoreDutyGroup.js'
 import { StoreEra } from './StoreEra.js'
 import { TopicFollower, type TopicReceiver } from './TopicFollower.js'
-import { WorkerOrders } from './WorkerOrders.js'
+import { responseTimeoutMilliseconds, WorkerOrders } from './WorkerOrders.js'
 import { WorkerProtocol } from './WorkerProtocol.js'
 
 /** Topics of the store: the operators' configuration, and the workers' entries. */
@@ -426,7 +426,8 @@
     events,
     durationMilliseconds,
     renewMilliseconds: durationMilliseconds / renewalsPerLease,
-    handoverMilliseconds: durationMilliseconds
+    // An order of the former holder arrives at the latest by the time at which its sender gives up.
+    handoverMilliseconds: durationMilliseconds + maxConfirmationMilliseconds + responseTimeoutMilliseconds
   })
 }
 
--- a/src/platform/WorkerOrders.ts
+++ b/src/platform/WorkerOrders.ts
@@ -27,7 +27,7 @@
  * Time limit for the response to an order or to a query of the report, in milliseconds; workers respond within a
  * few milliseconds.
  */
-const responseTimeoutMilliseconds = 600
+export const responseTimeoutMilliseconds = 600
 
 /** Maximum time from an order to its effect, in milliseconds: a delayed order starts within 12 s and takes 3 s. */
 const maxEffectMilliseconds = 15_000
