Keep the authority for a greater number than the one refused

What callers saw: nothing; a worker's late 412 for an order of before a change of the group, or of an earlier era, cost the holder its authority and a handover time.

Cause: each refusal ended the authority, whatever number it was about.

Evidence: GroupLease.test.ts, "a late refusal of an earlier number": authority undefined instead of 2 without the change.

Change: a refusal of a number below the current one is remembered only.

--- a/src/leases/GroupLease.test.ts
+++ b/src/leases/GroupLease.test.ts
@@ -142,6 +142,16 @@
   ])
 })
 
+// The worker may have answered an order of before the group changed, with a greater number of this process itself.
+test('a late refusal of an earlier number leaves the authority for a greater one', async () => {
+  await acquireAuthority()
+  const refused = lease.authority()!
+  group.membership = membership(2, true)
+  await clock.advance(1000)
+  lease.handleRefusal(refused)
+  expect(lease.authority()).toBe(2)
+})
+
 test.each([
   ['does not confirm', () => { group.isConfirming = false }],
   ['does not respond', () => { group.isReachable = false }]
--- a/src/leases/GroupLease.ts
+++ b/src/leases/GroupLease.ts
@@ -118,6 +118,7 @@
   /** Ends the authority after a worker refused the fencing number, since the worker has seen that of a later holder. */
   handleRefusal (fencingNumber: FencingNumber): void {
     this.greatestRefusedNumber = Math.max(this.greatestRefusedNumber, fencingNumber)
+    if (this.fencingNumber !== undefined && this.fencingNumber > fencingNumber) return
     this.endAuthority('worker_refused')
   }
 
