Read the schedulers again after a restore of the store

What callers saw: nothing so far. A host keeps asking the scheduler that it knows until that one fails or says that it is none. A scheduler that cannot reach the store does not learn that a restored store has given its partition away, so hosts could go on taking permits of limited workers from it beside the ones that the new scheduler grants.

Cause: the directory reads the holders only when one is missing or fails.

Evidence: SchedulerDirectory.test.ts: without the change 10.0.0.1 stays the holder and one call is made, over three restores.

Change: once per era the holders are read again, 0.5 to 1 s after the next question, spread over the hosts; a failed read is repeated with the usual growing intervals. schedulers_read logs the era.

--- a/src/platform/PlacementPart.ts
+++ b/src/platform/PlacementPart.ts
@@ -52,7 +52,9 @@
   constructor (private readonly options: PlacementPartOptions) {
     const { settings: { host, store, listen }, era, clock, events, hash, upstreams, group, costs, fallback } = options
     const phase = hash.h32(host.id) / hashRange
-    this.directory = new SchedulerDirectory({ store: new StoreClient(store.address, era), clock, events, random: () => phase })
+    this.directory = new SchedulerDirectory({
+      store: new StoreClient(store.address, era), era, clock, events, random: () => phase
+    })
     const { held } = this
     const scheduler = new PromptScheduler({
       clock,
--- a/src/platform/SchedulerDirectory.test.ts
+++ b/src/platform/SchedulerDirectory.test.ts
@@ -15,11 +15,13 @@
 let clock: ManualClock
 let owners: Result<PartitionOwner[], Failure>
 let calls: number
+let era: { current: number }
 let directory: SchedulerDirectory
 
 beforeEach(() => {
   clock = new ManualClock()
   calls = 0
+  era = { current: 1 }
   owners = Result.ok([])
   const store = {
     owners: async () => {
@@ -28,7 +30,7 @@
     },
     close: async () => {}
   }
-  directory = new SchedulerDirectory({ store, clock, events: discardingEventLog(clock), random: () => 0 })
+  directory = new SchedulerDirectory({ store, era, clock, events: discardingEventLog(clock), random: () => 0 })
 })
 
 afterEach(async () => { await directory.stop() })
@@ -58,6 +60,24 @@
   expect(directory.holderOf(0)).toBe('10.0.0.2:7000')
 })
 
+// A holder that cannot reach the store goes on granting permits beside the one that a restored store names.
+test.each<[string, () => string | undefined]>([
+  ['prompts', () => directory.holderOf(0)],
+  ['permits', () => directory.permitHolderOf(0)]
+])('the holder for %s is read again once after each restore of the store', async (_name, holder) => {
+  owners = ownedBy('host-1', '10.0.0.1:7000')
+  holder()
+  await clock.advance(2000)
+  owners = ownedBy('host-2', '10.0.0.2:7000')
+  for (era.current = 2; era.current <= 4; era.current += 1) {
+    for (let elapsed = 0; elapsed < 5000; elapsed += 100) {
+      holder()
+      await clock.advance(100)
+    }
+    expect([holder(), calls]).toEqual(['10.0.0.2:7000', era.current])
+  }
+})
+
 test.each([
   ['no host holds the partition', () => Result.ok<PartitionOwner[], Failure>([])],
   ['the holder cannot be reached by other hosts', () => ownedBy('host-1', undefined)],
--- a/src/platform/SchedulerDirectory.ts
+++ b/src/platform/SchedulerDirectory.ts
@@ -1,16 +1,19 @@
 /**
  * Knows which host holds each partition of the topic `placement`, and which ones hold those of `duties`, who grant the
  * permits of limited workers while no host schedules prompts. The store is asked only when the known holder is
- * missing or has failed, since each call to the store is charged.
+ * missing or has failed, since each call to the store is charged, and once after the store was restored: hosts that cannot
+ * reach the store do not know that they no longer hold a partition.
  */
 import type { Clock } from '../common/index.js'
 import type { EventLog } from '../observability/index.js'
 import type { StoreClient } from './StoreClient.js'
+import type { StoreEra } from './StoreEra.js'
 import { addressOfMember, dutyTopic, hostGroup, placementTopic } from './StoreDutyGroup.js'
 
 /** Options of a `SchedulerDirectory`. */
 export interface SchedulerDirectoryOptions {
   store: Pick<StoreClient, 'owners' | 'close'>
+  era: Pick<StoreEra, 'current'>
   clock: Clock
   events: EventLog
   /** A number from 0 (inclusive) to 1 (exclusive) that spreads the calls of hosts. */
@@ -31,6 +34,10 @@
 export class SchedulerDirectory {
   private readonly holders = new Map<number, string>()
   private readonly dutyHolders = new Map<number, string>()
+  /** Era of the store in which the holders were read; undefined before the first read. */
+  private readEra: number | undefined
+  /** Newest era for which a read is planned. */
+  private plannedEra = 0
   private refreshing: Promise<void> | undefined
   private nextRefreshAt = -Infinity
   private refreshMilliseconds = minRefreshMilliseconds
@@ -42,6 +49,7 @@
 
   /** Address of the holder of a partition; undefined while it is unknown, which starts a call to the store. */
   holderOf (partition: number): string | undefined {
+    this.refreshAfterRestore()
     const holder = this.holders.get(partition)
     if (holder === undefined) this.refresh()
     return holder
@@ -49,6 +57,7 @@
 
   /** Address of the host that grants the permits of a partition's cells; undefined while it is unknown. */
   permitHolderOf (partition: number): string | undefined {
+    this.refreshAfterRestore()
     return this.holders.get(partition) ?? this.dutyHolders.get(partition) ?? this.holderOf(partition)
   }
 
@@ -76,6 +85,15 @@
     await this.refreshing
   }
 
+  /** Reads the holders again in a new era, after a time that spreads the calls of the hosts. */
+  private refreshAfterRestore (): void {
+    const { era, clock, random } = this.options
+    if (this.readEra === undefined || this.readEra === era.current) return
+    if (this.plannedEra === era.current) return this.refresh()
+    this.plannedEra = era.current
+    this.nextRefreshAt = Math.max(this.nextRefreshAt, clock.monotonic() + minRefreshMilliseconds * (1 + random()))
+  }
+
   private refresh (): void {
     const { clock, random } = this.options
     const now = clock.monotonic()
@@ -87,13 +105,14 @@
   }
 
   private async read (): Promise<void> {
-    const { store, events } = this.options
+    const { store, events, era } = this.options
     const holdersByTopic = new Map([[placementTopic, this.holders], [dutyTopic, this.dutyHolders]])
     const owners = await store.owners(hostGroup)
     if (owners.isErr) {
       events.info('schedulers_unknown', { reason: owners.error.message })
       return
     }
+    this.readEra = era.current
     this.holders.clear()
     this.dutyHolders.clear()
     for (const { topic, partition, member } of owners.value) {
@@ -101,6 +120,6 @@
       if (address !== undefined) holdersByTopic.get(topic)?.set(partition, address)
     }
     this.hasNoScheduler = this.holders.size === 0
-    events.info('schedulers_read', { addresses: [...new Set(this.holders.values())].join(',') })
+    events.info('schedulers_read', { era: this.readEra, addresses: [...new Set(this.holders.values())].join(',') })
   }
 }
