Test the limits of workers over a restore of the store

What callers saw: nothing. Two hosts may grant the permits of one worker while a restored store names another holder, or one that has left.

Evidence: no fault found. The former holder answers that it grants no more after its next renewal, a new one starts without a saved permit, and hosts that reach none take their share.

Change: the test only.

--- a/src/platform/LimitedWorkers.test.ts
+++ b/src/platform/LimitedWorkers.test.ts
@@ -4,12 +4,18 @@
  */
 import { afterEach, describe, expect, test } from '@jest/globals'
 import type { PlatformHost } from './PlatformHost.js'
+import type { FakeStore } from './testing/FakeStore.js'
 import type { FakeWorker } from './testing/FakeWorker.js'
 import { type PlatformTest, RawCaller, requestHeaders, startHost, startPlatform, waitUntil } from './testing/platformTestSupport.js'
 
 /** The limit that workers state, per second: low, so that few permits accrue while the test runs. */
 const perSecond = 0.5
 
+/** Longest time for which the host that granted permits before a restore of the store does not know of it, in seconds. */
+const renewalSeconds = 1
+
+type Members = ReturnType<FakeStore['copy']>['members']
+
 const tags = { path: '/tags/1', headers: { 'content-type': 'text/event-stream' }, body: 'id: 1\ndata: 1\n\n' }
 const votes = { path: '/votes/1', headers: {}, body: 'done' }
 
@@ -91,6 +97,27 @@
   })
 })
 
+// Guards against two hosts that both grant the whole limit for long, since the restored store names another holder.
+test.each<[string, (members: Members) => Members]>([
+  ['another host', members => new Map([...members].reverse())],
+  ['a host that has left in the lost seconds', members =>
+    new Map([['left.0123456789abcdef@127.0.0.1:1', [...members.values()][0]!], ...members])]
+])('the limit holds over all hosts while the store comes back with %s as the one that grants', async (_name, change) => {
+  const { store, app } = await start()
+  for (const worker of app) limit(worker, votes)
+  await sendAfterLimits(votes.path, app)
+  const before = app.map(worker => worker.requests.length)
+  const startedAt = performance.now()
+  const copy = store.copy()
+  store.restore({ ...copy, members: change(copy.members) })
+  while (performance.now() - startedAt < 6000) await Promise.all(Array.from({ length: 6 }, async () => await send(votes.path)))
+  const seconds = (performance.now() - startedAt) / 1000
+  const received = app.map((worker, index) => worker.requests.length - before[index]!)
+  for (const count of received) expect(count).toBeLessThanOrEqual(1 + perSecond * (seconds + renewalSeconds))
+  // The limit is in use again.
+  expect(Math.max(...received)).toBeGreaterThan(0)
+})
+
 // Guards against a limit that is taken for one of the next process under the same id.
 test('a worker that has started again under its id is not limited', async () => {
   const { store, app } = await start()
