--- a/src/leases/GroupLease.test.ts
+++ b/src/leases/GroupLease.test.ts
@@ -142,6 +142,16 @@
   ])
 })
 
+// The worker may have answered an order of before the group changed, with a greater number of this process itself.
+test('a late refusal of an earlier number leaves the authority for a greater one', async () => {
+  await acquireAuthority()
+  const refused = lease.authority()!
+  group.membership = membership(2, true)
+  await clock.advance(1000)
+  lease.handleRefusal(refused)
+  expect(lease.authority()).toBe(2)
+})
+
 test.each([
   ['does not confirm', () => { group.isConfirming = false }],
   ['does not respond', () => { group.isReachable = false }]
@@ -152,6 +162,19 @@
   expect(await lease.confirmedAuthority()).toBeUndefined()
 })
 
+// A process that was stopped for a moment finds a response that has waited for it.
+test('a confirmation that took too long is none', async () => {
+  await acquireAuthority()
+  const confirm = group.confirm.bind(group)
+  group.confirm = async () => {
+    await clock.sleep(800)
+    return await confirm()
+  }
+  const confirmed = lease.confirmedAuthority()
+  await clock.advance(800)
+  expect(await confirmed).toBeUndefined()
+})
+
 test('stop ends the authority and leaves the group', async () => {
   await acquireAuthority()
   await lease.stop()
