Do not delete old evidence by an offset from before a restore

Callers: evidence that was written again after a restore of the store could be deleted as old by a host that had not read it, so that workers crash on its part again.

Cause: a host deletes old evidence if its append continues at the offset up to which it has read. After a restore that offset belongs to other records.

Change: the offset counts only if the era is the same before and after the append.

--- a/src/platform/QuarantineTopic.test.ts
+++ b/src/platform/QuarantineTopic.test.ts
@@ -32,6 +32,7 @@
 let lines: string[]
 let received: PartEvidence[]
 let topic: QuarantineTopic
+let era: StoreEra
 
 async function append (
   _topic: string,
@@ -70,16 +71,17 @@
   end = 0
   lines = []
   received = []
+  era = new StoreEra()
   topic = new QuarantineTopic({
     reader: {
-      newest: async () => Result.ok({ records: standing, end, era: 1 }),
+      newest: async () => Result.ok({ records: standing, end, era: Math.max(1, era.current) }),
       read: async (_topic, from, waitMilliseconds, signal) => {
         await clock.sleep(waitMilliseconds, signal)
-        return signal?.aborted === true ? Result.err(failure('platform_unavailable', 'aborted')) : Result.ok({ records: [], next: from, era: 1 })
+        return signal?.aborted === true ? Result.err(failure('platform_unavailable', 'aborted')) : Result.ok({ records: [], next: from, era: Math.max(1, era.current) })
       },
       close: async () => {}
     },
-    era: new StoreEra(),
+    era,
     writer: { append, close: async () => {} },
     receiver: { receive: evidence => { received.push(...evidence) }, restore: () => {} },
     clock,
@@ -200,6 +202,19 @@
     expect(appends).toHaveLength(1)
   })
 
+  // An offset of a restored store says nothing about what the host has read before.
+  test('is not deleted if the store is restored before the append', async () => {
+    standing = [recordOf(old('m/old'))]
+    end = 5
+    topic.start()
+    await clock.advance(0)
+    topic.publish([evidenceAgainst('m/a')])
+    era.accept('2')
+    appends[0]!.answer(Result.ok({ offset: 5, end: 6 }))
+    await clock.advance(0)
+    expect(appends).toHaveLength(1)
+  })
+
   // A deletion that failed is no reason to repeat calls: the next evidence repeats it.
   test('is kept until the next evidence if its deletion fails', async () => {
     await publishBesideOldEvidence('m/a', { offset: 5, end: 6 })
--- a/src/platform/QuarantineTopic.ts
+++ b/src/platform/QuarantineTopic.ts
@@ -162,15 +162,16 @@
 
   /** Makes one append of queued evidence. Returns the reason of its failure, if any. */
   private async send (batch: Array<[string, QueuedEvidence]>, signal: AbortSignal): Promise<string | undefined> {
-    const { writer, events } = this.options
+    const { writer, events, era } = this.options
     const position = this.follower.position
+    const eraOfPosition = era.current
     const appended = await writer.append(quarantineTopic, batch.map(([, { evidence }]) => encodeEvidence(evidence)), { signal })
     if (appended.isErr) return appended.error.message
     for (const [part, item] of batch) if (this.queued.get(part) === item) this.queued.delete(part)
     const { offset, end } = appended.value
     events.info('evidence_published', { ...nameParts(batch.map(([part]) => part)), offset })
     // Evidence that this host has not read yet could be newer than what it deletes.
-    const hasReadAll = position === offset && end === offset + batch.length
+    const hasReadAll = position === offset && era.current === eraOfPosition && end === offset + batch.length
     if (hasReadAll) await this.deleteStale(end, new Set(batch.map(([part]) => part)), signal)
     return undefined
   }
