Let the soak restore the store from older copies

Callers: none; a check of the product. The soak had outages of the store, but none after which records were missing.

Change: with `--restores`, the store comes back from a copy that is some seconds old, again and again. Half of the restores leave the connections open. The newest configuration and the entries of the workers are written again within a second. The times come from a random sequence of their own, so that the other decisions of a seed, the fixed seeds among them, stay as they are. Without the option nothing changes.

--- a/src/platform/soak/Soak.ts
+++ b/src/platform/soak/Soak.ts
@@ -28,6 +28,8 @@
   checksDeadlines: boolean
   /** True if a part of some prompts crashes the workers that answer them. */
   crashingPrompts?: boolean
+  /** True if the store comes back from older copies, besides the faults that the seed determines otherwise. */
+  restoresStore?: boolean
 }
 
 /** Result of a soak. */
@@ -98,6 +100,18 @@
 const successorMilliseconds = [2000, 4000] as const
 const recoveryFromCrashesMilliseconds = 11_000
 
+/**
+ * Times around a restore of the store, in milliseconds: from the last restore to the copy, from the copy to the restore,
+ * for which the store is away, and until the operator and the workers have written again what was lost.
+ */
+const copyMilliseconds = [500, 2000] as const
+const lostMilliseconds = [300, 2500] as const
+const awayMilliseconds = [0, 800] as const
+const rewriteMilliseconds = [0, 1000] as const
+
+/** Added to the seed for the restores, which leave the other random decisions of a seed as they are. */
+const restoreSeedOffset = 1_000_003
+
 /** Factor on the time between two faults in a soak with prompts that crash workers, which needs undisturbed hosts. */
 const faultIntervalFactorOfCrashes = 8
 
@@ -114,6 +128,9 @@
   private readonly activeFaults = new Set<Promise<void>>()
   private readonly workers: SoakWorker[] = []
   private hosts: SoakHost[] = []
+  /** The newest entry of each worker, undefined if it was removed, and the newest configuration. */
+  private readonly workerEntries = new Map<string, unknown>()
+  private configuration: unknown
   private configurationVersion = 1
   private workerCount = 0
   private readonly crashes: PromptCrashes | undefined
@@ -185,6 +202,7 @@
     this.sendsCrashingPrompts = this.crashes !== undefined
     const intervalFactor = this.crashes === undefined ? 1 : faultIntervalFactorOfCrashes
     const end = performance.now() + this.options.milliseconds
+    if (this.options.restoresStore === true) this.startFaultTask(this.restoreStore(end))
     while (performance.now() < end) {
       await sleep(intervalFactor * this.random.integer(minFaultIntervalMilliseconds, maxFaultIntervalMilliseconds))
       this.startFault()
@@ -336,6 +354,34 @@
     for (const host of this.hosts) host.markDisturbed(0)
   }
 
+  /** Brings the store back from older copies until the faults end; what was lost is written again after each restore. */
+  private async restoreStore (end: number): Promise<void> {
+    const random = new SeededRandom(this.options.seed + restoreSeedOffset)
+    for (;;) {
+      await sleep(random.integer(...copyMilliseconds))
+      const copy = this.store.copy()
+      const lost = random.integer(...lostMilliseconds)
+      const [away, rewrite] = [random.integer(...awayMilliseconds), random.integer(...rewriteMilliseconds)]
+      await sleep(lost)
+      if (performance.now() >= end) return
+      this.recordFault(`the store is away for ${away} ms, loses ${lost + away} ms, and receives them again after ${rewrite} ms`)
+      for (const host of this.hosts) host.markDisturbed(away + rewrite)
+      this.store.mode = 'silent'
+      await sleep(away)
+      this.store.mode = 'normal'
+      this.store.restore(copy, { keepsConnections: random.fraction() < 0.5 })
+      await sleep(rewrite)
+      this.store.write('keyed.op', 'config', this.configuration)
+      for (const [id, entry] of this.workerEntries) this.store.write('keyed.servers', id, entry)
+      for (const host of this.hosts) host.markDisturbed(0)
+    }
+  }
+
+  private writeWorkerEntry (id: string, entry: unknown): void {
+    this.workerEntries.set(id, entry)
+    this.store.write('keyed.servers', id, entry)
+  }
+
   private async changeWorkerBehaviour (milliseconds: number): Promise<void> {
     const worker = this.random.pick(this.workers.filter(({ isStopped }) => !isStopped))
     const behaviour = this.random.pick(workerBehaviours)
@@ -363,7 +409,7 @@
     } else for (const host of this.hosts) host.markDisturbed(milliseconds)
     await worker.stop()
     if (!isPlanned) await sleep(milliseconds)
-    this.store.write('keyed.servers', worker.id, undefined)
+    this.writeWorkerEntry(worker.id, undefined)
   }
 
   /** Makes some workers of a service state a limit. */
@@ -392,7 +438,8 @@
     const routes = (document.routes as Array<Record<string, unknown>>).map(route => ({
       ...route, 'timeout-ms': routeTimeoutMilliseconds, ...(route.service === 'app' ? { service } : {})
     }))
-    this.store.write('keyed.op', 'config', { ...document, routes, services: [...document.services, { name: 'app-next' }] })
+    this.configuration = { ...document, routes, services: [...document.services, { name: 'app-next' }] }
+    this.store.write('keyed.op', 'config', this.configuration)
     for (const kind of requestKinds) this.journal.allowServices(kind, [streamKinds.has(kind) ? 'llm' : service])
   }
 
@@ -405,7 +452,7 @@
       stage: service === 'llm' ? 'decode' : undefined,
       journal: this.journal,
       leaseMilliseconds,
-      writeEntry: (id, entry) => { this.store.write('keyed.servers', id, entry) },
+      writeEntry: (id, entry) => this.writeWorkerEntry(id, entry),
       onCrashingPrompt: id => this.recordCrashingPrompt(id),
       onCrash: worker => this.startFaultTask(this.crashWorker(worker))
     }))
@@ -426,7 +473,7 @@
     const successorAfterMilliseconds = this.random.integer(...successorMilliseconds)
     await worker.stop()
     await sleep(entryRemovalMilliseconds)
-    this.store.write('keyed.servers', worker.id, undefined)
+    this.writeWorkerEntry(worker.id, undefined)
     await sleep(successorAfterMilliseconds - entryRemovalMilliseconds)
     await this.addWorker(worker.options.service)
   }
--- a/src/platform/soak/main.ts
+++ b/src/platform/soak/main.ts
@@ -16,6 +16,7 @@
   jobs: { type: 'number', default: 3, describe: 'number of seeds that run at the same time' },
   times: { type: 'boolean', default: true, describe: 'check time limits too; needs a machine without other load' },
   crashes: { type: 'boolean', default: false, describe: 'a part of some prompts crashes the workers that answer them' },
+  restores: { type: 'boolean', default: false, describe: 'the store comes back from older copies' },
   logs: { type: 'string', default: 'target/soak', describe: 'directory for the logs of seeds that violated a guarantee' }
 }).strict()
 
@@ -26,9 +27,15 @@
   let failedSeeds = 0
   const runSeeds = async (): Promise<void> => {
     for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
-      const { hosts, callers, seconds, times, crashes } = options
+      const { hosts, callers, seconds, times, crashes, restores } = options
       const result = await Soak.run({
-        seed, milliseconds: seconds * 1000, hosts, callersPerHost: callers, checksDeadlines: times, crashingPrompts: crashes
+        seed,
+        milliseconds: seconds * 1000,
+        hosts,
+        callersPerHost: callers,
+        checksDeadlines: times,
+        crashingPrompts: crashes,
+        restoresStore: restores
       })
       if (result.violations.length > 0) failedSeeds += 1
       report(seed, result, options.logs)
