Keep streams going to the last sixth of a short grace period

What callers saw: with a grace period of 2 or 3 s, a stream that was taken after SIGTERM was cut at 1.5 or 2.5 s.

Cause: the stop ended 0.5 s before the end of the grace period, whatever its length. A cut before the last sixth counts as a lost request; the last sixth of 2 s begins at 1.67 s.

Evidence: LateRequests.test.ts sends a read, a vote and three streams whose workers never end them, on a new, a kept and an unused connection, at nine moments of the grace period, of 2, 3, 5 and 8 s. The six cases with 2 and 3 s failed: the exit came after 1,500 and 2,500 ms. With 5 and 8 s they passed: each request that was passed on got 502 or 504 before the exit unless its stream had begun, each other one 503 or a closed connection.

Change: the margin is at most a twelfth of the grace period.

--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -41,9 +41,11 @@
 const listenAfterStopMilliseconds = 2600
 
 /**
- * Time between the end of a stop and the end of the grace period, when the platform kills the process, in milliseconds.
+ * Time between the end of a stop and the end of the grace period, when the platform kills the process, in milliseconds; in
+ * a short grace period no more than a twelfth of it. Streams that the exit cuts before the last sixth count as lost.
  */
-const exitMarginMilliseconds = 500
+const maxExitMarginMilliseconds = 500
+const maxExitMarginShare = 1 / 12
 
 /**
  * Time before the end of a stop at which requests without a response receive a final answer, in milliseconds; it
@@ -324,7 +326,8 @@
 
   private async stopOnce (): Promise<boolean> {
     const { clock, listener } = this
-    const exitMilliseconds = this.settings.bounds.graceSeconds * 1000 - exitMarginMilliseconds
+    const graceMilliseconds = this.settings.bounds.graceSeconds * 1000
+    const exitMilliseconds = graceMilliseconds - Math.min(maxExitMarginMilliseconds, graceMilliseconds * maxExitMarginShare)
     const exitAt = clock.monotonic() + exitMilliseconds
     listener.startStop({ finalAnswerAt: exitAt - finalAnswerMilliseconds, exitAt })
     this.logStop('stop_started')
--- a/src/platform/testing/platformTestSupport.ts
+++ b/src/platform/testing/platformTestSupport.ts
@@ -50,6 +50,8 @@
   retrySlack?: number
   /** True if the host listens for other hosts, schedules prompts and grants permits. */
   hasPeers?: boolean
+  /** Time from the start of a stop until the platform kills the process. */
+  graceSeconds?: number
 }
 
 /** A host with its store and workers. */
@@ -86,14 +88,14 @@
 /** Starts a host on a store. */
 export async function startHost (
   store: FakeStore,
-  { name = 'host-1', clock, retrySlack = 1000, hasPeers = false }: { name?: string } & Partial<PlatformTestOptions> = {}
+  { name = 'host-1', clock, retrySlack = 1000, hasPeers = false, graceSeconds = 8 }: { name?: string } & Partial<PlatformTestOptions> = {}
 ): Promise<PlatformHost> {
   const peers = hasPeers ? { peers: await unusedAddress() } : {}
   const host = await PlatformHost.create(platformSettingsSchema.parse({
     host: { id: name, zone: 'zone-a', region: 'coast' },
     listen: { callers: '127.0.0.1:0', readiness: '127.0.0.1:0', ...peers },
     store: { address: store.address },
-    bounds: { graceSeconds: 8, retryRatio: 0.2, retrySlack, stableWindowMilliseconds: 3000, leaseMilliseconds: 3000 },
+    bounds: { graceSeconds, retryRatio: 0.2, retrySlack, stableWindowMilliseconds: 3000, leaseMilliseconds: 3000 },
     log: { level: 'error' }
   }), clock)
   await host.start()
