Pass nothing on behind a stream that may last until the exit

What callers saw: a vote pipelined behind a stream during a stop was run by a worker, and its response, which waits for the end of the stream, was cut by the exit.

Cause: requests of one connection are passed on at once, also during a stop; the response of a later one can be sent only after the stream.

Change: during a stop, a request waits while an earlier response on its connection is being streamed. If the stream ends before the listener closes, the request is passed on; after that it is answered 503, or left without an answer if the stream lasts until the exit. Requests behind a response that has not begun are passed on at once as before.

What remains: a stream that has not begun when the later request arrives, and lasts until the exit; and the later request is read although it gets no answer.

--- a/src/entry/GracefulServer.ts
+++ b/src/entry/GracefulServer.ts
@@ -63,6 +63,17 @@
     return last === undefined || last === response
   }
 
+  /** Resolves when no earlier response on the connection is being streamed, or when the connection has closed. */
+  async whenNoEarlierStream (response: ServerResponse): Promise<void> {
+    const responses = [...this.connectionOf(response)?.responses ?? []]
+    const earlier = responses.slice(0, Math.max(0, responses.indexOf(response)))
+    const streams = earlier.filter(({ headersSent, writableEnded }) => headersSent && !writableEnded)
+    if (streams.length === 0) return
+    const { socket } = response.req
+    const sent = Promise.all(streams.map(async stream => await new Promise(resolve => stream.once('close', resolve))))
+    await Promise.race([sent, new Promise(resolve => socket.once('close', resolve))])
+  }
+
   /**
    * Stops accepting connections, closes the idle ones now and each other one after its open requests, and resolves when
    * all have closed.
--- a/src/platform/CallerListener.ts
+++ b/src/platform/CallerListener.ts
@@ -199,7 +199,9 @@
     const body = await interruption.unlessHostStops(bodyRead, () => Result.err(refusalOfStop))
     if (body.isErr) return this.refuse(message, response, body.error, startedAt)
     if (this.options.eventLoopDelay() > busyEventLoopDelayMilliseconds) await pendingEvents()
-    if (interruption.cause === 'caller_disconnected') return
+    // A stream that is being sent on the connection may last until the exit, and then this response would never be sent.
+    if (this.stoppingSince !== undefined) await interruption.unlessHostStops(this.server.whenNoEarlierStream(response), () => {})
+    if (interruption.cause === 'caller_disconnected' || message.socket.destroyed) return
     if (this.isClosed) return this.refuse(message, response, refusalOfStop, startedAt)
     const { route, call: head } = decoded.value
     const call = this.options.requests.serviceCall({ ...head, body: body.value })
--- a/src/platform/LateRequests.test.ts
+++ b/src/platform/LateRequests.test.ts
@@ -107,3 +107,42 @@
     }
   })
 })
+
+// Guards against a request that a worker has run, but whose response waits behind a stream that the exit cuts.
+test.each([
+  ['GET', '/reads/1', 100],
+  ['POST', '/votes/1', 100],
+  ['POST', '/votes/1', 2500],
+  ['POST', '/votes/1', 5000],
+  ['POST', '/answers/1', 2500]
+])('%s %s, pipelined behind a stream %d ms after the start of a stop, is not passed on unless the stream ends', async (method, path, at) => {
+  for (const ends of [false, true]) {
+    const clock = new ManualClock()
+    const configuration = configurationDocument(1, { routes: [begun] })
+    platform = await startPlatform({ clock, appWorkers: 1, modelWorkers: 1, configuration })
+    const { host, app, models } = platform
+    for (const worker of models) neverEnd(worker)
+    const caller = await connectNew()
+    caller.send('POST', '/begun/1', requestHeaders('stream', { 'dogwooddale-deadline-ms': '60000' }), 'post')
+    await waitUntil(() => caller.received.includes('data: a'))
+    const stopped = host.stop()
+    await clock.advance(at)
+    caller.send(method, path, requestHeaders('late'), method === 'GET' ? undefined : 'body')
+    await new Promise(resolve => setTimeout(resolve, 50))
+    const received = (): string[] => [...app, ...models].flatMap(worker => worker.requests.map(request => request.path))
+    const countPassedOn = (): number => received().filter(other => other === path).length
+    expect(countPassedOn()).toBe(0)
+    if (ends) {
+      models[0]!.requests[0]!.socket.write('0\r\n\r\n')
+      const isTaken = at < 2600
+      if (isTaken) await waitUntil(() => countPassedOn() === 1)
+      const hasStatus = (): boolean => caller.received.split('HTTP/1.1 ')[2]?.startsWith(isTaken ? '200' : '503') === true
+      if (path !== '/answers/1') await waitUntil(hasStatus)
+    }
+    await clock.advance(7500)
+    await stopped
+    await waitUntil(() => caller.closed)
+    await platform.stop()
+    platform = undefined
+  }
+})
