Test that further signals leave a stop as it began

A proof, no fault: with a request open at a silent worker, a second SIGTERM waits for the same stop, and settings with a grace period of 2 s, reloaded 1 s after the start of a stop with 8 s, do not shorten it. The caller gets 502 at the time limit of its route. The settings of the tests' hosts become a function of their own.

--- a/src/platform/LateRequests.test.ts
+++ b/src/platform/LateRequests.test.ts
@@ -5,7 +5,9 @@
 import { afterEach, describe, expect, test } from '@jest/globals'
 import { ManualClock } from '../common/index.js'
 import type { FakeWorker } from './testing/FakeWorker.js'
-import { configurationDocument, type PlatformTest, RawCaller, requestHeaders, startPlatform, waitUntil } from './testing/platformTestSupport.js'
+import {
+  configurationDocument, type PlatformTest, RawCaller, requestHeaders, startPlatform, testSettings, waitUntil
+} from './testing/platformTestSupport.js'
 
 let platform: PlatformTest | undefined
 
@@ -146,3 +148,25 @@
     platform = undefined
   }
 })
+
+// Guards against a second signal that shortens a stop, so that open requests are cut.
+test('a second SIGTERM, and settings with another grace period, change nothing about a stop that has begun', async () => {
+  const clock = new ManualClock()
+  platform = await startPlatform({ clock, appWorkers: 1, modelWorkers: 1 })
+  const { host, store, app } = platform
+  neverEnd(app[0]!)
+  const caller = await connectNew()
+  caller.send('POST', '/votes/1', requestHeaders('r1', { 'dogwooddale-deadline-ms': '60000' }), 'body')
+  await app[0]!.waitForRequests(1)
+  const exit: { at?: number } = {}
+  const stopped = host.stop()
+  stopped.then(() => { exit.at = clock.monotonic() }, () => {})
+  await clock.advance(1000)
+  host.reload(testSettings(store, { graceSeconds: 2 }))
+  expect(host.stop()).toBe(stopped)
+  await clock.advance(3900)
+  expect([exit.at, caller.received]).toEqual([undefined, ''])
+  // The time limit of the route passes at 5 s.
+  await clock.advance(200)
+  expect((await caller.readResponse()).status).toBe(502)
+})
--- a/src/platform/testing/platformTestSupport.ts
+++ b/src/platform/testing/platformTestSupport.ts
@@ -4,7 +4,7 @@
 import { type AddressInfo, connect, createServer, type Socket } from 'node:net'
 import type { Clock } from '../../common/index.js'
 import { PlatformHost } from '../PlatformHost.js'
-import { platformSettingsSchema } from '../PlatformSettings.js'
+import { type PlatformSettings, platformSettingsSchema } from '../PlatformSettings.js'
 import { FakeStore } from './FakeStore.js'
 import { FakeWorker, parseHeaders } from './FakeWorker.js'
 
@@ -85,19 +85,28 @@
   return { host, store, app, models, stop }
 }
 
-/** Starts a host on a store. */
-export async function startHost (
+/** Settings of a host on a store. */
+export function testSettings (
   store: FakeStore,
-  { name = 'host-1', clock, retrySlack = 1000, hasPeers = false, graceSeconds = 8 }: { name?: string } & Partial<PlatformTestOptions> = {}
-): Promise<PlatformHost> {
-  const peers = hasPeers ? { peers: await unusedAddress() } : {}
-  const host = await PlatformHost.create(platformSettingsSchema.parse({
+  { name = 'host-1', retrySlack = 1000, graceSeconds = 8 }: { name?: string } & Partial<PlatformTestOptions> = {},
+  peers: { peers?: string } = {}
+): PlatformSettings {
+  return platformSettingsSchema.parse({
     host: { id: name, zone: 'zone-a', region: 'coast' },
     listen: { callers: '127.0.0.1:0', readiness: '127.0.0.1:0', ...peers },
     store: { address: store.address },
     bounds: { graceSeconds, retryRatio: 0.2, retrySlack, stableWindowMilliseconds: 3000, leaseMilliseconds: 3000 },
     log: { level: 'error' }
-  }), clock)
+  })
+}
+
+/** Starts a host on a store. */
+export async function startHost (
+  store: FakeStore,
+  options: { name?: string } & Partial<PlatformTestOptions> = {}
+): Promise<PlatformHost> {
+  const peers = options.hasPeers === true ? { peers: await unusedAddress() } : {}
+  const host = await PlatformHost.create(testSettings(store, options, peers), options.clock)
   await host.start()
   return host
 }
