Give the hosts in the tests of limits time for connections

Cause: a host gives a connection to a worker half of the time until the request is due, here 250 ms and less, before it tries another worker. Three hosts and their workers in one busy process take longer; the worker without a limit then counts as tried, and the rest is refused with 429. That is the wanted decision, but the test must not depend on it.

Evidence: the log of a failing run shows 'no connection within 100 ms' four times and three refusals after it.

Change: the routes of these tests aim at a minute. What is checked is unchanged.

--- a/src/platform/LimitedWorkers.test.ts
+++ b/src/platform/LimitedWorkers.test.ts
@@ -6,7 +6,7 @@
 import type { PlatformHost } from './PlatformHost.js'
 import type { FakeStore } from './testing/FakeStore.js'
 import type { FakeWorker } from './testing/FakeWorker.js'
-import { type PlatformTest, RawCaller, requestHeaders, startHost, startPlatform, waitUntil } from './testing/platformTestSupport.js'
+import { configurationDocument, type PlatformTest, RawCaller, requestHeaders, startHost, startPlatform, waitUntil } from './testing/platformTestSupport.js'
 
 /** The limit that workers state, per second: low, so that few permits accrue while the test runs. */
 const perSecond = 0.5
@@ -14,6 +14,9 @@
 /** Longest time for which the host that granted permits before a restore of the store does not know of it, in seconds. */
 const renewalSeconds = 1
 
+/** Time at which the routes aim, in milliseconds. */
+const patientMilliseconds = 60_000
+
 type Members = ReturnType<FakeStore['copy']>['members']
 
 const tags = { path: '/tags/1', headers: { 'content-type': 'text/event-stream' }, body: 'id: 1\ndata: 1\n\n' }
@@ -30,8 +33,17 @@
   otherHosts = []
 })
 
+/**
+ * A configuration whose routes aim at a time that no test takes: a host gives a connection half of it before it tries another
+ * worker.
+ */
+function createPatientConfiguration (): unknown {
+  const document = configurationDocument(1)
+  return { ...document, routes: (document.routes as object[]).map(route => ({ ...route, 'target-latency-ms': patientMilliseconds })) }
+}
+
 async function start (): Promise<PlatformTest> {
-  platform = await startPlatform({ hasPeers: true })
+  platform = await startPlatform({ hasPeers: true, configuration: createPatientConfiguration() })
   const { store } = platform
   otherHosts = await Promise.all(['host-2', 'host-3'].map(async name => await startHost(store, { name, hasPeers: true })))
   await waitUntil(() => otherHosts.every(({ isReady }) => isReady))
