Log the id of a response that does not belong to its call

What operators saw: a rejected response with its status only, so that a late copy of another response could not be told from garbage.

Change: the reason of service_attempt_failed and prompt_computation_failed names the id that the response bears, up to 64 characters. Three cases in lateResponses.test.ts; the text is new, so they fail on the previous code.

--- a/src/forwarding/CallProtocol.ts
+++ b/src/forwarding/CallProtocol.ts
@@ -34,6 +34,9 @@
  */
 export type ResponseClass = 'answered' | 'failed' | 'not_run' | 'foreign'
 
+/** Number of characters that are logged of the id of a response. */
+const maxLoggedIdLength = 64
+
 /** Creates the header fields of calls to workers and classifies the responses. */
 export abstract class CallProtocol {
   /** Header field in which a response bears the id of its request, lower case; undefined if responses bear none. */
@@ -46,6 +49,13 @@
     return true
   }
 
+  /** Reason for a log line about a response that does not belong to its call, with the id that tells a late copy apart. */
+  foreignReason ({ status, headers }: ResponseHead): string {
+    const id = this.requestIdField === undefined ? undefined : headers[this.requestIdField]
+    const bearing = id === undefined ? 'without an id' : `with the id ${String(id).slice(0, maxLoggedIdLength)}`
+    return `the response with status ${status} ${bearing} does not belong to the call`
+  }
+
   /** Classifies a response by its status and header fields. */
   abstract classifyResponse (request: ServiceRequest, upstream: Upstream, head: ResponseHead): ResponseClass
   /** Header fields of a response that are passed on to the caller. */
--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -180,10 +180,11 @@
         body: request.body ?? null,
         signal: AbortSignal.any([stop, timer.signal])
       })
-      if (!protocol.isResponseTo(request, { status: response.statusCode, headers: response.headers })) {
+      const head = { status: response.statusCode, headers: response.headers }
+      if (!protocol.isResponseTo(request, head)) {
         destroyBody(response.body)
         upstreams.doubtConnections(upstream, 'foreign_response')
-        throw new Error(`the response with status ${response.statusCode} does not belong to the prompt`)
+        throw new Error(protocol.foreignReason(head))
       }
       const body = await readBounded(response.body, maxResponseBytes)
       const handle = response.statusCode === 200 ? protocol.promptHandle(body) : undefined
--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -305,7 +305,7 @@
       }
       destroyBody(response.body)
       if (!protocol.isResponseTo(request, head)) this.context.upstreams.doubtConnections(upstream, 'foreign_response')
-      throw new Error(`the response with status ${head.status} does not belong to the call`)
+      throw new Error(protocol.foreignReason(head))
     } catch (caught) {
       responseTimer?.cancel()
       connectTimer?.cancel()
--- a/src/platform/lateResponses.test.ts
+++ b/src/platform/lateResponses.test.ts
@@ -5,6 +5,7 @@
 import { afterEach, describe, expect, test } from '@jest/globals'
 import type { FakeWorker, ReceivedRequest, ResponseOverrides } from './testing/FakeWorker.js'
 import { type PlatformTest, RawCaller, requestHeaders, startPlatform, waitUntil } from './testing/platformTestSupport.js'
+import { WorkerProtocol } from './WorkerProtocol.js'
 
 let platform: PlatformTest | undefined
 
@@ -232,3 +233,12 @@
     expect(await pending).toBe(200)
   })
 })
+
+// Guards against a log in which a late copy cannot be told from garbage.
+test.each<[string, string | undefined, string]>([
+  ['that bears an id', 'r-earlier', 'the response with status 200 with the id r-earlier does not belong to the call'],
+  ['without an id', undefined, 'the response with status 200 without an id does not belong to the call'],
+  ['with a long id', 'x'.repeat(1000), `the response with status 200 with the id ${'x'.repeat(64)} does not belong to the call`]
+])('the reason for a response %s names it', (_name, id, reason) => {
+  expect(new WorkerProtocol().foreignReason({ status: 200, headers: { 'dogwooddale-request-id': id } })).toBe(reason)
+})
