Search the fields of a head in a body without backtracking

What callers saw: nothing known. A body with a status line and, in a later line, a name, a colon and a long run of spaces stopped the whole host while the line was matched.

Cause: the expression for a field had three adjacent quantifiers that all match spaces. A line in which it fails takes time that grows with the square of the number of spaces, or with the cube if a carriage return stands in the line.

Change: the name and the value are split at the colon.

--- a/src/forwarding/ResponseHeadScanner.test.ts
+++ b/src/forwarding/ResponseHeadScanner.test.ts
@@ -52,7 +52,9 @@
     ['fields with status lines', 'a: HTTP/1.1 200 OK\r\n'],
     ['fields with status lines in a head', 'HTTP/1.1 200 OK\r\na: b\r\n'],
     ['starts of heads', 'HTTP/1.'],
-    ['status lines without a line end', 'HTTP/1.1 200 ']
+    ['status lines without a line end', 'HTTP/1.1 200 '],
+    ['status lines and fields with spaces', `HTTP/1.1 200 OK\r\na: b${' '.repeat(32_000)}c\r\n`],
+    ['status lines and fields with spaces and line ends', `HTTP/1.1 200 OK\r\na: ${' '.repeat(2000)}\rb\r\n`]
   ])('of many %s is searched in less than two seconds', (_name, line) => {
     const startedAt = performance.now()
     expect(finds(line.repeat(1_048_576 / line.length), 65_536)).toBe(false)
--- a/src/forwarding/ResponseHeadScanner.ts
+++ b/src/forwarding/ResponseHeadScanner.ts
@@ -13,7 +13,7 @@
 /** Size of the longest match of `partialStatus`, in bytes. */
 const maxPartialBytes = 'HTTP/1.1 20'.length
 
-const field = /^([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*(.*?)[ \t]*\r?$/
+const fieldName = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+$/
 
 /** Maximum number of fields of a head that are searched, and size of each; the id of the request is among the first. */
 const maxFields = 32
@@ -58,9 +58,13 @@
 
   private endLine (line: string): void {
     if (this.fieldsLeft > 0) {
-      const [, name, value = ''] = (this.isLineCut ? undefined : field.exec(line)) ?? []
-      if (name?.toLowerCase() === this.idField && this.isKnown(value)) throw new Error('the head of another response stands in the body')
-      this.fieldsLeft = name === undefined ? 0 : this.fieldsLeft - 1
+      const colon = line.indexOf(':')
+      const name = line.slice(0, Math.max(0, colon))
+      const isField = !this.isLineCut && fieldName.test(name)
+      if (isField && name.toLowerCase() === this.idField && this.isKnown(line.slice(colon + 1).trim())) {
+        throw new Error('the head of another response stands in the body')
+      }
+      this.fieldsLeft = isField ? this.fieldsLeft - 1 : 0
     }
     if (this.hasStatus || status.test(line)) this.fieldsLeft = maxFields
     this.hasStatus = false
