Ignore what a worker states in a response to another request

What callers saw: 503 without a try from hosts whose only worker had long ended its pause; workers that were sent more requests than they stated that they take, or that were limited for longer than they stated.

Cause: the limit and the pause were read from each response before its id was compared. A late copy of an earlier response states what no longer holds: without a limit it ended the present one, and with an older one it replaced it.

Change: a response that does not bear the id of its request states nothing. Calls without an id have connections of their own and are read as before.

--- a/src/platform/readWorkerNotice.ts
+++ b/src/platform/readWorkerNotice.ts
@@ -1,11 +1,16 @@
 /**
  * Reads what a worker of the platform states about itself in the head of a response.
  */
+import type { RequestId } from '../common/index.js'
 import type { UpstreamResponseHead, WorkerNotice } from '../upstreams/index.js'
 import { headerNames } from './WorkerProtocol.js'
 
-/** Reads the notice in a response; fields that cannot be read state nothing. */
-export function readWorkerNotice ({ status, headers }: UpstreamResponseHead): WorkerNotice {
+/**
+ * Reads the notice in a response; fields that cannot be read state nothing. Undefined if the response is not that to the
+ * request: a late copy of an earlier one states what no longer holds.
+ */
+export function readWorkerNotice ({ status, headers }: UpstreamResponseHead, requestId?: RequestId): WorkerNotice | undefined {
+  if (requestId !== undefined && headers[headerNames.requestId] !== requestId) return undefined
   return {
     leaving: valuesOf(headers[headerNames.leaving]).includes('1'),
     perSecond: numberOf(headers[headerNames.limit]),
--- a/src/upstreams/Upstream.ts
+++ b/src/upstreams/Upstream.ts
@@ -52,9 +52,9 @@
   keepAliveMilliseconds?: number
   /**
    * Called with the head of each response, before anything else acts on the response. `sentAt`: monotonic time in
-   * milliseconds at which the request was passed to the connection.
+   * milliseconds at which the request was passed to the connection; `requestId`: as in the call.
    */
-  onResponse?: (upstream: Upstream, head: UpstreamResponseHead, sentAt: number) => void
+  onResponse?: (upstream: Upstream, head: UpstreamResponseHead, sentAt: number, requestId?: RequestId) => void
   /** Called when the upstream has sent bytes on a connection on which no call was open. */
   onSurplus?: (upstream: Upstream) => void
 }
@@ -147,7 +147,7 @@
     const response = dispatcher === undefined && (isFurtherCall || this.isDoubted)
       ? await this.sendAlone(call)
       : await sendRequest(dispatcher ?? this.connections, call)
-    this.options.onResponse?.(this, { status: response.statusCode, headers: response.headers }, sentAt)
+    this.options.onResponse?.(this, { status: response.statusCode, headers: response.headers }, sentAt, requestId)
     return response
   }
 
--- a/src/upstreams/UpstreamManager.ts
+++ b/src/upstreams/UpstreamManager.ts
@@ -3,7 +3,7 @@
  * candidate lists per model and pool. The lists are rebuilt only when the availability, role or models of a worker or
  * the configuration of the fleet change.
  */
-import { BoundedTable, type Clock, type Hash, type HostId, type Model, type Pool, Task, type WorkerId, type Zone } from '../common/index.js'
+import { BoundedTable, type Clock, type Hash, type HostId, type Model, type Pool, type RequestId, Task, type WorkerId, type Zone } from '../common/index.js'
 import type { ConfigurationReader, EngineRole, PoolDocument } from '../configuration/index.js'
 import type { EventLog } from '../observability/index.js'
 import { chooseSubset } from './chooseSubset.js'
@@ -28,8 +28,11 @@
   subsetSize: number
   /** Time after which an idle connection to a worker is closed. Default: 4,000. */
   keepAliveMilliseconds?: number
-  /** Reads what a worker states about itself in a response; by default responses state nothing. */
-  readNotice?: (head: UpstreamResponseHead) => WorkerNotice
+  /**
+   * Reads what a worker states about itself in a response, which must bear the id of the request if there is one; by default
+   * responses state nothing.
+   */
+  readNotice?: (head: UpstreamResponseHead, requestId?: RequestId) => WorkerNotice | undefined
   /** Additional task for each engine, such as one that follows its cache events. */
   engineTask?: (upstream: Upstream, signal: AbortSignal) => Promise<void>
 }
@@ -249,7 +252,10 @@
     const upstream = new Upstream(description, {
       clock,
       keepAliveMilliseconds,
-      onResponse: (from, head, sentAt) => { if (readNotice !== undefined) this.recordNotice(from, readNotice(head), sentAt) },
+      onResponse: (from, head, sentAt, requestId) => {
+        const notice = readNotice?.(head, requestId)
+        if (notice !== undefined) this.recordNotice(from, notice, sentAt)
+      },
       onSurplus: from => { this.doubtConnections(from, 'surplus') }
     })
     upstream.hasAnnouncedStop = this.leavingProcesses.get(processKeyOf(description)) === true
