Reject a response whose head contains another status line

What callers saw: 200 with the body of an error, where a worker had answered 500.

Cause: a copy of an earlier response that breaks off inside a field or the reason phrase turns the status line of the next response into a part of it. The status is then that of the copy, and id, signature and body are those of the next response.

Evidence: the three cases of cutCopies.test.ts on copies in front of an error received 200.

Change: a response with a status line in its reason phrase or in a field belongs to no call, and puts the connections in doubt.

Result: the five cases pass; a field with the name of the protocol is passed on.

--- a/src/forwarding/CallProtocol.ts
+++ b/src/forwarding/CallProtocol.ts
@@ -10,7 +10,7 @@
 export type HeaderFields = Record<string, string | string[] | undefined>
 
 /** Status and header fields of a response. */
-export interface ResponseHead { status: number, headers: HeaderFields }
+export interface ResponseHead { status: number, reason?: string, headers: HeaderFields }
 
 /** One attempt that is about to be sent. */
 export interface CallAttempt {
--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -180,7 +180,8 @@
         body: request.body ?? null,
         signal: AbortSignal.any([stop, timer.signal])
       })
-      if (!protocol.isResponseTo(request, { status: response.statusCode, headers: response.headers })) {
+      const head = { status: response.statusCode, reason: response.statusText, headers: response.headers }
+      if (!protocol.isResponseTo(request, head)) {
         destroyBody(response.body)
         upstreams.doubtConnections(upstream, 'foreign_response')
         throw new Error(`the response with status ${response.statusCode} does not belong to the prompt`)
--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -290,7 +290,7 @@
         onSent: () => { connectTimer?.cancel() }
       }, dedicatedClient)
       responseTimer?.cancel()
-      const head = { status: response.statusCode, headers: response.headers }
+      const head = { status: response.statusCode, reason: response.statusText, headers: response.headers }
       const responseClass = protocol.classifyResponse(request, upstream, head)
       if (responseClass === 'answered' || responseClass === 'failed') {
         this.possibleRuns += 1
--- a/src/platform/WorkerProtocol.ts
+++ b/src/platform/WorkerProtocol.ts
@@ -71,8 +71,8 @@
     return headers
   }
 
-  override isResponseTo (request: ServiceRequest, { headers }: ResponseHead): boolean {
-    return headers[headerNames.requestId] === request.requestId
+  override isResponseTo (request: ServiceRequest, head: ResponseHead): boolean {
+    return head.headers[headerNames.requestId] === request.requestId && !containsStatusLine(head)
   }
 
   classifyResponse (request: ServiceRequest, _upstream: Upstream, head: ResponseHead): ResponseClass {
@@ -116,6 +116,16 @@
   }
 }
 
+const statusLine = /HTTP\/1\.[01] [1-5]\d\d( |$)/
+
+/**
+ * True if a status line stands inside the head, since an earlier response broke off there: the status and the fields before it
+ * are those of the earlier one.
+ */
+function containsStatusLine ({ reason, headers }: ResponseHead): boolean {
+  return [reason, ...Object.values(headers)].some(value => value !== undefined && statusLine.test(String(value)))
+}
+
 /** True if the header fields state a type other than that of a stream of events, as those of a computed prompt do. */
 function statesAnotherType (headers: HeaderFields): boolean {
   return headers['content-type'] !== undefined && !hasEventStreamType(headers)
