Wait longer for the rest of a response that begins in a body

What callers saw: a complete answer that ends in the start of another response.

Cause: a body that ends inside the head of a response was complete unless the rest came within 20 ms. A worker's second write waits for the acknowledgement of the first one, which a receiver may delay by 40 ms.

Change: the wait is 60 ms. It concerns bodies only that end in what may be the start of a head.

--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -64,9 +64,9 @@
 
 /**
  * Time after a body that ends inside the head of a response within which the rest of that response puts the connections in
- * doubt, in milliseconds.
+ * doubt, in milliseconds. The rest may wait for the acknowledgement of the bytes before it, which is sent after up to 40 ms.
  */
-const surplusMilliseconds = 20
+const surplusMilliseconds = 60
 
 /** Shortest time that a connection to a worker may take while others could serve the call, in milliseconds. */
 const minConnectMilliseconds = 100
