Keep a worker that a second restore lists again

Callers: after two restores of the store within two seconds, a live worker receives no requests until its entry changes, which may be minutes later.

Cause: a worker whose entry the first restored copy lacks is removed after a grace period unless a newer entry replaces the known one. The entry that the second copy brings back is older, so that it is ignored, and the removal goes on although the worker is listed.

Evidence: the test fails without the change; worker-2 is gone at the end.

Change: an older entry still ends the grace period; the known entry stays.

Result: src/platform/PlatformDirectory.test.ts passes.

--- a/src/platform/PlatformDirectory.test.ts
+++ b/src/platform/PlatformDirectory.test.ts
@@ -158,6 +158,17 @@
     expect(directory.get('/fleet/roles/worker-1')?.value).toEqual({ role: 'prefill' })
   })
 
+  // A worker that is listed, though with an older entry, is alive and would stay out until its entry changes.
+  test('keeps a worker that a second restore lists again while its entry was missing', async () => {
+    directory.workerReceiver.apply([createRecord('worker-2', { sequence: 6, stage: 'prefill' })])
+    await restoreStore(2, [createRecord('worker-1')])
+    await clock.advance(1000)
+    connectedSince = clock.monotonic()
+    directory.workerReceiver.replace(both, 3)
+    await clock.advance(60_000)
+    expect(workerIds()).toEqual(['worker-1', 'worker-2'])
+  })
+
   // Other programs write to the topic, and workers come and go under new ids.
   test('is remembered for a bounded number of workers', async () => {
     const ids = Array.from({ length: 5000 }, (_, number) => `worker-${number + 10}`)
--- a/src/platform/PlatformDirectory.ts
+++ b/src/platform/PlatformDirectory.ts
@@ -202,7 +202,11 @@
     this.withheld.delete(entry.id)
     this.removed.forget(entry.id)
     const known = this.workers.get(entry.id)
-    if (known !== undefined && isOlder(entry, known)) return false
+    if (known !== undefined && isOlder(entry, known)) {
+      // Ends the grace period for a missing entry, which belongs to the entry that is known at its start.
+      this.workers.set(entry.id, { ...known })
+      return false
+    }
     this.workers.set(entry.id, entry)
     if (known !== undefined && known.startedAt !== entry.startedAt) {
       onWorkerRestarted(entry.id)
