Withhold a restored entry for its whole time after each restore

Callers: after a second restore of the store, requests may be sent to a worker that left before the first one.

Cause: an entry of a removed worker is withheld for 15 s, by which time the store has removed that of a worker that is gone. A second restore brings the entry back with its full time to live, but the 15 s go on from the first one.

Change: an entry that is read in a later era is withheld anew.

Result: src/platform/PlatformDirectory.test.ts passes.

--- a/src/platform/PlatformDirectory.test.ts
+++ b/src/platform/PlatformDirectory.test.ts
@@ -169,6 +169,19 @@
     expect(workerIds()).toEqual(['worker-1', 'worker-2'])
   })
 
+  // Each restore gives the store the whole time again within which it notices that a worker is gone.
+  test('of a worker that left is not taken shortly after a second restore', async () => {
+    directory.workerReceiver.apply([createRecord('worker-2', { sequence: 5 }), { key: 'worker-2', value: undefined }])
+    await restoreStore(2, both)
+    await clock.advance(4000)
+    await restoreStore(3, both)
+    await clock.advance(3500)
+    expect(workerIds()).toEqual(['worker-1'])
+    directory.workerReceiver.apply([{ key: 'worker-2', value: undefined }])
+    await clock.advance(60_000)
+    expect(workerIds()).toEqual(['worker-1'])
+  })
+
   // Other programs write to the topic, and workers come and go under new ids.
   test('is remembered for a bounded number of workers', async () => {
     const ids = Array.from({ length: 5000 }, (_, number) => `worker-${number + 10}`)
--- a/src/platform/PlatformDirectory.ts
+++ b/src/platform/PlatformDirectory.ts
@@ -51,7 +51,7 @@
   private readonly workers = new Map<WorkerId, WorkerEntry>()
   private readonly removed: RemovedWorkers
   /** Entries of removed workers that a restored store brought back. */
-  private readonly withheld = new Map<WorkerId, WorkerEntry>()
+  private readonly withheld = new Map<WorkerId, { entry: WorkerEntry, era: number }>()
   /** Era of the store in which the configuration was last read as a whole. */
   private configurationEra = 0
   /** Era of the store in which the version in force was last read. */
@@ -221,13 +221,15 @@
   private withhold (entry: WorkerEntry): void {
     const { clock, events } = this.options
     const { id, report } = entry
-    if (this.withheld.has(id)) return
-    events.info('worker_entry_withheld', { worker: id, report, era: this.workersEra })
+    const era = this.workersEra
+    if (this.withheld.get(id)?.era === era) return
+    events.info('worker_entry_withheld', { worker: id, report, era })
     // A worker that drained does not become ready again before it restarts.
     if (this.removed.hasDrained(id)) return
-    this.withheld.set(id, entry)
+    const withheld = { entry, era }
+    this.withheld.set(id, withheld)
     clock.sleep(restoredEntryMilliseconds).then(() => {
-      if (this.withheld.get(id) !== entry) return
+      if (this.withheld.get(id) !== withheld) return
       if (this.take(entry)) this.publish()
     }, () => {})
   }
