Read the holders of permits soon after a restore while no host schedules

Callers: where all hosts are too small to schedule prompts, a host may ask the former holder of the permits for up to a minute after a restore of the store, and is left with its own share of the limits.

Cause: the read after a restore waits until the next call is due, which is up to 60 s later while no host schedules.

Evidence: the test fails without the change; the holder is still the former one 2 s after the restore, with no call.

Change: the read after a restore is due 0.5 s to 1 s later, whatever was planned, and the pauses between calls begin with the shortest again.

Result: src/platform/SchedulerDirectory.test.ts passes, with one call for the restore.

--- a/src/platform/SchedulerDirectory.test.ts
+++ b/src/platform/SchedulerDirectory.test.ts
@@ -80,6 +80,26 @@
   }
 })
 
+// While no host schedules, calls are rare; hosts that go on asking the former holder of the permits get none.
+test('the holder for permits is read soon after a restore of the store also while no host schedules', async () => {
+  const dutyOf = (host: string, address: string): Result<PartitionOwner[], Failure> => Result.ok([
+    { topic: 'duties', partition: 0, member: memberNameOf(host as HostId, incarnation, address) }
+  ])
+  owners = dutyOf('host-1', '10.0.0.1:7000')
+  for (let elapsed = 0; elapsed < 100_000; elapsed += 100) {
+    directory.holderOf(0)
+    await clock.advance(100)
+  }
+  const callsBefore = calls
+  owners = dutyOf('host-2', '10.0.0.2:7000')
+  era.current = 2
+  for (let elapsed = 0; elapsed < 2000; elapsed += 100) {
+    directory.permitHolderOf(0)
+    await clock.advance(100)
+  }
+  expect([directory.permitHolderOf(0), calls - callsBefore]).toEqual(['10.0.0.2:7000', 1])
+})
+
 test.each([
   ['no host holds the partition', () => Result.ok<PartitionOwner[], Failure>([])],
   ['the holder cannot be reached by other hosts', () => ownedBy('host-1', undefined)],
--- a/src/platform/SchedulerDirectory.ts
+++ b/src/platform/SchedulerDirectory.ts
@@ -91,7 +91,8 @@
     if (this.readEra === undefined || this.readEra === era.current) return
     if (this.plannedEra === era.current) return this.refresh()
     this.plannedEra = era.current
-    this.nextRefreshAt = Math.max(this.nextRefreshAt, clock.monotonic() + minRefreshMilliseconds * (1 + random()))
+    this.refreshMilliseconds = minRefreshMilliseconds
+    this.nextRefreshAt = clock.monotonic() + minRefreshMilliseconds * (1 + random())
   }
 
   private refresh (): void {
