Keep calls for schedulers rare while the holder of permits answers

The operator pays for up to two calls to the store per second and host where no host schedules prompts.

Cause: each permit that a host obtains resets the pause between calls for the schedulers to the shortest one, although it is the holder of a partition of the topic duties who answers. Each prompt then makes a call as soon as the pause ends.

Change: while no host schedules, an answer does not reset the pause.

--- a/src/platform/SchedulerDirectory.test.ts
+++ b/src/platform/SchedulerDirectory.test.ts
@@ -100,6 +100,24 @@
   expect([directory.permitHolderOf(0), calls - callsBefore]).toEqual(['10.0.0.2:7000', 1])
 })
 
+// Answers of the holder of the permits say nothing about a scheduler.
+test('calls stay rare while no host schedules and the holder of the permits answers', async () => {
+  owners = Result.ok([{ topic: 'duties', partition: 0, member: memberNameOf('host-1' as HostId, incarnation, '10.0.0.1:7000') }])
+  for (let elapsed = 0; elapsed < 120_000; elapsed += 100) {
+    directory.holderOf(0)
+    directory.confirm()
+    await clock.advance(100)
+  }
+  expect(calls).toBeLessThan(12)
+  // A failure of that holder is followed up soon nevertheless.
+  owners = Result.ok([{ topic: 'duties', partition: 0, member: memberNameOf('host-2' as HostId, incarnation, '10.0.0.2:7000') }])
+  for (let elapsed = 0; elapsed < 5000; elapsed += 100) {
+    directory.reportFailure()
+    await clock.advance(100)
+  }
+  expect(directory.permitHolderOf(0)).toBe('10.0.0.2:7000')
+})
+
 test.each([
   ['no host holds the partition', () => Result.ok<PartitionOwner[], Failure>([])],
   ['the holder cannot be reached by other hosts', () => ownedBy('host-1', undefined)],
--- a/src/platform/SchedulerDirectory.ts
+++ b/src/platform/SchedulerDirectory.ts
@@ -40,6 +40,7 @@
   private plannedEra = 0
   private refreshing: Promise<void> | undefined
   private nextRefreshAt = -Infinity
+  private refreshedAt = -Infinity
   private refreshMilliseconds = minRefreshMilliseconds
   /** True if the store last told that no host holds any partition. */
   private hasNoScheduler = false
@@ -61,13 +62,14 @@
     return this.holders.get(partition) ?? this.dutyHolders.get(partition) ?? this.holderOf(partition)
   }
 
-  /** Records that a holder answered. */
+  /** Records that a holder answered. While no host schedules, it grants permits only, and calls stay rare. */
   confirm (): void {
-    this.refreshMilliseconds = minRefreshMilliseconds
+    if (!this.hasNoScheduler) this.refreshMilliseconds = minRefreshMilliseconds
   }
 
   /** Records that the known holder failed or no longer holds the partition, which starts a call to the store. */
   reportFailure (): void {
+    this.nextRefreshAt = Math.min(this.nextRefreshAt, this.refreshedAt + maxRefreshMilliseconds * (1 + this.options.random()))
     this.refresh()
   }
 
@@ -99,6 +101,7 @@
     const { clock, random } = this.options
     const now = clock.monotonic()
     if (this.refreshing !== undefined || now < this.nextRefreshAt) return
+    this.refreshedAt = now
     this.nextRefreshAt = now + this.refreshMilliseconds * (1 + random())
     const longest = this.hasNoScheduler ? maxUnusedRefreshMilliseconds : maxRefreshMilliseconds
     this.refreshMilliseconds = Math.min(longest, this.refreshMilliseconds * 2)
