Test a read of several pages over a restore of the store

The fake store returns each topic in one page, so that no test failed without the check that all pages are of one era. The first of the new cases fails without it; both pass on the parent commit.

--- a/src/platform/StoreEra.test.ts
+++ b/src/platform/StoreEra.test.ts
@@ -2,6 +2,8 @@
  * Guards against conclusions from responses that a store gave before it came back from an older copy, and against a host
  * that mistakes an odd header field for a restore.
  */
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
 import { ManualClock } from '../common/index.js'
 import { HybridClock, EventLog, Timeline } from '../observability/index.js'
@@ -80,3 +82,21 @@
     await sharing.close()
   })
 })
+
+// The first page is about records that the restored store lacks, and its end is an offset of the earlier era.
+test.each([
+  ['fails if the store is restored between two pages', '2', undefined],
+  ['returns the records of all pages otherwise', '1', ['a', 'b']]
+])('a read of the newest records %s', async (_name, secondEra, keys) => {
+  const server = createServer((request, response) => {
+    const isFirst = !request.url!.includes('after=')
+    response.setHeader('store-era', isFirst ? '1' : secondEra)
+    response.end(JSON.stringify({ items: [{ key: isFirst ? 'a' : 'b', value: '' }], truncated: isFirst, end: 2 }))
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const client = new StoreClient(`127.0.0.1:${(server.address() as AddressInfo).port}`)
+  const read = await client.newest(topic)
+  await client.close()
+  await new Promise(resolve => { server.close(resolve) })
+  expect(read.unwrapOr(undefined)?.records.map(({ key }) => key)).toEqual(keys)
+})
