Test a late entry of a worker that drained and left

Shows that an entry with an earlier report, written after the removal of a draining worker in the same era, does not bring the worker back.

--- a/src/platform/PlatformDirectory.test.ts
+++ b/src/platform/PlatformDirectory.test.ts
@@ -273,6 +273,14 @@
   })
 })
 
+// Guards against requests to a worker that left, since a write of it arrives late.
+test('a late entry of a worker that drained and left does not bring it back', () => {
+  directory.workerReceiver.apply([
+    createRecord('worker-2', { sequence: 9, state: 'draining' }), { key: 'worker-2', value: undefined }, createRecord('worker-2', { sequence: 8 })
+  ])
+  expect(workerIds()).toEqual(['worker-1'])
+})
+
 test('an entry that is deleted while the store is connected removes its worker at once', () => {
   directory.workerReceiver.apply([{ key: 'worker-2', value: undefined }])
   expect(workerIds()).toEqual(['worker-1'])
