Repeat a failed renewal of the group soon, once

Callers: none at once. Where the store is slow and loses some responses, role changes are left undone: the holder of the duty of orders has no authority for most of the time.

Cause: after a failed renewal, which takes 0.7 s, the next one is sent 1 s later, 2.94 s after the last that was answered. With a response time of 240 ms it is answered after the 3 s of the membership, so that the handover time of 4.3 s begins anew (reason=expired) at each lost response.

The first of the new tests fails without the change.

Change: the first renewal after an answered one that fails is repeated after a quarter of the interval, later ones after the whole interval as before, so that a store that is away is called once more per outage and host.

--- a/src/leases/GroupLease.test.ts
+++ b/src/leases/GroupLease.test.ts
@@ -175,6 +175,35 @@
   expect(await confirmed).toBeUndefined()
 })
 
+// A duty that begins its handover time anew after each lost response is left undone for most of the time.
+test('authority lasts while a slow store loses the response to every sixth renewal', async () => {
+  let joins = 0
+  const { join } = group
+  group.join = async () => {
+    joins += 1
+    group.isReachable = joins % 6 !== 0
+    await clock.sleep(group.isReachable ? 240 : 700)
+    return await join.call(group)
+  }
+  lease.start()
+  await clock.advance(0)
+  await clock.advance(3500)
+  for (let elapsed = 0; elapsed < 60_000; elapsed += 20) {
+    await clock.advance(20)
+    expect(lease.authority()).toBe(1)
+  }
+})
+
+// The store charges for each call, and all hosts repeat theirs while it is away.
+test('renewals are not more frequent while the store is away', async () => {
+  await acquireAuthority()
+  let joins = 0
+  group.beforeResponse = () => { joins += 1 }
+  group.isReachable = false
+  for (let elapsed = 0; elapsed < 30_000; elapsed += 250) await clock.advance(250)
+  expect(joins).toBeLessThanOrEqual(31)
+})
+
 test('stop ends the authority and leaves the group', async () => {
   await acquireAuthority()
   await lease.stop()
--- a/src/leases/GroupLease.ts
+++ b/src/leases/GroupLease.ts
@@ -51,6 +51,12 @@
 /** Safety margin for the time between a check of the authority and the action that relies on it. */
 const marginMilliseconds = 300
 
+/**
+ * Share of the interval between renewals after which a failed one is repeated once, so that neither a lost response nor
+ * a slow store lets the membership expire.
+ */
+const repeatShare = 1 / 4
+
 /** Longest time from the question for a confirmation to the decision for the action, in milliseconds. */
 export const maxConfirmationMilliseconds = 700
 
@@ -123,24 +129,34 @@
   }
 
   private async run (signal: AbortSignal): Promise<void> {
+    const { clock, renewMilliseconds } = this.options
+    let failures = 0
     while (!signal.aborted) {
-      await this.renew(signal)
-      await this.options.clock.sleep(this.options.renewMilliseconds, signal)
+      failures = await this.renew(signal) ? 0 : failures + 1
+      await clock.sleep(renewMilliseconds * (failures === 1 ? repeatShare : 1), signal)
     }
   }
 
-  private async renew (signal: AbortSignal): Promise<void> {
-    const { group, events, clock, durationMilliseconds } = this.options
+  /** Renews the membership. Returns false if the store did not answer. */
+  private async renew (signal: AbortSignal): Promise<boolean> {
+    const { group, events } = this.options
     const sentAt = this.readClocks()
     const joined = await group.join(signal)
     // A holder that the store names again waits like a new one, since another may have held the duty meanwhile.
     this.endOutdatedAuthority()
     if (joined.isErr) {
       if (!signal.aborted) events.warn('duty_renewal_failed', { ...this.numberFields(), reason: joined.error.message })
-      return
+      return false
     }
-    this.fencingNumber = joined.value.fencingNumber
-    if (!joined.value.holdsDuty) return this.endAuthority('given_to_another')
+    this.take(joined.value, sentAt)
+    return true
+  }
+
+  /** Takes the membership that the store states in the response to a renewal that was sent at the given time. */
+  private take ({ fencingNumber, holdsDuty }: GroupMembership, sentAt: ClockReadings): void {
+    const { events, clock, durationMilliseconds } = this.options
+    this.fencingNumber = fencingNumber
+    if (!holdsDuty) return this.endAuthority('given_to_another')
     if (this.clockDisagreementSince(sentAt) > maxClockDisagreementMilliseconds) return this.endAuthority('clocks_disagree')
     // Another member may have held the duty and acted between two renewals that are further apart.
     if (this.renewedAt !== undefined && clock.monotonic() >= this.renewedAt.monotonic + durationMilliseconds) this.endAuthority('expired')
