--- a/src/platform/PlatformDirectory.test.ts
+++ b/src/platform/PlatformDirectory.test.ts
@@ -158,6 +158,30 @@
     expect(directory.get('/fleet/roles/worker-1')?.value).toEqual({ role: 'prefill' })
   })
 
+  // A worker that is listed, though with an older entry, is alive and would stay out until its entry changes.
+  test('keeps a worker that a second restore lists again while its entry was missing', async () => {
+    directory.workerReceiver.apply([createRecord('worker-2', { sequence: 6, stage: 'prefill' })])
+    await restoreStore(2, [createRecord('worker-1')])
+    await clock.advance(1000)
+    connectedSince = clock.monotonic()
+    directory.workerReceiver.replace(both, 3)
+    await clock.advance(60_000)
+    expect(workerIds()).toEqual(['worker-1', 'worker-2'])
+  })
+
+  // Each restore gives the store the whole time again within which it notices that a worker is gone.
+  test('of a worker that left is not taken shortly after a second restore', async () => {
+    directory.workerReceiver.apply([createRecord('worker-2', { sequence: 5 }), { key: 'worker-2', value: undefined }])
+    await restoreStore(2, both)
+    await clock.advance(4000)
+    await restoreStore(3, both)
+    await clock.advance(3500)
+    expect(workerIds()).toEqual(['worker-1'])
+    directory.workerReceiver.apply([{ key: 'worker-2', value: undefined }])
+    await clock.advance(60_000)
+    expect(workerIds()).toEqual(['worker-1'])
+  })
+
   // Other programs write to the topic, and workers come and go under new ids.
   test('is remembered for a bounded number of workers', async () => {
     const ids = Array.from({ length: 5000 }, (_, number) => `worker-${number + 10}`)
@@ -249,6 +273,14 @@
   })
 })
 
+// Guards against requests to a worker that left, since a write of it arrives late.
+test('a late entry of a worker that drained and left does not bring it back', () => {
+  directory.workerReceiver.apply([
+    createRecord('worker-2', { sequence: 9, state: 'draining' }), { key: 'worker-2', value: undefined }, createRecord('worker-2', { sequence: 8 })
+  ])
+  expect(workerIds()).toEqual(['worker-1'])
+})
+
 test('an entry that is deleted while the store is connected removes its worker at once', () => {
   directory.workerReceiver.apply([{ key: 'worker-2', value: undefined }])
   expect(workerIds()).toEqual(['worker-1'])
