Reject a response of the store that ends beyond the end of its topic

What callers saw: nothing; found by the review.

Cause: a copy of an earlier read in place of the next one was applied once more, and moved the position past the end of the topic. The records written there were then never read.

Evidence: storeCopies.test.ts failed before (the second read succeeded with the position 4 of 2). A read knows the end of the topic; a page beyond it is malformed, which ends the connection. A copy of a read that stopped before the end of the topic is not found.

--- a/src/platform/StoreClient.ts
+++ b/src/platform/StoreClient.ts
@@ -300,7 +300,7 @@
 
 /**
  * Parses the body of the response to a read: end offset, first retained offset, then the records. Undefined if the body
- * is malformed.
+ * is malformed, or if it ends beyond the end of the topic: it is then the response to a read from a lower offset.
  */
 export function parseRecords (body: Buffer, from: number): Omit<RecordPage, 'era'> | undefined {
   if (body.length < 2 * offsetBytes) return undefined
@@ -316,7 +316,8 @@
     count += 1
     position = end
   }
-  return { records, next: from + count }
+  const next = from + count
+  return BigInt(next) <= body.readBigUInt64BE(0) ? { records, next } : undefined
 }
 
 /** Parses a record: the length of the key in one byte, the key, and the value. An empty value deletes the key. */
