--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -16,8 +16,8 @@
 import type { ResponseHead, KvSource } from './CallProtocol.js'
 import { EventScanner } from './EventScanner.js'
 import { EventSplitter } from './EventSplitter.js'
+import { ownBytesOf } from './ownBytesOf.js'
 import { permitUseOf } from './permitUseOf.js'
-import { ResponseHeadScanner } from './ResponseHeadScanner.js'
 import type { ServiceResponse, ServiceContext, ServiceRequest } from './ServiceRequest.js'
 
 /**
@@ -64,12 +64,6 @@
  */
 const maxDeclinedAttempts = 2
 
-/**
- * Time after a body that ends inside the head of a response within which the rest of that response puts the connections in
- * doubt, in milliseconds. The rest may wait for the acknowledgement of the bytes before it, which is sent after up to 40 ms.
- */
-const surplusMilliseconds = 60
-
 /** Shortest time that a connection to a worker may take while others could serve the call, in milliseconds. */
 const minConnectMilliseconds = 100
 
@@ -401,23 +395,8 @@
     }
   }
 
-  /** The bytes of a response as they arrive. Throws if they contain the head of another response, or a part of one. */
-  private async * bytesOf ({ body, tracker: { upstream }, isRestUnread }: OpenResponse): AsyncGenerator<Buffer> {
-    const { protocol: { requestIdField }, upstreams, clock } = this.context
-    if (requestIdField === undefined) return yield * body
-    const scanner = new ResponseHeadScanner(requestIdField, id => upstream.hasCarried(id))
-    for await (const piece of body) {
-      try {
-        scanner.add(piece)
-      } catch (caught) {
-        upstreams.doubtConnections(upstream, 'foreign_response')
-        throw caught
-      }
-      yield piece
-    }
-    if (!scanner.endsInsideHead) return
-    if (!isRestUnread) await clock.sleep(surplusMilliseconds)
-    if (isRestUnread || upstream.isDoubted) throw new Error('the body ends inside the head of another response')
+  private bytesOf ({ body, tracker: { upstream }, isRestUnread }: OpenResponse): AsyncGenerator<Buffer> {
+    return ownBytesOf({ body, upstream, isRestUnread }, this.context)
   }
 
   private headOf ({ head }: OpenResponse): Pick<ServiceResponse, 'status' | 'headers'> {
