--- a/src/upstreams/Upstream.ts
+++ b/src/upstreams/Upstream.ts
@@ -19,10 +19,7 @@
 /** Default time after which an idle connection is closed: sooner than by Node's HTTP server, which usually waits 5 s. */
 const defaultKeepAliveMilliseconds = 4000
 
-/**
- * Number of calls of which it is remembered that a kept connection may have carried them, over all upstreams of a host: those
- * of several minutes, in about 2 MB.
- */
+/** Number of calls of which it is remembered that a kept connection may have carried them, over all upstreams of a host. */
 export const maxCarriedCalls = 16_384
 
 /**
