review: hosts that start never become ready while large odd entries lie in the store

What the case shows: another program has left 56 entries that cannot be read among those of the workers. The read of all newest records fails at 16 MiB and throws the good entries away too.

--- a/review/standins/store.mjs
+++ b/review/standins/store.mjs
@@ -6,6 +6,8 @@
 
 const readOnlyTopics = new Set(['keyed.op', 'keyed.servers'])
 const partitionsPerTopic = 8
+const maxPageItems = 500
+const maxPageBytes = 1_000_000
 
 function encodeRecord ({ key, value }) {
   const body = Buffer.concat([Buffer.from([Buffer.byteLength(key)]), Buffer.from(key), value ?? Buffer.alloc(0)])
@@ -28,6 +30,9 @@
 
 export class Store {
   topics = new Map()
+  /** The newest record of each key, by topic. */
+  latest = new Map()
+  encoded = new WeakMap()
   members = new Map()
   /** Owner of each partition, as `topic/partition`. */
   owners = new Map()
@@ -48,18 +53,31 @@
     this.server.close()
   }
 
-  /** Writes a record; without a value the key is removed. Returns the time of the acknowledgement. */
+  /**
+   * Writes a record: bytes as they are, anything else as JSON; without a value the key is removed. Returns the time of the
+   * acknowledgement.
+   */
   write (topic, key, value) {
-    this.records(topic).push({ key, value: value === undefined ? undefined : Buffer.from(JSON.stringify(value)) })
+    const bytes = value === undefined || Buffer.isBuffer(value) ? value : Buffer.from(JSON.stringify(value))
+    this.add(topic, { key, value: bytes })
     this.wake()
     return performance.now()
   }
 
   records (topic) {
-    if (!this.topics.has(topic)) this.topics.set(topic, [])
+    if (!this.topics.has(topic)) {
+      this.topics.set(topic, [])
+      this.latest.set(topic, new Map())
+    }
     return this.topics.get(topic)
   }
 
+  add (topic, record) {
+    const records = this.records(topic)
+    this.latest.get(topic).set(record.key, { value: record.value, offset: records.length })
+    records.push(record)
+  }
+
   wake () {
     for (const waiter of this.waiters.splice(0)) waiter()
   }
@@ -71,7 +89,7 @@
     const body = Buffer.concat(chunks)
     response.setHeader('store-era', '1')
     const topic = url.searchParams.get('topic') ?? ''
-    if (url.pathname === '/v1/log-newest') return this.newest(topic, response)
+    if (url.pathname === '/v1/log-newest') return this.newest(topic, url.searchParams.get('after'), response)
     if (url.pathname === '/v1/log-read') return await this.read(topic, url, response)
     if (url.pathname === '/v1/log-append') return this.append(topic, body, response)
     if (url.pathname === '/v1/log-owners') return this.send(response, { parts: this.rows() })
@@ -90,12 +108,27 @@
     response.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body))
   }
 
-  newest (topic, response) {
+  /** One page: at most 500 records or 1 MB, in the order of the keys, after the key `after`. */
+  newest (topic, after, response) {
     const records = this.records(topic)
-    const latest = new Map(records.map(({ key, value }, offset) => [key, { value, offset }]))
-    const items = [...latest].flatMap(([key, { value, offset }]) =>
-      value === undefined ? [] : [{ key, value: value.toString('base64'), offset }])
-    this.send(response, { items, truncated: false, end: records.length })
+    const items = []
+    let bytes = 0
+    let isTruncated = false
+    for (const [key, { value, offset }] of [...this.latest.get(topic)].sort(([left], [right]) => left < right ? -1 : 1)) {
+      if (value === undefined || (after !== null && key <= after)) continue
+      isTruncated = items.length > 0 && (items.length >= maxPageItems || bytes + value.length > maxPageBytes)
+      if (isTruncated) break
+      items.push(`{"key":${JSON.stringify(key)},"value":"${this.base64Of(value)}","offset":${offset}}`)
+      bytes += value.length
+    }
+    response.writeHead(200, { 'content-type': 'application/json' })
+    response.end(`{"items":[${items.join(',')}],"truncated":${isTruncated},"end":${records.length}}`)
+  }
+
+  /** Encodes a value once, so that large records do not slow down the store. */
+  base64Of (value) {
+    if (!this.encoded.has(value)) this.encoded.set(value, value.toString('base64'))
+    return this.encoded.get(value)
   }
 
   async read (topic, url, response) {
@@ -110,14 +143,21 @@
     const records = this.records(topic)
     const head = Buffer.alloc(16)
     head.writeBigUInt64BE(BigInt(records.length), 0)
-    response.end(Buffer.concat([head, ...records.slice(from).map(encodeRecord)]))
+    const page = []
+    let bytes = 0
+    for (const record of records.slice(from).map(encodeRecord)) {
+      if (page.length > 0 && bytes + record.length > maxPageBytes) break
+      page.push(record)
+      bytes += record.length
+    }
+    response.end(Buffer.concat([head, ...page]))
   }
 
   append (topic, body, response) {
     if (readOnlyTopics.has(topic)) return this.send(response, {}, 403)
     const records = this.records(topic)
     const offset = records.length
-    records.push(...decodeRecords(body))
+    for (const record of decodeRecords(body)) this.add(topic, record)
     this.send(response, { offset, end: records.length })
     this.wake()
   }
