review: a case that is stopped ends the processes that it started

A signal to a running case ends its hosts and stand-ins, removes the temporary folder and exits with 2 (could not run). What the cases check is unchanged.

--- a/review/standins/common.mjs
+++ b/review/standins/common.mjs
@@ -85,13 +85,21 @@
 export async function runCase (play) {
   const directory = mkdtempSync(join(tmpdir(), 'dogwooddale-review-'))
   const cleanups = []
+  let ending
+  const end = status => {
+    ending ??= (async () => {
+      for (const cleanup of cleanups.reverse()) await cleanup()
+      rmSync(directory, { recursive: true, force: true })
+      process.exit(status)
+    })()
+    return ending
+  }
+  for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => end(2))
   let status = 2
   try {
     status = await play({ directory, defer: cleanup => cleanups.push(cleanup) }) ? 1 : 0
   } catch (error) {
     console.error(error)
   }
-  for (const cleanup of cleanups.reverse()) await cleanup()
-  rmSync(directory, { recursive: true, force: true })
-  process.exit(status)
+  await end(status)
 }
