Ask whether the worker still runs before a response ends with its connection

Cause: the operating system closes the connections of a crashed process. A response without a length or chunks ends with its connection, and the close behind an event was taken for its regular end. Reads and votes had the same fault: the beginning of a body was passed on as the whole.

Change: after the last byte of such a response the host connects to the worker's address. If nobody accepts and the worker does not leave in order, the response is broken: the caller's stream breaks off or is resumed, a read is repeated, a vote ends with 502, and the crash counts against the prompt.

--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -50,6 +50,13 @@
   }
 }
 
+/** A response that ended with its connection, which the operating system closed since the process of the worker ended. */
+class CrashedWorkerError extends Error {
+  constructor () {
+    super('the worker crashed before the response was complete')
+  }
+}
+
 const emptyPrompt: RoutingRequest = { promptTokens: 0, promptBlocks: [] }
 
 /**
@@ -309,7 +316,7 @@
       responseTimer?.cancel()
       connectTimer?.cancel()
       close()
-      if (isConnectionLost(caught)) this.recordLoss(upstream, stop)
+      this.recordLoss(caught, upstream, stop)
       return Result.err(this.endFailedAttempt(caught as Error, tracker, stop))
     }
   }
@@ -352,9 +359,9 @@
     if (this.request.delivery === 'stream') return Result.ok(this.createStreamedResponse(openResponse, stop))
     const startedAt = this.context.clock.monotonic()
     try {
-      return Result.ok(await this.readResponse(openResponse))
+      return Result.ok(await this.readResponse(openResponse, stop))
     } catch (caught) {
-      if (isConnectionLost(caught)) this.recordLoss(openResponse.tracker.upstream, stop, startedAt)
+      this.recordLoss(caught, openResponse.tracker.upstream, stop, startedAt)
       const failedAttempt = this.endFailedAttempt(caught as Error, openResponse.tracker, stop)
       // This attempt was already counted when the head of its response arrived.
       this.possibleRuns -= 1
@@ -365,9 +372,9 @@
     }
   }
 
-  private async readResponse (openResponse: OpenResponse): Promise<ServiceResponse> {
+  private async readResponse (openResponse: OpenResponse, stop: AbortSignal): Promise<ServiceResponse> {
     const limit = this.request.idempotent ? this.context.maxBufferedBytes : this.context.maxNonIdempotentResponseBytes
-    const iterator = this.bytesOf(openResponse)
+    const iterator = this.bytesOf(openResponse, stop)
     const parts: Buffer[] = []
     let size = 0
     let done = false
@@ -395,8 +402,19 @@
     }
   }
 
-  private bytesOf ({ body, tracker: { upstream }, isRestUnread }: OpenResponse): AsyncGenerator<Buffer> {
-    return ownBytesOf({ body, upstream, isRestUnread }, this.context)
+  /**
+   * The bytes of a response as they arrive. Throws if the response ended with its connection and its worker has crashed: the
+   * close of the connection is then no sign that the response is complete.
+   */
+  private async * bytesOf (
+    { head, body, tracker: { upstream }, isRestUnread }: OpenResponse,
+    stop: AbortSignal
+  ): AsyncGenerator<Buffer> {
+    yield * ownBytesOf({ body, upstream, isRestUnread }, this.context)
+    if (!endsWithConnection(this.request.method, head)) return
+    const hasCrashed = await this.context.upstreams.hasCrashed(upstream, stop)
+    stop.throwIfAborted()
+    if (hasCrashed) throw new CrashedWorkerError()
   }
 
   private headOf ({ head }: OpenResponse): Pick<ServiceResponse, 'status' | 'headers'> {
@@ -445,7 +463,7 @@
     let isComplete = false
     let startedAt: number | undefined
     try {
-      for await (const piece of this.bytesOf(openResponse)) {
+      for await (const piece of this.bytesOf(openResponse, stop)) {
         startedAt ??= this.context.clock.monotonic()
         openResponse.tracker.recordFirstToken()
         this.prompt.answerStarted()
@@ -455,8 +473,7 @@
       isComplete = true
       this.recordAnswer(openResponse, startedAt)
     } catch (caught) {
-      const isLost = caught instanceof TruncatedStreamError || isConnectionLost(caught)
-      if (isLost) this.recordLoss(openResponse.tracker.upstream, stop, startedAt)
+      this.recordLoss(caught, openResponse.tracker.upstream, stop, startedAt)
       throw caught
     } finally {
       if (isComplete) this.endRequest(openResponse)
@@ -465,8 +482,9 @@
   }
 
   /**
-   * Records a complete answer. One that ends with its connection may have been cut, unless it is an event stream that went
-   * on for longer than a prompt needs to crash its worker. `startedAt`: time of the answer's first part.
+   * Records a complete answer. One that ends with its connection may have been cut by a worker that has already restarted,
+   * unless it is an event stream that went on for longer than a prompt needs to crash its worker. `startedAt`: time of the
+   * answer's first part.
    */
   private recordAnswer ({ head }: OpenResponse, startedAt = Infinity): void {
     const { prompt } = this.request
@@ -474,13 +492,20 @@
     if (prompt !== undefined && head.status === 200 && (hasLength(head) || wentOn)) this.context.quarantine?.recordAnswer(prompt)
   }
 
-  /** Records the loss of a worker that has just begun to answer the prompt. `startedAt`: time of the answer's first part. */
-  private recordLoss (upstream: Upstream, stop: AbortSignal, startedAt?: number): void {
+  /**
+   * Records an error that shows the loss of a worker which has just begun to answer the prompt, or has not begun.
+   * `startedAt`: time of the answer's first part.
+   */
+  private recordLoss (caught: unknown, upstream: Upstream, stop: AbortSignal, startedAt?: number): void {
     const { prompt, requestId } = this.request
-    if (prompt === undefined || stop.aborted) return
-    if (startedAt !== undefined && this.context.clock.monotonic() - startedAt > suspectedMilliseconds) return
+    const { quarantine, clock } = this.context
+    const hasCrashed = caught instanceof CrashedWorkerError
+    const isLost = hasCrashed || caught instanceof TruncatedStreamError || isConnectionLost(caught)
+    if (!isLost || quarantine === undefined || prompt === undefined || stop.aborted) return
+    if (startedAt !== undefined && clock.monotonic() - startedAt > suspectedMilliseconds) return
     const { id: worker, description: { worker: { address } } } = upstream
-    this.context.quarantine?.recordConnectionLoss(prompt, { worker, address }, requestId)
+    if (hasCrashed) quarantine.recordCrash(prompt, worker, requestId)
+    else quarantine.recordConnectionLoss(prompt, { worker, address }, requestId)
   }
 
   private endInterrupted (openResponse: OpenResponse, stop: AbortSignal): void {
@@ -552,7 +577,15 @@
   }
 }
 
-/** False if the response ends with its connection. */
+/** Statuses of responses without a body (RFC 9112, section 6.3). */
+const bodylessStatuses: ReadonlySet<number> = new Set([204, 304])
+
+/** True if nothing but the close of the connection marks the end of the response. */
+function endsWithConnection (method: string, head: ResponseHead): boolean {
+  return !hasLength(head) && method !== 'HEAD' && !bodylessStatuses.has(head.status)
+}
+
+/** True if the response states where it ends, by its length or in chunks. */
 function hasLength ({ headers }: ResponseHead): boolean {
   return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
 }
--- a/src/platform/PromptQuarantine.test.ts
+++ b/src/platform/PromptQuarantine.test.ts
@@ -67,7 +67,8 @@
 test.each<[string, Record<string, string>, (socket: Socket) => void]>([
   ['reset', chunked, socket => { socket.resetAndDestroy() }],
   ['closed inside a chunk', chunked, socket => { socket.end('5\r\nid') }],
-  ['closed inside an event of an answer without length or chunks', {}, socket => { socket.end('id: 2\nda') }]
+  ['closed inside an event of an answer without length or chunks', {}, socket => { socket.end('id: 2\nda') }],
+  ['closed behind an event of an answer without length or chunks', {}, socket => { socket.end() }]
 ])('a part under which a worker was lost at each of two hosts, its connections %s, is refused by both, and its first part alone is answered', async (_name, framing, crash) => {
   platform = await startPlatform({ clock, modelWorkers: 4 })
   const { host, store, models } = platform
--- a/src/quarantine/PartQuarantine.ts
+++ b/src/quarantine/PartQuarantine.ts
@@ -126,7 +126,7 @@
     if (sharedPartsOf(prompt).every(part => this.answered.has(part))) return
     const at = clock.wall()
     this.hasEnded(address).then(hasEnded => {
-      if (hasEnded) this.recordLoss(prompt, worker, at, request)
+      if (hasEnded) this.addLoss(prompt, worker, at, request)
     }, error => { events.error('worker_loss_unconfirmed', { request, worker, reason: String(error) }) })
   }
 
@@ -140,7 +140,12 @@
     return await check
   }
 
-  private recordLoss (prompt: RoutingRequest, worker: WorkerId, at: number, request: RequestId): void {
+  /** Records that the process of a worker ended shortly after it had begun to answer the prompt. */
+  recordCrash (prompt: RoutingRequest, worker: WorkerId, request: RequestId): void {
+    this.addLoss(prompt, worker, this.options.clock.wall(), request)
+  }
+
+  private addLoss (prompt: RoutingRequest, worker: WorkerId, at: number, request: RequestId): void {
     const { events, publish } = this.options
     const suspected = sharedPartsOf(prompt).filter(part => !this.answered.has(part))
     if (suspected.length === 0) return
--- a/src/upstreams/Upstream.ts
+++ b/src/upstreams/Upstream.ts
@@ -128,9 +128,13 @@
     return this.stays && this.health.remainingPauseMilliseconds > 0
   }
 
+  /** True if the process is known to stop in order, so that its end is no failure. */
+  get isLeaving (): boolean {
+    return this.removed || this.leaving || this.hasAnnouncedStop || this.description.worker.draining
+  }
+
   private get stays (): boolean {
-    const isDraining = this.draining || this.description.worker.draining
-    return !this.removed && !this.leaving && !this.hasAnnouncedStop && !isDraining
+    return !this.isLeaving && !this.draining
   }
 
   /**
