Suspect a prompt whose slow worker crashes before a second part of the answer

A part of prompts that crashes slow workers was not suspected: a crash counted as evidence only within 500 ms of the first part of the answer, which is a measure of fast workers.

Change: an answer also counts as just begun while only its first part has arrived (AnswerProgress), so the bound follows the worker's own pauses. The proof that a part is harmless uses the same state. A read or vote counts from the first part of its body, not from its head.

Evidence: the new case of PromptQuarantine.test.ts, with 2 s between the first event and the crash, did not end within 120 s before the change (the part is never refused) and passes with it.

--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -12,6 +12,7 @@
 import type { RoutingRequest } from '../routing/index.js'
 import { isConnectionLost, type RequestTracker, type Upstream } from '../upstreams/index.js'
 import { type ResponseBody, destroyBody, discardBody, isEventStream, isRepeatedEvent, withCleanup } from './responseBodies.js'
+import { AnswerProgress } from './AnswerProgress.js'
 import { CallPrompt } from './CallPrompt.js'
 import type { ResponseHead, KvSource } from './CallProtocol.js'
 import { EventScanner } from './EventScanner.js'
@@ -31,6 +32,7 @@
   head: ResponseHead
   body: ResponseBody
   tracker: RequestTracker
+  progress: AnswerProgress
   /** True if bytes behind the body are not read, since its length ends the use of the connection. */
   isRestUnread: boolean
   /** True if the worker states that it could not handle the call. */
@@ -59,12 +61,6 @@
 
 const emptyPrompt: RoutingRequest = { promptTokens: 0, promptBlocks: [] }
 
-/**
- * Time after the first part of an answer within which the loss of the worker is evidence against the prompt, in
- * milliseconds. A prompt that crashes a worker does so at one of the first tokens of its answer.
- */
-const suspectedMilliseconds = 500
-
 /**
  * Maximum number of declined attempts after which a call is sent to another worker. In a full pool all workers decline,
  * so further attempts do not help.
@@ -300,7 +296,8 @@
         this.possibleRuns += 1
         const isClosed = isFurtherCall || /\bclose\b/i.test(String(head.headers.connection ?? ''))
         const isRestUnread = isClosed && head.headers['content-length'] !== undefined
-        return Result.ok({ head, body: response.body, tracker, isRestUnread, isFailure: responseClass === 'failed', close })
+        const progress = new AnswerProgress(clock)
+        return Result.ok({ head, body: response.body, tracker, progress, isRestUnread, isFailure: responseClass === 'failed', close })
       }
       if (responseClass === 'not_run') {
         this.declinedAttempts += 1
@@ -357,11 +354,10 @@
    */
   private async deliver (openResponse: OpenResponse, stop: AbortSignal): Promise<Result<ServiceResponse, Failure>> {
     if (this.request.delivery === 'stream') return Result.ok(this.createStreamedResponse(openResponse, stop))
-    const startedAt = this.context.clock.monotonic()
     try {
       return Result.ok(await this.readResponse(openResponse, stop))
     } catch (caught) {
-      this.recordLoss(caught, openResponse.tracker.upstream, stop, startedAt)
+      this.recordLoss(caught, openResponse.tracker.upstream, stop, openResponse.progress)
       const failedAttempt = this.endFailedAttempt(caught as Error, openResponse.tracker, stop)
       // This attempt was already counted when the head of its response arrived.
       this.possibleRuns -= 1
@@ -407,10 +403,13 @@
    * close of the connection is then no sign that the response is complete.
    */
   private async * bytesOf (
-    { head, body, tracker: { upstream }, isRestUnread }: OpenResponse,
+    { head, body, tracker: { upstream }, progress, isRestUnread }: OpenResponse,
     stop: AbortSignal
   ): AsyncGenerator<Buffer> {
-    yield * ownBytesOf({ body, upstream, isRestUnread }, this.context)
+    for await (const piece of ownBytesOf({ body, upstream, isRestUnread }, this.context)) {
+      progress.recordPart()
+      yield piece
+    }
     if (!endsWithConnection(this.request.method, head)) return
     const hasCrashed = await this.context.upstreams.hasCrashed(upstream, stop)
     stop.throwIfAborted()
@@ -461,19 +460,17 @@
     events?: { readonly isInsideEvent: boolean }
   ): AsyncGenerator<Buffer> {
     let isComplete = false
-    let startedAt: number | undefined
     try {
       for await (const piece of this.bytesOf(openResponse, stop)) {
-        startedAt ??= this.context.clock.monotonic()
         openResponse.tracker.recordFirstToken()
         this.prompt.answerStarted()
         yield piece
       }
       if (events?.isInsideEvent === true) throw new TruncatedStreamError()
       isComplete = true
-      this.recordAnswer(openResponse, startedAt)
+      this.recordAnswer(openResponse)
     } catch (caught) {
-      this.recordLoss(caught, openResponse.tracker.upstream, stop, startedAt)
+      this.recordLoss(caught, openResponse.tracker.upstream, stop, openResponse.progress)
       throw caught
     } finally {
       if (isComplete) this.endRequest(openResponse)
@@ -483,26 +480,22 @@
 
   /**
    * Records a complete answer. One that ends with its connection may have been cut by a worker that has already restarted,
-   * unless it is an event stream that went on for longer than a prompt needs to crash its worker. `startedAt`: time of the
-   * answer's first part.
+   * unless it is an event stream that went on for longer than a prompt needs to crash its worker.
    */
-  private recordAnswer ({ head }: OpenResponse, startedAt = Infinity): void {
+  private recordAnswer ({ head, progress }: OpenResponse): void {
     const { prompt } = this.request
-    const wentOn = isEventStream(head) && this.context.clock.monotonic() - startedAt > suspectedMilliseconds
+    const wentOn = isEventStream(head) && !progress.isBeginning
     if (prompt !== undefined && head.status === 200 && (hasLength(head) || wentOn)) this.context.quarantine?.recordAnswer(prompt)
   }
 
-  /**
-   * Records an error that shows the loss of a worker which has just begun to answer the prompt, or has not begun.
-   * `startedAt`: time of the answer's first part.
-   */
-  private recordLoss (caught: unknown, upstream: Upstream, stop: AbortSignal, startedAt?: number): void {
+  /** Records an error that shows the loss of a worker which has just begun to answer the prompt, or has not begun. */
+  private recordLoss (caught: unknown, upstream: Upstream, stop: AbortSignal, progress?: AnswerProgress): void {
     const { prompt, requestId } = this.request
-    const { quarantine, clock } = this.context
+    const { quarantine } = this.context
     const hasCrashed = caught instanceof CrashedWorkerError
     const isLost = hasCrashed || caught instanceof TruncatedStreamError || isConnectionLost(caught)
     if (!isLost || quarantine === undefined || prompt === undefined || stop.aborted) return
-    if (startedAt !== undefined && clock.monotonic() - startedAt > suspectedMilliseconds) return
+    if (progress?.isBeginning === false) return
     const { id: worker, description: { worker: { address } } } = upstream
     if (hasCrashed) quarantine.recordCrash(prompt, worker, requestId)
     else quarantine.recordConnectionLoss(prompt, { worker, address }, requestId)
--- a/src/platform/PromptQuarantine.test.ts
+++ b/src/platform/PromptQuarantine.test.ts
@@ -125,6 +125,30 @@
   expect(await ask(host, 'c', 'dead:10,c:10')).toMatchObject({ status: 503 })
 })
 
+// Guards against a part that goes on crashing workers since these are slow.
+test('a part is refused after two streams whose workers crashed later than usual, before they sent a second event', async () => {
+  platform = await startPlatform({ clock, modelWorkers: 4 })
+  const { host, models } = platform
+  for (const worker of models) {
+    worker.onRequest = request => { request.socket.write(`${headWithoutLength(worker, request)}id: 1\ndata: a\n\n`) }
+  }
+  for (const name of ['a', 'b']) {
+    const caller = await send(host, name, `dead:10,${name}:10`)
+    await waitUntil(() => caller.received.includes('data: a'))
+    clock.monotonicShiftMilliseconds += 2000
+    for (const worker of models) {
+      const socket = worker.requests.find(({ headers }) => headers['dogwooddale-request-id'] === name)?.socket
+      if (socket === undefined) continue
+      worker.crash(socket)
+      socket.resetAndDestroy()
+    }
+    await waitUntil(() => caller.closed)
+    clock.shiftMilliseconds += 5000
+  }
+  await waitUntil(() => host.quarantinedParts > 0)
+  expect(await ask(host, 'c', 'dead:10,c:10')).toMatchObject({ status: 503 })
+})
+
 // Guards against harmless prompts that are refused since their answers have neither a length nor chunks, and against a
 // part that is taken for harmless since its worker crashed between two events.
 test.each([
