Handle signals before the host is loaded

Cause: the handlers were set after the bundle was loaded, the settings read and the host built. The watch of the settings compared with the state of the file at its own start, so a change between the first read and that start stayed unread, with or without a signal.

Change: the program's first bundle only handles signals and loads the host from a second one. SettingsFile remembers the state of the file from before each read, and the settings are checked when the host exists. SIGTERM before that exits with 0.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -2,10 +2,11 @@
 // The banner defines a substitute for import.meta.url, which yargs passes to createRequire and CommonJS lacks.
 import { build } from 'esbuild'
 
-export async function bundle (entryPoint, outfile) {
+export async function bundle (entryPoint, outfile, options = {}) {
   await build({
     entryPoints: [entryPoint],
     outfile,
+    ...options,
     bundle: true,
     platform: 'node',
     format: 'cjs',
--- a/src/platform/watchSettings.test.ts
+++ b/src/platform/SettingsFile.test.ts
@@ -7,7 +7,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import type { PlatformSettings } from './PlatformSettings.js'
-import { watchSettings } from './watchSettings.js'
+import { SettingsFile } from './SettingsFile.js'
 
 let directory: string
 let file: string
@@ -42,8 +42,24 @@
 
 afterEach(() => { rmSync(directory, { recursive: true }) })
 
+/** Reads the file and starts to watch it. */
+function watch (whileStarting: () => void = () => {}): () => void {
+  const settings = new SettingsFile(file)
+  expect(settings.read().isOk).toBe(true)
+  whileStarting()
+  return settings.watch(changed => { reported.push(changed.isOk ? changed.value : changed.error.kind) })
+}
+
+// Guards against a change that no host notices since it falls between the first read and the start of the watch.
+test('a change between the first read and the start of the watch is reported', () => {
+  const check = watch(() => { writeSettings(12) })
+  check()
+  check()
+  expect(reported).toMatchObject([{ bounds: { graceSeconds: 12 } }])
+})
+
 test('a change of the file is reported once, an invalid file as an error, and an unchanged file not at all', () => {
-  const check = watchSettings(file, changed => { reported.push(changed.isOk ? changed.value : changed.error.kind) })
+  const check = watch()
   check()
   expect(reported).toEqual([])
   writeSettings(12)
