Prefer other workers while a missing entry may have expired

Cause: a worker that is missing after a reconnection was kept in use for 2 s, since its entry may have expired during an outage. The period ran from the reconnection of this host, up to 2.7 s after a silence in which the store was available.

Change: StoreAvailability tells an outage from a lost connection by the calls of all clients of a host, and the period runs from the return of the store. A worker in its grace period is uncertain and gets requests only if no other one can take them, unless half of its peers are missing after an outage.

--- a/src/configuration/documents.ts
+++ b/src/configuration/documents.ts
@@ -44,6 +44,8 @@
   reportsLoad: z.boolean().default(true),
   /** True if no new requests are sent to the worker; requests in progress are completed. */
   draining: z.boolean().default(false),
+  /** True if the worker may be gone: it is sent new requests only if no other worker can take them. */
+  uncertain: z.boolean().optional(),
   /** Number of requests that the worker processes at once; absent if it is not known. */
   slots: z.number().int().positive().optional(),
   /** Unix time in milliseconds at which the process started, by its own clock; absent if it is not known. */
--- a/src/platform/PlatformDirectory.test.ts
+++ b/src/platform/PlatformDirectory.test.ts
@@ -11,6 +11,7 @@
 
 let clock: ManualClock
 let connectedSince: number
+let returnedAt: number
 let directory: PlatformDirectory
 let lossCount: number
 let lines: string[]
@@ -29,6 +30,7 @@
     clock,
     events: new EventLog({ timeline: new Timeline('host-1', new HybridClock(clock)), level: 'info', write: line => { lines.push(line) } }),
     workersConnectedSince: () => connectedSince,
+    storeReturnedAt: () => returnedAt,
     onWorkerRestarted: () => {},
     onWorkerLost: () => { lossCount += 1 }
   })
@@ -37,6 +39,7 @@
 beforeEach(() => {
   clock = new ManualClock()
   connectedSince = -Infinity
+  returnedAt = -Infinity
   lossCount = 0
   lines = []
   directory = createDirectory()
@@ -75,6 +78,43 @@
   })
 })
 
+function uncertainIds (): WorkerId[] {
+  const workers = [...directory.pools().values()].flatMap(pool => pool.workers)
+  return workers.filter(({ uncertain }) => uncertain).map(({ id }) => id)
+}
+
+// Guards against requests to workers that are gone, and against a few workers that have to carry the load of all.
+test.each<[string, number, number | undefined, string[], string[]]>([
+  ['a connection of this host was lost', 0, undefined, ['worker-1', 'worker-3'], ['worker-2']],
+  ['a connection of this host was lost, and most entries are missing', 0, undefined, ['worker-1'], ['worker-2', 'worker-3']],
+  ['the store was unavailable, and few entries are missing', 0, 0, ['worker-1', 'worker-3'], ['worker-2']],
+  ['the store was unavailable, and most entries are missing', 0, 0, ['worker-1'], []],
+  ['the store has been available for two seconds', 0, 2000, ['worker-1'], ['worker-2', 'worker-3']]
+])('after %s, a worker is uncertain if its entry is missing', async (_name, connectedBefore, returnedBefore, present, expected) => {
+  directory.workerReceiver.apply([createRecord('worker-3')])
+  await clock.advance(10_000)
+  connectedSince = clock.monotonic() - connectedBefore
+  if (returnedBefore !== undefined) returnedAt = clock.monotonic() - returnedBefore
+  directory.workerReceiver.replace(present.map(id => createRecord(id)), 1)
+  expect(workerIds()).toEqual(['worker-1', 'worker-2', 'worker-3'])
+  expect(uncertainIds()).toEqual(expected)
+  directory.workerReceiver.apply([createRecord('worker-2', { sequence: 2 }), createRecord('worker-3', { sequence: 2 })])
+  expect(uncertainIds()).toEqual([])
+  await clock.advance(5000)
+  expect(workerIds()).toEqual(['worker-1', 'worker-2', 'worker-3'])
+})
+
+// Guards against a grace period that begins anew with each lost connection of a host.
+test('a worker that expired while the store was unavailable is removed two seconds after its return', async () => {
+  await clock.advance(10_000)
+  returnedAt = clock.monotonic() - 1500
+  directory.workerReceiver.apply([{ key: 'worker-2', value: undefined }])
+  await clock.advance(499)
+  expect(workerIds()).toEqual(['worker-1', 'worker-2'])
+  await clock.advance(1)
+  expect(workerIds()).toEqual(['worker-1'])
+})
+
 /** Restores the store after 10 s; the entries belong to its new era. */
 async function restoreStore (era: number, present: KeyedRecord[]): Promise<void> {
   await clock.advance(10_000)
--- a/src/platform/PlatformDirectory.ts
+++ b/src/platform/PlatformDirectory.ts
@@ -4,7 +4,7 @@
  * copy.
  */
 import type { Clock, Offset, WorkerId } from '../common/index.js'
-import { ConfigurationReader, type VersionedDocument } from '../configuration/index.js'
+import { ConfigurationReader, type VersionedDocument, type WorkerDocument } from '../configuration/index.js'
 import type { EventLog } from '../observability/index.js'
 import { decodeRouteConfiguration, type RouteConfiguration, RouteTable } from './RouteConfiguration.js'
 import { RemovedWorkers } from './RemovedWorkers.js'
@@ -16,8 +16,8 @@
 const configurationKey = 'config'
 
 /**
- * Time after a reconnection to the store within which a live worker renews an entry that expired during the outage, or
- * that a restored store lacks, in milliseconds. Afterwards, a worker whose entry is still missing is removed.
+ * Time after the return of the store within which a live worker renews an entry that expired during the outage, or that a
+ * restored store lacks, in milliseconds. Afterwards, a worker whose entry is still missing is removed.
  */
 const expiredEntryGraceMilliseconds = 2000
 
@@ -31,6 +31,12 @@
  */
 const restoredEntryMilliseconds = 15_000
 
+/**
+ * Why a missing entry may belong to a live worker. `store_unavailable`: it may have expired while the store was unavailable;
+ * `connection_lost`: the store may have been unavailable while a connection of this host was lost, but no other call shows it.
+ */
+type LapseReason = 'store_unavailable' | 'connection_lost'
+
 /** Options of a `PlatformDirectory`. */
 export interface PlatformDirectoryOptions {
   clock: Clock
@@ -40,6 +46,8 @@
    * `-Infinity` before the first of them.
    */
   workersConnectedSince: () => number
+  /** Monotonic time in milliseconds at which the store was available again; `-Infinity` if it always was. */
+  storeReturnedAt: () => number
   /** Called when a worker has restarted, which empties its cache. */
   onWorkerRestarted: (id: WorkerId) => void
   /** Called when a worker has disappeared or restarted without having drained. */
@@ -52,6 +60,8 @@
   private readonly removed: RemovedWorkers
   /** Entries of removed workers that a restored store brought back. */
   private readonly withheld = new Map<WorkerId, { entry: WorkerEntry, era: number }>()
+  /** Workers whose entries are missing and that are not removed yet. */
+  private readonly lapsed = new Map<WorkerId, LapseReason>()
   /** Era of the store in which the configuration was last read as a whole. */
   private configurationEra = 0
   /** Era of the store in which the version in force was last read. */
@@ -201,11 +211,12 @@
     const { events, onWorkerRestarted, onWorkerLost } = this.options
     this.withheld.delete(entry.id)
     this.removed.forget(entry.id)
+    const wasLapsed = this.lapsed.delete(entry.id)
     const known = this.workers.get(entry.id)
     if (known !== undefined && isOlder(entry, known)) {
       // Ends the grace period for a missing entry, which belongs to the entry that is known at its start.
       this.workers.set(entry.id, { ...known })
-      return false
+      return wasLapsed
     }
     this.workers.set(entry.id, entry)
     if (known !== undefined && known.startedAt !== entry.startedAt) {
@@ -236,32 +247,54 @@
 
   /**
    * Removes a worker: at once, or after a grace period if its entry may have expired during an outage of the store.
-   * Returns true if the worker was removed at once.
+   * Returns false if the worker is unknown.
    */
   private applyDeletion (id: WorkerId): boolean {
-    const { clock, events, workersConnectedSince } = this.options
     this.withheld.delete(id)
     const known = this.workers.get(id)
     if (known === undefined) return false
-    const waitMilliseconds = workersConnectedSince() + expiredEntryGraceMilliseconds - clock.monotonic()
-    if (waitMilliseconds > 0 && !known.leaving) {
-      events.info('worker_entry_lapsed', { worker: id, milliseconds: Math.round(waitMilliseconds) })
-      clock.sleep(waitMilliseconds).then(() => {
-        if (this.workers.get(id) !== known) return
-        this.remove(id)
-        this.publish()
-      }, () => {})
-      return false
-    }
+    const { storeReturnedAt, workersConnectedSince } = this.options
+    if (!known.leaving && this.tryLapse(known, storeReturnedAt(), 'store_unavailable')) return true
+    if (!known.leaving && this.tryLapse(known, workersConnectedSince(), 'connection_lost')) return true
     this.remove(id)
     return true
   }
 
+  /** Keeps a worker until the end of the grace period that began at the given time. Returns false if it has ended. */
+  private tryLapse (known: WorkerEntry, since: number, reason: LapseReason): boolean {
+    const { clock, events } = this.options
+    const { id } = known
+    const waitMilliseconds = since + expiredEntryGraceMilliseconds - clock.monotonic()
+    if (waitMilliseconds <= 0) return false
+    // A second deletion does not extend the grace period.
+    if (this.lapsed.has(id)) return true
+    events.info('worker_entry_lapsed', { worker: id, milliseconds: Math.round(waitMilliseconds), reason })
+    this.lapsed.set(id, reason)
+    clock.sleep(waitMilliseconds).then(() => {
+      if (this.workers.get(id) !== known) return
+      this.remove(id)
+      this.publish()
+    }, () => {})
+    return true
+  }
+
+  /**
+   * True if a worker may be gone, so that the others of its pool and role are preferred. Where half of them or more lapsed
+   * while the store was unavailable, they have most likely expired, and the others could not carry the load alone.
+   */
+  private isUncertain ({ id, pool, role }: WorkerEntry): boolean {
+    const reason = this.lapsed.get(id)
+    if (reason !== 'store_unavailable') return reason !== undefined
+    const peers = [...this.workers.values()].filter(worker => worker.pool === pool && worker.role === role)
+    return peers.filter(peer => this.lapsed.has(peer.id)).length * 2 < peers.length
+  }
+
   private remove (id: WorkerId): void {
     const known = this.workers.get(id)
     const wasLeaving = known?.leaving
     if (known !== undefined) this.removed.add(known, this.workersEra)
     this.workers.delete(id)
+    this.lapsed.delete(id)
     this.options.events.info('worker_entry_removed', { worker: id })
     if (wasLeaving === false) this.options.onWorkerLost()
   }
@@ -271,17 +304,21 @@
     const configuration = this.routeTable?.configuration
     if (configuration === undefined) return
     this.revision += 1
-    this.documents = new Map(documentsOf(configuration, [...this.workers.values()])
+    const workers = [...this.workers.values()].map(entry => ({ ...entry, uncertain: this.isUncertain(entry) }))
+    this.documents = new Map(documentsOf(configuration, workers)
       .map(([path, value]) => [path, { path, version: this.through, value }]))
     for (const listener of this.listeners) listener([...this.documents.keys(), '/fleet/pools/'])
   }
 }
 
-function documentsOf (configuration: RouteConfiguration, workers: WorkerEntry[]): Array<[string, unknown]> {
+type ListedWorker = WorkerEntry & Pick<WorkerDocument, 'uncertain'>
+
+function documentsOf (configuration: RouteConfiguration, workers: ListedWorker[]): Array<[string, unknown]> {
   const pools = configuration.services.map(({ pool, models }): [string, unknown] => {
-    const members = workers.filter(worker => worker.pool === pool).map(({ id, zone, address, leaving, slots, startedAt }) => (
-      { id, zone, address, checksFencing: true, reportsLoad: false, draining: leaving, slots, startedAt }
-    ))
+    const members = workers.filter(worker => worker.pool === pool).map(worker => {
+      const { id, zone, address, leaving, uncertain, slots, startedAt } = worker
+      return { id, zone, address, checksFencing: true, reportsLoad: false, draining: leaving, uncertain, slots, startedAt }
+    })
     const kind = models.length > 0 ? { kind: 'engines', models } : { kind: 'service', service: { routes: [] } }
     return [`/fleet/pools/${pool}`, { ...kind, workers: members }]
   })
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -23,6 +23,7 @@
 import type { PlatformSettings } from './PlatformSettings.js'
 import { readWorkerNotice } from './readWorkerNotice.js'
 import { RequestMetrics } from './RequestMetrics.js'
+import { StoreAvailability } from './StoreAvailability.js'
 import { StoreClient } from './StoreClient.js'
 import { StoreDutyGroup } from './StoreDutyGroup.js'
 import { StoreEra } from './StoreEra.js'
@@ -160,6 +161,7 @@
       clock,
       events,
       workersConnectedSince: () => workerFollower.connectedSince,
+      storeReturnedAt: () => availability.returnedAt,
       onWorkerRestarted: id => {
         index.removeWorker(id)
         placement.held.removeWorker(id)
@@ -168,9 +170,12 @@
     })
     const { stableWindowMilliseconds } = settings.bounds
     const era = new StoreEra(events)
-    const createFollower = (topic: string, receiver: TopicReceiver): TopicFollower => new TopicFollower({
-      topic, receiver, store: new StoreClient(settings.store.address, era), era, clock, events, stableWindowMilliseconds
-    })
+    const availability = new StoreAvailability(clock)
+    era.onRise(before => { if (before > 0) availability.recordReturn() })
+    const createFollower = (topic: string, receiver: TopicReceiver): TopicFollower => {
+      const store = new StoreClient(settings.store.address, era, availability)
+      return new TopicFollower({ topic, receiver, store, era, clock, events, stableWindowMilliseconds })
+    }
     const workerFollower = createFollower(workerTopic, directory.workerReceiver)
     const configurationFollower = createFollower(configurationTopic, directory.configurationReceiver)
     const upstreams = new UpstreamManager({
@@ -187,7 +192,7 @@
     })
     const budget = new RetryBudget(clock, retryLimitsOf(settings))
     const policy = createPlacementPolicy(settings, hash, index)
-    const group = createDutyGroup(settings, era, events)
+    const group = createDutyGroup(settings, { era, availability }, events)
     const placement = new PlacementPart({
       settings,
       era,
@@ -408,9 +413,13 @@
 /** Required by `RolePlannerTask`; `SplitRolePlanner` plans a fixed split and ignores capacities. */
 const placeholderCapacity = { prefillTokensPerSecond: 1, decodeTokensPerSecond: 1, changeSeconds: 0, mixedEfficiency: 1 }
 
-function createDutyGroup ({ host, store, bounds, listen }: PlatformSettings, era: StoreEra, events: EventLog): StoreDutyGroup {
+function createDutyGroup (
+  { host, store, bounds, listen }: PlatformSettings,
+  { era, availability }: { era: StoreEra, availability: StoreAvailability },
+  events: EventLog
+): StoreDutyGroup {
   return new StoreDutyGroup({
-    store: new StoreClient(store.address, era),
+    store: new StoreClient(store.address, era, availability),
     era,
     events,
     hostId: host.id,
--- a/src/platform/StoreClient.ts
+++ b/src/platform/StoreClient.ts
@@ -6,6 +6,7 @@
 import { Client } from 'undici'
 import { z } from 'zod'
 import { type Failure, failure, parseJson, timeoutSignal } from '../common/index.js'
+import type { StoreAvailability } from './StoreAvailability.js'
 import { StoreEra } from './StoreEra.js'
 
 /** A record of a compacted topic. */
@@ -124,12 +125,21 @@
   parts: z.array(z.tuple([z.string(), z.number().int(), z.string()]).rest(z.unknown()))
 })
 
+/** Statuses with which the store refuses a call that it could answer at other times. */
+const refusalStatuses: ReadonlySet<number> = new Set([429, 503])
+
 /** HTTP client of the store. Each instance keeps one connection and makes one call at a time. */
 export class StoreClient {
   private client: Client | undefined
+  /** True if the present connection has carried an answered call, so that a later failure may be that of the connection. */
+  private hasProvenConnection = false
 
-  /** `address`: `ip:port`; `era` is shared by the clients of a host. */
-  constructor (private readonly address: string, private readonly era = new StoreEra()) {}
+  /** `address`: `ip:port`; `era` and `availability` are shared by the clients of a host. */
+  constructor (
+    private readonly address: string,
+    private readonly era = new StoreEra(),
+    private readonly availability?: StoreAvailability
+  ) {}
 
   /** Reads the newest record of each key. Errors: `platform_unavailable`. */
   async newest (topic: string, signal?: AbortSignal): Promise<Result<NewestRecords, Failure>> {
@@ -261,13 +271,7 @@
   private async send (
     { method, path, body, waitMilliseconds = 0, signal }: StoreRequest
   ): Promise<Result<StoreResponse, Failure>> {
-    this.client ??= new Client(`http://${this.address}`, {
-      connectTimeout: connectTimeoutMilliseconds,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      keepAliveTimeout: 60_000,
-      maxResponseSize: maxResponseBytes
-    })
+    this.client ??= this.openClient()
     try {
       const response = await this.client.request({
         method,
@@ -276,16 +280,37 @@
         signal: timeoutSignal(waitMilliseconds + responseTimeoutMilliseconds, signal)
       })
       const responseBody = Buffer.from(await response.body.arrayBuffer())
+      this.recordAnswer(response.statusCode)
       const statedEra = response.headers[eraHeaderName]
       const era = this.era.accept(typeof statedEra === 'string' ? statedEra : undefined)
       if (era === undefined) return Result.err(failure('platform_unavailable', `${method} ${path}: the response is from before a restore of the store`))
       return Result.ok({ status: response.statusCode, body: responseBody, era })
     } catch (caught) {
+      if (!signal?.aborted && !this.hasProvenConnection) this.availability?.recordFailure()
       // A connection that lost a response delivers no later ones, so the next call opens another connection.
       await this.close()
       return Result.err(failure('platform_unavailable', `${method} ${path}: ${(caught as Error).message}`))
     }
   }
+
+  private openClient (): Client {
+    const client = new Client(`http://${this.address}`, {
+      connectTimeout: connectTimeoutMilliseconds,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: 60_000,
+      maxResponseSize: maxResponseBytes
+    })
+    this.hasProvenConnection = false
+    client.on('connect', () => { if (client === this.client) this.hasProvenConnection = false })
+    return client
+  }
+
+  private recordAnswer (status: number): void {
+    this.hasProvenConnection = true
+    if (refusalStatuses.has(status)) this.availability?.recordFailure()
+    else this.availability?.recordAnswer()
+  }
 }
 
 function bodyOptions (body: unknown): { body?: string | Buffer, headers?: Record<string, string> } {
--- a/src/platform/StoreEra.ts
+++ b/src/platform/StoreEra.ts
@@ -11,7 +11,7 @@
 /** The newest era that responses have stated. All clients of a host share one, since any of them may be the first to learn it. */
 export class StoreEra {
   private newest = 0
-  private readonly listeners = new Set<() => void>()
+  private readonly listeners = new Set<(before: number) => void>()
 
   constructor (private readonly events?: EventLog) {}
 
@@ -20,8 +20,10 @@
     return this.newest
   }
 
-  /** Calls the listener when the era rises, until the returned function is called. */
-  onRise (listener: () => void): () => void {
+  /**
+   * Calls the listener when the era rises, with the era before (0 if none was known), until the returned function is called.
+   */
+  onRise (listener: (before: number) => void): () => void {
     this.listeners.add(listener)
     return () => { this.listeners.delete(listener) }
   }
@@ -34,9 +36,10 @@
     const era = stated !== undefined && /^\d{1,7}$/.test(stated) ? Number(stated) : this.newest
     if (era < this.newest) return undefined
     if (era > this.newest && era <= maxEra) {
-      if (this.newest > 0) this.events?.warn('store_restored', { era, before: this.newest })
+      const before = this.newest
+      if (before > 0) this.events?.warn('store_restored', { era, before })
       this.newest = era
-      for (const listener of this.listeners) listener()
+      for (const listener of this.listeners) listener(before)
     }
     return this.newest
   }
--- a/src/platform/testing/FakeStore.ts
+++ b/src/platform/testing/FakeStore.ts
@@ -40,6 +40,8 @@
   followers = 0
   /** Connections whose latest call read a topic as a whole. */
   private readonly wholeReaders = new WeakSet<Socket>()
+  private readonly openSockets = new Set<Socket>()
+  private readonly silentSockets = new WeakSet<Socket>()
   /** Joins so far. */
   readonly joins: Array<{ member: string, generation: number }> = []
   /** How calls are answered: `normal`, as by the store; `silent`, never; `refused`, with status 503. */
@@ -61,6 +63,10 @@
     const server = createServer()
     await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
     const store = new FakeStore(server)
+    server.on('connection', socket => {
+      store.openSockets.add(socket)
+      socket.once('close', () => { store.openSockets.delete(socket) })
+    })
     server.on('request', (request, response) => {
       store.handle(request, response).catch(() => { response.destroy() })
     })
@@ -75,6 +81,11 @@
     await new Promise<void>(resolve => { this.server.close(() => { resolve() }) })
   }
 
+  /** Answers nothing more on the open connections, without closing them; new ones work. */
+  silenceConnections (): void {
+    for (const socket of this.openSockets) this.silentSockets.add(socket)
+  }
+
   /** Writes a record; without a value the key is deleted. */
   write (topic: string, key: string, value: unknown): void {
     this.topicOf(topic).records.push({ key, value: value === undefined ? undefined : typeof value === 'string' ? value : JSON.stringify(value) })
@@ -126,7 +137,7 @@
     const url = new URL(request.url ?? '/', 'http://store')
     if (this.era !== undefined) response.setHeader('store-era', String(this.era))
     this.calls.push(`${request.method} ${url.pathname}`)
-    if (this.mode === 'silent') return
+    if (this.mode === 'silent' || this.silentSockets.has(request.socket)) return
     if (this.mode === 'refused') {
       response.writeHead(503).end()
       return
@@ -141,7 +152,7 @@
     }
     if (url.pathname === '/v1/log-read') {
       if (this.wholeReaders.delete(request.socket)) this.followers += 1
-      return await this.read(url, response)
+      return await this.read(url, request.socket, response)
     }
     if (url.pathname === '/v1/log-owners') {
       this.removeExpiredMembers()
@@ -221,7 +232,7 @@
     response.end(JSON.stringify({ items, truncated: false, end: records.length }))
   }
 
-  private async read (url: URL, response: ServerResponse): Promise<void> {
+  private async read (url: URL, socket: Socket, response: ServerResponse): Promise<void> {
     const name = url.searchParams.get('topic') ?? ''
     const from = Number(url.searchParams.get('from'))
     const waitMilliseconds = Number(url.searchParams.get('wait-ms'))
@@ -232,7 +243,7 @@
         const timer = setTimeout(resolve, deadline - Date.now())
         this.pendingReads.push(() => { clearTimeout(timer); resolve() })
       })
-      if (this.mode === 'silent' || response.destroyed) return
+      if (this.mode === 'silent' || this.silentSockets.has(socket) || response.destroyed) return
     }
     const { records, firstOffset } = this.topicOf(name)
     if (from < firstOffset || from > records.length) {
--- a/src/upstreams/UpstreamManager.test.ts
+++ b/src/upstreams/UpstreamManager.test.ts
@@ -144,6 +144,18 @@
     await advanceUntilCandidates(['e-1'])
   })
 
+  // Guards against work for workers that may be gone, and against a pool without candidates since all may be.
+  test.each<[string, boolean[], boolean, string[]]>([
+    ['is sent no work while another can take it', [true, false], false, ['e-1']],
+    ['is sent work if all others may be gone too', [true, true], false, ['e-0', 'e-1']],
+    ['is sent work while the others are unavailable', [true, false], true, ['e-0']]
+  ])('a worker that may be gone %s', async (_name, uncertain, stopsOther, expected) => {
+    const workers = engines.map(({ address }, index) => ({ ...worker(`e-${index}`, 'a', address), uncertain: uncertain[index] }))
+    configuration.set('/fleet/pools/p', pool(...workers))
+    if (stopsOther) await engines[1]!.stop()
+    await advanceUntilCandidates(expected)
+  })
+
   test('a worker that answers polls again is sent work again', async () => {
     engines[0]!.load = undefined
     await advanceUntilCandidates(['e-1'])
--- a/src/upstreams/UpstreamManager.ts
+++ b/src/upstreams/UpstreamManager.ts
@@ -231,9 +231,11 @@
   private candidateList (key: string, isCandidate: (upstream: Upstream) => boolean): readonly Upstream[] {
     const cachedList = this.candidateLists.get(key)
     if (cachedList !== undefined) return cachedList
-    const candidates = [...this.entries.values()]
+    const available = [...this.entries.values()]
       .map(entry => entry.upstream)
       .filter(upstream => upstream.available && isCandidate(upstream))
+    const certain = available.filter(({ description }) => description.worker.uncertain !== true)
+    const candidates = certain.length > 0 ? certain : available
     const list = [...candidates.filter(upstream => upstream.isInOwnZone), ...candidates.filter(upstream => !upstream.isInOwnZone)]
     if (list.length > 0) this.candidateLists.set(key, list)
     return list
