Search bodies for the whole head of another response

Cause: the search stopped after 32 lines behind a status line, and took a long line for the end of the head. The protocol limits neither.

Change: the search ends after 16 KiB, the size of the largest head that the HTTP library accepts.

--- a/src/forwarding/ResponseHeadScanner.test.ts
+++ b/src/forwarding/ResponseHeadScanner.test.ts
@@ -27,7 +27,10 @@
     ['with LF line ends', 'HTTP/1.1 200 OK\nrequest-id: r1 \n'],
     ['behind a long line', `${'x'.repeat(5000)}${head}`],
     ['in front of a long reason', `HTTP/1.1 200 ${'x'.repeat(5000)}\r\nrequest-id: r1\r\n`],
-    ['behind 10,000 bytes', 'HTTP/1.'.repeat(1500) + head]
+    ['behind 10,000 bytes', 'HTTP/1.'.repeat(1500) + head],
+    ['behind 300 other fields', `HTTP/1.1 200 OK\r\n${'x-field: a value of a field\r\n'.repeat(300)}request-id: r1\r\n`],
+    ['behind a long field', `HTTP/1.1 200 OK\r\nx: ${'y'.repeat(5000)}\r\nrequest-id: r1\r\n`],
+    ['behind a field with a long name', `HTTP/1.1 200 OK\r\n${'x'.repeat(5000)}: y\r\nrequest-id: r1\r\n`]
   ])('%s is found however the body is cut', (_name, body) => {
     for (const pieceBytes of [1, 2, 3, 7, 8, 64, body.length]) expect(finds(body, pieceBytes)).toBe(true)
   })
@@ -40,6 +43,8 @@
     ['a head with the id of an unknown request', 'HTTP/1.1 200 OK\r\nrequest-id: r2\r\n\r\n'],
     ['the id behind the end of a head', 'HTTP/1.1 200 OK\r\n\r\nrequest-id: r1\r\n'],
     ['an incomplete head', 'HTTP/1.1 200 OK\r\nrequest-id: r1'],
+    ['fields behind a head of maximum size', `HTTP/1.1 200 OK\r\nx: ${'y'.repeat(17_000)}\r\nrequest-id: r1\r\n`],
+    ['a long line that is no field in a head', `HTTP/1.1 200 OK\r\n${'no field '.repeat(500)}\r\nrequest-id: r1\r\n`],
     ['a long line in a head', `HTTP/1.1 200 OK\r\nx:${'y'.repeat(5000)}\r\n\r\nrequest-id: r1\r\n`],
     ['a line that is no field in a head', 'HTTP/1.1 200 OK\r\nno field\r\nrequest-id: r1\r\n']
   ])('such as one with %s is passed on', (_name, body) => {
--- a/src/forwarding/ResponseHeadScanner.ts
+++ b/src/forwarding/ResponseHeadScanner.ts
@@ -13,10 +13,14 @@
 /** Size of the longest match of `partialStatus`, in bytes. */
 const maxPartialBytes = 'HTTP/1.1 20'.length
 
-const fieldName = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+$/
+/** A line of a head, and the beginning of one. */
+const field = /^([!#$%&'*+.^_`|~0-9A-Za-z-]+):/
+const partialField = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+(:|$)/
 
-/** Maximum number of fields of a head that are searched, and size of each; the id of the request is among the first. */
-const maxFields = 32
+/** Maximum size of a head, in bytes; the HTTP library accepts no larger one. */
+const maxHeadBytes = 16_384
+
+/** Size of a line of a head up to which all of it is kept, in bytes; the field with the id of a request is shorter. */
 const maxLineBytes = 1024
 
 /** Follows the lines of a body. */
@@ -24,10 +28,14 @@
   /** The end of the present line; all of it while fields may follow. */
   private line: Buffer = Buffer.alloc(0)
   private isLineCut = false
+  /** True if the present line is cut and begins like a field. */
+  private isCutField = false
+  /** Number of bytes of the present line that are not kept. */
+  private cutBytes = 0
   /** True if the part of the present line that is not kept contains the start of a status line. */
   private hasStatus = false
-  /** Number of lines that may still be fields of the head that began last; 0 if there is none. */
-  private fieldsLeft = 0
+  /** Number of bytes that may still be fields of the head that began last; 0 if there is none. */
+  private headBytesLeft = 0
 
   /**
    * `idField`: name of the header field with the id of the request, lower case. `isKnown`: true if the id is one of a request
@@ -38,13 +46,13 @@
   /** True if the bytes so far may end inside the head of a response. */
   get endsInsideHead (): boolean {
     const line = this.line.toString('latin1')
-    return this.fieldsLeft > 0 || this.hasStatus || status.test(line) || partialStatus.test(line)
+    return this.headBytesLeft > 0 || this.hasStatus || status.test(line) || partialStatus.test(line)
   }
 
   /** Adds bytes. Throws if the bytes so far contain the head of a response to a request to the worker. */
   add (bytes: Uint8Array): void {
     const buffer = Buffer.concat([this.line, bytes])
-    if (this.fieldsLeft === 0 && !this.hasStatus && !buffer.includes(headStart)) {
+    if (this.headBytesLeft === 0 && !this.hasStatus && !buffer.includes(headStart)) {
       this.line = Buffer.from(buffer.subarray(Math.max(buffer.lastIndexOf(lineFeed) + 1, buffer.length - maxPartialBytes)))
       return
     }
@@ -57,26 +65,32 @@
   }
 
   private endLine (line: string): void {
-    if (this.fieldsLeft > 0) {
-      const colon = line.indexOf(':')
-      const name = line.slice(0, Math.max(0, colon))
-      const isField = !this.isLineCut && fieldName.test(name)
-      if (isField && name.toLowerCase() === this.idField && this.isKnown(line.slice(colon + 1).trim())) {
+    if (this.headBytesLeft > 0) {
+      const name = field.exec(line)?.[1]
+      const isIdField = !this.isLineCut && name?.toLowerCase() === this.idField
+      if (isIdField && this.isKnown(line.slice(line.indexOf(':') + 1).trim())) {
         throw new Error('the head of another response stands in the body')
       }
-      this.fieldsLeft = isField ? this.fieldsLeft - 1 : 0
+      const isField = this.isLineCut ? this.isCutField : name !== undefined
+      this.headBytesLeft = isField ? Math.max(0, this.headBytesLeft - this.cutBytes - line.length - 1) : 0
     }
-    if (this.hasStatus || status.test(line)) this.fieldsLeft = maxFields
+    if (this.hasStatus || status.test(line)) this.headBytesLeft = maxHeadBytes
     this.hasStatus = false
     this.isLineCut = false
+    this.cutBytes = 0
   }
 
   private keep (line: Buffer): void {
-    const isWhole = this.fieldsLeft > 0 && !this.isLineCut && line.length <= maxLineBytes
-    if (!isWhole) {
-      this.hasStatus ||= status.test(line.toString('latin1'))
-      this.isLineCut = true
+    const isWhole = this.headBytesLeft > 0 && !this.isLineCut && line.length <= maxLineBytes
+    if (isWhole) {
+      this.line = Buffer.from(line)
+      return
     }
-    this.line = Buffer.from(isWhole ? line : line.subarray(-maxPartialBytes))
+    if (!this.isLineCut) this.isCutField = partialField.test(line.toString('latin1'))
+    this.isLineCut = true
+    this.hasStatus ||= status.test(line.toString('latin1'))
+    this.line = Buffer.from(line.subarray(-maxPartialBytes))
+    this.cutBytes += line.length - this.line.length
+    if (this.cutBytes > this.headBytesLeft) this.headBytesLeft = 0
   }
 }
