--- a/src/platform/soak/LoopbackProxy.ts
+++ b/src/platform/soak/LoopbackProxy.ts
@@ -51,6 +51,11 @@
     return port !== undefined && this.silencedPorts.has(port)
   }
 
+  /** Accepts no further connections. Open ones go on. */
+  stopListening (): void {
+    this.server.close()
+  }
+
   async stop (): Promise<void> {
     for (const socket of this.sockets) socket.destroy()
     await new Promise<void>(resolve => { this.server.close(() => { resolve() }) })
--- a/src/platform/soak/Soak.ts
+++ b/src/platform/soak/Soak.ts
@@ -478,6 +478,8 @@
       stage: service === 'llm' ? 'decode' : undefined,
       journal: this.journal,
       random: new SeededRandom(this.copyRandom.integer(1, 1_000_000)),
+      // The end of a connection may be that of a crashed worker.
+      streamFraming: this.crashes !== undefined && this.workerCount % 2 === 0 ? 'connection' : 'chunks',
       leaseMilliseconds,
       writeEntry: (id, entry) => this.writeWorkerEntry(id, entry),
       onCrashingPrompt: id => this.recordCrashingPrompt(id),
--- a/src/platform/soak/SoakWorker.ts
+++ b/src/platform/soak/SoakWorker.ts
@@ -56,6 +56,8 @@
   leaseMilliseconds: number
   /** Writes the worker's entry to the store. */
   writeEntry: (id: string, entry: Record<string, unknown>) => void
+  /** How a stream ends: with its last chunk, or with its connection. */
+  streamFraming: 'chunks' | 'connection'
   /** Called when a request with the part that crashes workers arrives, before the worker answers it. */
   onCrashingPrompt: (id: string) => void
   /** Called when such a request crashes the worker. */
@@ -138,6 +140,8 @@
   async stop (): Promise<void> {
     this.isStopped = true
     for (const run of this.openRuns) this.brokenRuns.add(run)
+    // The address of a process that has ended accepts no connections by the time at which its own are closed.
+    this.link.stopListening()
     await this.server.stop()
     await this.link.stop()
   }
@@ -230,12 +234,15 @@
     const id = request.headers['dogwooddale-request-id'] ?? ''
     const { socket } = request
     const notices = Object.entries(this.notices()).map(([name, value]) => `${name}: ${value}`)
-    const head = [`dogwooddale-request-id: ${id}`, `dogwooddale-server-stamp: signed-by-${this.id}`, 'transfer-encoding: chunked', ...notices]
+    const isChunked = this.options.streamFraming === 'chunks'
+    const framing = isChunked ? ['transfer-encoding: chunked'] : []
+    const head = [`dogwooddale-request-id: ${id}`, `dogwooddale-server-stamp: signed-by-${this.id}`, ...framing, ...notices]
     let written = ''
     const write = (text: string): void => {
       written += text
       socket.write(text)
     }
+    const writePiece = (text: string): void => write(isChunked ? `${text.length.toString(16)}\r\n${text}\r\n` : text)
     this.holdPrompt(request)
     this.copies.begin(socket)
     write(`HTTP/1.1 200 X\r\ncontent-type: text/event-stream\r\n${head.join('\r\n')}\r\n\r\n`)
@@ -246,7 +253,7 @@
         socket.resetAndDestroy()
         return
       }
-      write(`${text.length.toString(16)}\r\n${text}\r\n`)
+      writePiece(text)
       if (hasCrashingPart(request)) {
         await sleep(crashMilliseconds)
         if (!this.isStopped) this.options.onCrash(this)
@@ -256,7 +263,8 @@
       if (socket.destroyed) return
     }
     this.unanswered.delete(socket)
-    write('0\r\n\r\n')
+    if (isChunked) write('0\r\n\r\n')
+    else socket.end()
     this.copies.end(socket, written)
   }
 
