Take only a refused connection for the crash of a worker

Read again before the landing, no caller has seen these: a worker whose listener is too busy to accept a connection within 500 ms would have counted as crashed, and its whole responses would have been broken off; a worker whose pool changed while it ran would have counted as restarted.

Change: probeAddress tells a refused connection from a silent address, and only the first one shows a crash; a restart is told by id, address and start time. A receiver that throws for a record is no longer logged once a record, since it reports the record as unusable with the others.

Evidence: crashedWorkers.test.ts has a case for a restarted worker, probeAddress.test.ts the states but for a silent address, which needs a machine that drops packets.

--- a/src/platform/TopicFollower.ts
+++ b/src/platform/TopicFollower.ts
@@ -167,8 +167,8 @@
   private isUsable (record: KeyedRecord): boolean {
     try {
       return this.options.receiver.isUsable?.(record) ?? true
-    } catch (caught) {
-      this.logFailures([{ record, reason: String(caught) }])
+    } catch {
+      // The receiver logs the record as unusable when it takes the whole state.
       return false
     }
   }
--- a/src/platform/crashedWorkers.test.ts
+++ b/src/platform/crashedWorkers.test.ts
@@ -86,6 +86,20 @@
   expect(app.reduce((sum, { requests }) => sum + requests.length, 0)).toBe(runs)
 })
 
+// Guards against a stream that looks complete since the next process of its worker accepts connections at its address.
+test('a stream without length or chunks breaks off if its worker has restarted', async () => {
+  platform = await startPlatform({ modelWorkers: 1 })
+  const { host, store, models } = platform
+  const worker = models[0]!
+  worker.onRequest = request => {
+    request.socket.write(`${headOf(worker, request, eventStream)}id: 1\ndata: a\n\n`)
+    // The next process has another role, by which the test knows that the host has read of it.
+    store.write('keyed.servers', worker.id, worker.createEntry('llm', { stage: 'decode', sequence: 1, born: 2 }))
+    waitUntil(() => host.workers().some(({ role }) => role === 'decode')).then(() => { request.socket.end() }, () => {})
+  }
+  expect(await ask('/tags/1')).toBe('broken')
+})
+
 // Guards against whole answers that are broken off since their worker exits right after them.
 test.each<[string, (worker: FakeWorker) => Record<string, string>, (worker: FakeWorker) => Promise<void>]>([
   ['has stated in the answer that it leaves', () => ({ 'server-leaving': '1' }), async () => {}],
--- a/src/upstreams/UpstreamManager.ts
+++ b/src/upstreams/UpstreamManager.ts
@@ -6,10 +6,10 @@
 import { BoundedTable, type Clock, type Hash, type HostId, type Model, type Pool, type RequestId, Task, type WorkerId, type Zone } from '../common/index.js'
 import type { ConfigurationReader, EngineRole, PoolDocument } from '../configuration/index.js'
 import type { EventLog } from '../observability/index.js'
-import { acceptsConnections } from './acceptsConnections.js'
 import { chooseSubset } from './chooseSubset.js'
 import type { LoadReport } from './LoadReport.js'
 import { pollLoad } from './pollLoad.js'
+import { probeAddress } from './probeAddress.js'
 import { RequestTracker } from './RequestTracker.js'
 import { type DoubtReason, maxCarriedCalls, Upstream, type UpstreamDescription } from './Upstream.js'
 import type { StatedLimit, WorkerLimit } from './StatedLimit.js'
@@ -169,20 +169,21 @@
   }
 
   /**
-   * True if the process of an upstream has ended without leaving in order, which only asking its address tells once its
-   * connections are closed. Takes up to 500 ms; resolves early, to any value, if the signal aborts.
+   * True if the process of an upstream has ended without leaving in order, which only its address tells once its connections
+   * are closed. An address that does not answer in time may be that of a busy process. Takes up to 500 ms, less if the signal
+   * aborts.
    */
   async hasCrashed (upstream: Upstream, signal?: AbortSignal): Promise<boolean> {
     if (this.hasRestarted(upstream)) return true
     if (upstream.isLeaving) return false
-    const accepts = await acceptsConnections(upstream.description.worker.address, signal)
-    return this.hasRestarted(upstream) || (!accepts && !upstream.isLeaving)
+    const state = await probeAddress(upstream.description.worker.address, signal)
+    return this.hasRestarted(upstream) || (state === 'refuses' && !upstream.isLeaving)
   }
 
   /** True if another process has taken the place of an upstream under its id. */
   private hasRestarted (upstream: Upstream): boolean {
     const present = this.worker(upstream.id)
-    return present !== undefined && present !== upstream
+    return present !== undefined && processKeyOf(present.description) !== processKeyOf(upstream.description)
   }
 
   /** Removes a worker from the candidate lists for a role change, or adds it again. */
--- a/src/upstreams/acceptsConnections.test.ts
+++ b/src/upstreams/probeAddress.test.ts
@@ -3,18 +3,20 @@
  */
 import { expect, test } from '@jest/globals'
 import { type AddressInfo, createServer, type Socket } from 'node:net'
-import { acceptsConnections } from './acceptsConnections.js'
+import { acceptsConnections, type AddressState, probeAddress } from './probeAddress.js'
 
-test.each<[string, (socket: Socket) => void, boolean, boolean]>([
-  ['a listener that keeps connections', () => {}, false, true],
-  ['a listener that resets connections at once, as a full worker does', socket => { socket.resetAndDestroy() }, false, true],
-  ['an address without a listener', () => {}, true, false]
+test.each<[string, (socket: Socket) => void, boolean, AddressState]>([
+  ['a listener that keeps connections', () => {}, false, 'accepts'],
+  ['a listener that resets connections at once, as a full worker does', socket => { socket.resetAndDestroy() }, false, 'accepts'],
+  ['an address without a listener', () => {}, true, 'refuses']
 ])('%s', async (_name, handle, isClosed, expected) => {
   const server = createServer(handle)
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
   const { port } = server.address() as AddressInfo
   const close = async (): Promise<void> => { await new Promise<void>(resolve => { server.close(() => { resolve() }) }) }
   if (isClosed) await close()
-  expect(await acceptsConnections(`127.0.0.1:${port}`)).toBe(expected)
+  expect(await probeAddress(`127.0.0.1:${port}`)).toBe(expected)
+  expect(await acceptsConnections(`127.0.0.1:${port}`)).toBe(expected === 'accepts')
+  expect(await probeAddress(`127.0.0.1:${port}`, AbortSignal.abort())).toBe('silent')
   if (!isClosed) await close()
 })
