Stop the product's host in order on SIGHUP

A host of the product's own binary that got SIGHUP ended at once and cut its requests.

Cause: the default action of the signal; the host has no reload, so nothing handled it. Change: SIGHUP starts the graceful shutdown, like SIGTERM and SIGINT.

Evidence: the new row of EntryHost.test.ts; without the change the process ends before it logs the start of the drain.

--- a/src/commands/hostCommand.ts
+++ b/src/commands/hostCommand.ts
@@ -1,7 +1,7 @@
 /**
  * `dogwooddale host --settings FILE`: runs an entry host. It prints a readiness line on standard output when the
- * host is ready. SIGTERM and SIGINT start a graceful shutdown; further signals have no effect, so that a repeated
- * signal does not interrupt requests.
+ * host is ready. SIGTERM, SIGINT and SIGHUP start a graceful shutdown, since the settings are read at the start only;
+ * further signals have no effect, so that a repeated signal does not interrupt requests.
  */
 import type { CommandModule } from 'yargs'
 import { errorResponses, type Failure } from '../common/index.js'
@@ -17,7 +17,7 @@
 }
 
 function drainOnSignals (host: EntryHost): void {
-  for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'] as const) {
     process.on(signal, () => {
       host.drain().then(complete => process.exit(complete ? 0 : incompleteDrainExitStatus), error => {
         process.stderr.write(`${String(error)}\n`)
--- a/src/host/EntryHost.test.ts
+++ b/src/host/EntryHost.test.ts
@@ -96,11 +96,15 @@
     expect(engineView.position).toBeLessThan(1000)
   })
 
-  /** Opens a stream per prompt, sends SIGTERM, and waits until the host logs the start of its drain with these open requests. */
-  async function startShutdownWithStreams (name: string, settings = {}): Promise<{ host: StartedProcess, streams: Response[] }> {
+  /** Opens a stream per prompt, sends a signal, and waits until the host logs the start of its drain with these open requests. */
+  async function startShutdownWithStreams (
+    name: string,
+    settings = {},
+    signal: NodeJS.Signals = 'SIGTERM'
+  ): Promise<{ host: StartedProcess, streams: Response[] }> {
     const host = await deployment.startHost(name, zone, settings)
     const streams = await Promise.all(prompts.map(prompt => openStream(host, prompt, tokens)))
-    host.signal('SIGTERM')
+    host.signal(signal)
     await host.waitForLogLine(new RegExp(`event=drain_started open=${prompts.length}$`))
     return { host, streams }
   }
@@ -110,13 +114,14 @@
     expect(texts).toEqual(prompts.map(prompt => expectedText(model, prompt, tokens)))
   }
 
-  test.each([
-    ['one SIGTERM', 'stopped-once', 0],
-    ['a second SIGTERM during the shutdown', 'stopped-twice', 1],
-    ['further SIGTERMs during the shutdown', 'stopped-often', 5]
-  ])('after %s, open streams complete, their usage is stored and the host exits with status 0', async (_name, hostName, furtherSignals) => {
-    const { host, streams } = await startShutdownWithStreams(hostName)
-    for (let signal = 0; signal < furtherSignals; signal += 1) host.signal('SIGTERM')
+  test.each<[string, string, number, NodeJS.Signals]>([
+    ['one SIGTERM', 'stopped-once', 0, 'SIGTERM'],
+    ['a second SIGTERM during the shutdown', 'stopped-twice', 1, 'SIGTERM'],
+    ['further SIGTERMs during the shutdown', 'stopped-often', 5, 'SIGTERM'],
+    ['the loss of its terminal (SIGHUP)', 'stopped-by-hangup', 1, 'SIGHUP']
+  ])('after %s, open streams complete, their usage is stored and the host exits with status 0', async (_name, hostName, furtherSignals, signal) => {
+    const { host, streams } = await startShutdownWithStreams(hostName, {}, signal)
+    for (let count = 0; count < furtherSignals; count += 1) host.signal(signal)
     await expectComplete(streams)
     expect(await host.exited).toEqual({ code: 0, signal: null })
     const logged = await readLoggedUsage(deployment)
