--- a/src/upstreams/UpstreamManager.ts
+++ b/src/upstreams/UpstreamManager.ts
@@ -170,8 +170,7 @@
 
   /**
    * True if the process of an upstream has ended without leaving in order, which only its address tells once its connections
-   * are closed. An address that does not answer in time may be that of a busy process. Takes up to 500 ms, less if the signal
-   * aborts.
+   * are closed. An address that does not answer in time may be that of a busy process. Takes as long as `probeAddress`.
    */
   async hasCrashed (upstream: Upstream, signal?: AbortSignal): Promise<boolean> {
     if (this.hasRestarted(upstream)) return true
--- a/src/upstreams/probeAddress.ts
+++ b/src/upstreams/probeAddress.ts
@@ -22,8 +22,8 @@
 export type AddressState = 'accepts' | 'refuses' | 'silent'
 
 /**
- * Opens a connection to the address (`ip:port`) and closes it; sends nothing. Takes up to 500 ms for each of at most three
- * connections, and resolves to `silent` if the signal aborts before.
+ * Opens a connection to the address (`ip:port`) and closes it; sends nothing. Takes up to 550 ms for each of at most three
+ * connections, and resolves to `silent` at once if the signal aborts.
  */
 export async function probeAddress (address: string, signal?: AbortSignal): Promise<AddressState> {
   for (let resets = 0; resets < maxResets; resets += 1) {
