Authenticate client accounts by the keys of the configuration

Operators list accounts with keys; requests on routes that are not anonymous need one. The key is checked with the head and again with the complete body, never reaches a worker, and an unknown key gets 503 while the view may be outdated. Routes are found through a map of prefixes, since a host may have over a thousand.

--- a/src/common/ids.ts
+++ b/src/common/ids.ts
@@ -27,6 +27,13 @@
 export const ownerSchema = name.brand<'Owner'>()
 export type Owner = z.infer<typeof ownerSchema>
 
+/**
+ * Name of a client account, which callers prove with a key. It is sent in a header field, so it consists of visible ASCII
+ * characters, with spaces only between them.
+ */
+export const accountNameSchema = z.string().max(255).regex(/^[!-~]([ -~]*[!-~])?$/, 'must be visible ASCII').brand<'AccountName'>()
+export type AccountName = z.infer<typeof accountNameSchema>
+
 /** Name of a model. */
 export const modelSchema = name.brand<'Model'>()
 export type Model = z.infer<typeof modelSchema>
--- a/src/configuration/TeamAuthenticator.ts
+++ b/src/configuration/TeamAuthenticator.ts
@@ -19,7 +19,7 @@
 const bootstrapTeam: AuthenticatedTeam = { team: 'bootstrap' as Team, owner: 'bootstrap' as Owner, operator: true }
 
 /** The hash of a token that an account stores: SHA-256 in hexadecimal. */
-export function tokenHashOf (token: string): string {
+export function tokenHashOf (token: string | Uint8Array): string {
   return createHash('sha256').update(token).digest('hex')
 }
 
--- a/src/forwarding/ServiceRequest.ts
+++ b/src/forwarding/ServiceRequest.ts
@@ -1,7 +1,7 @@
 /**
  * A call to a service, its response, and the dependencies of calls.
  */
-import type { Clock, Pool, RequestId } from '../common/index.js'
+import type { AccountName, Clock, Pool, RequestId } from '../common/index.js'
 import type { RequestPermits } from '../limits/index.js'
 import type { EventLog } from '../observability/index.js'
 import type { PartQuarantine } from '../quarantine/index.js'
@@ -15,6 +15,8 @@
 export interface ServiceRequest {
   requestId: RequestId
   pool: Pool
+  /** Client account for which the call is made; undefined without one. */
+  account?: AccountName
   method: string
   /** Path and query string of the call to the service. */
   path: string
--- a/src/platform/CallerListener.test.ts
+++ b/src/platform/CallerListener.test.ts
@@ -31,7 +31,7 @@
 }
 
 /** Starts a listener whose event loop is late by the given time and whose requests end as `run` says. */
-async function start (delayMilliseconds: number, run: Run = refused): Promise<ListenerTest> {
+async function start (delayMilliseconds: number, run: Run = refused, document = configurationDocument(1)): Promise<ListenerTest> {
   const clock = new SystemClock()
   const lines: string[] = []
   const forwarded: ServiceRequest[] = []
@@ -42,7 +42,7 @@
       return { attempts: 0, worker: undefined, run: async (signal: AbortSignal) => await run(request, forwarded, signal) }
     }
   } as unknown as RequestManager
-  const configuration = decodeRouteConfiguration(Buffer.from(JSON.stringify(configurationDocument(1))))
+  const configuration = decodeRouteConfiguration(Buffer.from(JSON.stringify(document)))
   const routes = new RouteTable(configuration.unwrapOrElse(failed => { throw new Error(failed.message) }))
   listener = new CallerListener({
     address: '127.0.0.1:0',
@@ -56,7 +56,8 @@
     }),
     hash: await loadHash(),
     metrics: new RequestMetrics(new Metrics()),
-    eventLoopDelay: () => delayMilliseconds
+    eventLoopDelay: () => delayMilliseconds,
+    isConfigurationCurrent: () => true
   })
   await listener.listen()
   return { caller: await RawCaller.connect(listener.address), forwarded, lines }
@@ -88,6 +89,23 @@
   return Result.ok({ status: 200, headers: {}, body: Buffer.from(requestId), remainingBody: undefined })
 }
 
+// Guards against log lines from which a request cannot be attributed, and against keys in the log.
+test('the log lines of a request name its account, and no line contains a key', async () => {
+  const tenants = [{ name: 'kiosk', 'api-keys': ['secret-1'] }]
+  const { lines } = await start(0, async request => answerTo(request), configurationDocument(1, { tenants }))
+  listener!.configure({ maxHeaderBytes: 4096, maxBodyBytes: 10, headerTimeoutMilliseconds: 3000, idleTimeoutMilliseconds: 3000 })
+  for (const [id, key, body, status] of [['r1', 'secret-1', 'yes', 200], ['r2', 'secret-1', 'x'.repeat(11), 413], ['r3', 'secret-2', 'yes', 401]] as const) {
+    const caller = await RawCaller.connect(listener!.address)
+    caller.send('POST', '/votes/1', requestHeaders(id, { authorization: `Bearer ${key}` }), body)
+    expect((await caller.readResponse()).status).toBe(status)
+  }
+  const lineOf = (event: string, id: string): string | undefined => lines.find(line => line.includes(`event=${event} request=${id} `))
+  expect(lineOf('request_ended', 'r1')).toContain(' account=kiosk ')
+  expect(lineOf('request_refused', 'r2')).toContain(' account=kiosk ')
+  expect(lineOf('request_refused', 'r3')).not.toContain('account=')
+  expect(lines.join('')).not.toContain('secret')
+})
+
 describe('during a stop', () => {
   // Guards against pipelined requests that are passed on although the connection closes after an earlier response.
   test.each([['first', 'r1'], ['second', 'r2']])('answers two pipelined requests of which the %s ends first', async (_name, firstToEnd) => {
--- a/src/platform/CallerListener.ts
+++ b/src/platform/CallerListener.ts
@@ -5,7 +5,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { Result } from 'true-myth'
-import { type Clock, errorResponses, errorBodyOf, type Failure, failure, type Hash } from '../common/index.js'
+import { type AccountName, type Clock, errorResponses, errorBodyOf, type Failure, failure, type Hash } from '../common/index.js'
 import { type ConnectionCounts, GracefulServer } from '../entry/index.js'
 import type { RequestManager, ServiceResponse, ServiceCall } from '../forwarding/index.js'
 import type { EventLog } from '../observability/index.js'
@@ -20,6 +20,8 @@
   /** `ip:port` */
   address: string
   routes: () => RouteTable | undefined
+  /** False if the store may contain a newer configuration. */
+  isConfigurationCurrent: () => boolean
   requests: RequestManager
   clock: Clock
   events: EventLog
@@ -197,13 +199,16 @@
     if (decoded.isErr) return this.refuse(message, response, decoded.error, startedAt)
     const bodyRead = readBody(message, this.limits?.maxBodyBytes ?? Infinity)
     const body = await interruption.unlessHostStops(bodyRead, () => Result.err(refusalOfStop))
-    if (body.isErr) return this.refuse(message, response, body.error, startedAt)
+    const { account } = decoded.value.call
+    if (body.isErr) return this.refuse(message, response, body.error, startedAt, account)
     if (this.options.eventLoopDelay() > busyEventLoopDelayMilliseconds) await pendingEvents()
     // A stream that is being sent on the connection may last until the exit, and then this response would never be sent.
     if (this.stoppingSince !== undefined) await interruption.unlessHostStops(this.server.whenNoEarlierStream(response), () => {})
     if (interruption.cause === 'caller_disconnected' || message.socket.destroyed) return
-    if (this.isClosed) return this.refuse(message, response, refusalOfStop, startedAt)
-    const { route, call: head } = decoded.value
+    if (this.isClosed) return this.refuse(message, response, refusalOfStop, startedAt, account)
+    const current = this.decodeAgain(decoded.value, message, startedAt)
+    if (current.isErr) return this.refuse(message, response, current.error, startedAt, account)
+    const { route, call: head } = current.value
     const call = this.options.requests.serviceCall({ ...head, body: body.value })
     const endRequest = this.options.requests.begin({ requestId: head.requestId, kind: 'service' })
     try {
@@ -217,7 +222,7 @@
       const firstByteMilliseconds = timing.firstByteAt - startedAt
       metrics.recordResponse(route.name, head.pool, outcome, firstByteMilliseconds)
       const { longestPauseMilliseconds } = timing
-      this.logEnd(decoded.value, call, {
+      this.logEnd(current.value, call, {
         outcome, result, startedAt, firstByteMilliseconds, longestPauseMilliseconds, interruption: interruption.cause
       })
     } finally {
@@ -274,11 +279,23 @@
     if (this.limits !== undefined && headerBytesOf(message) > this.limits.maxHeaderBytes) {
       return Result.err(failure('headers_too_large', `the header is larger than ${this.limits.maxHeaderBytes} bytes`))
     }
-    const decoded = decodeRequest(message, { routes, now, hashToFraction: id => this.options.hash.h32(id) / hashRange })
+    const { hash, isConfigurationCurrent } = this.options
+    const hashToFraction = (id: string): number => hash.h32(id) / hashRange
+    const decoded = decodeRequest(message, { routes, now, hashToFraction, isConfigurationCurrent })
     const { stopLimits } = this
     return stopLimits === undefined ? decoded : decoded.map(request => limitedByStop(request, stopLimits))
   }
 
+  /**
+   * The request according to the configuration in force. While its body arrived, the key may have been removed or given to
+   * another account. Without accounts, the configuration at the time of the head applies.
+   */
+  private decodeAgain (request: DecodedRequest, message: IncomingMessage, now: number): Result<DecodedRequest, Failure> {
+    const routes = this.options.routes()
+    const hasAccounts = request.routes.accounts !== undefined || routes?.accounts !== undefined
+    return routes === request.routes || !hasAccounts ? Result.ok(request) : this.decode(message, now)
+  }
+
   /** Sends a worker's response to the caller. Returns its status, or `broken` if it ended early. */
   private async sendResponse (
     response: ServerResponse,
@@ -309,11 +326,19 @@
     }
   }
 
-  private refuse (message: IncomingMessage, response: ServerResponse, failed: Failure, startedAt: number): void {
+  private refuse (
+    message: IncomingMessage,
+    response: ServerResponse,
+    failed: Failure,
+    startedAt: number,
+    account?: AccountName
+  ): void {
     const status = this.sendError(message, response, failed)
+    if (failed.kind === 'unauthenticated') this.options.metrics.recordRefusedKey()
     this.options.metrics.recordResponse('', '', status, this.options.clock.monotonic() - startedAt)
     this.options.events.info('request_refused', {
       request: String(message.headers[headerNames.requestId] ?? ''),
+      account,
       status,
       kind: failed.kind,
       version: this.options.routes()?.configuration.version,
@@ -335,6 +360,7 @@
     response.writeHead(status, {
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(body),
+      ...(failed.kind === 'unauthenticated' ? { 'www-authenticate': 'Bearer' } : {}),
       ...(typeof id === 'string' ? { [headerNames.requestId]: id } : {}),
       ...(retryAfterOfKind === undefined ? {} : { [headerNames.retryAfter]: String(retryAfterSecondsOf(failed)) }),
       ...(message.complete ? {} : { connection: 'close' })
@@ -347,7 +373,7 @@
   }
 
   private logEnd (
-    { route, call: { requestId, pool, prompt } }: DecodedRequest,
+    { route, call: { requestId, account, pool, prompt } }: DecodedRequest,
     call: ServiceCall,
     summary: RequestSummary
   ): void {
@@ -355,6 +381,7 @@
     const failed = summary.result.isErr ? summary.result.error : undefined
     this.options.events.info('request_ended', {
       request: requestId,
+      account,
       route: route.name,
       pool,
       version: this.options.routes()?.configuration.version,
--- a/src/platform/PlatformDirectory.ts
+++ b/src/platform/PlatformDirectory.ts
@@ -148,14 +148,19 @@
       return
     }
     const previous = this.routeTable?.configuration
-    const { version, routes, services } = decoded.value
+    const { version, routes, services, accounts } = decoded.value
     if (previous !== undefined && !this.replaces(decoded.value, previous)) return
     if (previous?.version === version) this.replacedDocuments.add(JSON.stringify(previous))
     else this.replacedDocuments.clear()
     this.versionEra = this.configurationEra
     this.routeTable = new RouteTable(decoded.value)
     events.info('configuration_in_force', {
-      version, before: previous?.version, era: this.configurationEra, routes: routes.length, services: services.length
+      version,
+      before: previous?.version,
+      era: this.configurationEra,
+      routes: routes.length,
+      services: services.length,
+      accounts: accounts?.length
     })
     this.publish()
   }
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -231,6 +231,7 @@
     const listener = new CallerListener({
       address: settings.listen.callers,
       routes: () => directory.routes,
+      isConfigurationCurrent: () => configurationFollower.isCurrent,
       requests,
       clock,
       events,
--- a/src/platform/RouteConfiguration.ts
+++ b/src/platform/RouteConfiguration.ts
@@ -5,6 +5,7 @@
 import { Result } from 'true-myth'
 import { z } from 'zod'
 import { type Failure, failure, type Model, type Pool } from '../common/index.js'
+import { accountsSchema, type ClientAccount, ClientAccounts, decodeAccount } from './ClientAccounts.js'
 
 /**
  * How often a request may run: `safe`, any number of times; `once`, at most once; `stream`, again only if resumable.
@@ -32,6 +33,8 @@
   rank: number
   /** True if another worker may continue an interrupted stream. */
   resumable: boolean
+  /** True if requests need no key although there are accounts. */
+  anonymous: boolean
   targets: RouteTarget[]
 }
 
@@ -56,6 +59,8 @@
   routes: Route[]
   services: ServiceDescription[]
   limits: CallerLimits
+  /** Undefined if requests need no keys on any route. */
+  accounts: ClientAccount[] | undefined
 }
 
 const positive = z.number().positive()
@@ -71,6 +76,7 @@
   'max-attempts': z.number().int().positive().default(1),
   priority: z.number().default(0),
   resumable: z.boolean().default(false),
+  anonymous: z.boolean().default(false),
   service: z.string().optional(),
   'traffic-split': z.array(z.object({ service: z.string(), weight: z.number().nonnegative() })).optional()
 })
@@ -87,7 +93,8 @@
     'max-body-bytes': positive,
     'header-timeout-ms': positive,
     'idle-timeout-ms': positive
-  })
+  }),
+  tenants: accountsSchema.optional()
 })
 
 /**
@@ -118,6 +125,7 @@
     maxAttempts: route['max-attempts'],
     rank: Math.max(0, Math.round(route.priority)),
     resumable: route.resumable,
+    anonymous: route.anonymous,
     targets: split.map(({ service, weight }) => ({ pool: service as Pool, weight }))
   }
 }
@@ -128,11 +136,13 @@
   try {
     document = JSON.parse(value.toString('utf8'))
   } catch (caught) {
-    return Result.err(failure('invalid_configuration', `the configuration is not JSON: ${(caught as Error).message}`))
+    // The message may quote a part of the document, which may be a key.
+    const reason = (caught as Error).message.replace(/, (\.\.\.)?".*$/s, '')
+    return Result.err(failure('invalid_configuration', `the configuration is not JSON: ${reason}`))
   }
   const parsed = configurationSchema.safeParse(document)
   if (!parsed.success) return Result.err(failure('invalid_configuration', z.prettifyError(parsed.error)))
-  const { version, routes, services, limits } = parsed.data
+  const { version, routes, services, limits, tenants } = parsed.data
   return Result.ok({
     version,
     routes: routes.map(decodeRoute),
@@ -145,34 +155,58 @@
       maxBodyBytes: limits['max-body-bytes'],
       headerTimeoutMilliseconds: limits['header-timeout-ms'],
       idleTimeoutMilliseconds: limits['idle-timeout-ms']
-    }
+    },
+    accounts: tenants?.map(decodeAccount)
   })
 }
 
 /** Number of urgency levels that workers distinguish; level 0 is the most urgent. */
 const urgencyLevels = 10
 
+/** The routes of one host by their prefixes. A configuration may have over a thousand routes for one host. */
+interface HostRoutes {
+  byPrefix: Map<string, Route>
+  /** The distinct lengths of the prefixes, the longest first. */
+  prefixLengths: number[]
+}
+
+function hostRoutesOf (routes: readonly Route[]): HostRoutes {
+  const byPrefix = new Map<string, Route>()
+  for (const route of routes) {
+    // Of two routes with one prefix, the first one counts.
+    if (!byPrefix.has(route.pathPrefix)) byPrefix.set(route.pathPrefix, route)
+  }
+  const lengths = new Set(routes.map(({ pathPrefix }) => pathPrefix.length))
+  return { byPrefix, prefixLengths: [...lengths].sort((left, right) => right - left) }
+}
+
 /** Finds routes by host and path. */
 export class RouteTable {
-  private readonly byHost = new Map<string, Route[]>()
+  private readonly byHost: Map<string, HostRoutes>
+  /** Undefined if requests need no keys. */
+  readonly accounts: ClientAccounts | undefined
   /** Number of urgency levels for each rank. */
   private readonly levelsPerRank: number
 
   constructor (readonly configuration: RouteConfiguration) {
-    for (const route of configuration.routes) {
-      const routes = this.byHost.get(route.host) ?? []
-      routes.push(route)
-      this.byHost.set(route.host, routes)
+    const { routes, accounts } = configuration
+    const byHost = new Map<string, Route[]>()
+    for (const route of routes) {
+      const known = byHost.get(route.host)
+      if (known === undefined) byHost.set(route.host, [route])
+      else known.push(route)
     }
-    const ranks = configuration.routes.map(({ rank }) => rank)
+    this.byHost = new Map([...byHost].map(([host, routesOfHost]) => [host, hostRoutesOf(routesOfHost)]))
+    const ranks = [...routes, ...accounts ?? []].map(({ rank = 0 }) => rank)
     this.levelsPerRank = Math.max(1, Math.floor(urgencyLevels / (Math.max(0, ...ranks) + 1)))
-    for (const routes of this.byHost.values()) routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length)
+    this.accounts = accounts === undefined ? undefined : new ClientAccounts(accounts)
   }
 
   /** The route with the longest prefix of the path; undefined if there is none. */
   find (host: string, path: string): Route | undefined {
     const routes = this.byHost.get(host.toLowerCase()) ?? this.byHost.get(host.toLowerCase().replace(/:\d+$/, ''))
-    return routes?.find(({ pathPrefix }) => path.startsWith(pathPrefix))
+    const length = routes?.prefixLengths.find(length => length <= path.length && routes.byPrefix.has(path.slice(0, length)))
+    return length === undefined ? undefined : routes?.byPrefix.get(path.slice(0, length))
   }
 
   /**
@@ -180,7 +214,7 @@
    * serve all of them in time serves some in time and lets the rest wait, instead of serving all of them late.
    * `fraction`: from 0 (inclusive) to 1 (exclusive), uniformly distributed over requests.
    */
-  urgencyOf ({ rank }: Route, fraction: number): number {
+  urgencyOf ({ rank }: Pick<Route, 'rank'>, fraction: number): number {
     return Math.min(urgencyLevels - 1, rank * this.levelsPerRank + Math.floor(fraction * this.levelsPerRank))
   }
 }
--- a/src/platform/TopicFollower.test.ts
+++ b/src/platform/TopicFollower.test.ts
@@ -147,6 +147,24 @@
     expect(follower.connectedSince).toBeGreaterThan(0)
   })
 
+  // Guards against a host that takes an outdated topic for the newest one, after an outage or while its process stood still.
+  test('is current while reads are answered within the stable window, and again after the first answer', async () => {
+    for (let change = 0; change < 4; change += 1) {
+      await clock.advance(3200)
+      expect(follower.isCurrent).toBe(true)
+      topic.write(`worker-${change}`)
+    }
+    topic.reachable = false
+    await clock.advance(3200)
+    expect(follower.isCurrent).toBe(false)
+    topic.reachable = true
+    await clock.advance(1500)
+    expect(follower.isCurrent).toBe(true)
+    topic.silent = true
+    await clock.advance(4500)
+    expect(follower.isCurrent).toBe(false)
+  })
+
   test('reads the whole topic again after the store dropped its history', async () => {
     topic.records.push({ key: 'worker-1', value: Buffer.from('1') }, { key: 'worker-2', value: Buffer.from('2') })
     topic.firstOffset = 2
--- a/src/platform/TopicFollower.ts
+++ b/src/platform/TopicFollower.ts
@@ -79,6 +79,8 @@
   private offsetEra: number | undefined
   private disconnectedAt: number | undefined
   private reconnectedAt = -Infinity
+  /** Monotonic time in milliseconds of the last answered read. */
+  private answeredAt = -Infinity
 
   private changesExpectedUntil = -Infinity
   /** Aborts the open long poll. */
@@ -106,6 +108,15 @@
     return this.mustReadWhole ? undefined : this.nextOffset
   }
 
+  /**
+   * True if the records up to the last stable window are known. False while the store is lost, and after this process or its
+   * connection stood still, until the next answered read.
+   */
+  get isCurrent (): boolean {
+    const maxAgeMilliseconds = this.longPollMilliseconds + rereadReserveMilliseconds
+    return this.position !== undefined && this.options.clock.monotonic() - this.answeredAt <= maxAgeMilliseconds
+  }
+
   /**
    * Reads with short long polls for 30 s, and replaces an open one that is longer: its connection may have become silent.
    */
@@ -158,6 +169,7 @@
     if (!this.mustReadWhole) return await this.readChanges(this.nextOffset!, signal)
     const newest = await store.newest(topic, signal, record => this.isUsable(record))
     if (newest.isErr) return newest.error
+    this.answeredAt = this.options.clock.monotonic()
     this.recordReconnect()
     this.recordPosition(newest.value)
     this.deliver(newest.value.records, records => { receiver.replace(records, newest.value.era) })
@@ -184,6 +196,7 @@
       topic, from, restMilliseconds ?? this.longPollMilliseconds, AbortSignal.any([signal, replaced.signal]))
     this.openPoll = undefined
     if (read.isErr) return replaced.signal.aborted ? undefined : read.error
+    this.answeredAt = clock.monotonic()
     if (this.isFromEarlierEra) return undefined
     if (read.value === 'expired') {
       events.info('topic_history_expired', { topic, offset: from })
--- a/src/platform/WorkerProtocol.ts
+++ b/src/platform/WorkerProtocol.ts
@@ -22,6 +22,8 @@
   /** Id of the worker that the request is for; any other worker rejects the request. */
   expectedWorker: 'dogwooddale-expect-instance',
   notRun: 'dogwooddale-not-run',
+  /** Name of the account that holds the key of the request. */
+  account: 'dogwooddale-tenant',
   /** 0 is the most urgent. */
   urgency: 'dogwooddale-request-urgency',
   /** Stage of the work; `prefill` asks the worker only to compute the prompt. */
@@ -41,7 +43,7 @@
 /** Fields that only the system may set on requests to workers; those that callers send are dropped. */
 export const systemHeaderNames: ReadonlySet<string> = new Set([
   headerNames.expectedWorker, headerNames.urgency, headerNames.stage, headerNames.kvSource, headerNames.promptPartsSource,
-  'dogwooddale-kv-hold', 'dogwooddale-pin-ms', 'dogwooddale-kv-backup', 'dogwooddale-expect-version'
+  headerNames.account, 'dogwooddale-kv-hold', 'dogwooddale-pin-ms', 'dogwooddale-kv-backup', 'dogwooddale-expect-version'
 ])
 
 /**
@@ -66,6 +68,7 @@
       [headerNames.remainingTime]: String(remainingMilliseconds),
       [headerNames.expectedWorker]: upstream.id
     }
+    if (request.account !== undefined) headers[headerNames.account] = request.account
     if (resumeAfter !== undefined) headers[headerNames.resumeAfter] = resumeAfter
     if (kvSource !== undefined) headers[headerNames.kvSource] = `${kvSource.upstream.description.worker.address}/${kvSource.handle}`
     return headers
--- a/src/platform/decodeRequest.ts
+++ b/src/platform/decodeRequest.ts
@@ -1,17 +1,20 @@
 /**
- * Decodes the head of a caller's request: finds its route and service, and builds the request for the worker.
+ * Decodes the head of a caller's request: finds its route, account and service, and builds the request for the worker.
  */
 import type { IncomingMessage } from 'node:http'
 import { Result } from 'true-myth'
 import { type Failure, failure, type Pool, type RequestId, requestIdSchema } from '../common/index.js'
 import type { ServiceRequest } from '../forwarding/index.js'
 import type { RoutingRequest } from '../routing/index.js'
+import { type ClientAccount, keyOf } from './ClientAccounts.js'
 import { type Route, type RouteTable, chooseService } from './RouteConfiguration.js'
 import { hopByHopHeaderNames, headerNames, systemHeaderNames } from './WorkerProtocol.js'
 
 /** A caller's request, without its body. */
 export interface DecodedRequest {
   route: Route
+  /** The routes by which the request was decoded. */
+  routes: RouteTable
   call: Omit<ServiceRequest, 'body'>
 }
 
@@ -22,6 +25,8 @@
   now: number
   /** Maps a text to a number from 0 (inclusive) to 1 (exclusive), uniformly distributed over texts. */
   hashToFraction: (text: string) => number
+  /** False if the store may contain a newer configuration, whose accounts may hold other keys. */
+  isConfigurationCurrent: () => boolean
 }
 
 /**
@@ -31,7 +36,7 @@
  */
 const attemptTimeoutFactor = 2
 
-/** Decodes a request. Errors: `bad_request`, `not_found`. */
+/** Decodes a request. Errors: `bad_request`, `not_found`, `not_run`, and those of `authenticate`. */
 export function decodeRequest (message: IncomingMessage, context: DecodeContext): Result<DecodedRequest, Failure> {
   const { url = '', method = 'GET', headers } = message
   const id = requestIdSchema.safeParse(headers[headerNames.requestId])
@@ -39,15 +44,37 @@
   if (!url.startsWith('/')) return Result.err(failure('bad_request', 'the request target must be a path'))
   const route = context.routes.find(headers.host ?? '', withoutQuery(url))
   if (route === undefined) return Result.err(failure('not_found', 'no route matches host and path'))
+  const account = authenticate(route, headers.authorization, context)
+  if (account.isErr) return Result.err(account.error)
   const pool = chooseService(route, context.hashToFraction(id.data))
   if (pool === undefined) return Result.err(failure('not_run', `route ${route.name} has no service`))
-  return Result.ok({ route, call: serviceRequestOf(route, pool, id.data, method, url, message, context) })
+  const call = serviceRequestOf({ route, pool, requestId: id.data, account: account.value }, method, url, message, context)
+  return Result.ok({ route, routes: context.routes, call })
 }
 
-function serviceRequestOf (
+/**
+ * Finds the account of a request. Errors: `unauthenticated` if the route needs a known key and the request has none;
+ * `not_ready` if its key may be known to a newer configuration.
+ */
+function authenticate (
   route: Route,
-  pool: Pool,
-  requestId: RequestId,
+  authorization: string | undefined,
+  { routes: { accounts }, isConfigurationCurrent }: DecodeContext
+): Result<ClientAccount | undefined, Failure> {
+  const key = accounts === undefined ? undefined : keyOf(authorization)
+  const account = key === undefined ? undefined : accounts?.find(key)
+  if (accounts === undefined || route.anonymous || account !== undefined) return Result.ok(account)
+  if (key === undefined) return Result.err(failure('unauthenticated', 'the request has no key'))
+  return Result.err(isConfigurationCurrent()
+    ? failure('unauthenticated', 'no account holds the key of the request')
+    : failure('not_ready', 'no account is known to hold the key of the request, but the configuration may be outdated'))
+}
+
+/** What the head of a request refers to. */
+interface RequestSubject { route: Route, pool: Pool, requestId: RequestId, account: ClientAccount | undefined }
+
+function serviceRequestOf (
+  { route, pool, requestId, account }: RequestSubject,
   method: string,
   path: string,
   message: IncomingMessage,
@@ -56,18 +83,23 @@
   const callerMilliseconds = Number(message.headers[headerNames.remainingTime] ?? Infinity)
   const remainingMilliseconds = Math.min(route.timeoutMilliseconds, callerMilliseconds > 0 ? callerMilliseconds : Infinity)
   const prompt = promptOf(message)
-  const urgency = String(routes.urgencyOf(route, hashToFraction(`${requestId}/urgency`)))
+  const rank = account?.rank ?? route.rank
+  const urgency = String(routes.urgencyOf({ rank }, hashToFraction(`${requestId}/urgency`)))
   return {
     requestId,
     pool,
+    ...(account === undefined ? {} : { account: account.name }),
     method,
     path,
-    headers: { ...forwardedHeaders(message), ...(prompt === undefined ? {} : { [headerNames.urgency]: urgency }) },
+    headers: {
+      ...forwardedHeaders(message, routes.accounts !== undefined),
+      ...(prompt === undefined ? {} : { [headerNames.urgency]: urgency })
+    },
     deadline: now + remainingMilliseconds,
     idempotent: route.kind === 'safe' || (route.kind === 'stream' && route.resumable),
     delivery: route.kind === 'stream' ? 'stream' : 'whole',
     maxAttempts: route.maxAttempts,
-    urgency: route.rank,
+    urgency: rank,
     startDueAt: now + route.targetMilliseconds,
     ...(prompt === undefined
       ? { attemptTimeoutMilliseconds: route.targetMilliseconds * attemptTimeoutFactor }
@@ -83,8 +115,11 @@
   return query < 0 ? target : target.slice(0, query)
 }
 
-/** Header fields for the worker: all except hop-by-hop fields and those that only the system may set. */
-function forwardedHeaders ({ rawHeaders, headers }: IncomingMessage): Record<string, string | string[]> {
+/**
+ * Header fields for the worker: all except hop-by-hop fields, those that only the system may set, and that with the key if
+ * `hasAccounts`.
+ */
+function forwardedHeaders ({ rawHeaders, headers }: IncomingMessage, hasAccounts: boolean): Record<string, string | string[]> {
   const connectionOptions = new Set((headers.connection ?? '').split(',').map(name => name.trim().toLowerCase()))
   // Without a prototype, so that a field such as `constructor` finds no property that the caller did not send.
   const forwarded = Object.create(null) as Record<string, string | string[]>
@@ -92,6 +127,7 @@
     const name = rawHeaders[position]!.toLowerCase()
     const value = rawHeaders[position + 1]!
     if (hopByHopHeaderNames.has(name) || systemHeaderNames.has(name) || connectionOptions.has(name)) continue
+    if (hasAccounts && name === 'authorization') continue
     const existing = forwarded[name]
     forwarded[name] = existing === undefined ? value : [...(Array.isArray(existing) ? existing : [existing]), value]
   }
--- a/src/platform/decodingProperties.test.ts
+++ b/src/platform/decodingProperties.test.ts
@@ -38,7 +38,7 @@
 
 function expectSound (pairs: HeaderPair[], url: string): void {
   const message = createMessage(pairs, url)
-  const decoded = decodeRequest(message, { routes, now: 1000, hashToFraction: () => 0.5 })
+  const decoded = decodeRequest(message, { routes, now: 1000, hashToFraction: () => 0.5, isConfigurationCurrent: () => true })
   if (decoded.isErr) return
   const { call, route } = decoded.value
   expect(call.deadline).toBeGreaterThan(1000)
@@ -107,11 +107,14 @@
   return Array.isArray(value) ? entries.map(([, item]) => item) : Object.fromEntries(entries)
 }
 
+const tenants = [{ name: 'kiosk', 'api-keys': ['k1', 'k2'], priority: 2 }, { name: 'press', 'api-keys': ['p1'] }]
+
 const anyBytes = fc.uint8Array({ maxLength: 200 }).map(bytes => Buffer.from(bytes))
 const encoded = (documents: fc.Arbitrary<unknown>): fc.Arbitrary<Buffer> => documents.map(document => Buffer.from(JSON.stringify(document) ?? ''))
 
 test('a configuration never makes its decoder or the table of its routes throw', () => {
-  fc.assert(fc.property(fc.oneof(anyBytes, encoded(fc.jsonValue()), encoded(mutationsOf(configurationDocument(3)))), bytes => {
+  const document = configurationDocument(3, { tenants })
+  fc.assert(fc.property(fc.oneof(anyBytes, encoded(fc.jsonValue()), encoded(mutationsOf(document))), bytes => {
     const decoded = decodeRouteConfiguration(bytes)
     if (decoded.isErr) return expect(decoded.error.kind).toBe('invalid_configuration')
     const table = new RouteTable(decoded.value)
--- a/src/platform/testing/platformTestSupport.ts
+++ b/src/platform/testing/platformTestSupport.ts
@@ -8,8 +8,10 @@
 import { FakeStore } from './FakeStore.js'
 import { FakeWorker, parseHeaders } from './FakeWorker.js'
 
+interface ConfigurationOverrides { routes?: unknown[], limits?: Record<string, number>, tenants?: unknown }
+
 /** The operators' configuration of the tests. */
-export function configurationDocument (version: number, overrides: { routes?: unknown[], limits?: Record<string, number> } = {}) {
+export function configurationDocument (version: number, overrides: ConfigurationOverrides = {}) {
   const route = (name: string, prefix: string, kind: string, fields: Record<string, unknown> = {}) => ({
     name,
     host: 'forum.example',
@@ -33,7 +35,8 @@
     services: [{ name: 'app' }, { name: 'llm', engine: { models: [{ name: 'm' }] } }],
     limits: {
       'max-header-bytes': 4096, 'max-body-bytes': 10_000, 'header-timeout-ms': 3000, 'idle-timeout-ms': 15_000, ...overrides.limits
-    }
+    },
+    ...(overrides.tenants === undefined ? {} : { tenants: overrides.tenants })
   }
 }
 
