Accept accounts whose last key was taken away

A configuration in which an account has no keys was refused as a whole, so its other changes did not come into force. Such an account is valid: all its requests are answered 401.

--- a/src/platform/ClientAccounts.ts
+++ b/src/platform/ClientAccounts.ts
@@ -18,7 +18,8 @@
 /** The accounts as they stand in the configuration. Messages never contain a key, since they are logged. */
 export const accountsSchema = z.array(z.object({
   name: accountNameSchema,
-  'api-keys': z.array(z.string().min(1, 'the key is empty')).min(1, 'the account has no keys'),
+  // Operators take the last key of an account away while the account stays, so no keys are valid.
+  'api-keys': z.array(z.string().min(1, 'the key is empty')),
   priority: z.number().optional()
 })).superRefine((accounts, context) => {
   const names = new Set<AccountName>()
