Let a connection to the peer port open another service

Hosts need to read the store through each other, and a connection for that must neither count as a host that asks the scheduler nor be limited to the scheduler's messages. The message 'open' passes the connection to the named service.

--- a/src/placement/SchedulerListener.ts
+++ b/src/placement/SchedulerListener.ts
@@ -25,6 +25,8 @@
   grantsPermits: (cell: PlacementCell) => boolean
   /** Number of hosts that share the limits of workers, as this host has heard before it grants permits itself. */
   sharingHosts: () => number
+  /** Further services, by name, which take over the connections that open them. */
+  services?: ReadonlyMap<string, (socket: Socket) => void>
   clock: Clock
   events: EventLog
 }
@@ -39,6 +41,8 @@
 export class SchedulerListener {
   private readonly server: Server
   private readonly sockets = new Set<Socket>()
+  /** Connections that a service took over. */
+  private readonly serviceSockets = new Set<Socket>()
 
   constructor (private readonly options: SchedulerListenerOptions) {
     this.server = createServer({ noDelay: true }, socket => { this.serve(socket) })
@@ -69,7 +73,7 @@
 
   async stop (): Promise<void> {
     const closed = new Promise<void>(resolve => { this.server.close(() => { resolve() }) })
-    for (const socket of this.sockets) socket.destroy()
+    for (const socket of [...this.sockets, ...this.serviceSockets]) socket.destroy()
     await closed
   }
 
@@ -85,7 +89,7 @@
       closed.abort()
       for (const [id, cell] of openQuestions) this.options.scheduler.end(cell, id, 'abandoned')
     })
-    socket.on('data', bytes => {
+    const receive = (bytes: Buffer): void => {
       const requests = decoder.add(bytes)
       if (requests.isErr || openQuestions.size > maxOpenQuestions) {
         events.warn('scheduler_connection_closed', {
@@ -94,12 +98,33 @@
         socket.destroy()
         return
       }
-      for (const request of requests.value) this.handle(request, socket, openQuestions)
-    })
+      for (const request of requests.value) {
+        if (request.kind !== 'open') this.handle(request, socket, openQuestions)
+        else if (this.handOver(socket, request.service)) {
+          socket.off('data', receive)
+          closed.abort()
+        }
+      }
+    }
+    socket.on('data', receive)
     this.keepAlive(socket, openQuestions, closed.signal).catch(() => {})
   }
 
-  private handle (request: SchedulerRequest, socket: Socket, openQuestions: Map<string, PlacementCell>): void {
+  /** Passes a connection to a service; closes it if there is none of this name. */
+  private handOver (socket: Socket, service: string): boolean {
+    const serve = this.options.services?.get(service)
+    if (serve === undefined) {
+      socket.destroy()
+      return false
+    }
+    this.sockets.delete(socket)
+    this.serviceSockets.add(socket)
+    socket.on('close', () => { this.serviceSockets.delete(socket) })
+    serve(socket)
+    return true
+  }
+
+  private handle (request: Exclude<SchedulerRequest, { kind: 'open' }>, socket: Socket, openQuestions: Map<string, PlacementCell>): void {
     const cell = { pool: request.pool, zone: request.zone }
     if (request.kind === 'end') {
       openQuestions.delete(request.id)
--- a/src/placement/schedulerMessages.ts
+++ b/src/placement/schedulerMessages.ts
@@ -47,7 +47,9 @@
   }),
   z.object({ kind: z.literal('end'), ...cell, id, outcome: z.enum(promptOutcomes) }),
   /** The answer ended. `start`: milliseconds until its first event. */
-  z.object({ kind: z.literal('answered'), ...cell, id, worker: workerIdSchema.optional(), start: z.number().nonnegative().optional() })
+  z.object({ kind: z.literal('answered'), ...cell, id, worker: workerIdSchema.optional(), start: z.number().nonnegative().optional() }),
+  /** Uses the connection for another service of the host from now on; the service answers before anything else is sent. */
+  z.object({ kind: z.literal('open'), service: z.string().min(1).max(40) })
 ])
 export type SchedulerRequest = z.infer<typeof schedulerRequestSchema>
 
@@ -88,15 +90,15 @@
 
 const lineFeed = 0x0A
 
-function lineTooLong (): Failure {
-  return failure('bad_request', `a line is longer than ${maxLineBytes} bytes`)
+function lineTooLong (maxBytes: number): Failure {
+  return failure('bad_request', `a line is longer than ${maxBytes} bytes`)
 }
 
 /** Splits received bytes into lines. */
 export class LineDecoder<Message> {
   private rest: Buffer = Buffer.alloc(0)
 
-  constructor (private readonly schema: z.ZodType<Message>) {}
+  constructor (private readonly schema: z.ZodType<Message>, private readonly maxBytes = maxLineBytes) {}
 
   /** The complete messages so far. Errors: `bad_request` if a line is too long or is no message; reading must then end. */
   add (bytes: Buffer): Result<Message[], Failure> {
@@ -104,7 +106,7 @@
     const messages: Message[] = []
     let start = 0
     for (let end = received.indexOf(lineFeed); end >= 0; end = received.indexOf(lineFeed, start)) {
-      if (end - start > maxLineBytes) return Result.err(lineTooLong())
+      if (end - start > this.maxBytes) return Result.err(lineTooLong(this.maxBytes))
       // Decoded as a whole, since the pieces may cut a character.
       const line = received.toString('utf8', start, end)
       const parsed = this.schema.safeParse(parseJson(line))
@@ -113,6 +115,6 @@
       start = end + 1
     }
     this.rest = received.subarray(start)
-    return this.rest.length > maxLineBytes ? Result.err(lineTooLong()) : Result.ok(messages)
+    return this.rest.length > this.maxBytes ? Result.err(lineTooLong(this.maxBytes)) : Result.ok(messages)
   }
 }
