State the zone of a host in the name of its member

Hosts prefer to read through a host of their own zone, and know the others only from the group's members. The zone stands before the address, where earlier builds do not look.

--- a/src/platform/SchedulerDirectory.ts
+++ b/src/platform/SchedulerDirectory.ts
@@ -8,7 +8,7 @@
 import type { EventLog } from '../observability/index.js'
 import type { StoreClient } from './StoreClient.js'
 import type { StoreEra } from './StoreEra.js'
-import { addressOfMember, dutyTopic, hostGroup, placementTopic } from './StoreDutyGroup.js'
+import { addressOfMember, dutyTopic, hostGroup, placementTopic, zoneOfMember } from './StoreDutyGroup.js'
 
 /** Options of a `SchedulerDirectory`. */
 export interface SchedulerDirectoryOptions {
@@ -34,6 +34,8 @@
 export class SchedulerDirectory {
   private readonly holders = new Map<number, string>()
   private readonly dutyHolders = new Map<number, string>()
+  /** Zones of the holders of `placement`, by address. */
+  private readonly zones = new Map<string, string | undefined>()
   /** Era of the store in which the holders were read; undefined before the first read. */
   private readEra: number | undefined
   /** Newest era for which a read is planned. */
@@ -62,6 +64,13 @@
     return this.holders.get(partition) ?? this.dutyHolders.get(partition) ?? this.holderOf(partition)
   }
 
+  /** The hosts that hold partitions of `placement`. After a failed read of them, they are read again. */
+  placementHosts (): Array<{ address: string, zone: string | undefined }> {
+    const hasFailed = this.readEra === undefined && this.refreshedAt > -Infinity
+    if (hasFailed) this.refresh()
+    return [...this.zones].map(([address, zone]) => ({ address, zone }))
+  }
+
   /** Records that a holder answered. While no host schedules, it grants permits only, and calls stay rare. */
   confirm (): void {
     if (!this.hasNoScheduler) this.refreshMilliseconds = minRefreshMilliseconds
@@ -119,9 +128,12 @@
     this.readEra = era.current
     this.holders.clear()
     this.dutyHolders.clear()
+    this.zones.clear()
     for (const { topic, partition, member } of owners.value) {
       const address = addressOfMember(member)
-      if (address !== undefined) holdersByTopic.get(topic)?.set(partition, address)
+      if (address === undefined) continue
+      holdersByTopic.get(topic)?.set(partition, address)
+      if (topic === placementTopic) this.zones.set(address, zoneOfMember(member))
     }
     this.hasNoScheduler = this.holders.size === 0
     events.info('schedulers_read', { era: this.readEra, addresses: [...new Set(this.holders.values())].join(',') })
--- a/src/platform/StoreDutyGroup.ts
+++ b/src/platform/StoreDutyGroup.ts
@@ -9,7 +9,7 @@
  * an order therefore consists of the era of the store and the generation, so that it is greater after each restore.
  */
 import { Result } from 'true-myth'
-import { type Failure, failure, type FencingNumber, type HostId, type Incarnation, isSocketAddress } from '../common/index.js'
+import { type Failure, failure, type FencingNumber, type HostId, type Incarnation, isSocketAddress, type Zone } from '../common/index.js'
 import { DutyGroup, type GroupMembership } from '../leases/index.js'
 import type { EventLog } from '../observability/index.js'
 import type { StoreClient } from './StoreClient.js'
@@ -42,13 +42,22 @@
   timeToLiveMilliseconds: number
   /** `ip:port` at which other hosts reach this one; undefined if they cannot. */
   peerAddress: string | undefined
+  /** Zone of this host, which the others learn with its address; default: not stated. */
+  zone?: Zone
   /** True if this host may schedule prompts for others. */
   schedulesPrompts: boolean
 }
 
-/** Name of a host's member: host id, incarnation and, if other hosts can reach it, its address. */
-export function memberNameOf (hostId: HostId, incarnation: Incarnation, peerAddress: string | undefined): string {
-  return `${hostId}.${incarnation}${peerAddress === undefined ? '' : `@${peerAddress}`}`
+/** Name of a host's member: host id, incarnation and, if other hosts can reach it, its zone and its address. */
+export function memberNameOf (hostId: HostId, incarnation: Incarnation, peerAddress: string | undefined, zone?: Zone): string {
+  if (peerAddress === undefined) return `${hostId}.${incarnation}`
+  return `${hostId}.${incarnation}${zone === undefined ? '' : `.${zone}`}@${peerAddress}`
+}
+
+/** Zone of the host of a member; undefined if it is not stated, and no zone at all if the host is of an earlier build. */
+export function zoneOfMember (member: string): string | undefined {
+  const [name = ''] = member.split('@')
+  return name.split('.').at(-1)
 }
 
 /** `ip:port` at which other hosts reach the host of a member; undefined if they cannot. Other programs may join too. */
@@ -79,7 +88,7 @@
 
   constructor (private readonly options: StoreDutyGroupOptions) {
     super()
-    this.member = memberNameOf(options.hostId, options.incarnation, options.peerAddress)
+    this.member = memberNameOf(options.hostId, options.incarnation, options.peerAddress, options.zone)
   }
 
   /** True if the store last assigned this partition of the topic `placement` to this host. */
