--- a/src/platform/PlacementPart.ts
+++ b/src/platform/PlacementPart.ts
@@ -3,6 +3,7 @@
  * group assigns to this host, the listener for the questions of other hosts, and the placer that asks the schedulers of
  * all cells.
  */
+import type { Socket } from 'node:net'
 import type { Clock, Hash } from '../common/index.js'
 import type { PermitClient } from '../limits/index.js'
 import type { EventLog } from '../observability/index.js'
@@ -32,6 +33,8 @@
   costs: PromptScheduleCosts
   /** Places prompts while no scheduler answers. */
   fallback: PromptPlacer
+  /** Further services for other hosts on the peer port. */
+  services?: ReadonlyMap<string, (socket: Socket) => void>
 }
 
 /** Number of values of the 32-bit hash. */
@@ -50,7 +53,7 @@
   private readonly cacheFeed: CacheFeed
 
   constructor (private readonly options: PlacementPartOptions) {
-    const { settings: { host, store, listen }, era, clock, events, hash, upstreams, group, costs, fallback } = options
+    const { settings: { host, store, listen }, era, clock, events, hash, upstreams, group, costs, fallback, services } = options
     const phase = hash.h32(host.id) / hashRange
     this.directory = new SchedulerDirectory({
       store: new StoreClient(store.address, era), era, clock, events, random: () => phase
@@ -86,12 +89,23 @@
         schedules: cell => client.schedules(cell),
         grantsPermits: cell => client.grantsPermits(cell),
         sharingHosts: () => client.sharingHosts ?? 1,
+        ...(services === undefined ? {} : { services }),
         clock,
         events
       })
     this.cacheFeed = new CacheFeed({ workers: () => this.scheduledWorkers(scheduler), held, clock, events })
   }
 
+  /** The hosts that schedule prompts. */
+  schedulingHosts (): Array<{ address: string, zone: string | undefined }> {
+    return this.directory.placementHosts()
+  }
+
+  /** Records that none of the hosts that schedule prompts answers. */
+  reportNoSchedulingHost (): void {
+    this.directory.reportFailure()
+  }
+
   /** Workers of the cells that this host schedules. */
   private scheduledWorkers (scheduler: PromptScheduler): readonly Upstream[] {
     const { upstreams } = this.options
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -22,6 +22,7 @@
 import { PlatformDirectory } from './PlatformDirectory.js'
 import type { PlatformSettings } from './PlatformSettings.js'
 import { readWorkerNotice } from './readWorkerNotice.js'
+import { RelayPart } from './relay/index.js'
 import { RequestMetrics } from './RequestMetrics.js'
 import { StoreAvailability } from './StoreAvailability.js'
 import { StoreClient } from './StoreClient.js'
@@ -172,8 +173,19 @@
     const era = new StoreEra(events)
     const availability = new StoreAvailability(clock)
     era.onRise(before => { if (before > 0) availability.recordReturn() })
+    const relayPart = new RelayPart({
+      settings,
+      era,
+      availability,
+      clock,
+      events,
+      hash,
+      metrics,
+      candidates: () => placement.schedulingHosts(),
+      onNoneLeft: () => { placement.reportNoSchedulingHost() }
+    })
     const createFollower = (topic: string, receiver: TopicReceiver): TopicFollower => {
-      const store = new StoreClient(settings.store.address, era, availability)
+      const store = relayPart.storeFor(topic)
       return new TopicFollower({ topic, receiver, store, era, clock, events, stableWindowMilliseconds })
     }
     const workerFollower = createFollower(workerTopic, directory.workerReceiver)
@@ -193,7 +205,7 @@
     const budget = new RetryBudget(clock, retryLimitsOf(settings))
     const policy = createPlacementPolicy(settings, hash, index)
     const group = createDutyGroup(settings, { era, availability }, events)
-    const placement = new PlacementPart({
+    const placement: PlacementPart = new PlacementPart({
       settings,
       era,
       clock,
@@ -206,7 +218,8 @@
         baseMilliseconds: promptBaseMilliseconds,
         fetchedTokensPerMillisecond: placementCosts.fetchedTokensPerMillisecond
       },
-      fallback: new LocalPromptPlacer(policy)
+      fallback: new LocalPromptPlacer(policy),
+      services: relayPart.services
     })
     const quarantine = new PartQuarantine({
       publish: evidence => { quarantinePart.exchange.publish(evidence) },
@@ -426,6 +439,7 @@
     incarnation: newIncarnation(),
     timeToLiveMilliseconds: bounds.leaseMilliseconds,
     peerAddress: listen.peers,
+    zone: host.zone,
     schedulesPrompts: listen.peers !== undefined && host.cpuShare * host.cores >= minSchedulerCores
   })
 }
--- a/src/platform/PlatformSettings.ts
+++ b/src/platform/PlatformSettings.ts
@@ -30,7 +30,12 @@
   }),
   store: z.strictObject({
     /** `ip:port` of the platform's metadata store. */
-    address: listenAddressSchema
+    address: listenAddressSchema,
+    /**
+     * True if hosts read changes of the store through each other; default: true if the stable window is over 3 s, since a
+     * change may take that long to arrive through a relay that fails.
+     */
+    relayReads: z.boolean().optional()
   }),
   bounds: z.strictObject({
     /** Time from SIGTERM until the platform kills the process. */
--- /dev/null
+++ b/src/platform/relay/index.ts
@@ -0,0 +1,1 @@
+export * from './RelayPart.js'
