Let small hosts schedule in a fleet without larger ones

In a fleet in which no host has 0.4 of a core, no host scheduled prompts or relayed reads: each placed its few prompts without knowing the queues of the others. Hosts with 0.1 of a core now offer it once the store tells that nobody does.

--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -24,6 +24,7 @@
 import { readWorkerNotice } from './readWorkerNotice.js'
 import { RelayPart } from './relay/index.js'
 import { RequestMetrics } from './RequestMetrics.js'
+import { SchedulerEligibility } from './SchedulerEligibility.js'
 import { StoreAvailability } from './StoreAvailability.js'
 import { StoreClient } from './StoreClient.js'
 import { StoreDutyGroup } from './StoreDutyGroup.js'
@@ -97,12 +98,6 @@
   otherZoneMillisecondsPerToken: 0.0005
 }
 
-/**
- * Minimum processor of a host that schedules prompts, in cores. Scheduling takes up to a tenth of a core, beside the
- * host's own requests.
- */
-const minSchedulerCores = 0.4
-
 /** Constant part of the response time of a computed prompt until it is measured, in milliseconds. */
 const promptBaseMilliseconds = 70
 
@@ -204,7 +199,7 @@
     })
     const budget = new RetryBudget(clock, retryLimitsOf(settings))
     const policy = createPlacementPolicy(settings, hash, index)
-    const group = createDutyGroup(settings, { era, availability }, events)
+    const group: StoreDutyGroup = createDutyGroup(settings, { era, availability }, events, () => placement.hasNoScheduler)
     const placement: PlacementPart = new PlacementPart({
       settings,
       era,
@@ -430,8 +425,12 @@
 function createDutyGroup (
   { host, store, bounds, listen }: PlatformSettings,
   { era, availability }: { era: StoreEra, availability: StoreAvailability },
-  events: EventLog
+  events: EventLog,
+  hasNoScheduler: () => boolean
 ): StoreDutyGroup {
+  const eligibility = new SchedulerEligibility({
+    cores: host.cpuShare * host.cores, isReachable: listen.peers !== undefined, hasNoScheduler
+  })
   return new StoreDutyGroup({
     store: new StoreClient(store.address, era, availability),
     era,
@@ -441,7 +440,7 @@
     timeToLiveMilliseconds: bounds.leaseMilliseconds,
     peerAddress: listen.peers,
     zone: host.zone,
-    schedulesPrompts: listen.peers !== undefined && host.cpuShare * host.cores >= minSchedulerCores
+    schedulesPrompts: () => eligibility.isEligible
   })
 }
 
