Count the peers of missing workers once per publication

Each missing entry counted all workers of its pool, so a publication with thousands of missing entries took time that grew with their square. The tests of uncertain workers hold unchanged.

--- a/src/platform/PlatformDirectory.ts
+++ b/src/platform/PlatformDirectory.ts
@@ -286,14 +286,26 @@
   }
 
   /**
-   * True if a worker may be gone, so that the others of its pool and role are preferred. Where half of them or more lapsed
+   * The workers that may be gone, so that the others of their pool and role are preferred. Where half of these or more lapsed
    * while the store was unavailable, they have most likely expired, and the others could not carry the load alone.
    */
-  private isUncertain ({ id, pool, role }: WorkerEntry): boolean {
-    const reason = this.lapsed.get(id)
-    if (reason !== 'store_unavailable') return reason !== undefined
-    const peers = [...this.workers.values()].filter(worker => worker.pool === pool && worker.role === role)
-    return peers.filter(peer => this.lapsed.has(peer.id)).length * 2 < peers.length
+  private uncertainWorkers (): ReadonlySet<WorkerId> {
+    if (this.lapsed.size === 0) return new Set()
+    const groups = new Map<string, { members: number, lapsed: number }>()
+    const groupOf = ({ pool, role }: WorkerEntry): string => `${role} ${pool}`
+    for (const worker of this.workers.values()) {
+      const group = groups.get(groupOf(worker)) ?? { members: 0, lapsed: 0 }
+      group.members += 1
+      if (this.lapsed.has(worker.id)) group.lapsed += 1
+      groups.set(groupOf(worker), group)
+    }
+    const isUncertain = (id: WorkerId, reason: LapseReason): boolean => {
+      const worker = this.workers.get(id)
+      if (worker === undefined || reason !== 'store_unavailable') return true
+      const { members, lapsed } = groups.get(groupOf(worker))!
+      return lapsed * 2 < members
+    }
+    return new Set([...this.lapsed].filter(([id, reason]) => isUncertain(id, reason)).map(([id]) => id))
   }
 
   private remove (id: WorkerId): void {
@@ -311,7 +323,8 @@
     const configuration = this.routeTable?.configuration
     if (configuration === undefined) return
     this.revision += 1
-    const workers = [...this.workers.values()].map(entry => ({ ...entry, uncertain: this.isUncertain(entry) }))
+    const uncertain = this.uncertainWorkers()
+    const workers = [...this.workers.values()].map(entry => ({ ...entry, uncertain: uncertain.has(entry.id) }))
     this.documents = new Map(documentsOf(configuration, workers)
       .map(([path, value]) => [path, { path, version: this.through, value }]))
     for (const listener of this.listeners) listener([...this.documents.keys(), '/fleet/pools/'])
