Learn the speed of each worker that computes prompts

Workers of one pool differ in speed, and the initial speed of a deployment may be far off. The scheduler keeps a median of recent prompts for the pool and for each worker, and uses it for backlog, choice and refusal. A worker that is late against its peers gets nothing new. The test of hung workers relied on a clock that jumped over all decisions; it now steps.

--- a/src/placement/PrefillSpeed.ts
+++ b/src/placement/PrefillSpeed.ts
@@ -2,6 +2,7 @@
  * Measures how fast the workers of a pool compute prompts, from the response times of prompts that had a worker to
  * themselves.
  */
+import { RecentSpeeds } from './RecentSpeeds.js'
 
 /** Initial values, used until responses have been measured. */
 export interface PrefillSpeedOptions {
@@ -10,14 +11,17 @@
   baseMilliseconds: number
 }
 
-/** Minimum size of a prompt whose response time tells the speed, in tokens. */
-const minMeasuredTokens = 1500
+/**
+ * Minimum computation time of a prompt whose response time tells the speed, in milliseconds. Shorter ones are hidden by
+ * the scatter of the constant part.
+ */
+const minMeasuredMilliseconds = 30
 
 /** Maximum size of a prompt whose response time tells the constant part, in tokens. */
 const maxBaseTokens = 500
 
-/** Weight of a new speed in the average. */
-const speedWeight = 0.1
+/** Number of measurements of the speed that are kept. */
+const speedSamples = 15
 
 /**
  * Weights of a new response time below and above the present constant part. The unequal weights make it follow the
@@ -36,6 +40,9 @@
   baseMilliseconds: number
   /** Time that a response usually takes besides the computation, including the wait for prompts before it. */
   usualMilliseconds: number
+  private readonly speeds = new RecentSpeeds(speedSamples)
+  /** Speeds by shorter prompts. They only tell that the initial value is far too high, in which no prompt looks long. */
+  private readonly shortSpeeds = new RecentSpeeds(speedSamples)
 
   constructor (private readonly initial: PrefillSpeedOptions) {
     this.tokensPerMillisecond = initial.tokensPerMillisecond
@@ -43,6 +50,14 @@
     this.usualMilliseconds = initial.baseMilliseconds
   }
 
+  /**
+   * Minimum size of a prompt whose response time tells the speed, in tokens. It does not rise with the measured speed: a
+   * few responses that were too fast because of cached parts would otherwise exclude all later ones.
+   */
+  get minMeasuredTokens (): number {
+    return minMeasuredMilliseconds * Math.min(this.initial.tokensPerMillisecond, this.tokensPerMillisecond)
+  }
+
   /** Time for which a worker is occupied by this many tokens, in milliseconds. */
   computeMilliseconds (tokens: number): number {
     return tokens / this.tokensPerMillisecond
@@ -66,11 +81,15 @@
       const weight = base < this.baseMilliseconds ? fasterWeight : slowerWeight
       this.baseMilliseconds += weight * (base - this.baseMilliseconds)
     }
-    if (tokens < minMeasuredTokens) return
-    const measured = tokens / Math.max(1, responseMilliseconds - this.baseMilliseconds)
-    const { tokensPerMillisecond } = this.initial
-    // A single slow or wrong measurement must not make all estimates useless.
-    const bounded = Math.min(tokensPerMillisecond * 4, Math.max(tokensPerMillisecond / 4, measured))
-    this.tokensPerMillisecond += speedWeight * (bounded - this.tokensPerMillisecond)
+    if (tokens <= maxBaseTokens) return
+    const occupiedMilliseconds = Math.max(1, responseMilliseconds - this.baseMilliseconds)
+    if (tokens >= this.minMeasuredTokens) {
+      this.speeds.add(tokens / occupiedMilliseconds, 0)
+    } else if (this.speeds.isEmpty) {
+      const isSlow = occupiedMilliseconds > minMeasuredMilliseconds + 2 * (this.usualMilliseconds - this.baseMilliseconds)
+      this.shortSpeeds.add(isSlow ? tokens / occupiedMilliseconds : this.tokensPerMillisecond, 0)
+    }
+    const prior = this.shortSpeeds.estimate(this.initial.tokensPerMillisecond, 0)
+    this.tokensPerMillisecond = this.speeds.estimate(prior, 0)
   }
 }
--- a/src/placement/PromptSchedule.test.ts
+++ b/src/placement/PromptSchedule.test.ts
@@ -128,8 +128,12 @@
     place(ownPrompt('hung-0', 10_000))
     place(ownPrompt('hung-1', 10_000))
     await clock.advance(0)
+    // By then both responses are so late that neither worker is sent prompts.
+    await clock.advance(700)
     const waiting = place(ownPrompt('a', 5000))
-    await clock.advance(1900)
+    await clock.advance(1000)
+    expect(waiting.decision).toBeUndefined()
+    await clock.advance(900)
     expect(waiting.decision?.kind).toBe('refused')
   })
 
--- a/src/placement/PromptSchedule.ts
+++ b/src/placement/PromptSchedule.ts
@@ -14,10 +14,14 @@
 import { AnswerLoad, type AnswerWorker } from './AnswerLoad.js'
 import type { HeldParts } from './HeldParts.js'
 import { ExpectedQueue } from './ExpectedQueue.js'
+import { OverdueWatch } from './OverdueWatch.js'
 import { PrefillSpeed } from './PrefillSpeed.js'
+import { type Estimate, PromptEstimates } from './PromptEstimates.js'
 import { type PlacementDecision, type PromptOutcome, type PromptTask, promptTokensOf } from './PromptTask.js'
 import { compareRanks, type PromptTimes, rankOf, type WaitingPrompt } from './WaitingPrompt.js'
-import { WorkerBacklog } from './WorkerBacklog.js'
+import type { WorkerBacklog } from './WorkerBacklog.js'
+import { WorkerBacklogs } from './WorkerBacklogs.js'
+import { WorkerSpeeds } from './WorkerSpeeds.js'
 
 /** Speeds of a deployment's engines until they are measured, and of its links. */
 export interface PromptScheduleCosts {
@@ -50,15 +54,6 @@
  */
 const dispatchAheadMilliseconds = 40
 
-/** Time that a worker needs to start a fetch of parts, in milliseconds. */
-const fetchSetupMilliseconds = 10
-
-/**
- * Cost of a copy of shared parts on another worker, as a fraction of the time to compute them: the copy displaces other
- * parts, some of which have to be computed again.
- */
-const copyCostFraction = 0.5
-
 /** Interval of the log lines about the state of a schedule that is in use, in milliseconds. */
 const stateLogMilliseconds = 2000
 
@@ -85,17 +80,6 @@
  */
 const maxDispatchedAtOnce = 32
 
-/** Expected course of a prompt on one worker. */
-interface Estimate {
-  backlog: WorkerBacklog
-  computedTokens: number
-  computeMilliseconds: number
-  fetchMilliseconds: number
-  partsSource: WorkerId | undefined
-  /** Time until the prompt is computed plus the cost of copies, in milliseconds. */
-  cost: number
-}
-
 /** Queue, backlogs and speed of one pool. */
 export class PromptSchedule {
   private readonly waiting = new Map<string, WaitingPrompt>()
@@ -104,8 +88,11 @@
   private readonly answers = new AnswerLoad()
   /** Workers that generate the answers that have not ended, by prompt id. */
   private readonly answering = new Map<string, WorkerId>()
-  private readonly backlogs = new Map<WorkerId, WorkerBacklog>()
+  private readonly backlogs: WorkerBacklogs
   private readonly speed: PrefillSpeed
+  private readonly speeds: WorkerSpeeds
+  private readonly estimates: PromptEstimates
+  private readonly overdueWatch: OverdueWatch
   /** Sum of `computeMilliseconds` over the waiting prompts. */
   private waitingMilliseconds = 0
   private isDispatchDue = false
@@ -114,7 +101,26 @@
   private overdueDecidedAt = -Infinity
 
   constructor (private readonly options: PromptScheduleOptions) {
-    this.speed = new PrefillSpeed(options.costs)
+    const { clock, events, held, holders, workers, costs } = options
+    this.speed = new PrefillSpeed(costs)
+    this.speeds = new WorkerSpeeds(this.speed)
+    this.backlogs = new WorkerBacklogs(workers)
+    this.estimates = new PromptEstimates({
+      held,
+      holders,
+      backlogs: this.backlogs,
+      speed: this.speed,
+      speeds: this.speeds,
+      fetchedTokensPerMillisecond: costs.fetchedTokensPerMillisecond,
+      busyMilliseconds: (backlog, now) => this.busyMilliseconds(backlog, now)
+    })
+    this.overdueWatch = new OverdueWatch({
+      clock,
+      events,
+      backlogs: this.backlogs,
+      elsewhereMilliseconds: ({ computedTokens }, now) => this.estimates.elsewhereMilliseconds(computedTokens, now),
+      onCheck: now => { this.forgetLost(now) }
+    })
   }
 
   /** Number of prompts that wait for a worker. */
@@ -125,7 +131,7 @@
   /** Decides about a prompt; resolves when a worker has room for it, or when it is clear that it must be refused. */
   async place (task: PromptTask): Promise<PlacementDecision> {
     if (this.options.workers().length === 0) return { kind: 'no_worker' }
-    const computeMilliseconds = this.shortestCompute(task)
+    const computeMilliseconds = this.estimates.shortestCompute(task)
     const neededMilliseconds = computeMilliseconds + this.speed.baseMilliseconds
     const usualMilliseconds = computeMilliseconds + this.speed.usualMilliseconds
     const times = { computeMilliseconds, neededMilliseconds, usualMilliseconds }
@@ -145,16 +151,20 @@
     this.placed.delete(id)
     if (backlog === undefined) return
     const now = this.options.clock.monotonic()
+    const wasBehind = this.backlogs.isBehind(backlog, now)
     const prompt = backlog.remove(id, now, this.speed.baseMilliseconds)
     if (prompt === undefined) return
     if (outcome === 'computed') {
-      backlog.recordSuccess()
+      this.backlogs.spread.record(now - prompt.expectedAt)
+      const occupied = backlog.recordSuccess(prompt, now, this.speed.baseMilliseconds)
+      if (occupied !== undefined) this.speeds.record(backlog.worker, prompt.computedTokens, occupied, now)
       for (const [position, part] of prompt.parts.entries()) {
         this.options.held.record(backlog.worker, part, prompt.partTokens[position] ?? 0)
       }
       this.speed.record(prompt.computedTokens, now - prompt.dispatchedAt, prompt.ahead === 0)
     }
-    if (outcome === 'failed') backlog.recordFailure(now)
+    if (outcome !== 'computed') backlog.recordUnfinished(now)
+    if (outcome === 'failed' || (outcome === 'abandoned' && wasBehind)) backlog.recordFailure(now, wasBehind)
     if (outcome === 'declined') backlog.recordDecline(now)
     this.dispatchSoon()
   }
@@ -182,19 +192,22 @@
   /** The refusal of a prompt that cannot be computed before its caller gives up; undefined if it can. */
   private refusalOf (entry: PromptTimes & { task: PromptTask }): PlacementDecision | undefined {
     const now = this.options.clock.monotonic()
-    const backlogs = this.acceptingBacklogs(now).map(backlog => this.busyMilliseconds(backlog, now))
-    if (backlogs.length === 0) return undefined
-    const available = entry.task.lostAt - entry.neededMilliseconds - now
-    const pace = this.millisecondsBetweenPrompts(backlogs.length)
+    const workers = this.backlogs.accepting(now)
+    if (workers.length === 0) return undefined
+    const { computeMilliseconds, neededMilliseconds } = entry
+    const available = entry.task.lostAt - (neededMilliseconds - computeMilliseconds) - now
+    const pace = this.millisecondsBetweenPrompts(workers.length)
+    const backlogs = workers.map(backlog => this.busyMilliseconds(backlog, now))
+    const slowness = workers.map(({ worker }) => this.speeds.slowness(worker, now))
     // Ranking the waiting prompts takes time, which is saved while even the last of them would be in time.
-    const longest = Math.max(this.waitingMilliseconds, pace * this.waiting.size) / backlogs.length
-    if (Math.max(...backlogs) + longest <= available) return undefined
+    const longest = Math.max(this.waitingMilliseconds, pace * this.waiting.size) / workers.length
+    if (Math.max(...backlogs) + (longest + computeMilliseconds) * Math.max(...slowness) <= available) return undefined
     const rank = rankOf(entry, now)
-    const queue = new ExpectedQueue(backlogs)
+    const queue = new ExpectedQueue(backlogs, slowness)
     for (const other of this.waiting.values()) {
       if (compareRanks(rankOf(other, now), rank) <= 0) queue.add(Math.max(pace, other.computeMilliseconds))
     }
-    if (queue.waitMilliseconds <= available) return undefined
+    if (queue.endMilliseconds(computeMilliseconds) <= available) return undefined
     return { kind: 'refused', retryAfterMilliseconds: Math.ceil(queue.waitMilliseconds) }
   }
 
@@ -226,7 +239,7 @@
     this.logState(now)
     if (this.hasRoom(now)) {
       for (const { task } of this.inOrder(now).slice(0, maxDispatchedAtOnce)) {
-        const estimate = this.bestEstimate(task, now)
+        const estimate = this.estimates.best(task, now)
         if (estimate === undefined || !this.isFree(estimate.backlog, now)) continue
         this.send(task, estimate, now)
         if (!this.hasRoom(now)) break
@@ -236,7 +249,7 @@
   }
 
   private hasRoom (now: number): boolean {
-    return this.answerWaitMilliseconds(now) === 0 && this.acceptingBacklogs(now).some(backlog => this.isFree(backlog, now))
+    return this.answerWaitMilliseconds(now) === 0 && this.backlogs.accepting(now).some(backlog => this.isFree(backlog, now))
   }
 
   /** True if the worker may be sent the next prompt. */
@@ -279,10 +292,13 @@
       dispatchedAt: now,
       ahead: backlog.size,
       computedTokens,
+      lostAt: task.lostAt,
+      onOverdue: task.onOverdue,
       parts: task.parts,
       partTokens: task.partTokens
     })
     this.placed.set(task.id, backlog)
+    this.overdueWatch.start()
     this.options.permits.take(backlog.worker, now)
     const zone = this.options.workers().find(({ id }) => id === backlog.worker)?.zone
     const answerWorker = this.assignAnswer(task, zone, now)
@@ -301,29 +317,27 @@
   /**
    * Decides about prompts that are no longer expected to be computed in time: refuses those that cannot be computed before
    * their callers give up, and leaves short ones to the workers that generate the answers if there are enough of these.
-   * Forgets prompts whose hosts stopped.
    */
   private decideOverdue (now: number): void {
     if (now - this.overdueDecidedAt < overdueCheckMilliseconds) return
     this.overdueDecidedAt = now
-    for (const backlog of this.backlogs.values()) {
-      for (const id of backlog.forgetLost(now)) this.placed.delete(id)
-    }
-    for (const id of this.answers.forgetLost(now)) this.answering.delete(id)
-    const workers = this.acceptingBacklogs(now)
+    this.forgetLost(now)
+    const workers = this.backlogs.accepting(now)
     const computeWithAnswer = this.options.answerWorkers().length > this.options.workers().length
-    const queue = new ExpectedQueue(workers.map(worker => this.busyMilliseconds(worker, now)))
+    const queue = new ExpectedQueue(
+      workers.map(worker => this.busyMilliseconds(worker, now)), workers.map(({ worker }) => this.speeds.slowness(worker, now)))
     const pace = this.millisecondsBetweenPrompts(workers.length)
     for (const entry of this.inOrder(now)) {
       const { task, computeMilliseconds, neededMilliseconds } = entry
       const isLate = rankOf(entry, now).isLate
       const mayAnswer = this.answerWaitMilliseconds(now) === 0
-      if (isLate && mayAnswer && computeWithAnswer && this.tokensToCompute(task) <= maxTokensWithAnswer) {
+      if (isLate && mayAnswer && computeWithAnswer && this.estimates.tokensToCompute(task) <= maxTokensWithAnswer) {
         this.removeWaiting(task.id)?.decide({ kind: 'with_answer', answerWorker: this.assignAnswer(task, undefined, now) })
         continue
       }
       const waitMilliseconds = workers.length === 0 ? 0 : queue.waitMilliseconds
-      if (now + waitMilliseconds + neededMilliseconds > task.lostAt) {
+      const endMilliseconds = workers.length === 0 ? computeMilliseconds : queue.endMilliseconds(computeMilliseconds)
+      if (now + endMilliseconds + neededMilliseconds - computeMilliseconds > task.lostAt) {
         this.removeWaiting(task.id)?.decide({ kind: 'refused', retryAfterMilliseconds: Math.ceil(waitMilliseconds) })
         continue
       }
@@ -331,6 +345,14 @@
     }
   }
 
+  /** Forgets prompts and answers whose hosts stopped. */
+  private forgetLost (now: number): void {
+    for (const backlog of this.backlogs.all) {
+      for (const id of backlog.forgetLost(now)) this.placed.delete(id)
+    }
+    for (const id of this.answers.forgetLost(now)) this.answering.delete(id)
+  }
+
   private logState (now: number): void {
     if (now - this.stateLoggedAt < stateLogMilliseconds) return
     this.stateLoggedAt = now
@@ -338,8 +360,10 @@
       waiting: this.waiting.size,
       placed: this.placed.size,
       workers: this.options.workers().length,
-      accepting: this.acceptingBacklogs(now).length,
-      backlogs: [...this.backlogs.values()].map(backlog => Math.round(backlog.milliseconds(now))).join(','),
+      accepting: this.backlogs.accepting(now).length,
+      backlogs: this.backlogs.all.map(backlog => Math.round(backlog.milliseconds(now))).join(','),
+      slowness: this.backlogs.all.map(({ worker }) => Math.round(this.speeds.slowness(worker, now) * 100) / 100).join(','),
+      margin: Math.round(this.backlogs.spread.marginMilliseconds),
       tokens_per_millisecond: Math.round(this.speed.tokensPerMillisecond * 10) / 10,
       base: Math.round(this.speed.baseMilliseconds),
       usual: Math.round(this.speed.usualMilliseconds),
@@ -355,71 +379,6 @@
       .map(({ entry }) => entry)
   }
 
-  private acceptingBacklogs (now: number): WorkerBacklog[] {
-    return this.options.workers().map(({ id }) => this.backlogOf(id)).filter(backlog => backlog.accepts(now))
-  }
-
-  private backlogOf (worker: WorkerId): WorkerBacklog {
-    const backlog = this.backlogs.get(worker) ?? new WorkerBacklog(worker)
-    this.backlogs.set(worker, backlog)
-    return backlog
-  }
-
-  /** The worker with the lowest cost; undefined if no worker accepts prompts. */
-  private bestEstimate (task: PromptTask, now: number): Estimate | undefined {
-    const heldTokens = this.heldTokens(task)
-    return this.acceptingBacklogs(now)
-      .map(backlog => this.estimate(task, backlog, heldTokens, now))
-      .reduce<Estimate | undefined>((best, other) => best === undefined || other.cost < best.cost ? other : best, undefined)
-  }
-
-  private estimate (task: PromptTask, backlog: WorkerBacklog, heldTokens: ReadonlyMap<WorkerId, number>, now: number): Estimate {
-    const promptTokens = promptTokensOf(task)
-    const sharedTokens = promptTokens - (task.partTokens.at(-1) ?? 0)
-    const isComputing = sharedTokens > 0 && backlog.isComputing(task.parts.slice(0, -1))
-    const ownTokens = isComputing ? sharedTokens : heldTokens.get(backlog.worker) ?? 0
-    const [partsSource, sourceTokens] = longestOf(heldTokens, backlog.worker)
-    const fetchedTokens = Math.max(0, sourceTokens - ownTokens)
-    const computedTokens = promptTokens - ownTokens - fetchedTokens
-    const computeMilliseconds = this.speed.computeMilliseconds(computedTokens)
-    const fetchMilliseconds = fetchedTokens === 0
-      ? 0
-      : fetchSetupMilliseconds + fetchedTokens / this.options.costs.fetchedTokensPerMillisecond
-    const isComputedElsewhere = !isComputing && sharedTokens > 0 && this.isComputing(task)
-    const repeatedTokens = isComputedElsewhere ? Math.max(0, sharedTokens - ownTokens - fetchedTokens) : 0
-    const copyMilliseconds = copyCostFraction * this.speed.computeMilliseconds(fetchedTokens + repeatedTokens)
-    return {
-      backlog,
-      computedTokens,
-      computeMilliseconds,
-      fetchMilliseconds,
-      partsSource: fetchedTokens > 0 ? partsSource : undefined,
-      cost: this.busyMilliseconds(backlog, now) + fetchMilliseconds + computeMilliseconds + copyMilliseconds
-    }
-  }
-
-  /** True if some worker computes a prompt with the same shared parts. */
-  private isComputing (task: PromptTask): boolean {
-    const sharedParts = task.parts.slice(0, -1)
-    return [...this.backlogs.values()].some(backlog => backlog.isComputing(sharedParts))
-  }
-
-  /** Number of leading tokens of the prompt that each worker holds. */
-  private heldTokens ({ parts, partTokens }: PromptTask): Map<WorkerId, number> {
-    const { held, holders } = this.options
-    return new Map(holders().map(({ id }) => [id, held.leadingTokens(id, parts, partTokens)]))
-  }
-
-  /** Time for which the prompt occupies a worker if its parts are fetched or held as far as any worker holds them. */
-  private shortestCompute (task: PromptTask): number {
-    return this.speed.computeMilliseconds(this.tokensToCompute(task))
-  }
-
-  /** Number of tokens of the prompt that no worker holds. */
-  private tokensToCompute (task: PromptTask): number {
-    return promptTokensOf(task) - Math.max(0, ...this.heldTokens(task).values())
-  }
-
   /** Schedules the next dispatch for the time when the first worker is about to have room. */
   private scheduleRecheck (): void {
     this.recheck?.abort()
@@ -427,7 +386,7 @@
     if (this.waiting.size === 0) return
     const { clock } = this.options
     const now = clock.monotonic()
-    const untilFree = this.acceptingBacklogs(now).map(backlog => Math.max(
+    const untilFree = this.backlogs.accepting(now).map(backlog => Math.max(
       backlog.milliseconds(now) - dispatchAheadMilliseconds,
       this.options.permits.waitMilliseconds(backlog.worker, now)
     ))
@@ -439,12 +398,3 @@
     }, () => {})
   }
 }
-
-/** The worker other than `excluded` that holds most tokens, and their number. */
-function longestOf (heldTokens: ReadonlyMap<WorkerId, number>, excluded: WorkerId): [WorkerId | undefined, number] {
-  let longest: [WorkerId | undefined, number] = [undefined, 0]
-  for (const [worker, tokens] of heldTokens) {
-    if (worker !== excluded && tokens > longest[1]) longest = [worker, tokens]
-  }
-  return longest
-}
--- a/src/placement/WorkerBacklog.ts
+++ b/src/placement/WorkerBacklog.ts
@@ -16,11 +16,18 @@
   ahead: number
   /** Tokens that the worker computes. */
   computedTokens: number
+  /** Monotonic time in milliseconds at which the caller gives up. */
+  lostAt: number
+  /** Called when the prompt should be computed on another worker; undefined if its host cannot do so or has been told. */
+  onOverdue?: () => void
   /** Parts that the worker holds once the prompt is computed. */
   parts: readonly string[]
   partTokens: readonly number[]
 }
 
+/** Time for which the lateness of a response tells about the worker, in milliseconds. */
+const latenessMemoryMilliseconds = 1000
+
 /** Time after which a missing response shows that a worker is slow or hangs, in milliseconds after the expected one. */
 const overdueMilliseconds = 400
 
@@ -43,6 +50,9 @@
   private pausedUntil = -Infinity
   private consecutiveFailures = 0
   private pauseMilliseconds = firstPauseMilliseconds
+  private lastEnd = { at: -Infinity, lateness: 0 }
+  /** Time of the latest end of a prompt that may go on being computed; how long those behind it take is not known. */
+  private unfinishedAt = -Infinity
 
   constructor (readonly worker: WorkerId) {}
 
@@ -65,6 +75,32 @@
     return true
   }
 
+  /** The prompts that have not ended. */
+  get openPrompts (): Iterable<DispatchedPrompt> {
+    return this.prompts.values()
+  }
+
+  /** True if the host of an open prompt can have it computed elsewhere. */
+  get hasMovable (): boolean {
+    for (const { onOverdue } of this.prompts.values()) {
+      if (onOverdue !== undefined) return true
+    }
+    return false
+  }
+
+  /** Time by which the most overdue response is later than expected, in milliseconds; 0 if none is overdue. */
+  overdueMilliseconds (now: number): number {
+    let overdue = 0
+    for (const { expectedAt } of this.prompts.values()) overdue = Math.max(overdue, now - expectedAt)
+    return overdue
+  }
+
+  /** Lateness of the worker, in milliseconds, also by the response that ended a short time ago; 0 if it is in time. */
+  latenessMilliseconds (now: number): number {
+    const isRecent = now - this.lastEnd.at <= latenessMemoryMilliseconds
+    return Math.max(this.overdueMilliseconds(now), isRecent ? this.lastEnd.lateness : 0)
+  }
+
   /** True if the worker computes a prompt that has these leading parts. */
   isComputing (parts: readonly string[]): boolean {
     for (const prompt of this.prompts.values()) {
@@ -94,15 +130,32 @@
     return prompt
   }
 
-  /** Ends the series of failures. */
-  recordSuccess (): void {
+  /**
+   * Records that a prompt was computed, which ends the series of failures. The prompts behind it are expected anew. Returns
+   * the time for which the worker was occupied by it, in milliseconds; undefined if that is not known.
+   */
+  recordSuccess (prompt: DispatchedPrompt, now: number, responseMilliseconds: number): number | undefined {
     this.consecutiveFailures = 0
     this.pauseMilliseconds = firstPauseMilliseconds
+    const occupied = now - Math.max(prompt.dispatchedAt + responseMilliseconds, this.lastEnd.at)
+    this.lastEnd = { at: now, lateness: now - prompt.expectedAt }
+    let endsAt = now - responseMilliseconds
+    for (const other of this.prompts.values()) {
+      if (other.dispatchedAt < prompt.dispatchedAt) continue
+      endsAt = Math.max(endsAt, other.dispatchedAt) + other.computeMilliseconds
+      other.expectedAt = Math.max(other.expectedAt, endsAt + responseMilliseconds)
+    }
+    return prompt.dispatchedAt >= this.unfinishedAt ? occupied : undefined
+  }
+
+  /** Records that a prompt ended without a response. */
+  recordUnfinished (now: number): void {
+    this.unfinishedAt = now
   }
 
-  /** Records a failure; after several in a row the worker is paused. */
-  recordFailure (now: number): void {
-    this.consecutiveFailures += 1
+  /** Records a failure; after several in a row, or one of a worker that was behind, the worker is paused. */
+  recordFailure (now: number, wasBehind = false): void {
+    this.consecutiveFailures += wasBehind ? failuresBeforePause : 1
     if (this.consecutiveFailures < failuresBeforePause) return
     this.pausedUntil = now + this.pauseMilliseconds
     this.pauseMilliseconds = Math.min(maxPauseMilliseconds, this.pauseMilliseconds * 2)
