Move prompts from workers that are behind or gone

A prompt waited 2.6 s at a worker that was gone, and most failures ended at their deadline this way. Hosts that do not ask for the message never get it.

--- a/src/placement/SchedulerConnection.test.ts
+++ b/src/placement/SchedulerConnection.test.ts
@@ -20,10 +20,11 @@
 let scheduler: PromptScheduler
 let listener: SchedulerListener
 let connections: SchedulerConnection[]
+let workers: Array<{ id: WorkerId, zone: never }>
 
 beforeEach(async () => {
   const events = discardingEventLog(clock)
-  const workers = [{ id: 'w0' as WorkerId, zone: 'a' as never }]
+  workers = [{ id: 'w0' as WorkerId, zone: 'a' as never }]
   scheduler = new PromptScheduler({
     clock,
     events,
@@ -72,6 +73,17 @@
     expect((await second).unwrapOr(undefined)).toMatchObject({ kind: 'placed', worker: 'w0' })
   })
 
+  test('is followed by a message if the worker of the prompt is gone, only to a host that understands it', async () => {
+    const [newHost, oldHost] = [open(), open()]
+    let isOverdue = false
+    const decided = await newHost.place(cell, { ...taskOf('a'), onOverdue: () => { isOverdue = true } }, never)
+    expect(decided.isOk).toBe(true)
+    await oldHost.place(cell, taskOf('b'), never)
+    workers.splice(0, 1, { id: 'w1' as WorkerId, zone: 'a' as never })
+    await waitUntil(() => isOverdue)
+    expect(oldHost.isClosed).toBe(false)
+  })
+
   test('about a cell that the host does not schedule fails with not_ready', async () => {
     const answer = await open().place(otherCell, taskOf('a'), never)
     expect(answer.isErr && answer.error.kind).toBe('not_ready')
--- a/src/placement/SchedulerListener.ts
+++ b/src/placement/SchedulerListener.ts
@@ -111,7 +111,10 @@
     const decides = request.kind === 'permit' ? grantsPermits(cell) : schedules(cell)
     if (!decides) return writeCorked(socket, encodeLine({ kind: 'not_scheduler', id: request.id }))
     openQuestions.set(request.id, cell)
-    this.answer(request, cell).then(answer => {
+    const onOverdue = (): void => {
+      if (!socket.destroyed) writeCorked(socket, encodeLine({ kind: 'overdue', id: request.id }))
+    }
+    this.answer(request, cell, onOverdue).then(answer => {
       if (!openQuestions.delete(request.id)) return
       writeCorked(socket, encodeLine({ ...answer, ...this.sharedKnowledge(cell) }))
     }, error => {
@@ -127,7 +130,7 @@
     return limits.length === 0 ? {} : { hosts, ...encodeLimits(limits, clock.monotonic()) }
   }
 
-  private async answer (question: SchedulerQuestion, cell: PlacementCell): Promise<SchedulerAnswer> {
+  private async answer (question: SchedulerQuestion, cell: PlacementCell, onOverdue: () => void): Promise<SchedulerAnswer> {
     const { clock, scheduler } = this.options
     const now = clock.monotonic()
     const { id, due, lost } = question
@@ -137,11 +140,12 @@
       const { workers, urgency } = question
       return answerToPermit(id, await scheduler.permit(cell, { id, workers, urgency, ...times }, limits))
     }
-    const { parts } = question
+    const { parts, moves } = question
     return answerToPrompt(id, await scheduler.place(cell, {
       id,
       parts: parts.map(([part]) => part),
       partTokens: parts.map(([, tokens]) => tokens),
+      ...(moves === true ? { onOverdue } : {}),
       ...times
     }, limits))
   }
--- a/src/upstreams/UpstreamManager.ts
+++ b/src/upstreams/UpstreamManager.ts
@@ -291,8 +291,7 @@
   }
 
   private remove (entry: Entry): void {
-    entry.upstream.removed = true
-    entry.upstream.available = false
+    entry.upstream.markRemoved()
     this.entries.delete(entry.upstream.id)
     this.options.events.info('worker_removed', { worker: entry.upstream.id })
     for (const task of entry.tasks) task.stop().catch(() => {})
