--- a/src/placement/PromptSchedule.test.ts
+++ b/src/placement/PromptSchedule.test.ts
@@ -235,6 +235,19 @@
     expect(await placeShort(1, 'r')).toEqual([first])
   })
 
+  test('goes less often to a worker that starts answers at a third of the speed, under a load of streams that last', async () => {
+    for (let round = 0; round < 6; round += 1) {
+      const workers = await placeShort(2, `r${round}-`)
+      for (const [position, worker] of workers.entries()) {
+        schedule.answered(`r${round}-${position}`, worker as WorkerId, worker === 'a0' ? 30 : 10)
+      }
+      // The memory of single late starts fades meanwhile.
+      await clock.advance(1500)
+    }
+    const workers = await placeShort(20, 'last-')
+    expect(workers.filter(worker => worker === 'a0').length).toBeLessThanOrEqual(7)
+  })
+
   test('avoids a worker that started the last answers late, and tries it again later', async () => {
     for (let round = 0; round < 3; round += 1) {
       const [worker] = await placeShort(1, `r${round}-`)
