Compute a prompt again only within the attempts of its request

A further computation on a worker counts as an attempt. A prompt whose worker was late or had failed was computed again also where the operators allow one attempt; now only if that worker is gone.

--- a/src/forwarding/ComputationRace.ts
+++ b/src/forwarding/ComputationRace.ts
@@ -31,8 +31,8 @@
   /** Makes one computation. Must not reject. */
   run: (start: RunStart) => Promise<Ended>
   verdictOn: (ended: Ended) => RunVerdict
-  /** True while another computation can be of use. */
-  mayMove: () => boolean
+  /** True while another computation can be of use and is allowed after the given number of them. */
+  mayMove: (reason: MoveReason, computations: number) => boolean
   /** Called for each computation that ends after the race is over. */
   onLoser: (ended: Ended) => void
 }
@@ -81,7 +81,8 @@
 
   private tryMove (reason: MoveReason): void {
     if (reason === 'failed') this.failures += 1
-    if (this.startedRuns <= maxMoves && this.failures < maxFailures && this.options.mayMove()) this.start(reason)
+    if (this.startedRuns > maxMoves || this.failures >= maxFailures) return
+    if (this.options.mayMove(reason, this.startedRuns)) this.start(reason)
   }
 
   private start (reason: MoveReason | undefined): void {
--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -92,7 +92,11 @@
     const ended = await new ComputationRace<EndedRun>({
       run: async start => await this.run(request, excluded, start, stop),
       verdictOn,
-      mayMove: () => !stop.aborted && clock.monotonic() < lostAt && this.candidates(request).some(({ id }) => !excluded.has(id)),
+      mayMove: (reason, computations) => {
+        if (stop.aborted || clock.monotonic() >= lostAt) return false
+        if (this.candidates(request).every(({ id }) => excluded.has(id))) return false
+        return reason === 'nothing' || !this.areAllServing(excluded) || computations < (request.maxAttempts ?? Infinity)
+      },
       onLoser: run => { this.discard(request, run) }
     }).run()
     const decisive = ended.find(run => verdictOn(run) === 'final')
@@ -110,6 +114,14 @@
     return this.context.upstreams.candidatesForPool(pool, 'prefill').filter(({ role }) => role === 'prefill')
   }
 
+  /**
+   * True if all workers that were sent the prompt are still there. A further computation then counts as an attempt of the
+   * request, whose number the operators limit.
+   */
+  private areAllServing (sentTo: ReadonlySet<WorkerId>): boolean {
+    return [...sentTo].every(id => this.context.upstreams.worker(id) !== undefined)
+  }
+
   /** Places the prompt on a worker that is not excluded, and computes it there. */
   private async run (
     request: ServiceRequest,
--- a/src/platform/movedPrompts.test.ts
+++ b/src/platform/movedPrompts.test.ts
@@ -47,3 +47,14 @@
   expect((await caller.readResponse()).status).toBe(200)
   expect(computed).toHaveLength(computations)
 })
+
+// Guards against a request that is sent to more workers than the operators allow.
+test('a prompt whose worker has failed is not computed again if the request may be sent to one worker only', async () => {
+  const { silent, computed } = await startWithSilent()
+  const caller = await RawCaller.connect(platform!.host.addresses.callers)
+  caller.send('POST', '/tags/1', requestHeaders('r1', prompt), 'text')
+  await waitUntil(() => silent() !== undefined)
+  for (const request of silent()!.requests) request.socket.destroy()
+  expect((await caller.readResponse()).status).toBe(200)
+  expect(computed).toEqual([])
+})
