Add the client of the platform's duty interface and the report of a host

Reports of use and orders of workers go through one abstract platform. Hosts tell the holder of the duties what they have counted and their demand over the peer port. The settings are optional; deployments without them behave as before.

--- /dev/null
+++ b/src/duties/index.ts
@@ -0,0 +1,2 @@
+export * from './DutyPlatform.js'
+export * from './HostReport.js'
--- a/src/forwarding/ServiceRequest.ts
+++ b/src/forwarding/ServiceRequest.ts
@@ -1,7 +1,7 @@
 /**
  * A call to a service, its response, and the dependencies of calls.
  */
-import type { Clock, Pool, RequestId } from '../common/index.js'
+import type { AccountName, Clock, Pool, RequestId } from '../common/index.js'
 import type { RequestPermits } from '../limits/index.js'
 import type { EventLog } from '../observability/index.js'
 import type { PartQuarantine } from '../quarantine/index.js'
@@ -14,6 +14,8 @@
 /** A call to a service. */
 export interface ServiceRequest {
   requestId: RequestId
+  /** Account of the caller; undefined if the caller has none. */
+  account?: AccountName
   pool: Pool
   method: string
   /** Path and query string of the call to the service. */
--- a/src/placement/SchedulerConnection.ts
+++ b/src/placement/SchedulerConnection.ts
@@ -6,13 +6,14 @@
 import { Result } from 'true-myth'
 import { match } from 'ts-pattern'
 import { type Clock, failure, type Failure, type WorkerId } from '../common/index.js'
+import type { HostReport, HostReportAnswer } from '../duties/index.js'
 import type { PermitDecision, PermitRequest } from '../limits/index.js'
 import type { WorkerLimit } from '../upstreams/index.js'
 import type { PlacementCell } from './PromptScheduler.js'
 import type { PlacementDecision, PromptOutcome, PromptTask } from './PromptTask.js'
 import {
   decodeLimits, encodeLimits, encodeLine, LineDecoder, maxLineBytes, type SchedulerAnswer, schedulerAnswerSchema,
-  type SchedulerQuestion
+  type SchedulerRequest
 } from './schedulerMessages.js'
 import { writeCorked } from './writeCorked.js'
 
@@ -31,11 +32,15 @@
   /** Number of hosts that ask this scheduler, as it last told; undefined if it has not. */
   hosts: number | undefined
 
-  /** `address`: `ip:port`; `onLimits`: called with what the scheduler has learned of the limits of workers. */
+  /**
+   * `address`: `ip:port`; `onLimits`: called with what the scheduler has learned of the limits of workers; `silenceLimit`:
+   * time without a line after which the connection is closed while questions are open, in milliseconds.
+   */
   constructor (
     readonly address: string,
     private readonly clock: Clock,
-    private readonly onLimits: (limits: WorkerLimit[]) => void = () => {}
+    private readonly onLimits: (limits: WorkerLimit[]) => void = () => {},
+    private readonly silenceLimit = silenceMilliseconds
   ) {
     const separator = address.lastIndexOf(':')
     const decoder = new LineDecoder(schedulerAnswerSchema)
@@ -94,20 +99,32 @@
     return answer.andThen(value => this.permitOf(value))
   }
 
+  /**
+   * Sends a report to the holder of the duties. Errors: `not_ready` if the connection fails, the host is not the holder or
+   * does not know reports; `cancelled`; `body_too_large`.
+   */
+  async report (id: string, report: HostReport, signal: AbortSignal): Promise<Result<HostReportAnswer, Failure>> {
+    const answer = await this.ask(undefined, { kind: 'report', id, ...report }, signal)
+    return answer.andThen((value): Result<HostReportAnswer, Failure> => value.kind === 'reported'
+      ? Result.ok({ settledWindows: value.settled })
+      : Result.err(failure('not_ready', `${this.address} does not hold the duties`)))
+  }
+
+  /** `cell`: whose scheduler learns that the question was abandoned; undefined if it need not. */
   private async ask (
-    cell: PlacementCell,
-    question: SchedulerQuestion,
+    cell: PlacementCell | undefined,
+    question: Extract<SchedulerRequest, { kind: 'place' | 'permit' | 'report' }>,
     signal: AbortSignal
   ): Promise<Result<SchedulerAnswer, Failure>> {
     if (this.isClosed) return Result.err(failure('not_ready', 'the connection to the scheduler is closed'))
     if (signal.aborted) return Result.err(endedBeforeAnswer)
     const line = encodeLine(question)
-    if (Buffer.byteLength(line) > maxLineBytes) return Result.err(failure('body_too_large', 'the prompt has too many parts for a question'))
+    if (Buffer.byteLength(line) > maxLineBytes) return Result.err(failure('body_too_large', `a ${question.kind} is longer than a line may be`))
     if (this.openQuestions.size === 0) this.lastLineAt = this.clock.monotonic()
     const { id } = question
     const answered = new Promise<Result<SchedulerAnswer, Failure>>(resolve => { this.openQuestions.set(id, resolve) })
     const cancel = (): void => {
-      this.end(cell, id, 'abandoned')
+      if (cell !== undefined) this.end(cell, id, 'abandoned')
       this.settle(id, Result.err(endedBeforeAnswer))
     }
     signal.addEventListener('abort', cancel, { once: true })
@@ -182,8 +199,8 @@
 
   private async closeWhenSilent (): Promise<void> {
     while (this.openQuestions.size > 0 && !this.isClosed) {
-      const remaining = this.lastLineAt + silenceMilliseconds - this.clock.monotonic()
-      if (remaining <= 0) return this.close(`no line for ${silenceMilliseconds} ms`)
+      const remaining = this.lastLineAt + this.silenceLimit - this.clock.monotonic()
+      if (remaining <= 0) return this.close(`no line for ${this.silenceLimit} ms`)
       await this.clock.sleep(remaining, this.closed.signal)
     }
   }
--- a/src/placement/SchedulerListener.ts
+++ b/src/placement/SchedulerListener.ts
@@ -4,13 +4,14 @@
  */
 import { type AddressInfo, createServer, type Server, type Socket } from 'node:net'
 import type { Clock } from '../common/index.js'
+import type { HostReport, HostReportAnswer } from '../duties/index.js'
 import type { PermitDecision } from '../limits/index.js'
 import type { EventLog } from '../observability/index.js'
 import type { PlacementCell, PromptScheduler } from './PromptScheduler.js'
 import type { PlacementDecision } from './PromptTask.js'
 import {
-  decodeLimits, encodeLimits, encodeLine, LineDecoder, type SchedulerAnswer, type SchedulerQuestion, type SchedulerRequest,
-  schedulerRequestSchema
+  type CellRequest, decodeLimits, encodeLimits, encodeLine, LineDecoder, type SchedulerAnswer, type SchedulerQuestion,
+  type SchedulerRequest, schedulerRequestSchema
 } from './schedulerMessages.js'
 import { writeCorked } from './writeCorked.js'
 
@@ -25,6 +26,8 @@
   grantsPermits: (cell: PlacementCell) => boolean
   /** Number of hosts that share the limits of workers, as this host has heard before it grants permits itself. */
   sharingHosts: () => number
+  /** Takes the report of a host; undefined if this host does not hold the duties. Default: it does not. */
+  receiveReport?: (report: HostReport) => HostReportAnswer | undefined
   clock: Clock
   events: EventLog
 }
@@ -39,6 +42,8 @@
 export class SchedulerListener {
   private readonly server: Server
   private readonly sockets = new Set<Socket>()
+  /** Sockets that only carry reports; their hosts ask the scheduler on others. */
+  private readonly reportSockets = new Set<Socket>()
 
   constructor (private readonly options: SchedulerListenerOptions) {
     this.server = createServer({ noDelay: true }, socket => { this.serve(socket) })
@@ -64,7 +69,7 @@
 
   /** Number of hosts that ask this scheduler, this one included. */
   get hosts (): number {
-    return this.sockets.size + 1
+    return this.sockets.size - this.reportSockets.size + 1
   }
 
   async stop (): Promise<void> {
@@ -82,6 +87,7 @@
     socket.on('error', () => {})
     socket.on('close', () => {
       this.sockets.delete(socket)
+      this.reportSockets.delete(socket)
       closed.abort()
       for (const [id, cell] of openQuestions) this.options.scheduler.end(cell, id, 'abandoned')
     })
@@ -94,12 +100,23 @@
         socket.destroy()
         return
       }
-      for (const request of requests.value) this.handle(request, socket, openQuestions)
+      for (const request of requests.value) {
+        if (request.kind === 'report') this.takeReport(request, socket)
+        else this.handle(request, socket, openQuestions)
+      }
     })
     this.keepAlive(socket, openQuestions, closed.signal).catch(() => {})
   }
 
-  private handle (request: SchedulerRequest, socket: Socket, openQuestions: Map<string, PlacementCell>): void {
+  private takeReport ({ id, kind: _kind, ...report }: Extract<SchedulerRequest, { kind: 'report' }>, socket: Socket): void {
+    this.reportSockets.add(socket)
+    const answer = this.options.receiveReport?.(report)
+    writeCorked(socket, encodeLine(answer === undefined
+      ? { kind: 'not_scheduler', id }
+      : { kind: 'reported', id, settled: answer.settledWindows }))
+  }
+
+  private handle (request: CellRequest, socket: Socket, openQuestions: Map<string, PlacementCell>): void {
     const cell = { pool: request.pool, zone: request.zone }
     if (request.kind === 'end') {
       openQuestions.delete(request.id)
--- a/src/placement/schedulerMessages.ts
+++ b/src/placement/schedulerMessages.ts
@@ -5,6 +5,7 @@
 import { Result } from 'true-myth'
 import { z } from 'zod'
 import { type Failure, failure, parseJson, poolSchema, workerIdSchema, zoneSchema } from '../common/index.js'
+import { hostReportSchema } from '../duties/index.js'
 import type { WorkerLimit } from '../upstreams/index.js'
 import { promptOutcomes } from './PromptTask.js'
 
@@ -47,13 +48,18 @@
   }),
   z.object({ kind: z.literal('end'), ...cell, id, outcome: z.enum(promptOutcomes) }),
   /** The answer ended. `start`: milliseconds until its first event. */
-  z.object({ kind: z.literal('answered'), ...cell, id, worker: workerIdSchema.optional(), start: z.number().nonnegative().optional() })
+  z.object({ kind: z.literal('answered'), ...cell, id, worker: workerIdSchema.optional(), start: z.number().nonnegative().optional() }),
+  /** Report to the holder of the duties. A host that does not know this kind closes the connection. */
+  hostReportSchema.extend({ kind: z.literal('report'), id })
 ])
 export type SchedulerRequest = z.infer<typeof schedulerRequestSchema>
 
 /** A request that the scheduler answers. */
 export type SchedulerQuestion = Extract<SchedulerRequest, { kind: 'place' | 'permit' }>
 
+/** A message about a cell of workers. */
+export type CellRequest = Exclude<SchedulerRequest, { kind: 'report' }>
+
 /** What a scheduler sends to hosts. */
 export const schedulerAnswerSchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('placed'), id, worker: workerIdSchema, source: workerIdSchema.optional(), answer: workerIdSchema.optional(), ...shared }),
@@ -63,6 +69,8 @@
   z.object({ kind: z.literal('no_worker'), id }),
   /** The host that was asked does not schedule the cell. */
   z.object({ kind: z.literal('not_scheduler'), id }),
+  /** The holder of the duties took a report; the platform has the counts of the settled windows. */
+  z.object({ kind: z.literal('reported'), id, settled: z.array(z.number().int()) }),
   /** Sent while questions wait for their decision. */
   z.object({ kind: z.literal('alive') })
 ])
--- a/src/platform/PlatformSettings.ts
+++ b/src/platform/PlatformSettings.ts
@@ -7,6 +7,20 @@
 
 const positive = z.number().positive()
 
+/**
+ * A number that the platform may not have. The template quotes it, since a field without a value is rendered as nothing,
+ * which is no valid TOML otherwise.
+ */
+const optionalPositive = z.preprocess(value => {
+  if (typeof value !== 'string') return value
+  return value === '' || value === 'null' ? undefined : Number(value)
+}, positive.optional())
+
+/** Names of duties, as a list or separated by commas. */
+const dutyKinds = z.preprocess(
+  value => typeof value === 'string' ? value.split(',').map(name => name.trim()).filter(name => name !== '') : value,
+  z.array(z.string()))
+
 /** Settings file of an entry host on the platform. */
 export const platformSettingsSchema = z.strictObject({
   host: z.strictObject({
@@ -42,8 +56,21 @@
     /** Time without disturbance after which a host's view of the store has to be up to date. */
     stableWindowMilliseconds: positive,
     /** Minimum time between orders to one worker from two successive holders of a duty. */
-    leaseMilliseconds: positive
+    leaseMilliseconds: positive,
+    /** Length of a window of usage reports; absent if use is not reported. */
+    usageWindowSeconds: optionalPositive,
+    /** Time after the end of a window at which its report is due. */
+    usageLateSeconds: optionalPositive
   }),
+  /** Duties that the holder performs for the platform; absent if there are none. */
+  duties: z.strictObject({
+    /** `ip:port` of the platform's interface for duties. */
+    address: listenAddressSchema,
+    /** `usage_report`, `autoscale`; others are ignored. */
+    kinds: dutyKinds,
+    /** Calls that the platform takes from all hosts together. */
+    callsPerSecond: optionalPositive
+  }).optional(),
   roles: z.strictObject({
     /**
      * Share of a model's engines that compute prompts; the owners' mix has 60 prompt tokens for each generated token.
--- a/src/platform/SchedulerDirectory.ts
+++ b/src/platform/SchedulerDirectory.ts
@@ -8,7 +8,7 @@
 import type { EventLog } from '../observability/index.js'
 import type { StoreClient } from './StoreClient.js'
 import type { StoreEra } from './StoreEra.js'
-import { addressOfMember, dutyTopic, hostGroup, placementTopic } from './StoreDutyGroup.js'
+import { addressOfMember, dutyTopic, hostGroup, orderPartition, placementTopic } from './StoreDutyGroup.js'
 
 /** Options of a `SchedulerDirectory`. */
 export interface SchedulerDirectoryOptions {
@@ -62,6 +62,14 @@
     return this.holders.get(partition) ?? this.dutyHolders.get(partition) ?? this.holderOf(partition)
   }
 
+  /** Address of the host that holds the duties and takes the reports of all hosts; undefined while it is unknown. */
+  orderHolder (): string | undefined {
+    this.refreshAfterRestore()
+    const holder = this.dutyHolders.get(orderPartition)
+    if (holder === undefined) this.refresh()
+    return holder
+  }
+
   /** Records that a holder answered. While no host schedules, it grants permits only, and calls stay rare. */
   confirm (): void {
     if (!this.hasNoScheduler) this.refreshMilliseconds = minRefreshMilliseconds
--- a/src/platform/StoreDutyGroup.ts
+++ b/src/platform/StoreDutyGroup.ts
@@ -24,7 +24,7 @@
 export const placementTopic = 'placement'
 
 /** Partition whose holder sends the orders. */
-const orderPartition = 0
+export const orderPartition = 0
 
 /** Number of generations for which a fencing number has room in each era. */
 const generationsPerEra = 2 ** 32
