Count the use of accounts by window and report it from the holder of the duties

Each host counts the requests that workers began to run and sends its counts to the holder once a second. The holder appends the content of a window to the store before it reports it, so that no window is ever reported with two contents.

--- a/src/duties/HostReport.ts
+++ b/src/duties/HostReport.ts
@@ -47,11 +47,16 @@
   clockSetMilliseconds: z.number().optional(),
   /** Windows that the holder has not confirmed, or whose counts have grown. A large one may be spread over reports. */
   windows: z.array(windowCountsSchema).max(maxReportedWindows),
-  /** The host expects no further counts of this window and earlier ones. Absent in all but the last part of a report. */
+  /** True in all parts of a long report but the last one, which alone has `finalWindow` and `demand`. */
+  isPart: z.boolean().optional(),
+  /** The host expects no further counts of this window and earlier ones. */
   finalWindow: z.number().int().optional(),
   demand: z.array(poolDemandSchema).max(maxReportedPools)
 })
 export type HostReport = z.infer<typeof hostReportSchema>
 
-/** Answer of the holder: the reported windows whose counts no longer matter, since the platform has them. */
-export interface HostReportAnswer { settledWindows: number[] }
+/** Answer of the holder. */
+export interface HostReportAnswer {
+  /** Counts of this window and earlier ones no longer matter; undefined if the holder does not know. */
+  settledThrough: number | undefined
+}
--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -74,6 +74,7 @@
 export class ServiceCall {
   private readonly triedWorkers = new Set<WorkerId>()
   private possibleRuns = 0
+  private hasBegun = false
   private readonly prompt: CallPrompt
   private declinedAttempts = 0
   /** Time that workers spent on the call, over all attempts, in milliseconds. */
@@ -278,6 +279,7 @@
     const responseTimer = this.startResponseTimer()
     const connectTimer = this.startConnectTimer()
     const isFurtherCall = upstream.hasCarried(request.requestId)
+    let sentAt = clock.wall()
     const timers = [responseTimer, connectTimer].flatMap(timer => timer === undefined ? [] : [timer.signal])
     try {
       const response = await upstream.request({
@@ -287,7 +289,10 @@
         headers: protocol.requestHeaders({ request, upstream, remainingMilliseconds, resumeAfter, kvSource }),
         body: request.body ?? null,
         signal: timers.length === 0 ? stop : AbortSignal.any([stop, ...timers]),
-        onSent: () => { connectTimer?.cancel() }
+        onSent: () => {
+          sentAt = clock.wall()
+          connectTimer?.cancel()
+        }
       }, dedicatedClient)
       responseTimer?.cancel()
       const head = { status: response.statusCode, reason: response.statusText, headers: response.headers }
@@ -297,7 +302,9 @@
         const isClosed = isFurtherCall || /\bclose\b/i.test(String(head.headers.connection ?? ''))
         const isRestUnread = isClosed && head.headers['content-length'] !== undefined
         const progress = new AnswerProgress(clock)
-        return Result.ok({ head, body: response.body, tracker, progress, isRestUnread, isFailure: responseClass === 'failed', close })
+        const isFailure = responseClass === 'failed'
+        if (!isEventStream(head)) this.recordBegin(sentAt)
+        return Result.ok({ head, body: response.body, tracker, progress, isRestUnread, isFailure, close })
       }
       if (responseClass === 'not_run') {
         this.declinedAttempts += 1
@@ -408,6 +415,7 @@
   ): AsyncGenerator<Buffer> {
     for await (const piece of ownBytesOf({ body, upstream, isRestUnread }, this.context)) {
       progress.recordPart()
+      if (isEventStream(head)) this.recordBegin(this.context.clock.wall())
       yield piece
     }
     if (!endsWithConnection(this.request.method, head)) return
@@ -550,6 +558,13 @@
     }
   }
 
+  /** Records that a worker began to run the call, at a Unix time in milliseconds. Further runs do not count. */
+  private recordBegin (at: number): void {
+    if (this.hasBegun) return
+    this.hasBegun = true
+    this.context.runObserver?.runBegan(this.request, at)
+  }
+
   private recordRun (milliseconds: number): void {
     this.mayHaveRun = true
     this.upstreamMilliseconds += milliseconds
--- a/src/forwarding/ServiceRequest.ts
+++ b/src/forwarding/ServiceRequest.ts
@@ -10,6 +10,7 @@
 import type { CallProtocol } from './CallProtocol.js'
 import type { PromptComputation } from './PromptComputation.js'
 import type { RetryBudget } from './RetryBudget.js'
+import type { RunObserver } from './RunObserver.js'
 
 /** A call to a service. */
 export interface ServiceRequest {
@@ -77,4 +78,6 @@
   permits?: RequestPermits
   /** Refuses prompts that crash workers; undefined if nothing does so. */
   quarantine?: PartQuarantine
+  /** Learns when workers began to run calls; undefined if nothing counts them. */
+  runObserver?: RunObserver
 }
--- a/src/placement/SchedulerConnection.ts
+++ b/src/placement/SchedulerConnection.ts
@@ -106,7 +106,7 @@
   async report (id: string, report: HostReport, signal: AbortSignal): Promise<Result<HostReportAnswer, Failure>> {
     const answer = await this.ask(undefined, { kind: 'report', id, ...report }, signal)
     return answer.andThen((value): Result<HostReportAnswer, Failure> => value.kind === 'reported'
-      ? Result.ok({ settledWindows: value.settled })
+      ? Result.ok({ settledThrough: value.settled })
       : Result.err(failure('not_ready', `${this.address} does not hold the duties`)))
   }
 
--- a/src/placement/SchedulerListener.ts
+++ b/src/placement/SchedulerListener.ts
@@ -27,7 +27,7 @@
   /** Number of hosts that share the limits of workers, as this host has heard before it grants permits itself. */
   sharingHosts: () => number
   /** Takes the report of a host; undefined if this host does not hold the duties. Default: it does not. */
-  receiveReport?: (report: HostReport) => HostReportAnswer | undefined
+  receiveReport?: ((report: HostReport) => HostReportAnswer | undefined) | undefined
   clock: Clock
   events: EventLog
 }
@@ -113,7 +113,7 @@
     const answer = this.options.receiveReport?.(report)
     writeCorked(socket, encodeLine(answer === undefined
       ? { kind: 'not_scheduler', id }
-      : { kind: 'reported', id, settled: answer.settledWindows }))
+      : { kind: 'reported', id, settled: answer.settledThrough }))
   }
 
   private handle (request: CellRequest, socket: Socket, openQuestions: Map<string, PlacementCell>): void {
--- a/src/placement/schedulerMessages.ts
+++ b/src/placement/schedulerMessages.ts
@@ -69,8 +69,8 @@
   z.object({ kind: z.literal('no_worker'), id }),
   /** The host that was asked does not schedule the cell. */
   z.object({ kind: z.literal('not_scheduler'), id }),
-  /** The holder of the duties took a report; the platform has the counts of the settled windows. */
-  z.object({ kind: z.literal('reported'), id, settled: z.array(z.number().int()) }),
+  /** The holder of the duties took a report. Counts of the window `settled` and earlier ones no longer matter. */
+  z.object({ kind: z.literal('reported'), id, settled: z.number().int().optional() }),
   /** Sent while questions wait for their decision. */
   z.object({ kind: z.literal('alive') })
 ])
--- a/src/platform/PlacementPart.ts
+++ b/src/platform/PlacementPart.ts
@@ -8,7 +8,7 @@
 import type { EventLog } from '../observability/index.js'
 import {
   HeldParts, type PromptPlacer, PromptScheduler, type PromptScheduleCosts, ScheduledPromptPlacer, SchedulerListener,
-  workersOfCell
+  type SchedulerListenerOptions, workersOfCell
 } from '../placement/index.js'
 import type { Upstream, UpstreamManager } from '../upstreams/index.js'
 import { CacheFeed } from './CacheFeed.js'
@@ -32,6 +32,8 @@
   costs: PromptScheduleCosts
   /** Places prompts while no scheduler answers. */
   fallback: PromptPlacer
+  /** Takes the reports of other hosts while this host holds the duties. */
+  receiveReport: SchedulerListenerOptions['receiveReport']
 }
 
 /** Number of values of the 32-bit hash. */
@@ -44,7 +46,7 @@
   readonly held = new HeldParts()
   /** Asks for the permits of limited workers. */
   readonly permitClient: PermitClient
-  private readonly directory: SchedulerDirectory
+  readonly directory: SchedulerDirectory
   private readonly client: PeerSchedulerClient
   private readonly listener: SchedulerListener | undefined
   private readonly cacheFeed: CacheFeed
@@ -86,6 +88,7 @@
         schedules: cell => client.schedules(cell),
         grantsPermits: cell => client.grantsPermits(cell),
         sharingHosts: () => client.sharingHosts ?? 1,
+        receiveReport: options.receiveReport,
         clock,
         events
       })
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -3,9 +3,9 @@
  * reports readiness to the load balancer, and finishes open requests before it stops.
  */
 import { Hono } from 'hono'
-import { type Clock, EventLoopDelay, type Hash, loadHash, newIncarnation, SystemClock } from '../common/index.js'
+import { type Clock, EventLoopDelay, type Hash, type Incarnation, loadHash, newIncarnation, SystemClock } from '../common/index.js'
 import { type ListeningServer, serve } from '../entry/index.js'
-import { defaultAttemptLimits, PromptComputation, RequestManager, type RequestManagerOptions, RetryBudget, type RetryLimits } from '../forwarding/index.js'
+import { defaultAttemptLimits, PromptComputation, RequestManager, type RequestManagerOptions, RetryBudget, type RetryLimits, type RunObserver } from '../forwarding/index.js'
 import { type ObservedEngine, RolePlannerTask } from '../fleet/index.js'
 import { GroupLease, maxConfirmationMilliseconds } from '../leases/index.js'
 import { RequestPermits } from '../limits/index.js'
@@ -16,6 +16,7 @@
 import { PowerOfTwoPolicy, PrefixIndex, PromptPlacementPolicy } from '../routing/index.js'
 import { acceptsConnections, UpstreamManager, type UpstreamView } from '../upstreams/index.js'
 import { CallerListener } from './CallerListener.js'
+import { DutyPart } from './DutyPart.js'
 import { type ErrorEmitter, handleUnexpectedErrors } from './handleUnexpectedErrors.js'
 import { PlacementPart } from './PlacementPart.js'
 import { QuarantinePart } from './QuarantinePart.js'
@@ -133,7 +134,8 @@
     private readonly placement: PlacementPart,
     private readonly quarantine: PartQuarantine,
     private readonly quarantinePart: QuarantinePart,
-    private readonly loopDelay: EventLoopDelay
+    private readonly loopDelay: EventLoopDelay,
+    private readonly duties: DutyPart
   ) {
     this.rolePlannerTask = new RolePlannerTask({
       clock,
@@ -192,7 +194,8 @@
     })
     const budget = new RetryBudget(clock, retryLimitsOf(settings))
     const policy = createPlacementPolicy(settings, hash, index)
-    const group = createDutyGroup(settings, { era, availability }, events)
+    const incarnation = newIncarnation()
+    const group = createDutyGroup(settings, incarnation, { era, availability }, events)
     const placement = new PlacementPart({
       settings,
       era,
@@ -206,7 +209,8 @@
         baseMilliseconds: promptBaseMilliseconds,
         fetchedTokensPerMillisecond: placementCosts.fetchedTokensPerMillisecond
       },
-      fallback: new LocalPromptPlacer(policy)
+      fallback: new LocalPromptPlacer(policy),
+      receiveReport: report => duties.receive(report)
     })
     const quarantine = new PartQuarantine({
       publish: evidence => { quarantinePart.exchange.publish(evidence) },
@@ -219,9 +223,13 @@
     metrics.gauge('quarantined_prompt_parts', 'Parts of prompts that are refused since they crash workers.', [], gauge => {
       gauge.set(quarantine.size)
     })
+    const lease = createLease(settings, group, clock, events)
+    const duties: DutyPart = new DutyPart({
+      settings, incarnation, era, clock, events, metrics, hash, group, lease, directory: placement.directory
+    })
     const permits = new RequestPermits({ client: placement.permitClient, clock, events })
     const requests = new RequestManager(requestManagerOptions({
-      clock, events, upstreams, budget, policy, quarantine, permits, placer: placement.placer
+      clock, events, upstreams, budget, policy, quarantine, permits, placer: placement.placer, runObserver: duties.runObserver
     }))
     const loopDelay = new EventLoopDelay(clock)
     loopDelay.start(error => events.error('event_loop_delay_ended', { reason: String(error) }))
@@ -241,10 +249,9 @@
     metrics.gauge('log_lines_dropped_total', 'Log lines for which the reader was too slow.', [], gauge => {
       gauge.set(lines.droppedLines)
     })
-    const lease = createLease(settings, group, clock, events)
     const host = new PlatformHost(
       settings, clock, events, lines, metrics, directory, [configurationFollower, workerFollower], upstreams, requests,
-      listener, lease, budget, placement, quarantine, quarantinePart, loopDelay)
+      listener, lease, budget, placement, quarantine, quarantinePart, loopDelay, duties)
     directory.onChange(() => {
       const limits = directory.routes?.configuration.limits
       if (limits !== undefined) listener.configure(limits)
@@ -268,6 +275,7 @@
     this.quarantinePart.start()
     this.lease.start()
     this.rolePlannerTask.start()
+    this.duties.start()
     this.readinessServer = await serve({
       application: this.readinessApplication(), addresses: [listen.readiness], maxHeaderBytes
     })
@@ -296,6 +304,7 @@
   /** Stops everything at once and closes the connections of open requests. */
   async close (): Promise<void> {
     await this.rolePlannerTask.stop()
+    await this.duties.stop()
     await this.lease.stop()
     await this.placement.stop()
     await this.quarantinePart.stop()
@@ -339,7 +348,7 @@
     const exitAt = clock.monotonic() + exitMilliseconds
     listener.startStop({ finalAnswerAt: exitAt - finalAnswerMilliseconds, exitAt })
     this.logStop('stop_started')
-    const dutyEnded = this.rolePlannerTask.stop().then(() => this.lease.stop())
+    const dutyEnded = Promise.all([this.rolePlannerTask.stop(), this.duties.stopDuties()]).then(() => this.lease.stop())
     const timeout = new AbortController()
     const timedOut = clock.sleep(exitMilliseconds, timeout.signal).then(() => false)
     const drained = this.drainRequests(exitMilliseconds - finalAnswerMilliseconds, timeout.signal)
@@ -380,6 +389,7 @@
       if (!stopEnded.aborted) complete = listener.answerOpenRequests() === 0
     }, () => {})
     await Promise.all([this.requests.drain(), closed])
+    await this.duties.stop()
     return complete
   }
 
@@ -415,6 +425,7 @@
 
 function createDutyGroup (
   { host, store, bounds, listen }: PlatformSettings,
+  incarnation: Incarnation,
   { era, availability }: { era: StoreEra, availability: StoreAvailability },
   events: EventLog
 ): StoreDutyGroup {
@@ -423,7 +434,7 @@
     era,
     events,
     hostId: host.id,
-    incarnation: newIncarnation(),
+    incarnation,
     timeToLiveMilliseconds: bounds.leaseMilliseconds,
     peerAddress: listen.peers,
     schedulesPrompts: listen.peers !== undefined && host.cpuShare * host.cores >= minSchedulerCores
@@ -457,6 +468,7 @@
   quarantine: PartQuarantine
   permits: RequestPermits
   placer: PromptPlacer
+  runObserver: RunObserver | undefined
 }
 
 function createPlacementPolicy ({ host }: PlatformSettings, hash: Hash, index: PrefixIndex): PromptPlacementPolicy {
@@ -465,7 +477,7 @@
 }
 
 function requestManagerOptions (
-  { clock, events, upstreams, budget, policy, quarantine, permits, placer }: RequestDependencies
+  { clock, events, upstreams, budget, policy, quarantine, permits, placer, runObserver }: RequestDependencies
 ): RequestManagerOptions {
   const protocol = new WorkerProtocol()
   return {
@@ -481,6 +493,7 @@
     events,
     budget,
     maxBufferedBytes,
-    maxNonIdempotentResponseBytes
+    maxNonIdempotentResponseBytes,
+    ...(runObserver === undefined ? {} : { runObserver })
   }
 }
--- a/src/platform/StoreDutyGroup.ts
+++ b/src/platform/StoreDutyGroup.ts
@@ -92,6 +92,11 @@
     return this.dutyPartitions.has(partition)
   }
 
+  /** True if the store last assigned the duty of orders and reports to this host. */
+  get holdsOrders (): boolean {
+    return this.holdsDutyPartition(orderPartition)
+  }
+
   async join (signal?: AbortSignal): Promise<Result<GroupMembership, Failure>> {
     const { store, timeToLiveMilliseconds, schedulesPrompts } = this.options
     const topics = schedulesPrompts ? [dutyTopic, placementTopic] : [dutyTopic]
