--- /dev/null
+++ b/src/platform/DutyReportChannel.test.ts
@@ -0,0 +1,109 @@
+/**
+ * Guards against reports that hang on a host which is no holder any more, and against harm to a host of an earlier version,
+ * which closes a connection that carries a report.
+ */
+import { type AddressInfo, createServer, type Server } from 'node:net'
+import { afterEach, beforeEach, expect, test } from '@jest/globals'
+import { type HostId, type Incarnation, ManualClock, SystemClock } from '../common/index.js'
+import type { HostReport, HostReportAnswer } from '../duties/index.js'
+import { type PromptScheduler, SchedulerListener } from '../placement/index.js'
+import { discardingEventLog } from '../streams/testSupport.js'
+import { DutyReportChannel } from './DutyReportChannel.js'
+
+const report: HostReport = {
+  host: 'h1' as HostId,
+  incarnation: '0123456789abcdef' as Incarnation,
+  zone: 'a' as never,
+  at: 1_700_000_000_000,
+  windows: [{ window: 3, counts: [['reef' as never, 2]] }],
+  finalWindow: 2,
+  demand: [{ pool: 'llm' as never, requests: 1, promptTokens: 2, promptMilliseconds: 3, openStreams: 4, waiting: 5, refused: 6 }]
+}
+
+let clock: ManualClock
+let listener: SchedulerListener
+let oldHost: Server
+let received: HostReport[]
+let answer: HostReportAnswer | undefined
+let holder: string | undefined
+let holds: boolean
+let failures: number
+let channel: DutyReportChannel
+
+beforeEach(async () => {
+  clock = new ManualClock()
+  received = []
+  answer = { settledThrough: 1 }
+  holds = false
+  failures = 0
+  const system = new SystemClock()
+  listener = new SchedulerListener({
+    address: '127.0.0.1:0',
+    scheduler: {} as PromptScheduler,
+    schedules: () => false,
+    grantsPermits: () => false,
+    sharingHosts: () => 1,
+    receiveReport: sent => {
+      received.push(sent)
+      return answer
+    },
+    clock: system,
+    events: discardingEventLog(system)
+  })
+  await listener.listen()
+  oldHost = createServer(socket => { socket.on('data', () => { socket.destroy() }) })
+  await new Promise<void>(resolve => { oldHost.listen(0, '127.0.0.1', resolve) })
+  holder = listener.address
+  channel = new DutyReportChannel({
+    directory: { orderHolder: () => holder, reportFailure: () => { failures += 1 } },
+    isHolder: () => holds,
+    receive: () => answer,
+    clock
+  })
+})
+
+afterEach(async () => {
+  channel.close()
+  await listener.stop()
+  oldHost.close()
+})
+
+async function send (): Promise<HostReportAnswer | string> {
+  const receiver = channel.receiver()
+  if (receiver === undefined) return 'no receiver'
+  const sent = await receiver.send(report, new AbortController().signal)
+  return sent.isOk ? sent.value : sent.error.kind
+}
+
+test('a report reaches the holder unchanged over one connection, which does not count as a host that asks the scheduler', async () => {
+  const receiver = channel.receiver()
+  expect([await send(), await send()]).toEqual([{ settledThrough: 1 }, { settledThrough: 1 }])
+  expect(received).toEqual([report, report])
+  expect(channel.receiver()).toBe(receiver)
+  expect(listener.hosts).toBe(1)
+})
+
+test('the holder itself takes its report without a connection', async () => {
+  holds = true
+  expect(await send()).toEqual({ settledThrough: 1 })
+  expect(received).toEqual([])
+})
+
+test.each<[string, () => void]>([
+  ['does not hold the duties', () => { answer = undefined }],
+  ['closes the connection, since it does not know reports', () => { holder = `127.0.0.1:${(oldHost.address() as AddressInfo).port}` }]
+])('a host that %s is asked again only after a pause, and the holder is looked up', async (_name, arrange) => {
+  arrange()
+  expect([await send(), await send()]).toEqual(['not_ready', 'no receiver'])
+  expect(failures).toBe(1)
+  await clock.advance(500)
+  expect([await send(), await send()]).toEqual(['not_ready', 'no receiver'])
+  await clock.advance(500)
+  expect(await send()).toBe('no receiver')
+  answer = { settledThrough: 7 }
+  holder = '127.0.0.1:1'
+  channel.receiver()
+  holder = listener.address
+  await clock.advance(1000)
+  expect(await send()).toEqual({ settledThrough: 7 })
+})
--- a/src/usage/windows/UsageReporter.test.ts
+++ b/src/usage/windows/UsageReporter.test.ts
@@ -209,6 +209,17 @@
   expect(platform.reported[1]).toEqual(content(3))
 })
 
+// Guards against a first report from the host alone that found the holder first.
+test('without a window before, a new holder waits 3 s for the hosts to find it', async () => {
+  a.token = undefined
+  await clock.advance(5500)
+  b.token = 6
+  await pass(2000, () => { b.hear('h1', 0, 1) })
+  expect(platform.calls).toEqual([])
+  await pass(2000, () => { b.hear('h1', 0, 1); b.hear('h2', 0, 1) })
+  expect(platform.reported).toEqual({ 0: content(2) })
+})
+
 describe('one content for each window', () => {
   test('an append whose response was lost is read back, and reported as it was written', async () => {
     journal.nextAppends = ['lost']
