--- a/src/forwarding/ServiceRequest.ts
+++ b/src/forwarding/ServiceRequest.ts
@@ -10,13 +10,14 @@
 import type { CallProtocol } from './CallProtocol.js'
 import type { PromptComputation } from './PromptComputation.js'
 import type { RetryBudget } from './RetryBudget.js'
+import type { RunObserver } from './RunObserver.js'
 
 /** A call to a service. */
 export interface ServiceRequest {
   requestId: RequestId
-  pool: Pool
-  /** Client account for which the call is made; undefined without one. */
+  /** Account of the caller; undefined if the caller has none. */
   account?: AccountName
+  pool: Pool
   method: string
   /** Path and query string of the call to the service. */
   path: string
@@ -77,4 +78,6 @@
   permits?: RequestPermits
   /** Refuses prompts that crash workers; undefined if nothing does so. */
   quarantine?: PartQuarantine
+  /** Learns when workers began to run calls; undefined if nothing counts them. */
+  runObserver?: RunObserver
 }
--- a/src/placement/SchedulerListener.ts
+++ b/src/placement/SchedulerListener.ts
@@ -4,13 +4,14 @@
  */
 import { type AddressInfo, createServer, type Server, type Socket } from 'node:net'
 import type { Clock } from '../common/index.js'
+import type { HostReport, HostReportAnswer } from '../duties/index.js'
 import type { PermitDecision } from '../limits/index.js'
 import type { EventLog } from '../observability/index.js'
 import type { PlacementCell, PromptScheduler } from './PromptScheduler.js'
 import type { PlacementDecision } from './PromptTask.js'
 import {
-  decodeLimits, encodeLimits, encodeLine, LineDecoder, type SchedulerAnswer, type SchedulerQuestion, type SchedulerRequest,
-  schedulerRequestSchema
+  type CellRequest, decodeLimits, encodeLimits, encodeLine, LineDecoder, type SchedulerAnswer, type SchedulerQuestion,
+  type SchedulerRequest, schedulerRequestSchema
 } from './schedulerMessages.js'
 import { writeCorked } from './writeCorked.js'
 
@@ -27,6 +28,8 @@
   sharingHosts: () => number
   /** Further services, by name, which take over the connections that open them. */
   services?: ReadonlyMap<string, (socket: Socket) => void>
+  /** Takes the report of a host; undefined if this host does not hold the duties. Default: it does not. */
+  receiveReport?: ((report: HostReport) => HostReportAnswer | undefined) | undefined
   clock: Clock
   events: EventLog
 }
@@ -43,6 +46,8 @@
   private readonly sockets = new Set<Socket>()
   /** Connections that a service took over. */
   private readonly serviceSockets = new Set<Socket>()
+  /** Sockets that only carry reports; their hosts ask the scheduler on others. */
+  private readonly reportSockets = new Set<Socket>()
 
   constructor (private readonly options: SchedulerListenerOptions) {
     this.server = createServer({ noDelay: true }, socket => { this.serve(socket) })
@@ -68,7 +73,7 @@
 
   /** Number of hosts that ask this scheduler, this one included. */
   get hosts (): number {
-    return this.sockets.size + 1
+    return this.sockets.size - this.reportSockets.size + 1
   }
 
   async stop (): Promise<void> {
@@ -86,6 +91,7 @@
     socket.on('error', () => {})
     socket.on('close', () => {
       this.sockets.delete(socket)
+      this.reportSockets.delete(socket)
       closed.abort()
       for (const [id, cell] of openQuestions) this.options.scheduler.end(cell, id, 'abandoned')
     })
@@ -99,7 +105,8 @@
         return
       }
       for (const request of requests.value) {
-        if (request.kind !== 'open') this.handle(request, socket, openQuestions)
+        if (request.kind === 'report') this.takeReport(request, socket)
+        else if (request.kind !== 'open') this.handle(request, socket, openQuestions)
         else if (this.handOver(socket, request.service)) {
           socket.off('data', receive)
           closed.abort()
@@ -124,7 +131,15 @@
     return true
   }
 
-  private handle (request: Exclude<SchedulerRequest, { kind: 'open' }>, socket: Socket, openQuestions: Map<string, PlacementCell>): void {
+  private takeReport ({ id, kind: _kind, ...report }: Extract<SchedulerRequest, { kind: 'report' }>, socket: Socket): void {
+    this.reportSockets.add(socket)
+    const answer = this.options.receiveReport?.(report)
+    writeCorked(socket, encodeLine(answer === undefined
+      ? { kind: 'not_scheduler', id }
+      : { kind: 'reported', id, settled: answer.settledThrough }))
+  }
+
+  private handle (request: CellRequest, socket: Socket, openQuestions: Map<string, PlacementCell>): void {
     const cell = { pool: request.pool, zone: request.zone }
     if (request.kind === 'end') {
       openQuestions.delete(request.id)
--- a/src/placement/schedulerMessages.ts
+++ b/src/placement/schedulerMessages.ts
@@ -5,6 +5,7 @@
 import { Result } from 'true-myth'
 import { z } from 'zod'
 import { type Failure, failure, parseJson, poolSchema, workerIdSchema, zoneSchema } from '../common/index.js'
+import { hostReportSchema } from '../duties/index.js'
 import type { WorkerLimit } from '../upstreams/index.js'
 import { promptOutcomes } from './PromptTask.js'
 
@@ -51,13 +52,18 @@
   /** The answer ended. `start`: milliseconds until its first event. */
   z.object({ kind: z.literal('answered'), ...cell, id, worker: workerIdSchema.optional(), start: z.number().nonnegative().optional() }),
   /** Uses the connection for another service of the host from now on; the service answers before anything else is sent. */
-  z.object({ kind: z.literal('open'), service: z.string().min(1).max(40) })
+  z.object({ kind: z.literal('open'), service: z.string().min(1).max(40) }),
+  /** Report to the holder of the duties. A host that does not know this kind closes the connection. */
+  hostReportSchema.extend({ kind: z.literal('report'), id })
 ])
 export type SchedulerRequest = z.infer<typeof schedulerRequestSchema>
 
 /** A request that the scheduler answers. */
 export type SchedulerQuestion = Extract<SchedulerRequest, { kind: 'place' | 'permit' }>
 
+/** A message about a cell of workers. */
+export type CellRequest = Exclude<SchedulerRequest, { kind: 'report' | 'open' }>
+
 /** What a scheduler sends to hosts. */
 export const schedulerAnswerSchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('placed'), id, worker: workerIdSchema, source: workerIdSchema.optional(), answer: workerIdSchema.optional(), ...shared }),
@@ -69,6 +75,8 @@
   z.object({ kind: z.literal('overdue'), id }),
   /** The host that was asked does not schedule the cell. */
   z.object({ kind: z.literal('not_scheduler'), id }),
+  /** The holder of the duties took a report. Counts of the window `settled` and earlier ones no longer matter. */
+  z.object({ kind: z.literal('reported'), id, settled: z.number().int().optional() }),
   /** Sent while questions wait for their decision. */
   z.object({ kind: z.literal('alive') })
 ])
--- a/src/platform/PlacementPart.ts
+++ b/src/platform/PlacementPart.ts
@@ -9,7 +9,7 @@
 import type { EventLog } from '../observability/index.js'
 import {
   HeldParts, type PromptPlacer, PromptScheduler, type PromptScheduleCosts, ScheduledPromptPlacer, SchedulerListener,
-  workersOfCell
+  type SchedulerListenerOptions, workersOfCell
 } from '../placement/index.js'
 import type { Upstream, UpstreamManager } from '../upstreams/index.js'
 import { CacheFeed } from './CacheFeed.js'
@@ -35,6 +35,8 @@
   fallback: PromptPlacer
   /** Further services for other hosts on the peer port. */
   services?: ReadonlyMap<string, (socket: Socket) => void>
+  /** Takes the reports of other hosts while this host holds the duties. */
+  receiveReport: SchedulerListenerOptions['receiveReport']
 }
 
 /** Number of values of the 32-bit hash. */
@@ -47,7 +49,7 @@
   readonly held = new HeldParts()
   /** Asks for the permits of limited workers. */
   readonly permitClient: PermitClient
-  private readonly directory: SchedulerDirectory
+  readonly directory: SchedulerDirectory
   private readonly client: PeerSchedulerClient
   private readonly listener: SchedulerListener | undefined
   private readonly cacheFeed: CacheFeed
@@ -90,6 +92,7 @@
         grantsPermits: cell => client.grantsPermits(cell),
         sharingHosts: () => client.sharingHosts ?? 1,
         ...(services === undefined ? {} : { services }),
+        receiveReport: options.receiveReport,
         clock,
         events
       })
--- a/src/platform/StoreDutyGroup.ts
+++ b/src/platform/StoreDutyGroup.ts
@@ -24,7 +24,7 @@
 export const placementTopic = 'placement'
 
 /** Partition whose holder sends the orders. */
-const orderPartition = 0
+export const orderPartition = 0
 
 /** Number of generations for which a fencing number has room in each era. */
 const generationsPerEra = 2 ** 32
@@ -101,6 +101,11 @@
     return this.dutyPartitions.has(partition)
   }
 
+  /** True if the store last assigned the duty of orders and reports to this host. */
+  get holdsOrders (): boolean {
+    return this.holdsDutyPartition(orderPartition)
+  }
+
   async join (signal?: AbortSignal): Promise<Result<GroupMembership, Failure>> {
     const { store, timeToLiveMilliseconds, schedulesPrompts } = this.options
     const topics = schedulesPrompts() ? [dutyTopic, placementTopic] : [dutyTopic]
