Plan the workers of pools that may grow and shrink

The number of workers follows the peak of the requests in progress at all hosts. Spot workers replace most standard workers once they serve, spread over the zones; what the platform has none of is ordered elsewhere.

--- /dev/null
+++ b/src/capacity/CapacityPlanner.test.ts
@@ -0,0 +1,136 @@
+import { expect, test } from '@jest/globals'
+import type { Pool, Zone } from '../common/index.js'
+import { CapacityPlanner } from './CapacityPlanner.js'
+import type { CountedWorker, PoolDemand, PoolScaling, WorkerKind, WorkerOrder } from './WorkerOrder.js'
+
+const pool = 'modelos' as Pool
+const zones = ['a', 'b', 'c'] as Zone[]
+const scaling: PoolScaling = {
+  minWorkersPerZone: 1,
+  maxWorkersPerZone: 20,
+  startupMilliseconds: 4000,
+  spotPrice: 0.22,
+  zonePrices: new Map([[zones[0]!, 1], [zones[1]!, 0.8], [zones[2]!, 1.25]])
+}
+const throughput = { promptsPerWorker: 0.5, answersPerWorker: 16, promptShare: 0.75 }
+const calm: PoolDemand = { openPrompts: 3, openAnswers: 20 }
+
+/** A pool whose platform carries out orders: new workers serve after the start-up, removed ones leave at once. */
+class Fleet {
+  readonly planner = new CapacityPlanner(pool, throughput)
+  readonly orders: WorkerOrder[] = []
+  private readonly dueAt: Array<{ at: number, order: WorkerOrder }> = []
+  private readonly counts = new Map<string, number>()
+  now = 0
+
+  constructor (standardPerZone: number, readonly options: PoolScaling = scaling) {
+    for (const zone of zones) this.set(zone, 'standard', standardPerZone)
+  }
+
+  set (zone: Zone, kind: WorkerKind, count: number): void {
+    this.counts.set(`${zone}/${kind}`, count)
+  }
+
+  count (kind: WorkerKind, zone?: Zone): number {
+    return zones.filter(other => zone === undefined || other === zone)
+      .reduce((sum, other) => sum + (this.counts.get(`${other}/${kind}`) ?? 0), 0)
+  }
+
+  /** Plans once a second. `refused`: tells for which orders the platform has no workers. */
+  run (seconds: number, demand: PoolDemand | undefined, refused: (order: WorkerOrder) => boolean = () => false): WorkerOrder[] {
+    const before = this.orders.length
+    for (let second = 0; second < seconds; second += 1) {
+      this.now += 1000
+      for (const due of this.dueAt.splice(0)) {
+        if (due.at <= this.now) this.set(due.order.zone, due.order.kind, due.order.desired)
+        else this.dueAt.push(due)
+      }
+      for (const order of this.planner.plan({ now: this.now, workers: this.workers(), demand, scaling: this.options })) {
+        this.orders.push(order)
+        if (order.desired > order.before && refused(order)) this.planner.recordUnavailable(order.zone, order.kind, this.now)
+        else this.dueAt.push({ at: this.now + (order.desired > order.before ? 4000 : 0), order })
+      }
+    }
+    return this.orders.slice(before)
+  }
+
+  private workers (): CountedWorker[] {
+    return zones.flatMap(zone => (['standard', 'spot'] as const).flatMap(kind =>
+      Array.from({ length: this.count(kind, zone) }, () => ({ zone, kind, leaving: false }))))
+  }
+}
+
+// Guards against paying for standard workers that cheaper ones could replace, and against removing them before these serve.
+test('spot workers replace standard workers, which stay until the spot workers serve', () => {
+  const fleet = new Fleet(10)
+  fleet.run(3, calm)
+  expect(fleet.count('standard')).toBe(30)
+  fleet.run(30, calm)
+  expect(fleet.count('spot')).toBeGreaterThan(0)
+  expect(fleet.count('standard')).toBe(4)
+})
+
+// Guards against orders that follow a mix of prompts and answers that swings faster than workers start.
+test('a demand that swings every three seconds orders nothing once both sides were seen', () => {
+  const fleet = new Fleet(10)
+  const swing = (turns: number): WorkerOrder[] => [...Array(turns).keys()].flatMap(turn =>
+    fleet.run(3, turn % 2 === 0 ? calm : { openPrompts: 1.5, openAnswers: 40 }))
+  swing(10)
+  expect(swing(10)).toEqual([])
+})
+
+// Guards against a burst that is met only by waiting, and against a number that never falls again.
+test('a burst raises the number at once, which falls when the peak is over', () => {
+  const fleet = new Fleet(10)
+  fleet.run(30, calm)
+  const before = fleet.count('spot')
+  fleet.run(1, { openPrompts: 9, openAnswers: 60 })
+  fleet.run(5, { openPrompts: 9, openAnswers: 60 })
+  expect(fleet.count('spot')).toBeGreaterThan(2 * before)
+  fleet.run(30, calm)
+  expect(fleet.count('spot')).toBe(before)
+})
+
+// Guards against a zone whose spot workers the platform takes away while it has no others there or anywhere.
+test.each([
+  ['there', (order: WorkerOrder) => order.kind === 'spot' && order.zone === zones[1], 'spot'],
+  ['anywhere', (order: WorkerOrder) => order.kind === 'spot', 'standard']
+] as const)('spot workers that are taken away and not to be had %s are replaced by others', (_where, refused, kind) => {
+  const fleet = new Fleet(10)
+  fleet.run(30, calm)
+  const total = fleet.count('spot') + fleet.count('standard')
+  const before = fleet.count(kind)
+  fleet.set(zones[1]!, 'spot', 0)
+  fleet.run(7, calm, refused)
+  expect(fleet.count('spot') + fleet.count('standard')).toBeGreaterThanOrEqual(total)
+  expect(fleet.count(kind) - (kind === 'spot' ? fleet.count('spot', zones[1]) : before)).toBeGreaterThan(0)
+})
+
+// Guards against numbers outside the operators' limits, also while both kinds serve during a replacement.
+test('the workers of a zone never exceed the limit, and never fall below the lowest number', () => {
+  const limits = { ...scaling, minWorkersPerZone: 3, maxWorkersPerZone: 6 }
+  const fleet = new Fleet(5, limits)
+  fleet.run(20, { openPrompts: 40, openAnswers: 400 })
+  for (const zone of zones) expect(fleet.count('spot', zone) + fleet.count('standard', zone)).toBeLessThanOrEqual(6)
+  for (const order of fleet.orders) expect(order.desired).toBeLessThanOrEqual(6)
+  fleet.run(60, { openPrompts: 0.1, openAnswers: 0.1 })
+  for (const zone of zones) expect(fleet.count('spot', zone) + fleet.count('standard', zone)).toBeGreaterThanOrEqual(3)
+})
+
+// Guards against removing workers because no host has reported its demand, as after a change of the holder.
+test('without reports the number of workers stays', () => {
+  const fleet = new Fleet(10)
+  fleet.run(20, undefined)
+  expect(fleet.count('spot') + fleet.count('standard')).toBe(30)
+})
+
+// Guards against an order whose loss leaves the pool too small.
+test('an order that has no effect is given again', () => {
+  const planner = new CapacityPlanner(pool, throughput)
+  const workers: CountedWorker[] = zones.map(zone => ({ zone, kind: 'standard', leaving: false }))
+  const demand: PoolDemand = { openPrompts: 4, openAnswers: 4 }
+  const ordersAt = (now: number): number => planner.plan({ now, workers, demand, scaling }).length
+  expect(ordersAt(0)).toBeGreaterThan(0)
+  expect(ordersAt(6000)).toBe(0)
+  expect(ordersAt(7100)).toBeGreaterThan(0)
+})
--- /dev/null
+++ b/src/capacity/CapacityTask.test.ts
@@ -0,0 +1,70 @@
+import { expect, test } from '@jest/globals'
+import { Result } from 'true-myth'
+import { type ErrorKind, failure, type Failure, type FencingNumber, ManualClock, type Pool, type Zone } from '../common/index.js'
+import { EventLog, HybridClock, Timeline } from '../observability/index.js'
+import { CapacityTask } from './CapacityTask.js'
+import type { PoolScaling, WorkerOrder } from './WorkerOrder.js'
+
+const zone = 'a' as Zone
+const number = 7 as FencingNumber
+const scaling: PoolScaling = {
+  minWorkersPerZone: 1, maxWorkersPerZone: 9, startupMilliseconds: 4000, spotPrice: 0.2, zonePrices: new Map([[zone, 1]])
+}
+
+function createTask (answer: (order: WorkerOrder) => Result<void, Failure>, isConfirmed = true) {
+  const clock = new ManualClock()
+  const given: Array<{ order: WorkerOrder, fencingNumber: FencingNumber }> = []
+  const refused: FencingNumber[] = []
+  const lease = {
+    authority: () => refused.length > 0 ? undefined : number,
+    confirmedAuthority: async () => isConfirmed ? number : undefined,
+    handleRefusal: (refusedNumber: FencingNumber) => { refused.push(refusedNumber) }
+  }
+  const task = new CapacityTask({
+    clock,
+    events: new EventLog({ timeline: new Timeline('host', new HybridClock(clock)), level: 'error', write: () => {} }),
+    lease,
+    pools: () => [{
+      pool: 'modelos' as Pool,
+      scaling,
+      throughput: { promptsPerWorker: 0.5, answersPerWorker: 16, promptShare: 0.75 },
+      workers: Array.from({ length: 6 }, () => ({ zone, kind: 'standard' as const, leaving: false }))
+    }],
+    demandOf: () => undefined,
+    orderWorkers: async (order, fencingNumber) => {
+      given.push({ order, fencingNumber })
+      return answer(order)
+    }
+  })
+  return { clock, task, given, refused }
+}
+
+const failed = (kind: ErrorKind) => () => Result.err<void, Failure>(failure(kind, 'refused by the test'))
+
+// Guards against orders of a host that has lost the duty.
+test('without a confirmation of the store no order is given', async () => {
+  const { task, given } = createTask(() => Result.ok(undefined), false)
+  await task.runOnce()
+  expect(given).toEqual([])
+})
+
+// Guards against a holder that goes on with a number that the platform has refused.
+test('a refused fencing number ends the orders', async () => {
+  const { task, given, refused } = createTask(failed('lost_authority'))
+  await task.runOnce()
+  await task.runOnce()
+  expect(given).toHaveLength(1)
+  expect(refused).toEqual([number])
+})
+
+// Guards against a missing order after a lost response, and against repeats while the platform has no workers.
+test.each([
+  ['upstream_failed', 2],
+  ['conflict', 1]
+] as const)('an order that ends with %s is given %i times in two seconds', async (kind, times) => {
+  const { task, given, clock } = createTask(failed(kind))
+  await task.runOnce()
+  await clock.advance(1000)
+  await task.runOnce()
+  expect(given.map(({ order: { kind: ordered } }) => ordered)).toEqual(Array(times).fill('spot'))
+})
--- /dev/null
+++ b/src/capacity/CapacityTask.ts
@@ -0,0 +1,89 @@
+/**
+ * Orders workers while this host holds the duty: plans the numbers of each pool once a second, and gives an order only
+ * right after the store has confirmed the host's authority.
+ */
+import type { Result } from 'true-myth'
+import { type Clock, type Failure, type FencingNumber, type Pool, Task } from '../common/index.js'
+import type { GroupLease } from '../leases/index.js'
+import type { EventLog } from '../observability/index.js'
+import { CapacityPlanner } from './CapacityPlanner.js'
+import type { CountedWorker, PoolDemand, PoolScaling, WorkerOrder } from './WorkerOrder.js'
+import type { WorkerThroughput } from './WorkerTarget.js'
+
+/** Interval between plans, in milliseconds. */
+const planMilliseconds = 1000
+
+/** A pool that the operators allow to grow and shrink. */
+export interface ScaledPool {
+  pool: Pool
+  scaling: PoolScaling
+  throughput: WorkerThroughput
+  workers: CountedWorker[]
+}
+
+/** Options of a `CapacityTask`. */
+export interface CapacityTaskOptions {
+  clock: Clock
+  events: EventLog
+  lease: Pick<GroupLease, 'authority' | 'confirmedAuthority' | 'handleRefusal'>
+  pools: () => ScaledPool[]
+  demandOf: (pool: Pool) => PoolDemand | undefined
+  /** Gives an order. Errors: `lost_authority`, `conflict` if the platform has no such workers, others if it is not known. */
+  orderWorkers: (order: WorkerOrder, fencingNumber: FencingNumber) => Promise<Result<void, Failure>>
+}
+
+/** Plans and orders on the holder of the duty. */
+export class CapacityTask {
+  /** Planners since this host gained the duty. */
+  private readonly planners = new Map<Pool, CapacityPlanner>()
+  private task: Task | undefined
+
+  constructor (private readonly options: CapacityTaskOptions) {}
+
+  start (): void {
+    const { clock, events } = this.options
+    this.task ??= Task.start(async signal => {
+      while (!signal.aborted) {
+        await clock.sleep(planMilliseconds, signal)
+        if (!signal.aborted) await this.runOnce(signal)
+      }
+    }, error => { events.error('capacity_task_ended', { reason: String(error) }) })
+  }
+
+  async stop (): Promise<void> {
+    await this.task?.stop()
+  }
+
+  /** Plans once and gives the orders that are due. */
+  async runOnce (signal?: AbortSignal): Promise<void> {
+    const { lease, pools, demandOf, clock } = this.options
+    // What a former holder ordered is unknown, so a new holder begins with what it counts.
+    if (lease.authority() === undefined) return this.planners.clear()
+    for (const { pool, scaling, throughput, workers } of pools()) {
+      const planner = this.planners.get(pool) ?? new CapacityPlanner(pool, throughput)
+      this.planners.set(pool, planner)
+      for (const order of planner.plan({ now: clock.monotonic(), workers, demand: demandOf(pool), scaling })) {
+        if (signal?.aborted === true || !await this.give(order, planner)) return
+      }
+    }
+  }
+
+  /** Gives an order. Returns false if this host has lost its authority. */
+  private async give (order: WorkerOrder, planner: CapacityPlanner): Promise<boolean> {
+    const { lease, orderWorkers, events, clock } = this.options
+    const { pool, zone, kind, desired, before, reason } = order
+    const fencingNumber = await lease.confirmedAuthority()
+    if (fencingNumber === undefined) {
+      planner.recordFailure(zone, kind)
+      return false
+    }
+    const given = await orderWorkers(order, fencingNumber)
+    const outcome = given.isOk ? 'accepted' : given.error.kind
+    events.info('workers_ordered', { pool, zone, kind, desired, before, fencing: fencingNumber, outcome, reason })
+    if (given.isOk) return true
+    if (given.error.kind === 'lost_authority') lease.handleRefusal(fencingNumber)
+    if (given.error.kind === 'conflict') planner.recordUnavailable(zone, kind, clock.monotonic())
+    else planner.recordFailure(zone, kind)
+    return given.error.kind !== 'lost_authority'
+  }
+}
--- /dev/null
+++ b/src/capacity/WorkerOrder.ts
@@ -0,0 +1,46 @@
+/**
+ * What the planner of worker numbers knows about a pool, and the orders that it gives.
+ */
+import type { Pool, Zone } from '../common/index.js'
+
+/** `spot` workers are cheaper, but the platform may take all of a zone away at once. */
+export type WorkerKind = 'standard' | 'spot'
+
+/** How the operators allow a pool to grow and shrink. The limits hold for each zone, for both kinds together. */
+export interface PoolScaling {
+  minWorkersPerZone: number
+  maxWorkersPerZone: number
+  /** Time from an order until a new worker serves, in milliseconds. */
+  startupMilliseconds: number
+  /** Price of a spot worker as a share of that of a standard one; undefined if the pool has no spot workers. */
+  spotPrice: number | undefined
+  /** Price of a worker in each zone. */
+  zonePrices: ReadonlyMap<Zone, number>
+}
+
+/** A worker of the pool that is serving or leaving. */
+export interface CountedWorker {
+  zone: Zone
+  kind: WorkerKind
+  /** True if the worker has announced its end. */
+  leaving: boolean
+}
+
+/** Work of a pool at one moment, summed over all hosts. */
+export interface PoolDemand {
+  /** Prompts at the workers that compute them, or waiting for one. */
+  openPrompts: number
+  /** Streams and other requests at the workers that answer. */
+  openAnswers: number
+}
+
+/** The number of workers of one kind that a zone is to have. */
+export interface WorkerOrder {
+  pool: Pool
+  zone: Zone
+  kind: WorkerKind
+  desired: number
+  /** Number that was counted when the order was planned. */
+  before: number
+  reason: string
+}
--- /dev/null
+++ b/src/capacity/index.ts
@@ -0,0 +1,5 @@
+export * from './WorkerOrder.js'
+export * from './WorkerTarget.js'
+export * from './CapacityPlanner.js'
+export * from './OccupancyMeter.js'
+export * from './CapacityTask.js'
--- a/src/platform/PlatformDirectory.ts
+++ b/src/platform/PlatformDirectory.ts
@@ -88,6 +88,11 @@
     return this.routeTable
   }
 
+  /** The workers, as their entries describe them. */
+  get workerEntries (): Iterable<WorkerEntry> {
+    return this.workers.values()
+  }
+
   /** True once a configuration and the workers have been read, so that the host can serve requests. */
   get isComplete (): boolean {
     return this.routeTable !== undefined && this.hasReadWorkers
--- a/src/platform/RouteConfiguration.ts
+++ b/src/platform/RouteConfiguration.ts
@@ -4,7 +4,9 @@
  */
 import { Result } from 'true-myth'
 import { z } from 'zod'
+import type { PoolScaling } from '../capacity/index.js'
 import { type Failure, failure, type Model, type Pool } from '../common/index.js'
+import { scalingOf, scalingSchema } from './decodeScaling.js'
 
 /**
  * How often a request may run: `safe`, any number of times; `once`, at most once; `stream`, again only if resumable.
@@ -40,6 +42,8 @@
   pool: Pool
   /** Empty for a service without models. */
   models: Model[]
+  /** How the service may grow and shrink; undefined if its workers are fixed. */
+  scaling?: PoolScaling
 }
 
 /** Limits for requests and connections of callers. */
@@ -80,7 +84,8 @@
   routes: z.array(routeSchema),
   services: z.array(z.object({
     name: z.string(),
-    engine: z.object({ models: z.array(z.object({ name: z.string() })).default([]) }).optional()
+    engine: z.object({ models: z.array(z.object({ name: z.string() })).default([]) }).optional(),
+    autoscaling: scalingSchema.optional()
   })),
   limits: z.object({
     'max-header-bytes': positive,
@@ -136,9 +141,10 @@
   return Result.ok({
     version,
     routes: routes.map(decodeRoute),
-    services: services.map(({ name, engine }) => ({
+    services: services.map(({ name, engine, autoscaling }) => ({
       pool: name as Pool,
-      models: engine?.models.map(model => model.name as Model) ?? []
+      models: engine?.models.map(model => model.name as Model) ?? [],
+      ...(autoscaling === undefined ? {} : { scaling: scalingOf(autoscaling) })
     })),
     limits: {
       maxHeaderBytes: limits['max-header-bytes'],
--- a/src/platform/WorkerEntry.ts
+++ b/src/platform/WorkerEntry.ts
@@ -22,6 +22,8 @@
   startedAt: number
   /** Number of the report; increases until the worker restarts. */
   report: number
+  /** True if the platform may take the worker away shortly after a notice. */
+  spot: boolean
 }
 
 const roles = { prefill: 'prefill', decode: 'decode', colocated: 'mixed' } as const
@@ -41,7 +43,8 @@
   state: z.enum(['ready', 'draining']),
   stage: z.enum(['prefill', 'decode', 'colocated']).default('colocated'),
   born: z.number().int().nonnegative().max(maxStart).default(0),
-  sequence: z.number().int().nonnegative().max(maxCount)
+  sequence: z.number().int().nonnegative().max(maxCount),
+  spot: z.boolean().default(false)
 })
 
 /** Decodes an entry; undefined if it is not a valid entry of a worker. */
@@ -49,7 +52,7 @@
   const id = workerIdSchema.safeParse(key)
   const parsed = entrySchema.safeParse(parseJson(value.toString('utf8')))
   if (!id.success || !parsed.success) return undefined
-  const { service, address, zone, slots, state, stage, born, sequence } = parsed.data
+  const { service, address, zone, slots, state, stage, born, sequence, spot } = parsed.data
   return {
     id: id.data,
     pool: service as Pool,
@@ -59,7 +62,8 @@
     role: roles[stage],
     slots,
     startedAt: born,
-    report: sequence
+    report: sequence,
+    spot
   }
 }
 
