--- a/src/capacity/CapacityPlanner.test.ts
+++ b/src/capacity/CapacityPlanner.test.ts
@@ -1,7 +1,8 @@
 import { expect, test } from '@jest/globals'
 import type { Pool, Zone } from '../common/index.js'
+import type { WorkerKind } from '../duties/index.js'
 import { CapacityPlanner } from './CapacityPlanner.js'
-import type { CountedWorker, PoolDemand, PoolScaling, WorkerKind, WorkerOrder } from './WorkerOrder.js'
+import type { CountedWorker, PoolDemand, PoolScaling, WorkerOrder } from './WorkerOrder.js'
 
 const pool = 'modelos' as Pool
 const zones = ['a', 'b', 'c'] as Zone[]
--- a/src/capacity/CapacityPlanner.ts
+++ b/src/capacity/CapacityPlanner.ts
@@ -6,7 +6,8 @@
  * workers that replace them serve, and return while these are missing.
  */
 import type { Pool, Zone } from '../common/index.js'
-import type { CountedWorker, PoolDemand, PoolScaling, WorkerKind, WorkerOrder } from './WorkerOrder.js'
+import type { WorkerKind } from '../duties/index.js'
+import type { CountedWorker, PoolDemand, PoolScaling, WorkerOrder } from './WorkerOrder.js'
 import { type WorkerThroughput, WorkerTarget } from './WorkerTarget.js'
 
 /** Standard workers of a pool over all zones: two for prompts and two for answers, so that one of each may be lost. */
--- a/src/capacity/CapacityTask.test.ts
+++ b/src/capacity/CapacityTask.test.ts
@@ -2,8 +2,9 @@
 import { Result } from 'true-myth'
 import { type ErrorKind, failure, type Failure, type FencingNumber, ManualClock, type Pool, type Zone } from '../common/index.js'
 import { EventLog, HybridClock, Timeline } from '../observability/index.js'
+import type { WorkerCountOrder } from '../duties/index.js'
 import { CapacityTask } from './CapacityTask.js'
-import type { PoolScaling, WorkerOrder } from './WorkerOrder.js'
+import type { PoolScaling } from './WorkerOrder.js'
 
 const zone = 'a' as Zone
 const number = 7 as FencingNumber
@@ -11,9 +12,9 @@
   minWorkersPerZone: 1, maxWorkersPerZone: 9, startupMilliseconds: 4000, spotPrice: 0.2, zonePrices: new Map([[zone, 1]])
 }
 
-function createTask (answer: (order: WorkerOrder) => Result<void, Failure>, isConfirmed = true) {
+function createTask (answer: (order: WorkerCountOrder) => Result<void, Failure>, isConfirmed = true) {
   const clock = new ManualClock()
-  const given: Array<{ order: WorkerOrder, fencingNumber: FencingNumber }> = []
+  const given: Array<{ order: WorkerCountOrder, fencingNumber: FencingNumber }> = []
   const refused: FencingNumber[] = []
   const lease = {
     authority: () => refused.length > 0 ? undefined : number,
@@ -31,9 +32,11 @@
       workers: Array.from({ length: 6 }, () => ({ zone, kind: 'standard' as const, leaving: false }))
     }],
     demandOf: () => undefined,
-    orderWorkers: async (order, fencingNumber) => {
-      given.push({ order, fencingNumber })
-      return answer(order)
+    platform: {
+      orderWorkers: async (order, fencingNumber) => {
+        given.push({ order, fencingNumber })
+        return answer(order)
+      }
     }
   })
   return { clock, task, given, refused }
--- a/src/capacity/CapacityTask.ts
+++ b/src/capacity/CapacityTask.ts
@@ -2,8 +2,8 @@
  * Orders workers while this host holds the duty: plans the numbers of each pool once a second, and gives an order only
  * right after the store has confirmed the host's authority.
  */
-import type { Result } from 'true-myth'
-import { type Clock, type Failure, type FencingNumber, type Pool, Task } from '../common/index.js'
+import { type Clock, type Failure, type Pool, Task } from '../common/index.js'
+import type { DutyPlatform } from '../duties/index.js'
 import type { GroupLease } from '../leases/index.js'
 import type { EventLog } from '../observability/index.js'
 import { CapacityPlanner } from './CapacityPlanner.js'
@@ -28,8 +28,7 @@
   lease: Pick<GroupLease, 'authority' | 'confirmedAuthority' | 'handleRefusal'>
   pools: () => ScaledPool[]
   demandOf: (pool: Pool) => PoolDemand | undefined
-  /** Gives an order. Errors: `lost_authority`, `conflict` if the platform has no such workers, others if it is not known. */
-  orderWorkers: (order: WorkerOrder, fencingNumber: FencingNumber) => Promise<Result<void, Failure>>
+  platform: Pick<DutyPlatform, 'orderWorkers'>
 }
 
 /** Plans and orders on the holder of the duty. */
@@ -70,20 +69,29 @@
 
   /** Gives an order. Returns false if this host has lost its authority. */
   private async give (order: WorkerOrder, planner: CapacityPlanner): Promise<boolean> {
-    const { lease, orderWorkers, events, clock } = this.options
+    const { lease, platform, events, clock } = this.options
     const { pool, zone, kind, desired, before, reason } = order
     const fencingNumber = await lease.confirmedAuthority()
     if (fencingNumber === undefined) {
       planner.recordFailure(zone, kind)
       return false
     }
-    const given = await orderWorkers(order, fencingNumber)
+    const given = await platform.orderWorkers({ pool, zone, kind, desired }, fencingNumber)
     const outcome = given.isOk ? 'accepted' : given.error.kind
     events.info('workers_ordered', { pool, zone, kind, desired, before, fencing: fencingNumber, outcome, reason })
     if (given.isOk) return true
-    if (given.error.kind === 'lost_authority') lease.handleRefusal(fencingNumber)
-    if (given.error.kind === 'conflict') planner.recordUnavailable(zone, kind, clock.monotonic())
-    else planner.recordFailure(zone, kind)
-    return given.error.kind !== 'lost_authority'
+    if (given.error.kind === 'conflict' && await this.isUnavailable(given.error)) {
+      planner.recordUnavailable(zone, kind, clock.monotonic())
+      return true
+    }
+    planner.recordFailure(zone, kind)
+    if (given.error.kind !== 'lost_authority' && given.error.kind !== 'conflict') return true
+    lease.handleRefusal(fencingNumber)
+    return false
+  }
+
+  /** True if the platform refused an order since it has no such workers, and not since the fencing number is outdated. */
+  private async isUnavailable ({ detail }: Failure): Promise<boolean> {
+    return detail?.isUnavailable === true || await this.options.lease.confirmedAuthority() !== undefined
   }
 }
--- a/src/capacity/WorkerOrder.ts
+++ b/src/capacity/WorkerOrder.ts
@@ -1,10 +1,8 @@
 /**
  * What the planner of worker numbers knows about a pool, and the orders that it gives.
  */
-import type { Pool, Zone } from '../common/index.js'
-
-/** `spot` workers are cheaper, but the platform may take all of a zone away at once. */
-export type WorkerKind = 'standard' | 'spot'
+import type { Zone } from '../common/index.js'
+import type { WorkerCountOrder, WorkerKind } from '../duties/index.js'
 
 /** How the operators allow a pool to grow and shrink. The limits hold for each zone, for both kinds together. */
 export interface PoolScaling {
@@ -34,12 +32,8 @@
   openAnswers: number
 }
 
-/** The number of workers of one kind that a zone is to have. */
-export interface WorkerOrder {
-  pool: Pool
-  zone: Zone
-  kind: WorkerKind
-  desired: number
+/** The number of workers of one kind that a zone is to have, and why. */
+export interface WorkerOrder extends WorkerCountOrder {
   /** Number that was counted when the order was planned. */
   before: number
   reason: string
--- a/src/platform/CapacityPart.ts
+++ b/src/platform/CapacityPart.ts
@@ -2,12 +2,12 @@
  * The part of a host that orders workers: measures the demand of this host, and, while the host holds the duty, plans the
  * workers of the services that the operators allow to grow and shrink.
  */
-import { CapacityTask, type CountedWorker, OccupancyMeter, type OccupiedWorker, type PoolDemand, type ScaledPool, type WorkerOrder } from '../capacity/index.js'
-import type { Clock, Failure, FencingNumber, Pool } from '../common/index.js'
+import { CapacityTask, type CountedWorker, OccupancyMeter, type OccupiedWorker, type PoolDemand, type ScaledPool } from '../capacity/index.js'
+import type { Clock, Pool } from '../common/index.js'
+import type { DutyPlatform } from '../duties/index.js'
 import type { GroupLease } from '../leases/index.js'
 import type { EventLog } from '../observability/index.js'
 import type { UpstreamManager } from '../upstreams/index.js'
-import type { Result } from 'true-myth'
 import type { PlatformDirectory } from './PlatformDirectory.js'
 
 /** Options of a `CapacityPart`. */
@@ -19,7 +19,7 @@
   prefillShare: number
   /** Demand of all hosts. */
   demandOf: (pool: Pool) => PoolDemand | undefined
-  orderWorkers: (order: WorkerOrder, fencingNumber: FencingNumber) => Promise<Result<void, Failure>>
+  platform: DutyPlatform
   clock: Clock
   events: EventLog
 }
@@ -39,9 +39,9 @@
   private readonly task: CapacityTask
 
   constructor (private readonly options: CapacityPartOptions) {
-    const { clock, events, lease, demandOf, orderWorkers } = options
+    const { clock, events, lease, demandOf, platform } = options
     this.meter = new OccupancyMeter({ clock, events, workers: () => this.occupiedWorkers() })
-    this.task = new CapacityTask({ clock, events, lease, demandOf, orderWorkers, pools: () => this.scaledPools() })
+    this.task = new CapacityTask({ clock, events, lease, demandOf, platform, pools: () => this.scaledPools() })
   }
 
   /** True if the configuration lets some service grow and shrink. */
