--- a/src/duties/HostReport.ts
+++ b/src/duties/HostReport.ts
@@ -11,23 +11,15 @@
 export const maxReportedWindows = 12
 export const maxReportedPools = 256
 
-/** Demand that one host has seen for a pool. */
+/** Work of one host at the workers of a pool, on average since its last report. */
 export const poolDemandSchema = z.object({
   pool: poolSchema,
-  /** Requests that arrived since the start of the host's process. */
-  requests: count,
-  /** Tokens of the prompts that arrived since the start of the process. */
-  promptTokens: amount,
-  /** Time that workers spent on computing prompts since the start of the process. */
-  promptMilliseconds: amount,
-  /** Streams that are open now. */
-  openStreams: count,
-  /** Requests that wait for a worker now. */
-  waiting: count,
-  /** Requests that this host refused since the start of the process, because no worker could take them in time. */
-  refused: count
+  /** Prompts at the workers that compute them. */
+  openPrompts: amount,
+  /** Streams and other requests at the workers that answer. */
+  openAnswers: amount
 })
-export type PoolDemand = z.infer<typeof poolDemandSchema>
+export type HostPoolDemand = z.infer<typeof poolDemandSchema>
 
 /** Requests of each account that began to run in a window, as counted so far. */
 export const windowCountsSchema = z.object({
--- a/src/duties/HostReportBoard.ts
+++ b/src/duties/HostReportBoard.ts
@@ -1,8 +1,8 @@
 /**
  * The latest report of each host, on the holder of the duties.
  */
-import { BoundedTable, type Clock } from '../common/index.js'
-import type { HostReport } from './HostReport.js'
+import { BoundedTable, type Clock, type Pool } from '../common/index.js'
+import type { HostPoolDemand, HostReport } from './HostReport.js'
 
 /** A report with the monotonic time in milliseconds of its arrival. */
 export interface ReceivedReport { report: HostReport, receivedAt: number }
@@ -31,4 +31,14 @@
     return this.reports.entries().map(([, received]) => received)
       .filter(({ receivedAt }) => now - receivedAt <= recentMilliseconds)
   }
+
+  /** Demand for a pool over all hosts that have reported recently; undefined if none has stated any. */
+  demandOf (pool: Pool): Omit<HostPoolDemand, 'pool'> | undefined {
+    const demands = this.recent().flatMap(({ report }) => report.demand.filter(demand => demand.pool === pool))
+    if (demands.length === 0) return undefined
+    return {
+      openPrompts: demands.reduce((sum, { openPrompts }) => sum + openPrompts, 0),
+      openAnswers: demands.reduce((sum, { openAnswers }) => sum + openAnswers, 0)
+    }
+  }
 }
--- a/src/duties/HostReporter.ts
+++ b/src/duties/HostReporter.ts
@@ -5,7 +5,7 @@
 import type { Result } from 'true-myth'
 import { type Clock, type Failure, type HostId, type Incarnation, Task, type Zone } from '../common/index.js'
 import type { EventLog } from '../observability/index.js'
-import { type HostReport, type HostReportAnswer, maxReportedPools, maxReportedWindows, type PoolDemand, type WindowCounts } from './HostReport.js'
+import { type HostReport, type HostReportAnswer, maxReportedPools, maxReportedWindows, type HostPoolDemand, type WindowCounts } from './HostReport.js'
 
 /** The holder of the duties, over one connection or on this host. It keeps what it has taken. */
 export interface HostReportReceiver {
@@ -33,7 +33,7 @@
   zone: Zone
   /** Undefined if the use is not reported. */
   use: CountedUse | undefined
-  demand: () => PoolDemand[]
+  demand: () => HostPoolDemand[]
   channel: HostReportChannel
   clock: Clock
   events: EventLog
--- a/src/platform/DutyPart.ts
+++ b/src/platform/DutyPart.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock, Hash, Incarnation } from '../common/index.js'
 import {
-  type DutyPlatform, type HostReport, type HostReportAnswer, HostReportBoard, HostReporter, type PoolDemand
+  type DutyPlatform, type HostReport, type HostReportAnswer, HostReportBoard, HostReporter, type HostPoolDemand
 } from '../duties/index.js'
 import type { RunObserver } from '../forwarding/index.js'
 import type { GroupLease } from '../leases/index.js'
@@ -32,7 +32,7 @@
   lease: GroupLease
   directory: Pick<SchedulerDirectory, 'orderHolder' | 'reportFailure'>
   /** The demand that this host sees. Default: none. */
-  demand?: () => PoolDemand[]
+  demand?: () => HostPoolDemand[]
 }
 
 /** Names of the duties in the settings. */
--- a/src/platform/DutyReportChannel.test.ts
+++ b/src/platform/DutyReportChannel.test.ts
@@ -17,7 +17,7 @@
   at: 1_700_000_000_000,
   windows: [{ window: 3, counts: [['reef' as never, 2]] }],
   finalWindow: 2,
-  demand: [{ pool: 'llm' as never, requests: 1, promptTokens: 2, promptMilliseconds: 3, openStreams: 4, waiting: 5, refused: 6 }]
+  demand: [{ pool: 'llm' as never, openPrompts: 1.5, openAnswers: 4 }]
 }
 
 let clock: ManualClock
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -16,6 +16,7 @@
 import { PowerOfTwoPolicy, PrefixIndex, PromptPlacementPolicy } from '../routing/index.js'
 import { acceptsConnections, UpstreamManager, type UpstreamView } from '../upstreams/index.js'
 import { CallerListener } from './CallerListener.js'
+import { CapacityPart } from './CapacityPart.js'
 import { DutyPart } from './DutyPart.js'
 import { type ErrorEmitter, handleUnexpectedErrors } from './handleUnexpectedErrors.js'
 import { PlacementPart } from './PlacementPart.js'
@@ -131,7 +132,8 @@
     private readonly quarantine: PartQuarantine,
     private readonly quarantinePart: QuarantinePart,
     private readonly loopDelay: EventLoopDelay,
-    private readonly duties: DutyPart
+    private readonly duties: DutyPart,
+    private readonly capacity: CapacityPart
   ) {
     this.rolePlannerTask = new RolePlannerTask({
       clock,
@@ -234,7 +236,20 @@
     })
     const lease = createLease(settings, group, clock, events)
     const duties: DutyPart = new DutyPart({
-      settings, incarnation, era, clock, events, metrics, hash, group, lease, directory: placement.directory
+      settings,
+      incarnation,
+      era,
+      clock,
+      events,
+      metrics,
+      hash,
+      group,
+      lease,
+      directory: placement.directory,
+      demand: () => capacity.takeDemand()
+    })
+    const capacity: CapacityPart = new CapacityPart({
+      directory, upstreams, lease, duties, prefillShare: settings.roles.prefillShare, clock, events
     })
     const permits = new RequestPermits({ client: placement.permitClient, clock, events })
     const requests = new RequestManager(requestManagerOptions({
@@ -261,7 +276,7 @@
     })
     const host = new PlatformHost(
       settings, clock, events, lines, metrics, directory, [configurationFollower, workerFollower], upstreams, requests,
-      listener, lease, budget, placement, quarantine, quarantinePart, loopDelay, duties)
+      listener, lease, budget, placement, quarantine, quarantinePart, loopDelay, duties, capacity)
     directory.onChange(() => {
       const limits = directory.routes?.configuration.limits
       if (limits !== undefined) listener.configure(limits)
@@ -286,6 +301,7 @@
     this.lease.start()
     this.rolePlannerTask.start()
     this.duties.start()
+    this.capacity.start()
     this.readinessServer = await serve({
       application: this.readinessApplication(), addresses: [listen.readiness], maxHeaderBytes
     })
@@ -314,6 +330,7 @@
   /** Stops everything at once and closes the connections of open requests. */
   async close (): Promise<void> {
     await this.rolePlannerTask.stop()
+    await this.capacity.stop()
     await this.duties.stop()
     await this.lease.stop()
     await this.placement.stop()
@@ -358,7 +375,8 @@
     const exitAt = clock.monotonic() + exitMilliseconds
     listener.startStop({ finalAnswerAt: exitAt - finalAnswerMilliseconds, exitAt })
     this.logStop('stop_started')
-    const dutyEnded = Promise.all([this.rolePlannerTask.stop(), this.duties.stopDuties()]).then(() => this.lease.stop())
+    const dutiesEnded = Promise.all([this.rolePlannerTask.stop(), this.capacity.stop(), this.duties.stopDuties()])
+    const dutyEnded = dutiesEnded.then(() => this.lease.stop())
     const timeout = new AbortController()
     const timedOut = clock.sleep(exitMilliseconds, timeout.signal).then(() => false)
     const drained = this.drainRequests(exitMilliseconds - finalAnswerMilliseconds, timeout.signal)
