--- a/src/platform/PlacementPart.ts
+++ b/src/platform/PlacementPart.ts
@@ -104,11 +104,6 @@
     return this.directory.placementHosts()
   }
 
-  /** True if the store last told that no host schedules prompts. */
-  get hasNoScheduler (): boolean {
-    return this.directory.hasNoScheduler
-  }
-
   /** Records that none of the hosts that schedule prompts answers. */
   reportNoSchedulingHost (): void {
     this.directory.reportFailure()
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -26,7 +26,6 @@
 import { readWorkerNotice } from './readWorkerNotice.js'
 import { RelayPart } from './relay/index.js'
 import { RequestMetrics } from './RequestMetrics.js'
-import { SchedulerEligibility } from './SchedulerEligibility.js'
 import { StoreAvailability } from './StoreAvailability.js'
 import { StoreClient } from './StoreClient.js'
 import { StoreDutyGroup } from './StoreDutyGroup.js'
@@ -100,6 +99,12 @@
   otherZoneMillisecondsPerToken: 0.0005
 }
 
+/**
+ * Minimum processor of a host that schedules prompts, in cores. Scheduling takes up to a tenth of a core, beside the
+ * host's own requests.
+ */
+const minSchedulerCores = 0.4
+
 /** Constant part of the response time of a computed prompt until it is measured, in milliseconds. */
 const promptBaseMilliseconds = 70
 
@@ -204,8 +209,7 @@
     const budget = new RetryBudget(clock, retryLimitsOf(settings))
     const policy = createPlacementPolicy(settings, hash, index)
     const incarnation = newIncarnation()
-    const group: StoreDutyGroup = createDutyGroup(
-      settings, incarnation, { era, availability }, events, () => placement.hasNoScheduler)
+    const group = createDutyGroup(settings, incarnation, { era, availability }, events)
     const placement: PlacementPart = new PlacementPart({
       settings,
       era,
@@ -455,12 +459,8 @@
   { host, store, bounds, listen }: PlatformSettings,
   incarnation: Incarnation,
   { era, availability }: { era: StoreEra, availability: StoreAvailability },
-  events: EventLog,
-  hasNoScheduler: () => boolean
+  events: EventLog
 ): StoreDutyGroup {
-  const eligibility = new SchedulerEligibility({
-    cores: host.cpuShare * host.cores, isReachable: listen.peers !== undefined, hasNoScheduler
-  })
   return new StoreDutyGroup({
     store: new StoreClient(store.address, era, availability),
     era,
@@ -470,7 +470,7 @@
     timeToLiveMilliseconds: bounds.leaseMilliseconds,
     peerAddress: listen.peers,
     zone: host.zone,
-    schedulesPrompts: () => eligibility.isEligible
+    schedulesPrompts: listen.peers !== undefined && host.cpuShare * host.cores >= minSchedulerCores
   })
 }
 
--- a/src/platform/SchedulerDirectory.ts
+++ b/src/platform/SchedulerDirectory.ts
@@ -45,7 +45,7 @@
   private refreshedAt = -Infinity
   private refreshMilliseconds = minRefreshMilliseconds
   /** True if the store last told that no host holds any partition. */
-  hasNoScheduler = false
+  private hasNoScheduler = false
   private readonly stopping = new AbortController()
 
   constructor (private readonly options: SchedulerDirectoryOptions) {}
--- a/src/platform/StoreDutyGroup.test.ts
+++ b/src/platform/StoreDutyGroup.test.ts
@@ -46,7 +46,7 @@
     incarnation: newIncarnation(),
     timeToLiveMilliseconds: durationMilliseconds,
     peerAddress: undefined,
-    schedulesPrompts: () => false
+    schedulesPrompts: false
   })
   const lease = new GroupLease({ group, clock, events, durationMilliseconds, renewMilliseconds, handoverMilliseconds })
   const host = { group, lease, era, lines, store: client }
--- a/src/platform/StoreDutyGroup.ts
+++ b/src/platform/StoreDutyGroup.ts
@@ -44,8 +44,8 @@
   peerAddress: string | undefined
   /** Zone of this host, which the others learn with its address; default: not stated. */
   zone?: Zone
-  /** True if this host offers to schedule prompts for others. */
-  schedulesPrompts: () => boolean
+  /** True if this host may schedule prompts for others. */
+  schedulesPrompts: boolean
 }
 
 /** Name of a host's member: host id, incarnation and, if other hosts can reach it, its zone and its address. */
@@ -108,7 +108,7 @@
 
   async join (signal?: AbortSignal): Promise<Result<GroupMembership, Failure>> {
     const { store, timeToLiveMilliseconds, schedulesPrompts } = this.options
-    const topics = schedulesPrompts() ? [dutyTopic, placementTopic] : [dutyTopic]
+    const topics = schedulesPrompts ? [dutyTopic, placementTopic] : [dutyTopic]
     const generation = this.seenGeneration()
     const joined = await store.join(hostGroup, this.member, { topics, timeToLiveMilliseconds, generation, signal })
     return joined.andThen(({ generation, era, partitions }) => {
