--- a/src/platform/PlatformSettings.ts
+++ b/src/platform/PlatformSettings.ts
@@ -50,6 +50,12 @@
      */
     prefillShare: z.number().min(0).max(1).default(0.75)
   }).prefault({}),
+  limits: z.strictObject({
+    /** Memory of the machine; absent: the defaults of `src/intake` apply. */
+    memoryMegabytes: positive.optional(),
+    /** Number of descriptors that the process may have open. */
+    descriptors: positive.optional()
+  }).prefault({}),
   log: z.strictObject({ level: z.enum(['debug', 'info', 'warn', 'error']).default('info') }).prefault({})
 })
 export type PlatformSettings = z.infer<typeof platformSettingsSchema>
