Bound the memory, connections and requests of clients

One byte budget per host now covers bodies, heads and responses; reading is paused at 8 open requests of a connection, and the largest and slowest bodies are refused first.

--- a/src/common/ErrorKind.ts
+++ b/src/common/ErrorKind.ts
@@ -11,6 +11,7 @@
   | 'not_found'
   | 'unknown_model'
   | 'body_too_large'
+  | 'body_timeout'
   | 'headers_too_large'
   | 'conflict'
   | 'invalid_configuration'
@@ -50,6 +51,7 @@
   not_found: { status: 404, notRun: true, exitStatus: 4 },
   unknown_model: { status: 404, notRun: true, exitStatus: 4 },
   body_too_large: { status: 413, notRun: true, exitStatus: 2 },
+  body_timeout: { status: 408, notRun: true, retryAfterSeconds: 1, exitStatus: 6 },
   headers_too_large: { status: 431, notRun: true, exitStatus: 2 },
   conflict: { status: 409, notRun: true, exitStatus: 5 },
   invalid_configuration: { status: 422, notRun: true, exitStatus: 2 },
--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -374,12 +374,14 @@
     const parts: Buffer[] = []
     let size = 0
     let done = false
-    while (!done && size <= limit) {
+    let hasRoom = true
+    while (!done && size <= limit && (hasRoom || !this.request.idempotent)) {
       const read = await iterator.next()
       if (read.done === true) done = true
       else {
         parts.push(read.value)
         size += read.value.length
+        hasRoom = this.request.holdResponse?.(read.value.length) ?? true
       }
     }
     if (!done && !this.request.idempotent) {
--- a/src/forwarding/ServiceRequest.ts
+++ b/src/forwarding/ServiceRequest.ts
@@ -40,6 +40,8 @@
   startDueAt?: number
   /** Monotonic time in milliseconds at which the caller gives up if the response has not started. Default: the deadline. */
   startLostAt?: number
+  /** Counts bytes of the response that are held for the caller. Returns false while the host is short of memory for them. */
+  holdResponse?: (bytes: number) => boolean
   /** Time without a response after which an idempotent call is sent to another worker. Default: until the deadline. */
   attemptTimeoutMilliseconds?: number
 }
--- /dev/null
+++ b/src/intake/RequestIntake.ts
@@ -0,0 +1,176 @@
+/**
+ * What one request takes of the budget: its head, its body as it arrives, and its response until the caller has read it.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { Result } from 'true-myth'
+import { type Clock, type Failure, failure } from '../common/index.js'
+import { BodyBuffer } from './BodyBuffer.js'
+import type { ConnectionIntake } from './ConnectionIntake.js'
+import type { MemoryBudget, Reservation, ReservationOwner } from './MemoryBudget.js'
+import type { RefusalLog, RefusalReason } from './RefusalLog.js'
+
+/** Memory of a request beside its content: the objects of the runtime and of the host, in bytes. */
+const requestOverheadBytes = 8192
+
+/** Bytes of a body that have to arrive within each period of the progress check; no limit on bodies that end earlier. */
+const minBytesPerPeriod = 1024
+
+/** Dependencies of a `RequestIntake`. */
+export interface RequestIntakeOptions {
+  message: IncomingMessage
+  response: ServerResponse
+  connection: ConnectionIntake
+  budget: MemoryBudget
+  clock: Clock
+  refusals: RefusalLog
+}
+
+/** One request, until its response has been sent or its connection has closed. */
+export class RequestIntake implements ReservationOwner {
+  /** Monotonic time in milliseconds at which the head was read. */
+  readonly receivedAt: number
+  private readonly reservation: Reservation
+  private readonly body = new BodyBuffer()
+  /** Bytes of the body that are part of the reservation. */
+  private reservedBodyBytes = 0
+  /** Ends the reading of the body. Undefined while none is read. */
+  private failBody: ((failed: Failure) => void) | undefined
+  private isSending = false
+  private period = { startedAt: 0, length: 0 }
+
+  constructor (private readonly options: RequestIntakeOptions) {
+    this.receivedAt = options.clock.monotonic()
+    this.reservation = options.budget.open(this)
+    this.reservation.add(headerBytesOf(options.message) + requestOverheadBytes)
+  }
+
+  pause (): void {
+    this.options.connection.gate.hold(this)
+  }
+
+  resume (): void {
+    this.options.connection.gate.release(this)
+    this.startPeriod()
+  }
+
+  refuse (): void {
+    this.options.refusals.record(this.failBody !== undefined ? 'memory' : this.isSending ? 'unread_response' : 'sent_ahead')
+    if (this.failBody === undefined) this.options.connection.socket.destroy()
+    else this.failBody(failure('overloaded', 'the memory for bodies is used up'))
+  }
+
+  /**
+   * Reads the body; undefined if the request has none. Errors: `body_too_large`, `overloaded`, `body_timeout`, `cancelled`.
+   * After an error the connection is not read any more.
+   */
+  async readBody (maxBytes: number): Promise<Result<Buffer | undefined, Failure>> {
+    const { message } = this.options
+    const { 'content-length': announced, 'transfer-encoding': encoding } = message.headers
+    if (announced !== undefined && Number(announced) > maxBytes) return this.stopReading(this.tooLarge(maxBytes))
+    if (message.destroyed) return Result.err(callerLeft)
+    const read = await this.readChunks(maxBytes)
+    if (read.isErr) return this.stopReading(read.error)
+    this.reservation.settle()
+    const hasBody = announced !== undefined || encoding !== undefined || this.body.length > 0
+    if (!hasBody) return Result.ok(undefined)
+    const content = this.body.take()
+    this.reserveBody(content.length)
+    return Result.ok(content)
+  }
+
+  /** Fails a body that has made too little progress within the period. */
+  checkProgress (periodMilliseconds: number): void {
+    const now = this.options.clock.monotonic()
+    if (this.failBody === undefined || this.options.connection.gate.isHeld) return this.startPeriod()
+    if (now - this.period.startedAt < periodMilliseconds) return
+    if (this.body.length - this.period.length >= minBytesPerPeriod) return this.startPeriod()
+    this.options.refusals.record('slow_body')
+    this.failBody(failure('body_timeout', `less than ${minBytesPerPeriod} bytes of the body arrived within ${periodMilliseconds} ms`))
+  }
+
+  /** Counts bytes of the response that are held. Returns false while the budget is short, so that no more should be read. */
+  readonly holdResponse = (bytes: number): boolean => {
+    this.reservation.add(bytes)
+    return !this.options.budget.isShort
+  }
+
+  /** From now on only the caller's reading is waited for, so that a caller who does not read may be refused. */
+  beginSending (): void {
+    this.isSending = true
+    this.reservation.recordProgress()
+    this.reservation.isRefusable = true
+  }
+
+  /** The caller has read what was sent. */
+  endSending (): void {
+    this.reservation.isRefusable = false
+  }
+
+  /** The connection has closed before the response was sent. */
+  abandon (): void {
+    const { response } = this.options
+    response.destroy()
+    response.emit('close')
+  }
+
+  /** Frees what the request has taken. */
+  close (): void {
+    this.failBody?.(callerLeft)
+    this.body.clear()
+    this.reservation.close()
+    this.options.connection.gate.release(this)
+  }
+
+  private async readChunks (maxBytes: number): Promise<Result<void, Failure>> {
+    const { message } = this.options
+    return await new Promise(resolve => {
+      const end = (result: Result<void, Failure>): void => {
+        this.failBody = undefined
+        message.off('data', add).off('end', complete).off('close', leave).off('error', leave)
+        resolve(result)
+      }
+      const add = (chunk: Buffer): void => {
+        this.body.add(chunk)
+        if (this.body.length > maxBytes) return end(Result.err(this.tooLarge(maxBytes)))
+        this.reserveBody(this.body.heldBytes)
+      }
+      const complete = (): void => { end(Result.ok(undefined)) }
+      const leave = (): void => { end(Result.err(callerLeft)) }
+      this.failBody = failed => { end(Result.err(failed)) }
+      this.startPeriod()
+      message.on('end', complete).on('close', leave).on('error', leave).on('data', add)
+    })
+  }
+
+  private reserveBody (bytes: number): void {
+    const added = bytes - this.reservedBodyBytes
+    this.reservedBodyBytes = bytes
+    if (added === 0) this.reservation.recordProgress()
+    else this.reservation.add(added)
+  }
+
+  private stopReading (failed: Failure): Result<never, Failure> {
+    this.options.connection.gate.hold('refused')
+    this.body.clear()
+    this.reserveBody(0)
+    this.reservation.settle()
+    return Result.err(failed)
+  }
+
+  private tooLarge (maxBytes: number): Failure {
+    this.options.refusals.record('body_size' satisfies RefusalReason)
+    return failure('body_too_large', `the body is larger than ${maxBytes} bytes`)
+  }
+
+  private startPeriod (): void {
+    this.period = { startedAt: this.options.clock.monotonic(), length: this.body.length }
+  }
+}
+
+const callerLeft = failure('cancelled', 'the caller disconnected before the end of its request body')
+
+/** Size of the header fields of a request in bytes. */
+export function headerBytesOf ({ rawHeaders }: IncomingMessage): number {
+  // Each field has a colon and a space after the name, and CRLF after the value.
+  return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0)
+}
--- /dev/null
+++ b/src/intake/intakeLimits.test.ts
@@ -0,0 +1,16 @@
+/** Guards against limits that an ordinary client meets, or that exceed the machine. */
+import { expect, test } from '@jest/globals'
+import { deriveIntakeLimits } from './intakeLimits.js'
+
+const mebibyte = 1_048_576
+
+test.each([
+  ['without settings', {}, { megabytes: 153, maxConnections: 9779, maxRequests: 21_829 }],
+  ['on the smallest machine', { memoryMegabytes: 202, descriptors: 1024 }, { megabytes: 29, maxConnections: 488, maxRequests: 325 }],
+  ['on the largest machine', { memoryMegabytes: 602, descriptors: 4096 }, { megabytes: 189, maxConnections: 2024, maxRequests: 1349 }],
+  ['with next to nothing', { memoryMegabytes: 10, descriptors: 10 }, { megabytes: 16, maxConnections: 32, maxRequests: 32 }]
+])('%s', (_name, machine, { megabytes, ...counts }) => {
+  const { budgetBytes, ...limits } = deriveIntakeLimits(machine)
+  expect(limits).toMatchObject(counts)
+  expect(Math.round(budgetBytes / mebibyte)).toBe(megabytes)
+})
--- /dev/null
+++ b/src/intake/intakeLimits.ts
@@ -0,0 +1,67 @@
+/**
+ * Limits on what the clients of a host may take, derived from the memory and the descriptors of its machine.
+ */
+
+/** What the machine offers to the process; absent members have defaults that leave ordinary deployments unlimited. */
+export interface MachineLimits {
+  memoryMegabytes?: number | undefined
+  descriptors?: number | undefined
+}
+
+/** Limits for all clients together, and for one connection. */
+export interface IntakeLimits {
+  /** Budget of the bytes that are held for clients: bodies, heads of requests, and responses that are not sent. */
+  budgetBytes: number
+  maxConnections: number
+  /** Maximum number of requests in progress; each may have a connection to a worker. */
+  maxRequests: number
+  /** Maximum number of requests of one connection that are in progress; later ones wait unread. */
+  maxRequestsPerConnection: number
+}
+
+const defaultMemoryMegabytes = 512
+
+/** Default number of descriptors: high enough that memory is the limit. */
+const defaultDescriptors = 65_536
+
+/** Resident memory of a host without clients on the largest configuration, with the slack of its garbage collector. */
+const restMegabytes = 130
+
+/**
+ * Share of the remaining memory that is counted. The rest is for what the count does not show: memory that is freed but
+ * not collected yet, and copies in the parser and in the connections to workers.
+ */
+const countedShare = 0.4
+
+/** Holds several bodies of the usual limit (4 MiB), so that a host of any size serves a single one. */
+const minBudgetBytes = 16 * 1_048_576
+
+const maxBudgetBytes = 192 * 1_048_576
+
+/** Memory of a connection that has no request, with the buffers of the runtime. */
+const bytesPerConnection = 16_384
+
+/** Descriptors of the process itself: listeners, the store, other hosts, log and event loop. */
+const ownDescriptors = 48
+
+const minConnections = 32
+
+/** Pipelining clients rarely send more than a few requests ahead; a pause costs them nothing but the head start. */
+const maxRequestsPerConnection = 8
+
+/** Derives the limits of a host. */
+export function deriveIntakeLimits (
+  { memoryMegabytes = defaultMemoryMegabytes, descriptors = defaultDescriptors }: MachineLimits
+): IntakeLimits {
+  const countedBytes = (memoryMegabytes - restMegabytes) * 1_048_576 * countedShare
+  const budgetBytes = Math.round(Math.min(maxBudgetBytes, Math.max(minBudgetBytes, countedBytes)))
+  const clientDescriptors = Math.max(0, descriptors - ownDescriptors)
+  const connections = Math.floor(Math.min(clientDescriptors / 2, budgetBytes / bytesPerConnection))
+  return {
+    budgetBytes,
+    maxConnections: Math.max(minConnections, connections),
+    // The last sixth is for idle connections to workers.
+    maxRequests: Math.max(minConnections, Math.floor(clientDescriptors / 3)),
+    maxRequestsPerConnection
+  }
+}
--- a/src/platform/CallerListener.test.ts
+++ b/src/platform/CallerListener.test.ts
@@ -6,6 +6,7 @@
 import { Result } from 'true-myth'
 import { type Failure, failure, loadHash, SystemClock } from '../common/index.js'
 import type { RequestManager, ServiceRequest, ServiceResponse } from '../forwarding/index.js'
+import { ClientIntake, deriveIntakeLimits } from '../intake/index.js'
 import { EventLog, HybridClock, Metrics, Timeline } from '../observability/index.js'
 import { CallerListener } from './CallerListener.js'
 import { RequestMetrics } from './RequestMetrics.js'
@@ -44,16 +45,18 @@
   } as unknown as RequestManager
   const configuration = decodeRouteConfiguration(Buffer.from(JSON.stringify(configurationDocument(1))))
   const routes = new RouteTable(configuration.unwrapOrElse(failed => { throw new Error(failed.message) }))
+  const events = new EventLog({
+    timeline: new Timeline('test', new HybridClock(clock)),
+    level: 'info',
+    write: line => { lines.push(line) }
+  })
   listener = new CallerListener({
     address: '127.0.0.1:0',
     routes: () => routes,
     requests,
     clock,
-    events: new EventLog({
-      timeline: new Timeline('test', new HybridClock(clock)),
-      level: 'info',
-      write: line => { lines.push(line) }
-    }),
+    events,
+    intake: new ClientIntake({ limits: deriveIntakeLimits({}), clock, events }),
     hash: await loadHash(),
     metrics: new RequestMetrics(new Metrics()),
     eventLoopDelay: () => delayMilliseconds
--- a/src/platform/CallerListener.ts
+++ b/src/platform/CallerListener.ts
@@ -8,6 +8,7 @@
 import { type Clock, errorResponses, errorBodyOf, type Failure, failure, type Hash } from '../common/index.js'
 import { type ConnectionCounts, GracefulServer } from '../entry/index.js'
 import type { RequestManager, ServiceResponse, ServiceCall } from '../forwarding/index.js'
+import { type ClientIntake, headerBytesOf, type RequestIntake, sendBody } from '../intake/index.js'
 import type { EventLog } from '../observability/index.js'
 import { decodeRequest, type DecodedRequest } from './decodeRequest.js'
 import type { CallerLimits, RouteTable } from './RouteConfiguration.js'
@@ -27,6 +28,8 @@
   metrics: RequestMetrics
   /** Average delay of the event loop, in milliseconds. */
   eventLoopDelay: () => number
+  /** Limits on what the callers may take of the host. */
+  intake: ClientIntake
 }
 
 /**
@@ -113,8 +116,8 @@
       requestTimeout: bodyTimeoutMilliseconds,
       noDelay: true
     })
-    this.server.on('request', (message, response) => {
-      this.handle(message, response).catch(error => {
+    options.intake.serve(this.server, (message, response, intake) => {
+      this.handle(message, response, intake).catch(error => {
         options.events.error('request_handler_failed', { reason: error instanceof Error ? error.stack : String(error) })
         response.destroy()
       })
@@ -145,6 +148,7 @@
     this.limits = limits
     this.server.headersTimeout = limits.headerTimeoutMilliseconds
     this.server.keepAliveTimeout = limits.idleTimeoutMilliseconds
+    this.options.intake.configure(this.server, limits.idleTimeoutMilliseconds)
   }
 
   /** Announces with each response from now on that its connection closes; new connections are still accepted. */
@@ -181,11 +185,12 @@
     const closed = this.close()
     this.server.closeAllConnections()
     await closed
+    await this.options.intake.stop()
   }
 
-  private async handle (message: IncomingMessage, response: ServerResponse): Promise<void> {
+  private async handle (message: IncomingMessage, response: ServerResponse, intake: RequestIntake): Promise<void> {
     const { clock, metrics } = this.options
-    const startedAt = clock.monotonic()
+    const startedAt = intake.receivedAt
     this.countRequestOfStop(startedAt)
     if (!this.server.canRespond(response)) {
       // The caller sends it again, since it was told that the connection closes.
@@ -195,7 +200,7 @@
     const interruption = this.track(message, response)
     const decoded = this.admit().andThen(() => this.decode(message, startedAt))
     if (decoded.isErr) return this.refuse(message, response, decoded.error, startedAt)
-    const bodyRead = readBody(message, this.limits?.maxBodyBytes ?? Infinity)
+    const bodyRead = intake.readBody(this.limits?.maxBodyBytes ?? Infinity)
     const body = await interruption.unlessHostStops(bodyRead, () => Result.err(refusalOfStop))
     if (body.isErr) return this.refuse(message, response, body.error, startedAt)
     if (this.options.eventLoopDelay() > busyEventLoopDelayMilliseconds) await pendingEvents()
@@ -204,7 +209,7 @@
     if (interruption.cause === 'caller_disconnected' || message.socket.destroyed) return
     if (this.isClosed) return this.refuse(message, response, refusalOfStop, startedAt)
     const { route, call: head } = decoded.value
-    const call = this.options.requests.serviceCall({ ...head, body: body.value })
+    const call = this.options.requests.serviceCall({ ...head, body: body.value, holdResponse: intake.holdResponse })
     const endRequest = this.options.requests.begin({ requestId: head.requestId, kind: 'service' })
     try {
       const result = await this.runCall(call, head, interruption)
@@ -212,7 +217,7 @@
       this.answered.add(interruption)
       const timing = new ResponseTiming(clock)
       const outcome = result.isOk
-        ? await this.sendResponse(response, result.value, timing)
+        ? await this.sendResponse(response, result.value, timing, intake)
         : this.sendError(message, response, result.error)
       const firstByteMilliseconds = timing.firstByteAt - startedAt
       metrics.recordResponse(route.name, head.pool, outcome, firstByteMilliseconds)
@@ -263,6 +268,8 @@
 
   /** Refuses requests that this host would only hold up, since its processor is used up. */
   private admit (): Result<void, Failure> {
+    const refusal = this.options.intake.refusal()
+    if (refusal !== undefined) return Result.err(refusal)
     const delay = this.options.eventLoopDelay()
     if (delay <= maxEventLoopDelayMilliseconds) return Result.ok(undefined)
     return Result.err(failure('overloaded', `the event loop of this host is ${Math.round(delay)} ms late`))
@@ -283,20 +290,23 @@
   private async sendResponse (
     response: ServerResponse,
     workerResponse: ServiceResponse,
-    timing: ResponseTiming
+    timing: ResponseTiming,
+    intake: RequestIntake
   ): Promise<string> {
     this.closeConnectionIfStopping(response)
     if (workerResponse.remainingBody === undefined) {
-      response.writeHead(workerResponse.status, { ...workerResponse.headers, 'content-length': workerResponse.body.length }).end(workerResponse.body)
+      response.writeHead(workerResponse.status, { ...workerResponse.headers, 'content-length': workerResponse.body.length })
+      await sendBody(response, workerResponse.body, intake)
+      response.end()
       return String(workerResponse.status)
     }
     response.writeHead(workerResponse.status, workerResponse.headers)
     response.flushHeaders()
-    if (workerResponse.body.length > 0) response.write(workerResponse.body)
     try {
+      await sendBody(response, workerResponse.body, intake)
       for await (const chunk of workerResponse.remainingBody) {
         timing.recordChunk()
-        if (!response.write(chunk)) await waitForDrain(response)
+        await sendBody(response, chunk, intake)
       }
       response.end()
       return String(workerResponse.status)
@@ -427,27 +437,6 @@
   return typeof milliseconds === 'number' ? Math.max(retryAfterSeconds, milliseconds / 1000) : retryAfterSeconds
 }
 
-async function readBody (message: IncomingMessage, limit: number): Promise<Result<Buffer | undefined, Failure>> {
-  const chunks: Buffer[] = []
-  let size = 0
-  try {
-    for await (const chunk of message.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
-      size += chunk.length
-      if (size > limit) return Result.err(failure('body_too_large', `the body is larger than ${limit} bytes`))
-      chunks.push(chunk)
-    }
-  } catch {
-    return Result.err(failure('cancelled', 'the caller disconnected before the end of its request body'))
-  }
-  const hasBody = size > 0 || message.headers['content-length'] !== undefined || message.headers['transfer-encoding'] !== undefined
-  return Result.ok(hasBody ? Buffer.concat(chunks) : undefined)
-}
-
-function headerBytesOf ({ rawHeaders }: IncomingMessage): number {
-  // Each field has a colon and a space after the name, and CRLF after the value.
-  return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0)
-}
-
 /**
  * Resolves when the event loop has received what arrived together with the present event. A caller's close arrives in the
  * next turn of the loop, although it may be as old as the request.
@@ -456,16 +445,3 @@
   await new Promise(resolve => setImmediate(resolve))
   await new Promise(resolve => setImmediate(resolve))
 }
-
-async function waitForDrain (response: ServerResponse): Promise<void> {
-  if (response.destroyed) return
-  await new Promise<void>(resolve => {
-    const settle = (): void => {
-      response.off('drain', settle)
-      response.off('close', settle)
-      resolve()
-    }
-    response.once('drain', settle)
-    response.once('close', settle)
-  })
-}
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -7,6 +7,7 @@
 import { type ListeningServer, serve } from '../entry/index.js'
 import { defaultAttemptLimits, PromptComputation, RequestManager, type RequestManagerOptions, RetryBudget, type RetryLimits } from '../forwarding/index.js'
 import { type ObservedEngine, RolePlannerTask } from '../fleet/index.js'
+import { ClientIntake, deriveIntakeLimits } from '../intake/index.js'
 import { GroupLease, maxConfirmationMilliseconds } from '../leases/index.js'
 import { RequestPermits } from '../limits/index.js'
 import { EventLog, HybridClock, LineWriter, Metrics, Timeline } from '../observability/index.js'
@@ -228,7 +229,10 @@
     metrics.gauge('event_loop_delay_milliseconds', 'Average delay of the event loop.', [], gauge => {
       gauge.set(loopDelay.milliseconds)
     })
+    const intake = new ClientIntake({ limits: deriveIntakeLimits(settings.limits), clock, events })
+    intake.expose(metrics)
     const listener = new CallerListener({
+      intake,
       address: settings.listen.callers,
       routes: () => directory.routes,
       requests,
--- a/src/platform/outsideLimits.test.ts
+++ b/src/platform/outsideLimits.test.ts
@@ -29,6 +29,7 @@
   store.write('keyed.servers', worker.id, worker.createEntry('app'))
   store.write('keyed.op', 'config', configurationDocument(1, { limits: { 'max-body-bytes': maxBodyBytes, 'idle-timeout-ms': 2000 } }))
   host = await HostProcess.start({ storeAddress: store.address, limits: { memoryMegabytes, descriptors } })
+  await expectServes()
 })
 
 afterEach(async () => {
@@ -77,6 +78,7 @@
     caller.socket.destroy()
     if (response?.status === 200) return
     expect(host.isRunning).toBe(true)
+    await new Promise(resolve => setTimeout(resolve, 5))
   }
 }
 
@@ -94,7 +96,6 @@
   await Promise.all(crowd.map(async client => await client.ended))
   await expectServes()
   const use = { running: host.isRunning, megabytes: host.peakMegabytes(), descriptors: host.descriptors() }
-  if (process.env.SHOW_USE !== undefined) process.stderr.write(`${_name}: ${JSON.stringify(use)}\n`)
   expect(use.running).toBe(true)
   expect(use.megabytes).toBeLessThan(memoryMegabytes)
   expect(use.descriptors).toBeLessThan(descriptors)
--- a/src/platform/testing/HostProcess.ts
+++ b/src/platform/testing/HostProcess.ts
@@ -9,6 +9,9 @@
 import { createInterface } from 'node:readline'
 import { settingsTextOf } from '../../testing/index.js'
 
+/** Options of Node.js as in `deploy/system.toml`. */
+const nodeArguments = ['--max-old-space-size=128']
+
 /** Options of a `HostProcess`. */
 export interface HostProcessOptions {
   storeAddress: string
@@ -39,7 +42,7 @@
       bounds: { graceSeconds: 8, retryRatio: 0.2, retrySlack: 10, stableWindowMilliseconds: 3000, leaseMilliseconds: 3000 },
       limits
     }))
-    const child = spawn(process.execPath, ['dist/platform/dogwooddale.cjs'], {
+    const child = spawn(process.execPath, [...nodeArguments, 'dist/platform/dogwooddale.cjs'], {
       env: { PATH: process.env.PATH, DOGWOODDALE_NODE_FILE: path }, stdio: ['ignore', 'pipe', 'inherit']
     })
     const host = new HostProcess(child, directory)
