--- a/src/intake/ClientIntake.ts
+++ b/src/intake/ClientIntake.ts
@@ -51,6 +51,8 @@
   serve (server: Server, handle: (message: IncomingMessage, response: ServerResponse, intake: RequestIntake) => void): void {
     server.on('connection', socket => { this.accept(socket) })
     server.on('timeout', socket => { this.closeUnused(socket) })
+    // The body is asked for when it is read, and not at all if it is refused.
+    server.on('checkContinue', (message, response) => server.emit('request', message, response))
     server.on('request', (message, response) => { this.begin(message, response, handle) })
     this.task ??= Task.start(signal => this.checkRegularly(signal), error => {
       this.options.events.error('client_checks_ended', { reason: String(error) })
--- a/src/intake/RefusalLog.ts
+++ b/src/intake/RefusalLog.ts
@@ -14,10 +14,14 @@
 /** Shortest time between two log lines with the same reason, in milliseconds. */
 const logIntervalMilliseconds = 1000
 
+/** Maximum number of lines a second about refused requests. */
+const maxLinesPerSecond = 100
+
 /** Refusals by reason. */
 export class RefusalLog {
   readonly counts = new Map<RefusalReason, number>()
   private readonly loggedAt = new Map<RefusalReason, number>()
+  private lines = { since: 0, written: 0, omitted: 0 }
   private readonly unlogged = new Map<RefusalReason, number>()
 
   constructor (private readonly clock: Clock, private readonly events: EventLog) {}
@@ -29,6 +33,22 @@
     this.logIfDue(reason)
   }
 
+  /**
+   * The number of lines that were left out since the last one, if a line about a refused request may be written now;
+   * otherwise undefined.
+   */
+  takeLine (): number | undefined {
+    const now = this.clock.monotonic()
+    if (now - this.lines.since >= 1000) this.lines = { ...this.lines, since: now, written: 0 }
+    if (this.lines.written >= maxLinesPerSecond) {
+      this.lines.omitted += 1
+      return undefined
+    }
+    const { omitted } = this.lines
+    this.lines = { ...this.lines, written: this.lines.written + 1, omitted: 0 }
+    return omitted
+  }
+
   /** Logs the refusals that have not been logged, if their time has come. */
   flush (): void {
     for (const reason of this.unlogged.keys()) this.logIfDue(reason)
--- a/src/intake/RequestIntake.test.ts
+++ b/src/intake/RequestIntake.test.ts
@@ -21,15 +21,16 @@
   const connection = new ConnectionIntake(socket, 2, 0)
   const message = Object.assign(new PassThrough(), { headers, rawHeaders: [] })
   const budget = new MemoryBudget(capacity, clock)
+  const refusals = new RefusalLog(clock, events)
   const intake = new RequestIntake({
     message: message as unknown as IncomingMessage,
     response: {} as ServerResponse,
     connection,
     budget,
     clock,
-    refusals: new RefusalLog(clock, events)
+    refusals
   })
-  return { clock, lines, message, intake, budget, connection, result: intake.readBody(maxBytes) }
+  return { clock, lines, refusals, message, intake, budget, connection, result: intake.readBody(maxBytes) }
 }
 
 test.each<[string, Record<string, string>, string[], string | undefined]>([
@@ -73,3 +74,11 @@
   expect((await result).mapErr(({ kind }) => kind)).toMatchObject({ error: 'overloaded' })
   expect(lines.filter(line => /event=clients_refused reason=memory count=1/.test(line))).toHaveLength(1)
 })
+
+test('lines about refused requests are left out above a rate, and counted', () => {
+  const { clock, refusals } = start({})
+  const lines = Array.from({ length: 150 }, () => refusals.takeLine())
+  expect(lines.filter(omitted => omitted !== undefined)).toHaveLength(100)
+  clock.advance(1000)
+  expect([refusals.takeLine(), refusals.takeLine()]).toEqual([50, 0])
+})
--- a/src/intake/RequestIntake.ts
+++ b/src/intake/RequestIntake.ts
@@ -64,10 +64,11 @@
    * After an error the connection is not read any more.
    */
   async readBody (maxBytes: number): Promise<Result<Buffer | undefined, Failure>> {
-    const { message } = this.options
+    const { message, response } = this.options
     const { 'content-length': announced, 'transfer-encoding': encoding } = message.headers
     if (announced !== undefined && Number(announced) > maxBytes) return this.stopReading(this.tooLarge(maxBytes))
     if (message.destroyed) return Result.err(callerLeft)
+    if (expectsContinue(message)) response.writeContinue()
     const read = await this.readChunks(maxBytes)
     if (read.isErr) return this.stopReading(read.error)
     this.reservation.settle()
@@ -169,6 +170,11 @@
 
 const callerLeft = failure('cancelled', 'the caller disconnected before the end of its request body')
 
+/** True if the caller sends the body only once it is asked to. */
+function expectsContinue ({ headers: { expect } }: IncomingMessage): boolean {
+  return expect !== undefined && /(?:^|\W)100-continue(?:$|\W)/i.test(expect)
+}
+
 /** Size of the header fields of a request in bytes. */
 export function headerBytesOf ({ rawHeaders }: IncomingMessage): number {
   // Each field has a colon and a space after the name, and CRLF after the value.
--- a/src/platform/CallerListener.test.ts
+++ b/src/platform/CallerListener.test.ts
@@ -207,3 +207,30 @@
     await closed
   })
 })
+
+describe('a body that the caller wants to be asked for', () => {
+  const limits = { maxHeaderBytes: 4096, maxBodyBytes: 10, headerTimeoutMilliseconds: 3000, idleTimeoutMilliseconds: 15_000 }
+
+  // Guards against callers that are asked for a body that is then refused, and against callers that wait in vain.
+  test.each([
+    ['is not asked for if it is too large', '11', 'HTTP/1.1 413 '],
+    ['is asked for if it is within the limit', '10', 'HTTP/1.1 100 ']
+  ])('%s', async (_name, length, expected) => {
+    const { caller } = await start(0)
+    listener!.configure(limits)
+    caller.send('POST', '/votes/1', requestHeaders('r1', { 'content-length': length, expect: '100-continue' }))
+    await waitUntil(() => caller.received.length > 0)
+    expect(caller.received.startsWith(expected)).toBe(true)
+  })
+})
+
+// Guards against requests of a closed connection that stay open for as long as the host runs.
+test('requests behind the response that is being sent end when their connection closes', async () => {
+  const signals: AbortSignal[] = []
+  const { caller } = await start(0, async (_request, _forwarded, signal) => await new Promise(() => { signals.push(signal) }))
+  for (const id of ['r1', 'r2', 'r3']) caller.send('GET', `/reads/${id}`, requestHeaders(id))
+  await waitUntil(() => signals.length === 3)
+  caller.socket.resetAndDestroy()
+  await waitUntil(() => signals.every(({ aborted }) => aborted))
+  expect(listener!.stopSummary.connections).toBe(0)
+})
--- a/src/platform/CallerListener.ts
+++ b/src/platform/CallerListener.ts
@@ -322,14 +322,18 @@
   private refuse (message: IncomingMessage, response: ServerResponse, failed: Failure, startedAt: number): void {
     const status = this.sendError(message, response, failed)
     this.options.metrics.recordResponse('', '', status, this.options.clock.monotonic() - startedAt)
-    this.options.events.info('request_refused', {
-      request: String(message.headers[headerNames.requestId] ?? ''),
-      status,
-      kind: failed.kind,
-      version: this.options.routes()?.configuration.version,
-      after_stop: this.millisecondsAfterStop(startedAt),
-      reason: failed.message
-    })
+    const omitted = this.options.intake.refusals.takeLine()
+    if (omitted !== undefined) {
+      this.options.events.info('request_refused', {
+        request: String(message.headers[headerNames.requestId] ?? ''),
+        status,
+        kind: failed.kind,
+        version: this.options.routes()?.configuration.version,
+        after_stop: this.millisecondsAfterStop(startedAt),
+        omitted: omitted === 0 ? undefined : omitted,
+        reason: failed.message
+      })
+    }
     // The unread rest of the body would be taken for the next request, so the connection is closed.
     const { socket } = message
     if (!message.complete) response.once('finish', () => socket.destroySoon())
