--- a/src/intake/intakeLimits.ts
+++ b/src/intake/intakeLimits.ts
@@ -17,9 +17,11 @@
   maxRequests: number
   /** Maximum number of requests of one connection that are in progress; later ones wait unread. */
   maxRequestsPerConnection: number
+  /** Maximum number of entries of a table that grows with each new name that a client states. */
+  maxTableEntries: number
 }
 
-const defaultMemoryMegabytes = 512
+const defaultMemoryMegabytes = 800
 
 /** Default number of descriptors: high enough that memory is the limit. */
 const defaultDescriptors = 65_536
@@ -46,6 +48,11 @@
 
 const minConnections = 32
 
+/** An entry takes about 200 bytes, so that a full table takes a twentieth of the memory. */
+const tableEntriesPerMegabyte = 250
+
+const maxTableEntries = 200_000
+
 /** Pipelining clients rarely send more than a few requests ahead; a pause costs them nothing but the head start. */
 const maxRequestsPerConnection = 8
 
@@ -62,6 +69,7 @@
     maxConnections: Math.max(minConnections, connections),
     // The last sixth is for idle connections to workers.
     maxRequests: Math.max(minConnections, Math.floor(clientDescriptors / 3)),
-    maxRequestsPerConnection
+    maxRequestsPerConnection,
+    maxTableEntries: Math.min(maxTableEntries, Math.floor(memoryMegabytes * tableEntriesPerMegabyte))
   }
 }
--- a/src/placement/HeldParts.test.ts
+++ b/src/placement/HeldParts.test.ts
@@ -31,3 +31,12 @@
     expect(held.leadingTokens(worker, ['a'], [100])).toBe(100)
   })
 })
+
+// Guards against callers whose prompts, each with a new part, fill the memory of the host that schedules them.
+test('the parts of all workers together are bounded, and the oldest are forgotten first', () => {
+  const held = new HeldParts(10)
+  const workers = ['v', 'w'] as WorkerId[]
+  for (let round = 0; round < 20; round += 1) for (const id of workers) held.record(id, `part-${round}`, 1)
+  const remembered = workers.map(id => Array.from({ length: 20 }, (_, round) => held.leadingTokens(id, [`part-${round}`], [1])))
+  expect(remembered).toEqual(workers.map(() => [...Array(15).fill(0), ...Array(5).fill(1)]))
+})
--- a/src/placement/HeldParts.ts
+++ b/src/placement/HeldParts.ts
@@ -7,10 +7,15 @@
 /** Maximum number of parts that are remembered for one worker; the ones recorded first are forgotten first. */
 const maxPartsPerWorker = 20_000
 
+/** Maximum number of parts of all workers together, about 50 MB. */
+const defaultMaxParts = 400_000
+
 /** Tokens of each part that each worker holds. */
 export class HeldParts {
   private readonly tokensByWorker = new Map<WorkerId, Map<string, number>>()
 
+  constructor (private readonly maxParts = defaultMaxParts) {}
+
   /** Records that a worker holds this many tokens of a part; 0 if it no longer holds the part. */
   record (worker: WorkerId, part: string, tokens: number): void {
     const parts = this.tokensByWorker.get(worker) ?? new Map<string, number>()
@@ -18,9 +23,11 @@
     parts.delete(part)
     if (tokens <= 0) return
     parts.set(part, tokens)
-    if (parts.size <= maxPartsPerWorker) return
-    const oldest = parts.keys().next()
-    if (oldest.done !== true) parts.delete(oldest.value)
+    const limit = Math.min(maxPartsPerWorker, Math.floor(this.maxParts / this.tokensByWorker.size))
+    for (const oldest of parts.keys()) {
+      if (parts.size <= limit) return
+      parts.delete(oldest)
+    }
   }
 
   /** Forgets everything about a worker. */
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -157,7 +157,8 @@
     const events = new EventLog({ timeline, level: settings.log.level, write: lines.writeLine })
     const metrics = new Metrics()
     const hash = await loadHash()
-    const index = new PrefixIndex()
+    const intakeLimits = deriveIntakeLimits(settings.limits)
+    const index = new PrefixIndex(intakeLimits.maxTableEntries)
     const directory: PlatformDirectory = new PlatformDirectory({
       clock,
       events,
@@ -229,7 +230,7 @@
     metrics.gauge('event_loop_delay_milliseconds', 'Average delay of the event loop.', [], gauge => {
       gauge.set(loopDelay.milliseconds)
     })
-    const intake = new ClientIntake({ limits: deriveIntakeLimits(settings.limits), clock, events })
+    const intake = new ClientIntake({ limits: intakeLimits, clock, events })
     intake.expose(metrics)
     const listener = new CallerListener({
       intake,
--- a/src/platform/decodeRequest.ts
+++ b/src/platform/decodeRequest.ts
@@ -31,6 +31,9 @@
  */
 const attemptTimeoutFactor = 2
 
+/** Maximum length of the name of a part; tables of parts are bounded by their number of entries. */
+const maxPartNameLength = 255
+
 /** Decodes a request. Errors: `bad_request`, `not_found`. */
 export function decodeRequest (message: IncomingMessage, context: DecodeContext): Result<DecodedRequest, Failure> {
   const { url = '', method = 'GET', headers } = message
@@ -106,6 +109,7 @@
   const parts = headers[headerNames.promptParts]
   if (typeof parts !== 'string') return undefined
   const idsAndTokens = parts.split(',').map(part => part.trim().split(':'))
+  if (idsAndTokens.some(([name = '']) => name.length > maxPartNameLength)) return undefined
   const blockTokens = idsAndTokens.map(([, tokens]) => Number(tokens))
   const promptTokens = blockTokens.reduce((sum, tokens) => sum + tokens, 0)
   const areCounts = blockTokens.every(tokens => Number.isInteger(tokens) && tokens >= 0)
