Bound the connections, unread answers and waiting prompts of the port between hosts

Anyone who reaches the port could take all descriptors with half-open lines, fill the memory with answers that are not read (the test does not end without the bound) or with waiting prompts of 64 KB each, and add a cell with each name.

--- a/src/placement/PromptScheduler.ts
+++ b/src/placement/PromptScheduler.ts
@@ -35,6 +35,18 @@
 /** Maximum number of workers in a cell; a larger pool has a cell in each zone. */
 const maxCellWorkers = 24
 
+/** Maximum number of cells; a host that asks for more names services that do not exist. */
+const maxCells = 1024
+
+/** Maximum size of the waiting prompts of all cells in bytes; a prompt of 50 parts takes about 3 KB. */
+const maxWaitingBytes = 16_777_216
+
+/** Memory of a part beside its name, in bytes. */
+const partOverheadBytes = 48
+
+/** Time after which a prompt that the scheduler did not take on should come back, in milliseconds. */
+const retryAfterMilliseconds = 300
+
 /**
  * The cell of a host's prompts. `workers`: the workers of the pool that compute prompts. A pool that fits one cell has
  * only one, in which the load of all zones is balanced.
@@ -62,17 +74,27 @@
   private readonly schedules = new Map<string, { cell: PlacementCell, schedule: PromptSchedule }>()
   /** Permits of the limited workers, by cell; also of cells whose workers compute no prompts. */
   private readonly permits = new Map<string, PermitQueue>()
+  private waitingBytes = 0
 
   constructor (private readonly options: PromptSchedulerOptions) {}
 
   /** Decides about a prompt; see `PromptSchedule.place`. `limits`: what the asking host knows of the cell's workers. */
   async place (cell: PlacementCell, task: PromptTask, limits: readonly WorkerLimit[] = []): Promise<PlacementDecision> {
+    const bytes = task.parts.reduce((sum, part) => sum + part.length + partOverheadBytes, 0)
+    if (this.isForeign(cell)) return { kind: 'no_worker' }
+    if (this.waitingBytes + bytes > maxWaitingBytes) return { kind: 'refused', retryAfterMilliseconds }
     this.permitsOf(cell).learn(limits)
-    return await this.scheduleOf(cell).place(task)
+    this.waitingBytes += bytes
+    try {
+      return await this.scheduleOf(cell).place(task)
+    } finally {
+      this.waitingBytes -= bytes
+    }
   }
 
   /** Decides about a request to a limited worker that was not placed as a prompt; see `PermitQueue.request`. */
   async permit (cell: PlacementCell, request: PermitRequest, limits: readonly WorkerLimit[]): Promise<PermitDecision> {
+    if (this.isForeign(cell)) return { kind: 'refused', retryAfterMilliseconds }
     const permits = this.permitsOf(cell)
     permits.learn(limits)
     return await permits.request(request)
@@ -114,6 +136,11 @@
     return this.schedules.has(cellName(cell))
   }
 
+  /** True if the cell is not known, and no further one is taken on. */
+  private isForeign (cell: PlacementCell): boolean {
+    return this.permits.size >= maxCells && !this.permits.has(cellName(cell))
+  }
+
   private permitsOf (cell: PlacementCell): PermitQueue {
     const name = cellName(cell)
     const permits = this.permits.get(name) ?? new PermitQueue(this.options)
--- a/src/placement/SchedulerConnection.test.ts
+++ b/src/placement/SchedulerConnection.test.ts
@@ -4,7 +4,7 @@
  */
 import { type AddressInfo, connect, createServer, type Server, type Socket } from 'node:net'
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
-import { type Pool, SystemClock, type WorkerId } from '../common/index.js'
+import { type Clock, ManualClock, type Pool, SystemClock, type WorkerId } from '../common/index.js'
 import { discardingEventLog } from '../streams/testSupport.js'
 import { HeldParts } from './HeldParts.js'
 import { type PlacementCell, PromptScheduler } from './PromptScheduler.js'
@@ -21,18 +21,22 @@
 let listener: SchedulerListener
 let connections: SchedulerConnection[]
 
-beforeEach(async () => {
-  const events = discardingEventLog(clock)
+function createScheduler (clock: Clock): PromptScheduler {
   const workers = [{ id: 'w0' as WorkerId, zone: 'a' as never }]
-  scheduler = new PromptScheduler({
+  return new PromptScheduler({
     clock,
-    events,
+    events: discardingEventLog(clock),
     held: new HeldParts(),
     workers: () => workers,
     holders: () => workers,
     answerWorkers: () => [],
     costs: { tokensPerMillisecond: 50, baseMilliseconds: 70, fetchedTokensPerMillisecond: 1000 }
   })
+}
+
+beforeEach(async () => {
+  const events = discardingEventLog(clock)
+  scheduler = createScheduler(clock)
   listener = new SchedulerListener({
     address: '127.0.0.1:0', scheduler, schedules: ({ pool }) => pool === cell.pool, grantsPermits: ({ pool }) => pool === cell.pool, sharingHosts: () => 1, clock, events
   })
@@ -155,3 +159,57 @@
   expect(answer.isErr && answer.error.kind).toBe('body_too_large')
   expect((await connection.place(cell, taskOf('b'), never)).isOk).toBe(true)
 })
+
+describe('connections outside the limits', () => {
+  let bounded: SchedulerListener
+  let sockets: Socket[]
+
+  beforeEach(async () => {
+    sockets = []
+    bounded = new SchedulerListener({
+      address: '127.0.0.1:0', scheduler, schedules: () => false, grantsPermits: () => false, sharingHosts: () => 1, maxConnections: 4, clock, events: discardingEventLog(clock)
+    })
+    await bounded.listen()
+  })
+
+  afterEach(async () => {
+    for (const socket of sockets) socket.destroy()
+    await bounded.stop()
+  })
+
+  async function openSocket (): Promise<Socket> {
+    const { port } = new URL(`tcp://${bounded.address}`)
+    const socket = connect(Number(port), '127.0.0.1')
+    socket.on('error', () => {})
+    sockets.push(socket)
+    await new Promise(resolve => socket.once('connect', resolve))
+    return socket
+  }
+
+  // Guards against idle or half-open connections that take all descriptors, so that no host is answered any more.
+  test('give way to a host that asks, even if each has sent a part of a line', async () => {
+    for (let count = 0; count < 12; count += 1) (await openSocket()).write('{"kind":')
+    expect((await open(bounded.address).place(cell, taskOf('a'), never)).mapErr(({ message }) => message)).toMatchObject({ error: expect.stringMatching(/schedule/) })
+  })
+
+  // Guards against answers that fill the memory since the other end does not read them.
+  test('are closed if they ask on without reading the answers', async () => {
+    const socket = await openSocket()
+    socket.pause()
+    const question = encodeLine({ kind: 'place', pool: cell.pool, id: 'q'.repeat(100), parts: [], due: 1, lost: 1 })
+    // A socket that is paused reports its close with the error of a write.
+    while (!socket.destroyed) await new Promise<void>(resolve => { socket.write(question.repeat(200), () => { resolve() }) })
+    expect((await open(bounded.address).place(cell, taskOf('a'), never)).isErr).toBe(true)
+  })
+})
+
+// Guards against prompts of one connection, each of many parts, that fill the memory of the scheduler.
+test('prompts that wait are refused above a number of bytes, and others for cells beyond a number of them', async () => {
+  const scheduler = createScheduler(new ManualClock())
+  const part = 'p'.repeat(60_000)
+  const waiting = Array.from({ length: 400 }, async (_, index) => await scheduler.place(cell, { ...taskOf(`large-${index}`, 1_000_000), parts: [part] }))
+  const refused = await Promise.any(waiting.map(async decision => (await decision).kind === 'refused' ? true : await Promise.reject(new Error('not refused'))))
+  expect(refused).toBe(true)
+  for (let index = 0; index < 1100; index += 1) scheduler.place({ pool: `pool-${index}` as Pool, zone: undefined }, taskOf(`cell-${index}`)).catch(() => {})
+  expect(scheduler.cells).toHaveLength(1024)
+})
--- a/src/placement/SchedulerListener.ts
+++ b/src/placement/SchedulerListener.ts
@@ -6,6 +6,7 @@
 import type { Clock } from '../common/index.js'
 import type { PermitDecision } from '../limits/index.js'
 import type { EventLog } from '../observability/index.js'
+import { PeerSockets } from './PeerSockets.js'
 import type { PlacementCell, PromptScheduler } from './PromptScheduler.js'
 import type { PlacementDecision } from './PromptTask.js'
 import {
@@ -25,6 +26,8 @@
   grantsPermits: (cell: PlacementCell) => boolean
   /** Number of hosts that share the limits of workers, as this host has heard before it grants permits itself. */
   sharingHosts: () => number
+  /** Maximum number of connections. Default: 2,048. */
+  maxConnections?: number
   clock: Clock
   events: EventLog
 }
@@ -41,7 +44,8 @@
   private readonly sockets = new Set<Socket>()
 
   constructor (private readonly options: SchedulerListenerOptions) {
-    this.server = createServer({ noDelay: true }, socket => { this.serve(socket) })
+    const peers = new PeerSockets(options.events, options.maxConnections)
+    this.server = createServer({ noDelay: true }, socket => { if (peers.accept(socket)) this.serve(socket) })
   }
 
   /** Starts to listen. Rejects if the address cannot be bound. */
