--- a/src/placement/SchedulerListener.ts
+++ b/src/placement/SchedulerListener.ts
@@ -7,6 +7,7 @@
 import type { HostReport, HostReportAnswer } from '../duties/index.js'
 import type { PermitDecision } from '../limits/index.js'
 import type { EventLog } from '../observability/index.js'
+import { PeerSockets } from './PeerSockets.js'
 import type { PlacementCell, PromptScheduler } from './PromptScheduler.js'
 import type { PlacementDecision } from './PromptTask.js'
 import {
@@ -30,6 +31,8 @@
   services?: ReadonlyMap<string, (socket: Socket) => void>
   /** Takes the report of a host; undefined if this host does not hold the duties. Default: it does not. */
   receiveReport?: ((report: HostReport) => HostReportAnswer | undefined) | undefined
+  /** Maximum number of connections. Default: 2,048. */
+  maxConnections?: number
   clock: Clock
   events: EventLog
 }
@@ -50,7 +53,8 @@
   private readonly reportSockets = new Set<Socket>()
 
   constructor (private readonly options: SchedulerListenerOptions) {
-    this.server = createServer({ noDelay: true }, socket => { this.serve(socket) })
+    const peers = new PeerSockets(options.events, options.maxConnections)
+    this.server = createServer({ noDelay: true }, socket => { if (peers.accept(socket)) this.serve(socket) })
   }
 
   /** Starts to listen. Rejects if the address cannot be bound. */
--- a/src/platform/CallerListener.test.ts
+++ b/src/platform/CallerListener.test.ts
@@ -6,6 +6,7 @@
 import { Result } from 'true-myth'
 import { type Failure, failure, loadHash, SystemClock } from '../common/index.js'
 import type { RequestManager, ServiceRequest, ServiceResponse } from '../forwarding/index.js'
+import { ClientIntake, deriveIntakeLimits } from '../intake/index.js'
 import { EventLog, HybridClock, Metrics, Timeline } from '../observability/index.js'
 import { CallerListener } from './CallerListener.js'
 import { RequestMetrics } from './RequestMetrics.js'
@@ -44,16 +45,18 @@
   } as unknown as RequestManager
   const configuration = decodeRouteConfiguration(Buffer.from(JSON.stringify(document)))
   const routes = new RouteTable(configuration.unwrapOrElse(failed => { throw new Error(failed.message) }))
+  const events = new EventLog({
+    timeline: new Timeline('test', new HybridClock(clock)),
+    level: 'info',
+    write: line => { lines.push(line) }
+  })
   listener = new CallerListener({
     address: '127.0.0.1:0',
     routes: () => routes,
     requests,
     clock,
-    events: new EventLog({
-      timeline: new Timeline('test', new HybridClock(clock)),
-      level: 'info',
-      write: line => { lines.push(line) }
-    }),
+    events,
+    intake: new ClientIntake({ limits: deriveIntakeLimits({}), clock, events }),
     hash: await loadHash(),
     metrics: new RequestMetrics(new Metrics()),
     eventLoopDelay: () => delayMilliseconds,
@@ -222,3 +225,30 @@
     await closed
   })
 })
+
+describe('a body that the caller wants to be asked for', () => {
+  const limits = { maxHeaderBytes: 4096, maxBodyBytes: 10, headerTimeoutMilliseconds: 3000, idleTimeoutMilliseconds: 15_000 }
+
+  // Guards against callers that are asked for a body that is then refused, and against callers that wait in vain.
+  test.each([
+    ['is not asked for if it is too large', '11', 'HTTP/1.1 413 '],
+    ['is asked for if it is within the limit', '10', 'HTTP/1.1 100 ']
+  ])('%s', async (_name, length, expected) => {
+    const { caller } = await start(0)
+    listener!.configure(limits)
+    caller.send('POST', '/votes/1', requestHeaders('r1', { 'content-length': length, expect: '100-continue' }))
+    await waitUntil(() => caller.received.length > 0)
+    expect(caller.received.startsWith(expected)).toBe(true)
+  })
+})
+
+// Guards against requests of a closed connection that stay open for as long as the host runs.
+test('requests behind the response that is being sent end when their connection closes', async () => {
+  const signals: AbortSignal[] = []
+  const { caller } = await start(0, async (_request, _forwarded, signal) => await new Promise(() => { signals.push(signal) }))
+  for (const id of ['r1', 'r2', 'r3']) caller.send('GET', `/reads/${id}`, requestHeaders(id))
+  await waitUntil(() => signals.length === 3)
+  caller.socket.resetAndDestroy()
+  await waitUntil(() => signals.every(({ aborted }) => aborted))
+  expect(listener!.stopSummary.connections).toBe(0)
+})
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -7,6 +7,7 @@
 import { type ListeningServer, serve } from '../entry/index.js'
 import { defaultAttemptLimits, PromptComputation, RequestManager, type RequestManagerOptions, RetryBudget, type RetryLimits, type RunObserver } from '../forwarding/index.js'
 import { type ObservedEngine, RolePlannerTask } from '../fleet/index.js'
+import { ClientIntake, deriveIntakeLimits } from '../intake/index.js'
 import { GroupLease, maxConfirmationMilliseconds } from '../leases/index.js'
 import { RequestPermits } from '../limits/index.js'
 import { EventLog, HybridClock, LineWriter, Metrics, Timeline } from '../observability/index.js'
@@ -161,7 +162,8 @@
     const events = new EventLog({ timeline, level: settings.log.level, write: lines.writeLine })
     const metrics = new Metrics()
     const hash = await loadHash()
-    const index = new PrefixIndex()
+    const intakeLimits = deriveIntakeLimits(settings.limits)
+    const index = new PrefixIndex(intakeLimits.maxTableEntries)
     const directory: PlatformDirectory = new PlatformDirectory({
       clock,
       events,
@@ -264,7 +266,10 @@
     metrics.gauge('event_loop_delay_milliseconds', 'Average delay of the event loop.', [], gauge => {
       gauge.set(loopDelay.milliseconds)
     })
+    const intake = new ClientIntake({ limits: intakeLimits, clock, events })
+    intake.expose(metrics)
     const listener = new CallerListener({
+      intake,
       address: settings.listen.callers,
       routes: () => directory.routes,
       isConfigurationCurrent: () => configurationFollower.isCurrent,
--- a/src/platform/decoding.test.ts
+++ b/src/platform/decoding.test.ts
@@ -46,9 +46,13 @@
   const validEntry = { service: 'llm', address: '10.1.2.3:80', zone: 'zone-a', slots: 8, state: 'ready', stage: 'prefill', born: 5, sequence: 2 }
   const decode = (entry: unknown) => decodeWorkerEntry('i-1', Buffer.from(JSON.stringify(entry)))
 
+  test('of a spot worker states so', () => {
+    expect(decode({ ...validEntry, spot: true })).toMatchObject({ spot: true })
+  })
+
   test('with all fields are decoded into a WorkerEntry', () => {
     expect(decode(validEntry)).toEqual({
-      id: 'i-1', pool: 'llm', zone: 'zone-a', address: '10.1.2.3:80', leaving: false, role: 'prefill', slots: 8, startedAt: 5, report: 2
+      id: 'i-1', pool: 'llm', zone: 'zone-a', address: '10.1.2.3:80', leaving: false, role: 'prefill', slots: 8, startedAt: 5, report: 2, spot: false
     })
   })
 
