--- a/src/platform/relay/RelayClient.ts
+++ b/src/platform/relay/RelayClient.ts
@@ -16,6 +16,9 @@
 /** Shortest time between two log lines of the same event, in milliseconds; relays may fail in turn. */
 const logIntervalMilliseconds = 5000
 
+/** What the client needs of a connection. */
+export type RelayLink = Pick<RelayConnection, 'address' | 'read' | 'close' | 'isClosed' | 'closeReason'>
+
 /** Options of a `RelayClient`. */
 export interface RelayClientOptions {
   candidates: () => readonly RelayCandidate[]
@@ -25,6 +28,8 @@
   era: Pick<StoreEra, 'current' | 'accept'>
   clock: Clock
   events: EventLog
+  /** Opens a connection to a relay. */
+  open?: (address: string) => RelayLink
   /** Called when no known relay can be used. */
   onNoneLeft?: () => void
 }
@@ -34,7 +39,7 @@
 
 /** Keeps the connection to the relay of this host. */
 export class RelayClient {
-  private connection: RelayConnection | undefined
+  private connection: RelayLink | undefined
   private directUntil = -Infinity
   private readonly loggedAt = new Map<string, number>()
 
@@ -46,7 +51,7 @@
     if (connection === undefined) return undefined
     const { era } = this.options
     const eraBefore = era.current
-    const answer = await connection.read({ ...question, era: eraBefore }, limitMilliseconds, signal)
+    const answer = await this.readWithin(limitMilliseconds, connection, { ...question, era: eraBefore }, signal)
     if (signal.aborted) return undefined
     if (answer === undefined) {
       this.recordLoss(connection, connection.closeReason ?? 'the read failed')
@@ -74,37 +79,65 @@
     this.connection = undefined
   }
 
+  /** True if a read would be sent to a relay now. */
+  get isAvailable (): boolean {
+    return this.choose() !== undefined
+  }
+
+  /** Reads, and closes the connection at the time limit, since the relay may be frozen or the connection silent. */
+  private async readWithin (
+    limitMilliseconds: number,
+    connection: RelayLink,
+    question: RelayQuestion,
+    signal: AbortSignal
+  ): Promise<RelayReadAnswer | undefined> {
+    const ended = new AbortController()
+    this.options.clock.sleep(limitMilliseconds, ended.signal).then(() => {
+      if (!ended.signal.aborted) connection.close(`no answer within ${Math.round(limitMilliseconds)} ms`)
+    }, () => {})
+    const answer = await connection.read(question, signal)
+    ended.abort()
+    return answer
+  }
+
   private pageOf (
     { next, age, records }: Extract<RelayReadAnswer, { kind: 'records' }>,
     era: number,
     from: number,
-    connection: RelayConnection
+    connection: RelayLink
   ): RelayedPage | undefined {
     if (next === from + records.length) return { page: { records: decodeRecords(records), next, era }, age }
     this.recordLoss(connection, 'the relay left out records')
     return undefined
   }
 
-  /** The connection to the preferred relay; undefined if the host has to read from the store. */
-  private connect (): RelayConnection | undefined {
+  /** The preferred relay; undefined if the host has to read from the store. */
+  private choose (): RelayCandidate | undefined {
     const { candidates, choice, ownAddress, clock, onNoneLeft } = this.options
     if (clock.monotonic() < this.directUntil) return undefined
     const known = candidates()
     const chosen = choice.choose(known)
     if (chosen === undefined && known.length > 0) onNoneLeft?.()
-    if (chosen === undefined || chosen.address === ownAddress) {
+    return chosen?.address === ownAddress ? undefined : chosen
+  }
+
+  /** The connection to the preferred relay; undefined if the host has to read from the store. */
+  private connect (): RelayLink | undefined {
+    const { open = address => new RelayConnection(address) } = this.options
+    const chosen = this.choose()
+    if (chosen === undefined) {
       this.close()
       return undefined
     }
     if (this.connection?.address === chosen.address && !this.connection.isClosed) return this.connection
     this.close()
-    this.connection = new RelayConnection(chosen.address, clock)
+    this.connection = open(chosen.address)
     this.log('relay_chosen', { ...chosen })
     return this.connection
   }
 
   /** Records the failure of a relay once, also if several reads fail with it. */
-  private recordLoss (connection: RelayConnection, reason: string): void {
+  private recordLoss (connection: RelayLink, reason: string): void {
     if (connection !== this.connection) return
     const { choice, clock } = this.options
     connection.close(reason)
--- a/src/platform/relay/RelayConnection.ts
+++ b/src/platform/relay/RelayConnection.ts
@@ -1,9 +1,7 @@
 /**
- * The connection of a host to a read relay. A read that takes too long closes the connection, since the relay may be
- * frozen or the connection silent; all open reads then fail.
+ * The connection of a host to a read relay. When it is closed, all open reads fail.
  */
 import { connect, type Socket } from 'node:net'
-import type { Clock } from '../../common/index.js'
 import { encodeLine, LineDecoder, writeCorked } from '../../placement/index.js'
 import { encodeRelayLine, maxRelayLineBytes, type RelayAnswer, relayAnswerSchema, relayService } from './relayMessages.js'
 
@@ -24,7 +22,7 @@
   closeReason: string | undefined
 
   /** `address`: `ip:port` */
-  constructor (readonly address: string, private readonly clock: Clock) {
+  constructor (readonly address: string) {
     const separator = address.lastIndexOf(':')
     const decoder = new LineDecoder<RelayAnswer>(relayAnswerSchema, maxRelayLineBytes)
     this.socket = connect({ host: address.slice(0, separator), port: Number(address.slice(separator + 1)), noDelay: true })
@@ -49,26 +47,18 @@
     return this.closeReason !== undefined
   }
 
-  /**
-   * Reads records, without a time limit beyond the given one in milliseconds, after which the connection is closed.
-   * Undefined if the connection fails or the signal aborts.
-   */
-  async read (question: RelayQuestion, limitMilliseconds: number, signal: AbortSignal): Promise<RelayReadAnswer | undefined> {
+  /** Reads records. Undefined if the connection fails or the signal aborts. */
+  async read (question: RelayQuestion, signal: AbortSignal): Promise<RelayReadAnswer | undefined> {
     if (this.isClosed || signal.aborted) return undefined
     this.reads += 1
     const id = String(this.reads)
     const answered = new Promise<RelayReadAnswer | undefined>(resolve => { this.openReads.set(id, resolve) })
-    const ended = new AbortController()
     const cancel = (): void => { this.settle(id, undefined) }
     signal.addEventListener('abort', cancel, { once: true })
-    this.clock.sleep(limitMilliseconds, ended.signal).then(() => {
-      if (!ended.signal.aborted) this.close(`no answer within ${Math.round(limitMilliseconds)} ms`)
-    }, () => {})
     this.opened.then(() => {
       if (this.openReads.has(id)) writeCorked(this.socket, encodeRelayLine({ kind: 'read', id, ...question }))
     }, () => {})
     const answer = await answered
-    ended.abort()
     signal.removeEventListener('abort', cancel)
     return answer
   }
--- a/src/platform/relay/RelayPart.ts
+++ b/src/platform/relay/RelayPart.ts
@@ -14,7 +14,6 @@
 import { RelayedTopic } from './RelayedTopic.js'
 import { relayService } from './relayMessages.js'
 import { RelayReader } from './RelayReader.js'
-import { StallDetector } from './StallDetector.js'
 import { StoreRelay } from './StoreRelay.js'
 
 /** The stable window in milliseconds up to which hosts read from the store unless the settings say otherwise. */
@@ -44,7 +43,6 @@
   private readonly topics = new Map<string, RelayedTopic>()
   private readonly relay: StoreRelay
   private readonly client: RelayClient
-  private readonly stalls: StallDetector
   private readonly isEnabled: boolean
   private readonly countRead: (source: string) => void
 
@@ -52,7 +50,6 @@
     const { settings: { host, listen, store, bounds }, era, clock, events, hash, metrics, candidates, onNoneLeft } = options
     this.isEnabled = store.relayReads ?? bounds.stableWindowMilliseconds > maxDirectWindowMilliseconds
     this.relay = new StoreRelay({ topics: this.topics, era, events })
-    this.stalls = new StallDetector(clock)
     const choice = new RelayChoice({ zone: host.zone, clock, hash })
     this.client = new RelayClient({ candidates, choice, ownAddress: listen.peers, era, clock, events, onNoneLeft })
     this.services = new Map(this.isEnabled ? [[relayService, (socket: Socket) => { this.relay.serve(socket) }]] : [])
@@ -72,11 +69,7 @@
       store: createClient(),
       era,
       clock,
-      stalls: this.stalls,
-      onServingStarted: () => {
-        this.stalls.start()
-        reader.leaveRelay()
-      },
+      onServingStarted: () => { reader.leaveRelay() },
       onDropped: () => { this.relay.closeAll() }
     })
     this.topics.set(topic, local)
@@ -85,7 +78,6 @@
       newest: async (...parameters) => await reader.newest(...parameters),
       read: async (...parameters) => await reader.read(...parameters),
       close: async () => {
-        await this.stalls.stop()
         this.relay.closeAll()
         await reader.close()
       }
--- a/src/platform/relay/RelayReader.ts
+++ b/src/platform/relay/RelayReader.ts
@@ -29,7 +29,7 @@
 
 /** Options of a `RelayReader`. */
 export interface RelayReaderOptions {
-  relays: Pick<RelayClient, 'read' | 'close' | 'directMilliseconds'>
+  relays: Pick<RelayClient, 'read' | 'close' | 'directMilliseconds' | 'isAvailable'>
   /** The topic as this host reads it from the store. */
   local: Pick<RelayedTopic, 'read' | 'isServing' | 'viewTime' | 'release' | 'stop'>
   /** Reads the topic as a whole. */
@@ -69,15 +69,12 @@
     waitMilliseconds: number,
     signal: AbortSignal = new AbortController().signal
   ): Promise<Result<ReadOutcome, Failure>> {
-    const { local, relays, onRead } = this.options
+    const { local, onRead } = this.options
     const page = await this.readThroughRelay(topic, from, waitMilliseconds, signal)
     if (page !== undefined) return Result.ok(page)
     if (signal.aborted) return Result.err(failure('cancelled', 'the read was cancelled'))
-    const { directMilliseconds } = relays
-    // The next read after a failure of a relay goes to another relay, as soon as it may.
-    const limit = directMilliseconds > 0 ? Math.max(minStoreWaitMilliseconds, directMilliseconds) : Infinity
     this.hasReadStore = true
-    const read = await local.read(from, Math.min(waitMilliseconds, limit), signal)
+    const read = await local.read(from, Math.min(waitMilliseconds, this.maxStoreWait), signal)
     if (read.isOk) {
       onRead('store')
       this.confirmedAt = local.viewTime
@@ -97,6 +94,14 @@
     await store.close()
   }
 
+  /** Longest wait of a read of the store that lets the next read go to a relay as soon as it may, in milliseconds. */
+  private get maxStoreWait (): number {
+    const { relays, local } = this.options
+    if (relays.directMilliseconds > 0) return Math.max(minStoreWaitMilliseconds, relays.directMilliseconds)
+    // A relay could be asked, but the store has to confirm first that no change was missed.
+    return relays.isAvailable && !local.isServing ? 0 : Infinity
+  }
+
   private async readThroughRelay (
     topic: string,
     from: number,
@@ -104,8 +109,8 @@
     signal: AbortSignal
   ): Promise<RecordPage | undefined> {
     const { relays, local, clock, onRead } = this.options
-    const now = clock.monotonic()
-    const limit = Math.min(maxRelayReadMilliseconds, this.confirmedAt + maxUnconfirmedMilliseconds - now)
+    const sentAt = clock.monotonic()
+    const limit = Math.min(maxRelayReadMilliseconds, this.confirmedAt + maxUnconfirmedMilliseconds - sentAt)
     // A host that relays reads from the store, so that relays do not read from each other.
     if (limit <= relayResponseMilliseconds || local.isServing) return undefined
     const left = new AbortController()
@@ -115,7 +120,9 @@
     this.relayRead = undefined
     if (answer === undefined) return undefined
     onRead('relay')
-    this.confirmedAt = clock.monotonic() - answer.age
+    // The answer may have been under way for long. Without records, the relay sent it at the end of the wait.
+    const waitEndsAt = answer.page.next === from ? Math.min(clock.monotonic(), sentAt + wait) : sentAt
+    this.confirmedAt = waitEndsAt - answer.age
     if (this.hasReadStore) {
       this.hasReadStore = false
       await local.release()
--- a/src/platform/relay/RelayedTopic.ts
+++ b/src/platform/relay/RelayedTopic.ts
@@ -8,9 +8,8 @@
 import type { ReadOutcome, StoreClient } from '../StoreClient.js'
 import type { StoreEra } from '../StoreEra.js'
 import { RecordWindow } from './RecordWindow.js'
-import type { StallDetector } from './StallDetector.js'
 
-/** Wait of a poll while other hosts read, in milliseconds. */
+/** Longest wait of a poll while other hosts read, in milliseconds. */
 const servingPollMilliseconds = 1000
 
 /**
@@ -19,6 +18,12 @@
  */
 export const maxViewAgeMilliseconds = 1600
 
+/** Time for the response to a poll, beyond its wait, that keeps the view fresh; a slow store takes 240 ms. */
+const responseMilliseconds = 300
+
+/** Time by which a timer of the store may end a wait too early, in milliseconds. */
+const timerMilliseconds = 20
+
 /** Time after the last read of another host for which this host polls on for them, in milliseconds. */
 const servingMilliseconds = 5000
 
@@ -35,7 +40,6 @@
   store: Pick<StoreClient, 'read' | 'close'>
   era: Pick<StoreEra, 'current' | 'onRise'>
   clock: Clock
-  stalls: Pick<StallDetector, 'stalledSince'>
   /** Called when other hosts begin to read the topic here. */
   onServingStarted?: () => void
   /** Called when the records were dropped, so that nothing can be answered at the moment. */
@@ -134,8 +138,10 @@
     await this.options.store.close()
   }
 
-  private get isViewFresh (): boolean {
-    return this.options.clock.monotonic() - this.viewedAt <= maxViewAgeMilliseconds
+  /** Wait of the next poll for other hosts, so that its response arrives while the view is fresh. */
+  private get servingWait (): number {
+    const remaining = this.viewedAt + maxViewAgeMilliseconds - responseMilliseconds - this.options.clock.monotonic()
+    return Math.floor(Math.max(0, Math.min(servingPollMilliseconds, remaining)))
   }
 
   /** The window that covers the offset of this host's follower; a new one if it went on elsewhere. */
@@ -177,9 +183,7 @@
   private async pollOnce (window: RecordWindow): Promise<void> {
     const { store, topic, clock } = this.options
     const from = window.end
-    // A host that begins to serve learns the end of the topic at once.
-    const servingWait = this.isViewFresh ? servingPollMilliseconds : 0
-    const waitMilliseconds = this.isServing ? servingWait : this.followerWait ?? 0
+    const waitMilliseconds = this.isServing ? this.servingWait : this.followerWait ?? 0
     const controller = new AbortController()
     this.openPoll = controller
     const sentAt = clock.monotonic()
@@ -193,15 +197,16 @@
     if (window.end > from && this.isServing) await clock.sleep(changeBatchMilliseconds, this.stopping.signal)
   }
 
-  /** Latest time at which the store is known to have sent a response that was received just now. */
+  /**
+   * Latest time at which the store certainly had no further records. Its response may have been under way for long, since
+   * the network or this process stood still: only the time of the call counts, and without records also the wait.
+   */
   private viewTimeOf (
     { isEmpty, sentAt, waitMilliseconds }: { isEmpty: boolean, sentAt: number, waitMilliseconds: number }
   ): number {
+    const waitEndsAt = sentAt + waitMilliseconds
     const now = this.options.clock.monotonic()
-    // Without records, the store answers when the wait is over.
-    if (isEmpty && now >= sentAt + waitMilliseconds) return sentAt + waitMilliseconds
-    // A process that stood still may have received the response long after the store sent it.
-    return this.options.stalls.stalledSince(sentAt) ? sentAt : now
+    return isEmpty && now >= waitEndsAt - timerMilliseconds ? Math.min(now, waitEndsAt) : sentAt
   }
 
   /** Drops the records. The follower's open read gets the outcome. */
