--- a/src/platform/relay/RelayedTopic.ts
+++ b/src/platform/relay/RelayedTopic.ts
@@ -3,6 +3,7 @@
  * serves both. The follower of this host decides at which offset reading begins: after a failed read, lost history or a
  * restore of the store, nothing is answered to other hosts until it has read the topic again.
  */
+import { setMaxListeners } from 'node:events'
 import { Result } from 'true-myth'
 import { type Clock, failure, type Failure } from '../../common/index.js'
 import type { ReadOutcome, StoreClient } from '../StoreClient.js'
@@ -63,7 +64,7 @@
   private followerWait: number | undefined
   private openPoll: AbortController | undefined
   private isPolling = false
-  private changed = new AbortController()
+  private changed = newChange()
   private readonly stopping = new AbortController()
   private readonly stopListening: () => void
 
@@ -222,7 +223,7 @@
 
   private notifyChange (): void {
     const { changed } = this
-    this.changed = new AbortController()
+    this.changed = newChange()
     changed.abort()
   }
 
@@ -234,6 +235,13 @@
   }
 }
 
+/** Aborts at the next change. Node.js takes the many reads that wait for it for a leak of listeners otherwise. */
+function newChange (): AbortController {
+  const controller = new AbortController()
+  setMaxListeners(0, controller.signal)
+  return controller
+}
+
 async function aborted (signal: AbortSignal): Promise<void> {
   if (signal.aborted) return
   await new Promise<void>(resolve => { signal.addEventListener('abort', () => { resolve() }, { once: true }) })
