--- a/src/platform/SchedulerDirectory.test.ts
+++ b/src/platform/SchedulerDirectory.test.ts
@@ -4,13 +4,13 @@
  */
 import { afterEach, beforeEach, expect, test } from '@jest/globals'
 import { Result } from 'true-myth'
-import { failure, type Failure, type HostId, type Incarnation, loadHash, ManualClock, type Pool } from '../common/index.js'
+import { failure, type Failure, type HostId, type Incarnation, loadHash, ManualClock, type Pool, type Zone } from '../common/index.js'
 import type { PromptScheduler } from '../placement/index.js'
 import { discardingEventLog } from '../streams/testSupport.js'
 import { PeerSchedulerClient } from './PeerSchedulerClient.js'
 import { SchedulerDirectory } from './SchedulerDirectory.js'
 import type { PartitionOwner } from './StoreClient.js'
-import { addressOfMember, memberNameOf, placementTopic, type StoreDutyGroup } from './StoreDutyGroup.js'
+import { addressOfMember, memberNameOf, placementTopic, type StoreDutyGroup, zoneOfMember } from './StoreDutyGroup.js'
 
 const incarnation = '0123456789abcdef' as Incarnation
 
@@ -177,3 +177,18 @@
   expect(answer?.isErr && answer.error.kind).toBe('not_ready')
   expect(directory.holderOf(0)).toBeUndefined()
 })
+
+// Hosts that share reads of the store prefer one of their own zone.
+test.each<[string, string | undefined]>([['zone-a', 'zone-a'], ['region.a', 'region.a'], ['', undefined]])(
+  'the hosts that schedule are known with their zone %s', async (zone, expected) => {
+    const member = memberNameOf('host.1' as HostId, incarnation, '10.0.0.1:7000', zone === '' ? undefined : zone as Zone)
+    expect([zoneOfMember(member), addressOfMember(member)]).toEqual([expected, '10.0.0.1:7000'])
+    owners = Result.ok([
+      { topic: placementTopic, partition: 0, member },
+      { topic: 'duties', partition: 0, member: memberNameOf('host-2' as HostId, incarnation, '10.0.0.2:7000') }
+    ])
+    directory.start()
+    await clock.advance(10_000)
+    expect(directory.placementHosts()).toEqual([{ address: '10.0.0.1:7000', zone: expected }])
+  }
+)
--- a/src/platform/StoreDutyGroup.ts
+++ b/src/platform/StoreDutyGroup.ts
@@ -54,10 +54,9 @@
   return `${hostId}.${incarnation}${zone === undefined ? '' : `.${zone}`}@${peerAddress}`
 }
 
-/** Zone of the host of a member; undefined if it is not stated, and no zone at all if the host is of an earlier build. */
+/** Zone of the host of a member, whose name states it after the incarnation; undefined for hosts of earlier builds. */
 export function zoneOfMember (member: string): string | undefined {
-  const [name = ''] = member.split('@')
-  return name.split('.').at(-1)
+  return /^.+\.[0-9a-f]{16}\.([^@]+)@/.exec(member)?.[1]
 }
 
 /** `ip:port` at which other hosts reach the host of a member; undefined if they cannot. Other programs may join too. */
