Ask the store for whole milliseconds after a relay is lost

Each read of the store failed for the rest of the 2 s after the loss, since a fraction of a millisecond is no valid time limit: hosts counted the store as lost and read the topics as a whole.

--- a/src/platform/relay/RelayReader.ts
+++ b/src/platform/relay/RelayReader.ts
@@ -74,7 +74,7 @@
     if (page !== undefined) return Result.ok(page)
     if (signal.aborted) return Result.err(failure('cancelled', 'the read was cancelled'))
     this.hasReadStore = true
-    const read = await local.read(from, Math.min(waitMilliseconds, this.maxStoreWait), signal)
+    const read = await local.read(from, Math.ceil(Math.min(waitMilliseconds, this.maxStoreWait)), signal)
     if (read.isOk) {
       onRead('store')
       this.confirmedAt = local.viewTime
--- a/src/platform/relay/testing/RelayNetwork.ts
+++ b/src/platform/relay/testing/RelayNetwork.ts
@@ -141,12 +141,10 @@
   storeLink: LinkState = 'normal'
   /** Connections of other hosts to this one; `silent` also stands for a frozen process. */
   peerLink: LinkState = 'normal'
-  /** Time that its answers to other hosts take, in milliseconds. */
-  answerMilliseconds = 0
   readonly local: RelayedTopic
   readonly follower: TopicFollower
 
-  constructor (readonly address: string, private readonly topic: SharedTopic, network: RelayNetwork) {
+  constructor (readonly address: string, topic: SharedTopic, network: RelayNetwork) {
     const { clock } = topic
     const { era } = this
     const events = new EventLog({
@@ -189,7 +187,6 @@
     const { local } = this
     if (this.peerLink === 'broken') link.close('the connection was closed')
     const outcome = await local.readForPeer(question.from, question.era, question.wait)
-    if (this.answerMilliseconds > 0) await this.topic.clock.sleep(this.answerMilliseconds)
     if (this.peerLink === 'silent') return await new Promise(() => {})
     const head = { id: '1', era: this.era.current }
     const { texts = [], ...fields } = { texts: [], ...outcome }
