--- a/src/leases/GroupLease.ts
+++ b/src/leases/GroupLease.ts
@@ -107,6 +107,15 @@
     return this.fencingNumber
   }
 
+  /**
+   * True if the store has assigned the duty to this member within the latest lease, also while the member waits to act.
+   * Afterwards another member may hold it.
+   */
+  get isAssigned (): boolean {
+    if (this.heldSince === undefined || this.renewedAt === undefined) return false
+    return this.options.clock.monotonic() < this.renewedAt.monotonic + this.options.durationMilliseconds
+  }
+
   /** The fencing number if the store confirms that this process holds the duty; undefined otherwise. */
   async confirmedAuthority (): Promise<FencingNumber | undefined> {
     const before = this.authority()
