Let no window hold up the reports of later ones

A window whose reports keep failing delayed all windows behind it until they were given up; those with the fewest attempts are now sent first.

--- a/src/usage/windows/UsageReporter.test.ts
+++ b/src/usage/windows/UsageReporter.test.ts
@@ -282,6 +282,19 @@
   })
 })
 
+// Guards against an older window whose report keeps failing and makes all later ones late.
+test('a window whose report keeps failing does not hold up the next ones', async () => {
+  platform.nextErrors = ['bad_request']
+  await pass(5100, () => { a.hear('h1', 0, 3) })
+  platform.nextErrors = ['bad_request', 'bad_request', 'bad_request', 'bad_request', 'bad_request']
+  await pass(4000, () => { a.hear('h1', 0, 3) })
+  platform.nextErrors = []
+  platform.calls.length = 0
+  await pass(3000, () => { a.hear('h1', 1, 4) })
+  expect(platform.calls.map(({ window }) => window - first)).toEqual([1, 0])
+  expect(platform.reported).toEqual({ 0: content(3), 1: content(4) })
+})
+
 test('while the journal cannot be written no window is reported, and afterwards the newest twelve follow in order', async () => {
   journal.nextAppends = Array<'refused'>(1000).fill('refused')
   await pass(100_000, () => { a.hear('h1', 0, 1, 19) })
--- a/src/usage/windows/UsageReporter.ts
+++ b/src/usage/windows/UsageReporter.ts
@@ -2,7 +2,7 @@
  * Reports the use of all hosts, window by window, while this host holds the duties: decides the content of a window from
  * what the hosts have reported, appends it to the journal, and sends to the platform exactly what the journal holds.
  */
-import { Backoff, type Clock, type Failure, Task } from '../../common/index.js'
+import { Backoff, type Clock, type Failure, failure, Task } from '../../common/index.js'
 import type { DutyPlatform } from '../../duties/index.js'
 import type { GroupLease } from '../../leases/index.js'
 import type { EventLog } from '../../observability/index.js'
@@ -88,11 +88,10 @@
   }
 
   private async run (signal: AbortSignal): Promise<void> {
-    const { clock, events } = this.options
+    const { clock } = this.options
     const backoff = new Backoff(backoffOptions)
     while (!signal.aborted) {
       const failed = await this.step(signal)
-      if (failed !== undefined && !signal.aborted) events.warn('usage_duty_failed', { reason: failed.message })
       if (failed === undefined) backoff.reset()
       await clock.sleep(failed === undefined ? checkMilliseconds : backoff.next(), signal)
     }
@@ -107,7 +106,10 @@
     }
     this.collectingSince ??= clock.monotonic()
     const failed = await this.readJournal(signal) ?? await this.decide(signal)
-    if (failed !== undefined) return failed
+    if (failed !== undefined) {
+      if (!signal.aborted) this.options.events.warn('usage_journal_failed', { reason: failed.message })
+      return failed
+    }
     this.abandonOldWindows()
     return await this.reportPending(signal)
   }
@@ -205,9 +207,12 @@
     this.totals.abandoned += abandoned.length
   }
 
-  /** Sends the decided windows in their order. Returns the failure after which to pause, if any. */
+  /**
+   * Sends the decided windows in their order, those with the fewest attempts first, so that none holds up the others.
+   * Returns the failure after which to pause, if any.
+   */
   private async reportPending (signal: AbortSignal): Promise<Failure | undefined> {
-    for (const decided of this.decided.pending()) {
+    for (const decided of this.decided.pending().sort((left, right) => left.attempts - right.attempts)) {
       if (signal.aborted) return undefined
       const failed = await this.report(decided)
       if (failed !== undefined) return failed
@@ -218,7 +223,7 @@
   private async report (decided: DecidedWindow): Promise<Failure | undefined> {
     const { lease, platform, events, windowMilliseconds, lateMilliseconds } = this.options
     const fencingNumber = await lease.confirmedAuthority()
-    if (fencingNumber === undefined) return { kind: 'lost_authority', message: 'the store did not confirm that this host holds the duty' }
+    if (fencingNumber === undefined) return failure('lost_authority', 'the store did not confirm that this host holds the duty')
     const { record } = decided
     decided.attempts += 1
     const reported = await platform.reportUsage({ window: record.window, counts: record.counts }, fencingNumber)
