--- a/src/platform/UsageTopic.ts
+++ b/src/platform/UsageTopic.ts
@@ -49,6 +49,10 @@
     await this.options.store.close()
   }
 
+  isOutdated (position: JournalPosition): boolean {
+    return (position as TopicPosition).era !== this.options.era.current
+  }
+
   async read (signal?: AbortSignal): Promise<Result<JournalView, Failure>> {
     const { store, era, clock } = this.options
     const newest = await store.newest(usageTopic, signal, ({ key }) => key === usageKey)
@@ -73,14 +77,14 @@
     position: JournalPosition,
     signal?: AbortSignal
   ): Promise<Result<JournalPosition, Failure>> {
-    const { store, era } = this.options
+    const { store } = this.options
     const { end, era: readEra } = position as TopicPosition
-    if (era.current !== readEra) return Result.err(restored())
+    if (this.isOutdated(position)) return Result.err(restored())
     const value = Buffer.from(JSON.stringify({ era: readEra, ...content }))
     const appended = await store.append(usageTopic, [{ key: usageKey, value }], { at: end, signal })
     if (appended.isErr) return Result.err(appended.error)
     // The acknowledgement may be from the restored store, whose offsets belong to other records.
-    if (era.current !== readEra) return Result.err(restored())
+    if (this.isOutdated(position)) return Result.err(restored())
     const next: TopicPosition = { end: appended.value.end, era: readEra }
     return Result.ok(next)
   }
--- a/src/usage/windows/UsageJournal.ts
+++ b/src/usage/windows/UsageJournal.ts
@@ -39,6 +39,8 @@
 
 /** The journal, which all hosts share. */
 export abstract class UsageJournal {
+  /** True if the journal's store came back from an older copy since the journal was at the position. */
+  abstract isOutdated (position: JournalPosition): boolean
   /** Errors: `platform_unavailable`. */
   abstract read (signal?: AbortSignal): Promise<Result<JournalView, Failure>>
   /**
--- a/src/usage/windows/UsageReporter.test.ts
+++ b/src/usage/windows/UsageReporter.test.ts
@@ -39,6 +39,10 @@
 class TestJournal extends UsageJournal {
   constructor (private readonly shared: SharedJournal) { super() }
 
+  isOutdated (position: JournalPosition): boolean {
+    return (position as { era: number }).era !== this.shared.era
+  }
+
   async read (): Promise<Result<JournalView, Failure>> {
     const { appends, era, restoredFrom, completeSince } = this.shared
     const mayLackWindows = appends.length <= restoredFrom
--- a/src/usage/windows/UsageReporter.ts
+++ b/src/usage/windows/UsageReporter.ts
@@ -105,6 +105,7 @@
       return undefined
     }
     this.collectingSince ??= clock.monotonic()
+    if (this.position !== undefined && this.options.journal.isOutdated(this.position)) this.forgetPosition()
     const failed = await this.readJournal(signal) ?? await this.decide(signal)
     if (failed !== undefined) {
       if (!signal.aborted) this.options.events.warn('usage_journal_failed', { reason: failed.message })
