--- a/src/platform/DutyPart.test.ts
+++ b/src/platform/DutyPart.test.ts
@@ -16,8 +16,9 @@
 import { StoreDutyGroup } from './StoreDutyGroup.js'
 import { StoreEra } from './StoreEra.js'
 import { FakeDutyApi } from './testing/FakeDutyApi.js'
+import { PlatformHost } from './PlatformHost.js'
 import { FakeStore } from './testing/FakeStore.js'
-import { unusedAddress, waitUntil } from './testing/platformTestSupport.js'
+import { testSettings, unusedAddress, waitUntil } from './testing/platformTestSupport.js'
 
 const leaseMilliseconds = 600
 
@@ -154,3 +155,26 @@
   const tokens = api.calls.map(({ token }) => token)
   expect(tokens).toEqual([...tokens].sort((left, right) => left - right))
 })
+
+// Guards against a host that does not connect the duties to its lease and its listeners.
+test('hosts whose settings ask for usage reports report windows, and one goes on after the holder has stopped', async () => {
+  const start = async (name: string): Promise<PlatformHost> => {
+    const settings = testSettings(store, { name }, { peers: await unusedAddress() })
+    const host = await PlatformHost.create({
+      ...settings,
+      bounds: { ...settings.bounds, leaseMilliseconds, usageWindowSeconds: 0.5, usageLateSeconds: 2 },
+      duties: { address: api.address, kinds: ['usage_report'] }
+    })
+    await host.start()
+    return host
+  }
+  const started = [await start('host-1'), await start('host-2')]
+  try {
+    await waitUntil(() => api.contents.size >= 2)
+    await started[0]!.stop()
+    await waitUntil(() => api.calls.at(-1)!.holder === 'host-2')
+  } finally {
+    await Promise.all(started.map(async host => await host.close()))
+  }
+  expect(new Set(api.calls.map(({ holder }) => holder))).toEqual(new Set(['host-1', 'host-2']))
+})
--- a/src/platform/SchedulerDirectory.test.ts
+++ b/src/platform/SchedulerDirectory.test.ts
@@ -51,6 +51,17 @@
   expect([directory.holderOf(0), directory.holderOf(1)]).toEqual(['10.0.0.1:7000', undefined])
 })
 
+// Guards against reports that go to a holder of another partition, which cannot take them.
+test('the holder of the duties is that of the first partition of the topic `duties`', async () => {
+  owners = Result.ok([
+    { topic: 'duties', partition: 1, member: memberNameOf('host-1' as HostId, incarnation, '10.0.0.1:7000') },
+    { topic: 'duties', partition: 0, member: memberNameOf('host-2' as HostId, incarnation, '10.0.0.2:7000') }
+  ])
+  expect(directory.orderHolder()).toBeUndefined()
+  await clock.advance(0)
+  expect(directory.orderHolder()).toBe('10.0.0.2:7000')
+})
+
 test('a failed holder is replaced by the one that the store names next', async () => {
   owners = ownedBy('host-1', '10.0.0.1:7000')
   directory.holderOf(0)
