--- a/src/capacity/CapacityPlanner.ts
+++ b/src/capacity/CapacityPlanner.ts
@@ -60,7 +60,7 @@
   plan ({ now, workers, demand, scaling }: CapacityInput): WorkerOrder[] {
     const serving = workers.filter(({ leaving }) => !leaving)
     this.target ??= new WorkerTarget(this.throughput, serving.length)
-    const needed = this.target.update(demand, now)
+    const needed = this.target.update(demand, scaling.startupMilliseconds, now)
     const zones = [...scaling.zonePrices].sort(([, left], [, right]) => left - right).map(([zone]) => zone)
     const countOf = (zone: Zone, kind: WorkerKind): number =>
       serving.filter(worker => worker.zone === zone && worker.kind === kind).length
--- a/src/capacity/WorkerTarget.ts
+++ b/src/capacity/WorkerTarget.ts
@@ -8,6 +8,18 @@
 /** Period whose peak counts, in milliseconds; it covers several swings between prompts and answers. */
 const peakMilliseconds = 15_000
 
+/**
+ * Time over which demand is averaged, in milliseconds. Caches that are still empty and workers that have just failed make
+ * requests wait for a few seconds, which more workers would not shorten.
+ */
+const averagedMilliseconds = 4000
+
+/**
+ * Largest growth within the start of a worker, as a multiple of the number. Where requests wait, their number tells that
+ * workers are missing, but not how many.
+ */
+const maxGrowth = 1.5
+
 /** Time for which demand has to be known before the number falls, in milliseconds. */
 const observationMilliseconds = 5000
 
@@ -34,41 +46,61 @@
 export class WorkerTarget {
   private readonly prompts = new DemandPeak(peakMilliseconds)
   private readonly answers = new DemandPeak(peakMilliseconds)
+  private average: PoolDemand = { openPrompts: 0, openAnswers: 0 }
+  private averagedAt: number | undefined
   private observedSince: number | undefined
+  private raisedAt: number | undefined
   private lowerSince: number | undefined
 
   constructor (private readonly throughput: WorkerThroughput, private number: number) {}
 
-  /** Records the demand and returns the number of workers that the pool is to have. */
-  update (demand: PoolDemand | undefined, now: number): number {
+  /**
+   * Records the demand and returns the number of workers that the pool is to have. `startupMilliseconds`: time until a new
+   * worker serves.
+   */
+  update (demand: PoolDemand | undefined, startupMilliseconds: number, now: number): number {
     if (demand !== undefined) this.record(demand, now)
     if (this.observedSince === undefined) return this.number
-    const needed = this.needed(now)
     const tolerated = Math.max(1, this.number * toleratedShare)
-    if (needed > this.number + tolerated) this.number = needed
-    if (needed >= this.number - tolerated) {
+    const needed = this.workersFor(this.average)
+    if (needed > this.number + tolerated) this.raise(needed, startupMilliseconds, now)
+    const neededAtPeak = this.workersFor({ openPrompts: this.prompts.maximum(now), openAnswers: this.answers.maximum(now) })
+    if (neededAtPeak >= this.number - tolerated) {
       this.lowerSince = undefined
       return this.number
     }
     this.lowerSince ??= now
     const mayFall = now - this.observedSince >= observationMilliseconds && now - this.lowerSince >= lowerMilliseconds
     if (mayFall) {
-      this.number = needed
+      this.number = neededAtPeak
       this.lowerSince = undefined
     }
     return this.number
   }
 
+  private raise (needed: number, startupMilliseconds: number, now: number): void {
+    if (this.raisedAt !== undefined && now - this.raisedAt < startupMilliseconds) return
+    this.raisedAt = now
+    this.number = Math.min(needed, Math.ceil(this.number * maxGrowth))
+  }
+
   private record (demand: PoolDemand, now: number): void {
-    this.prompts.record(demand.openPrompts, now)
-    this.answers.record(demand.openAnswers, now)
+    const elapsed = this.averagedAt === undefined ? averagedMilliseconds : now - this.averagedAt
+    this.averagedAt = now
+    const weight = 1 - Math.exp(-elapsed / averagedMilliseconds)
+    this.average = {
+      openPrompts: this.average.openPrompts + weight * (demand.openPrompts - this.average.openPrompts),
+      openAnswers: this.average.openAnswers + weight * (demand.openAnswers - this.average.openAnswers)
+    }
+    this.prompts.record(this.average.openPrompts, now)
+    this.answers.record(this.average.openAnswers, now)
     if (demand.openPrompts + demand.openAnswers > 0) this.observedSince ??= now
   }
 
-  private needed (now: number): number {
+  private workersFor ({ openPrompts, openAnswers }: PoolDemand): number {
     const { promptsPerWorker, answersPerWorker, promptShare } = this.throughput
-    const forPrompts = promptShare > 0 ? this.prompts.maximum(now) / promptsPerWorker / promptShare : 0
-    const forAnswers = this.answers.maximum(now) / answersPerWorker / (1 - promptShare)
+    const forPrompts = promptShare > 0 ? openPrompts / promptsPerWorker / promptShare : 0
+    const forAnswers = openAnswers / answersPerWorker / (1 - promptShare)
     return Math.max(1, Math.ceil(Math.max(forPrompts, forAnswers)))
   }
 }
--- a/src/leases/GroupLease.test.ts
+++ b/src/leases/GroupLease.test.ts
@@ -79,6 +79,18 @@
   expect(lease.authority()).toBe(1)
 })
 
+// Guards against a holder that goes on taking the reports of other hosts after the store has given the duty to another one.
+test('the duty is assigned during the handover, until the lease has passed without a renewal', async () => {
+  lease.start()
+  await clock.advance(0)
+  expect([lease.isAssigned, lease.authority()]).toEqual([true, undefined])
+  group.isReachable = false
+  await clock.advance(2900)
+  expect(lease.isAssigned).toBe(true)
+  await clock.advance(200)
+  expect(lease.isAssigned).toBe(false)
+})
+
 describe('authority ends', () => {
   const endConditions: Array<[string, () => Promise<void> | void]> = [
     ['when the machine was suspended, even if no monotonic time passed', () => { clock.wallOffset += 2000 }],
--- a/src/platform/CapacityPart.ts
+++ b/src/platform/CapacityPart.ts
@@ -24,10 +24,10 @@
 }
 
 /**
- * Prompts in progress for each engine that computes them. An engine computes one at a time; half of its time is kept for
- * bursts, and for the engines of a zone that may be taken away.
+ * Prompts in progress for each engine that computes them, on average. An engine computes one at a time, but a prompt is in
+ * progress for longer than it is computed, by the time of the messages and of the fetch of its parts.
  */
-const promptsPerEngine = 0.5
+const promptsPerEngine = 1
 
 /** Share of a worker's slots that requests in progress take, so that the steps of streams stay short. */
 const usedSlotShare = 0.25
--- a/src/platform/DutyPart.ts
+++ b/src/platform/DutyPart.ts
@@ -15,7 +15,6 @@
 import type { PlatformSettings } from './PlatformSettings.js'
 import type { SchedulerDirectory } from './SchedulerDirectory.js'
 import { StoreClient } from './StoreClient.js'
-import type { StoreDutyGroup } from './StoreDutyGroup.js'
 import type { StoreEra } from './StoreEra.js'
 import { UsageTopic } from './UsageTopic.js'
 
@@ -28,7 +27,6 @@
   events: EventLog
   metrics: Metrics
   hash: Hash
-  group: Pick<StoreDutyGroup, 'holdsOrders'>
   lease: GroupLease
   directory: Pick<SchedulerDirectory, 'orderHolder' | 'reportFailure'>
   /** The demand that this host sees. Default: none. */
@@ -74,7 +72,7 @@
   private readonly reporter: HostReporter | undefined
 
   constructor (private readonly options: DutyPartOptions) {
-    const { settings: { host, duties }, incarnation, clock, events, hash, group, directory, demand = () => [] } = options
+    const { settings: { host, duties }, incarnation, clock, events, hash, lease, directory, demand = () => [] } = options
     this.ordersWorkers = duties?.kinds.includes(scalingDuty) === true
     this.platform = duties === undefined
       ? undefined
@@ -85,7 +83,7 @@
     this.usage = this.createUsage()
     this.runObserver = this.usage === undefined ? undefined : observerOf(this.usage.windows)
     this.channel = new DutyReportChannel({
-      directory, isHolder: () => group.holdsOrders, receive: report => this.receive(report), clock
+      directory, isHolder: () => lease.isAssigned, receive: report => this.receive(report), clock
     })
     if (this.usage === undefined && !this.ordersWorkers) return
     this.reporter = new HostReporter({
@@ -108,7 +106,7 @@
 
   /** Takes the report of a host; undefined if this host is not the holder. */
   receive (report: HostReport): HostReportAnswer | undefined {
-    if (!this.options.group.holdsOrders) return undefined
+    if (!this.options.lease.isAssigned) return undefined
     if (report.clockSetMilliseconds !== undefined) {
       this.options.events.warn('host_clock_set', { host: report.host, milliseconds: report.clockSetMilliseconds })
     }
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -249,7 +249,6 @@
       events,
       metrics,
       hash,
-      group,
       lease,
       directory: placement.directory,
       demand: () => capacity.takeDemand()
