Read the load of workers and learn their capacity

Responses of some workers state running and waiting requests, slots and the time of work. Each upstream keeps these samples with its learned limit, speed and record of failures, which return to neutral values without evidence.

--- /dev/null
+++ b/src/concurrency/index.ts
@@ -0,0 +1,3 @@
+export * from './ServerLoad.js'
+export * from './UsualLatencies.js'
+export * from './WorkerCapacity.js'
--- a/src/placement/AnswerLoad.ts
+++ b/src/placement/AnswerLoad.ts
@@ -1,8 +1,7 @@
 /**
  * The streams that the workers of a pool generate, and how fast each worker starts them, from the reports of all hosts.
  */
-import type { WorkerId } from '../common/index.js'
-import { medianOf, RecentSpeeds } from './RecentSpeeds.js'
+import { medianOf, RecentMedian, type WorkerId } from '../common/index.js'
 
 /** A worker that generates answers. */
 export interface AnswerWorker {
@@ -39,7 +38,7 @@
   startMilliseconds: number
   startedAt: number
   /** The latest start times. */
-  starts: RecentSpeeds
+  starts: RecentMedian
 }
 
 /** Counts the streams of each worker. */
@@ -122,7 +121,7 @@
       streams: new Map<string, number>(),
       startMilliseconds: 0,
       startedAt: 0,
-      starts: new RecentSpeeds(startsPerWorker, maxStartAgeMilliseconds)
+      starts: new RecentMedian(startsPerWorker, maxStartAgeMilliseconds)
     }
     this.loads.set(worker, load)
     return load
--- a/src/placement/PrefillSpeed.ts
+++ b/src/placement/PrefillSpeed.ts
@@ -2,7 +2,7 @@
  * Measures how fast the workers of a pool compute prompts, from the response times of prompts that had a worker to
  * themselves.
  */
-import { RecentSpeeds } from './RecentSpeeds.js'
+import { RecentMedian } from '../common/index.js'
 
 /** Initial values, used until responses have been measured. */
 export interface PrefillSpeedOptions {
@@ -40,9 +40,9 @@
   baseMilliseconds: number
   /** Time that a response usually takes besides the computation, including the wait for prompts before it. */
   usualMilliseconds: number
-  private readonly speeds = new RecentSpeeds(speedSamples)
+  private readonly speeds = new RecentMedian(speedSamples)
   /** Speeds by shorter prompts. They only tell that the initial value is far too high, in which no prompt looks long. */
-  private readonly shortSpeeds = new RecentSpeeds(speedSamples)
+  private readonly shortSpeeds = new RecentMedian(speedSamples)
 
   constructor (private readonly initial: PrefillSpeedOptions) {
     this.tokensPerMillisecond = initial.tokensPerMillisecond
--- a/src/placement/WorkerSpeeds.ts
+++ b/src/placement/WorkerSpeeds.ts
@@ -2,9 +2,8 @@
  * How fast each worker of a pool computes prompts. The pool's speed is expected of a worker that is not known, and of one
  * whose measurements differ from it by no more than they scatter, so that equal workers stay equal.
  */
-import type { WorkerId } from '../common/index.js'
+import { RecentMedian, type WorkerId } from '../common/index.js'
 import type { PrefillSpeed } from './PrefillSpeed.js'
-import { RecentSpeeds } from './RecentSpeeds.js'
 
 /** Number of measurements of a worker that are kept; four of them show a change. */
 const samplesPerWorker = 7
@@ -17,14 +16,14 @@
 
 /** Speeds of the workers of one pool. */
 export class WorkerSpeeds {
-  private readonly byWorker = new Map<WorkerId, RecentSpeeds>()
+  private readonly byWorker = new Map<WorkerId, RecentMedian>()
 
   constructor (private readonly pool: PrefillSpeed) {}
 
   /** Records that a worker was occupied by this many tokens for the given time, in milliseconds. */
   record (worker: WorkerId, tokens: number, occupiedMilliseconds: number, now: number): void {
     if (tokens < this.pool.minMeasuredTokens) return
-    const speeds = this.byWorker.get(worker) ?? new RecentSpeeds(samplesPerWorker, maxAgeMilliseconds)
+    const speeds = this.byWorker.get(worker) ?? new RecentMedian(samplesPerWorker, maxAgeMilliseconds)
     this.byWorker.set(worker, speeds)
     speeds.add(tokens / Math.max(1, occupiedMilliseconds), now)
   }
--- a/src/platform/WorkerProtocol.ts
+++ b/src/platform/WorkerProtocol.ts
@@ -35,7 +35,9 @@
   /** `1` in the responses of a worker that is about to stop. */
   leaving: 'server-leaving',
   /** Requests a second, a decimal number, that the worker takes from all hosts together for as long as it states it. */
-  limit: 'server-limit'
+  limit: 'server-limit',
+  /** Requests that run and wait at the worker, its slots and, at some workers, the time of work in percent of the usual. */
+  load: 'dogwooddale-server-load'
 } as const
 
 /** Fields that only the system may set on requests to workers; those that callers send are dropped. */
--- a/src/routing/RoutingPolicy.ts
+++ b/src/routing/RoutingPolicy.ts
@@ -21,6 +21,22 @@
     /** Streams that generate tokens on the worker. */
     readonly runningDecodes: number
   }
+  /** What is known of how much work the worker handles well; undefined if nothing is measured. */
+  readonly capacity?: RoutingCapacity
+}
+
+/** How much work a worker handles well. */
+export interface RoutingCapacity {
+  /** True if anything distinguishes the worker from one that is not known. */
+  readonly isKnown: boolean
+  /** Number of open requests that the worker handles well; infinite if it is not known. */
+  readonly limit: number
+  /** Factor on the time that the workers usually take. */
+  readonly slowness: number
+  /** Share of recent requests that failed. */
+  readonly failureShare: number
+  /** Requests of all hosts that are expected to be open at the worker, given those of this host. */
+  openRequests: (ownOpen: number) => number
 }
 
 /** Chooses one of the candidates. */
@@ -34,6 +50,14 @@
     candidates: readonly Candidate[]
   ): Candidate | undefined
 
+  /** As `choose`, for a call that has failed at another worker. */
+  chooseAfterFailure<Candidate extends RoutingCandidate> (
+    request: RoutingRequest,
+    candidates: readonly Candidate[]
+  ): Candidate | undefined {
+    return this.choose(request, candidates)
+  }
+
   /** Called when a request is sent to a worker. */
   recordSent (_request: RoutingRequest, _worker: RoutingCandidate): void {}
 
--- a/src/upstreams/RequestTracker.ts
+++ b/src/upstreams/RequestTracker.ts
@@ -13,6 +13,14 @@
  */
 export type RequestResult = 'answered' | 'failed' | 'refused' | 'declined' | 'left'
 
+/** What a request tells about the capacity of its upstream. */
+export interface MeasuredRequest {
+  /** Requests of the same kind take similar times. */
+  kind: string
+  /** Time within which the upstream has to answer for the request to be in time, in milliseconds; undefined if unknown. */
+  dueMilliseconds: number | undefined
+}
+
 /** Counts one request in the load of its upstream and reports its end to the health of the upstream. */
 export class RequestTracker {
   private readonly request: TrackedRequest
@@ -23,7 +31,8 @@
     readonly upstream: Upstream,
     prefillTokens: number,
     private readonly clock: Clock,
-    private readonly onEnd: () => void
+    private readonly onEnd: () => void,
+    private readonly measured?: MeasuredRequest
   ) {
     this.startedAt = clock.monotonic()
     this.request = upstream.load.begin(this.startedAt, prefillTokens)
@@ -39,6 +48,7 @@
     const now = this.clock.monotonic()
     if (this.hasEnded) return 0
     this.hasEnded = true
+    this.recordCapacity(result, now)
     this.upstream.load.end(this.request, now)
     if (result === 'answered') this.upstream.health.requestSucceeded()
     if (result === 'failed') this.upstream.health.requestFailed()
@@ -48,4 +58,16 @@
     this.onEnd()
     return now - this.startedAt
   }
+
+  /** A request that this host abandoned tells something only if it was late already. */
+  private recordCapacity (result: RequestResult, now: number): void {
+    if (this.measured === undefined || result === 'declined') return
+    const milliseconds = (this.request.firstTokenAt ?? now) - this.startedAt
+    const { dueMilliseconds } = this.measured
+    const isLate = dueMilliseconds !== undefined && milliseconds > dueMilliseconds
+    if (result === 'left' && !isLate) return
+    const isFailure = result === 'failed' || result === 'refused'
+    const ownOpen = this.upstream.load.outstanding
+    this.upstream.capacity.recordEnd({ ...this.measured, milliseconds, isFailure, ownOpen })
+  }
 }
--- a/src/upstreams/Upstream.ts
+++ b/src/upstreams/Upstream.ts
@@ -6,6 +6,7 @@
 import { BoundedClient, type SendOptions, sendRequest } from '../clients/index.js'
 import { BoundedTable, type Clock, type Model, type Pool, type RequestId, type WorkerId, type Zone } from '../common/index.js'
 import type { EngineRole, WorkerDocument } from '../configuration/index.js'
+import { UsualLatencies, WorkerCapacity } from '../concurrency/index.js'
 import { connectUpstream } from './connectUpstream.js'
 import { ConnectionDoubt } from './ConnectionDoubt.js'
 import { LoadEstimate } from './LoadEstimate.js'
@@ -54,6 +55,8 @@
   carriedCalls?: BoundedTable<true>
   /** Called when the upstream has sent bytes on a connection on which no call was open. */
   onSurplus?: (upstream: Upstream) => void
+  /** Shared by the upstreams of a host. Default: latencies of its own. */
+  usualLatencies?: UsualLatencies
 }
 
 /** Why connections are in doubt. `foreign_response`: a response belonged to no call; `surplus`: bytes while no call was open. */
@@ -63,6 +66,8 @@
 export class Upstream {
   readonly load = new LoadEstimate()
   readonly health: UpstreamHealth
+  /** How much work the process handles well. */
+  readonly capacity: WorkerCapacity
   /** Rate of requests that the process states. */
   readonly limit = new StatedLimit()
   readonly origin: string
@@ -87,6 +92,7 @@
     private readonly options: UpstreamOptions
   ) {
     this.health = new UpstreamHealth(options.clock, description.worker.reportsLoad)
+    this.capacity = new WorkerCapacity(options.clock, options.usualLatencies ?? new UsualLatencies(), () => this.slots)
     this.origin = `http://${description.worker.address}`
     this.carriedCalls = options.carriedCalls ?? new BoundedTable(maxCarriedCalls)
     this.doubt = new ConnectionDoubt(options.clock)
--- a/src/upstreams/UpstreamManager.ts
+++ b/src/upstreams/UpstreamManager.ts
@@ -6,11 +6,13 @@
 import { BoundedTable, type Clock, type Hash, type HostId, type Model, type Pool, type RequestId, Task, type WorkerId, type Zone } from '../common/index.js'
 import type { ConfigurationReader, EngineRole, PoolDocument } from '../configuration/index.js'
 import type { EventLog } from '../observability/index.js'
+import { UsualLatencies } from '../concurrency/index.js'
 import { chooseSubset } from './chooseSubset.js'
 import type { LoadReport } from './LoadReport.js'
 import { pollLoad } from './pollLoad.js'
 import { probeAddress } from './probeAddress.js'
-import { RequestTracker } from './RequestTracker.js'
+import { CapacityLog } from './CapacityLog.js'
+import { type MeasuredRequest, RequestTracker } from './RequestTracker.js'
 import { type DoubtReason, maxCarriedCalls, Upstream, type UpstreamDescription } from './Upstream.js'
 import type { StatedLimit, WorkerLimit } from './StatedLimit.js'
 import type { UpstreamResponseHead, WorkerNotice } from './WorkerNotice.js'
@@ -51,6 +53,10 @@
   draining: boolean
   /** Requests a second that the worker takes from all hosts together; undefined if it states no limit. */
   limitPerSecond: number | undefined
+  /** Number of open requests that the worker handles well; infinite if it is not known. */
+  concurrencyLimit: number
+  /** Factor on the time that the workers usually take. */
+  slowness: number
   /** Requests of this host to the worker that have not ended. */
   outstanding: number
   queuedPrefillTokens: number
@@ -81,10 +87,13 @@
   private readonly leavingProcesses = new BoundedTable<true>(maxLeavingProcesses)
   /** The latest calls of all upstreams, so that their memory does not grow with the number of upstreams. */
   private readonly carriedCalls = new BoundedTable<true>(maxCarriedCalls)
+  private readonly usualLatencies = new UsualLatencies()
+  private readonly capacityLog: CapacityLog
   private isStarted = false
   private unsubscribe = (): void => {}
 
   constructor (private readonly options: UpstreamManagerOptions) {
+    this.capacityLog = new CapacityLog(options.clock, options.events)
     this.reconcile()
     this.unsubscribe = options.configuration.onChange(paths => {
       if (paths.some(path => path.startsWith('/fleet/pools/') || path.startsWith('/fleet/roles/'))) this.reconcile()
@@ -158,9 +167,16 @@
     }
   }
 
-  /** Counts a request that is about to be sent. `prefillTokens` is 0 for services. */
-  begin (upstream: Upstream, prefillTokens: number): RequestTracker {
-    return new RequestTracker(upstream, prefillTokens, this.options.clock, () => this.updateAvailability(upstream))
+  /**
+   * Counts a request that is about to be sent. `prefillTokens` is 0 for services; `measured`: what the request tells about
+   * the capacity of the worker, undefined if nothing.
+   */
+  begin (upstream: Upstream, prefillTokens: number, measured?: MeasuredRequest): RequestTracker {
+    const onEnd = (): void => {
+      this.capacityLog.record(upstream)
+      this.updateAvailability(upstream)
+    }
+    return new RequestTracker(upstream, prefillTokens, this.options.clock, onEnd, measured)
   }
 
   /** Records that a worker has answered out of turn, so that none of its connections is kept for a while. */
@@ -221,6 +237,8 @@
       leaving: upstream.leaving || upstream.hasAnnouncedStop,
       draining: upstream.draining || upstream.description.worker.draining,
       limitPerSecond: upstream.limit.perSecond,
+      concurrencyLimit: upstream.capacity.limit,
+      slowness: upstream.capacity.slowness,
       outstanding: upstream.load.outstanding,
       queuedPrefillTokens: upstream.load.queuedPrefillTokens,
       runningDecodes: upstream.load.runningDecodes,
@@ -275,6 +293,7 @@
       clock,
       keepAliveMilliseconds,
       carriedCalls: this.carriedCalls,
+      usualLatencies: this.usualLatencies,
       onResponse: (from, head, sentAt, requestId) => {
         const notice = readNotice?.(head, requestId)
         if (notice !== undefined) this.recordNotice(from, notice, sentAt)
@@ -300,6 +319,7 @@
 
   private recordNotice (upstream: Upstream, notice: WorkerNotice, sentAt: number): void {
     this.changeLimit(upstream, limit => { limit.recordResponse(notice.perSecond, sentAt, this.options.clock.monotonic()) })
+    if (notice.load !== undefined) upstream.capacity.recordLoad(notice.load, upstream.load.outstanding)
     if (notice.pauseMilliseconds > 0) this.recordPause(upstream, notice.pauseMilliseconds)
     if (notice.leaving && !upstream.hasAnnouncedStop) this.recordAnnouncedStop(upstream)
   }
--- a/src/upstreams/WorkerNotice.ts
+++ b/src/upstreams/WorkerNotice.ts
@@ -3,6 +3,7 @@
  * process that sent it, not the next one under the same id or address.
  */
 import type { Dispatcher } from 'undici'
+import type { ServerLoad } from '../concurrency/index.js'
 
 /** Status and header fields of a response of a worker. */
 export interface UpstreamResponseHead {
@@ -18,4 +19,6 @@
   perSecond: number | undefined
   /** Time for which the worker wants no requests from this host, in milliseconds; 0 if it states none. */
   pauseMilliseconds: number
+  /** Load of the worker when it sent the response; undefined if it does not state it. */
+  load: ServerLoad | undefined
 }
