Route calls without a prompt by the learned capacity

Two random choices by open requests sent as many calls to slow and failing workers as to others: 13 of 263 status reads failed since workers answered 500 twice in 0.1 s. Calls now go to the worker with the lowest expected time of a few, and a call that failed to the one with the best record.

--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -10,7 +10,7 @@
 import { isNotSent, NotSentError } from '../clients/index.js'
 import { abortAfter, type AbortTimer, errorResponses, type Failure, failure, type WorkerId } from '../common/index.js'
 import type { RoutingRequest } from '../routing/index.js'
-import { isConnectionLost, type RequestTracker, type Upstream } from '../upstreams/index.js'
+import { isConnectionLost, type MeasuredRequest, type RequestTracker, type Upstream } from '../upstreams/index.js'
 import { type ResponseBody, destroyBody, discardBody, isEventStream, isRepeatedEvent, withCleanup } from './responseBodies.js'
 import { AnswerProgress } from './AnswerProgress.js'
 import { CallPrompt } from './CallPrompt.js'
@@ -206,7 +206,9 @@
   }
 
   private chooseAmong (candidates: readonly Upstream[]): Upstream | undefined {
-    return this.context.servicePolicy.choose(this.request.prompt ?? emptyPrompt, candidates)
+    const { context: { servicePolicy }, request: { prompt = emptyPrompt } } = this
+    if (this.triedWorkers.size === 0) return servicePolicy.choose(prompt, candidates)
+    return servicePolicy.chooseAfterFailure(prompt, candidates)
   }
 
   /** Returns the preferred worker, or another one if that states a limit and no permit is available. */
@@ -255,7 +257,8 @@
       prompt_at: kvSource?.upstream.id,
       resumed_after: resumeAfter
     })
-    const tracker = upstreams.begin(upstream, kvSource === undefined ? servicePolicy.prefillTokens(prompt, upstream) : 0)
+    const prefillTokens = kvSource === undefined ? servicePolicy.prefillTokens(prompt, upstream) : 0
+    const tracker = upstreams.begin(upstream, prefillTokens, this.measuredRequest())
     servicePolicy.recordSent(prompt, upstream)
     this.prompt.attemptStarted(upstream.id)
     const result = await this.send(upstream, tracker, stop, { resumeAfter, kvSource })
@@ -264,6 +267,15 @@
     return result
   }
 
+  /** What the attempt tells about its worker; nothing if it computes a prompt or continues a stream. */
+  private measuredRequest (): MeasuredRequest | undefined {
+    const { kind, pool, prompt, startDueAt } = this.request
+    if (kind === undefined || prompt !== undefined) return undefined
+    // An attempt after another one began late, which is not due to its worker.
+    const isFirst = this.triedWorkers.size === 1 && startDueAt !== undefined
+    return { kind: `${pool}/${kind}`, dueMilliseconds: isFirst ? startDueAt - this.context.clock.monotonic() : undefined }
+  }
+
   private async send (
     upstream: Upstream,
     tracker: RequestTracker,
--- a/src/forwarding/ServiceRequest.ts
+++ b/src/forwarding/ServiceRequest.ts
@@ -32,6 +32,8 @@
   delivery?: 'whole' | 'stream'
   /** Maximum number of workers that may run the call. Default: no limit. */
   maxAttempts?: number
+  /** Calls of the same kind, such as those of one route, take similar times. Default: calls are not compared. */
+  kind?: string
   /** Rank of the call; 0, the default, is the most urgent. */
   urgency?: number
   /** Prompt of the call; default: none. */
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -13,7 +13,7 @@
 import { LocalPromptPlacer, type PromptPlacer } from '../placement/index.js'
 import { PartQuarantine } from '../quarantine/index.js'
 import { DemandCollector, SplitRolePlanner } from '../roles/index.js'
-import { PowerOfTwoPolicy, PrefixIndex, PromptPlacementPolicy } from '../routing/index.js'
+import { CapacityPolicy, PowerOfTwoPolicy, PrefixIndex, PromptPlacementPolicy } from '../routing/index.js'
 import { acceptsConnections, UpstreamManager, type UpstreamView } from '../upstreams/index.js'
 import { CallerListener } from './CallerListener.js'
 import { type ErrorEmitter, handleUnexpectedErrors } from './handleUnexpectedErrors.js'
@@ -461,7 +461,8 @@
 
 function createPlacementPolicy ({ host }: PlatformSettings, hash: Hash, index: PrefixIndex): PromptPlacementPolicy {
   const seed = hash.h32(host.id)
-  return new PromptPlacementPolicy({ index, hash, costs: placementCosts, policyWithoutPrompt: new PowerOfTwoPolicy(seed), seed })
+  const policyWithoutPrompt = new CapacityPolicy(seed, new PowerOfTwoPolicy(seed))
+  return new PromptPlacementPolicy({ index, hash, costs: placementCosts, policyWithoutPrompt, seed })
 }
 
 function requestManagerOptions (
--- a/src/platform/decodeRequest.ts
+++ b/src/platform/decodeRequest.ts
@@ -68,6 +68,7 @@
     delivery: route.kind === 'stream' ? 'stream' : 'whole',
     maxAttempts: route.maxAttempts,
     urgency: route.rank,
+    kind: route.name,
     startDueAt: now + route.targetMilliseconds,
     ...(prompt === undefined
       ? { attemptTimeoutMilliseconds: route.targetMilliseconds * attemptTimeoutFactor }
--- a/src/routing/PromptPlacementPolicy.ts
+++ b/src/routing/PromptPlacementPolicy.ts
@@ -67,6 +67,16 @@
       this.generationCost(request, worker) + (worker === home ? 0 : fetchMilliseconds))
   }
 
+  override chooseAfterFailure<Candidate extends RoutingCandidate> (
+    request: RoutingRequest,
+    candidates: readonly Candidate[]
+  ): Candidate | undefined {
+    const { policyWithoutPrompt } = this.options
+    return request.promptBlocks.length === 0
+      ? policyWithoutPrompt.chooseAfterFailure(request, candidates)
+      : this.choose(request, candidates)
+  }
+
   /**
    * Chooses the worker that computes the prompt; undefined if there are no candidates. `decodeCandidates` are the
    * workers that generate answers and therefore may hold parts of the prompt.
