Spread the times after which refused callers come back

Callers who were refused together were told the same time and came back together. Retry-After is now extended by up to half, by a hash of the request's id.

--- a/src/platform/CallerListener.test.ts
+++ b/src/platform/CallerListener.test.ts
@@ -73,6 +73,19 @@
   expect(forwarded).toHaveLength(expectedForwarded)
 })
 
+// Guards against callers who were refused together and come back together.
+test('refused callers are told different times, from the stated one to half as long again', async () => {
+  const { caller } = await start(0, async () => Result.err(failure('overloaded', 'full', { retryAfterMilliseconds: 2000 })))
+  const times = new Set<number>()
+  for (let number = 0; number < 8; number += 1) {
+    caller.send('POST', '/votes/1', requestHeaders(`r${number}`), 'yes')
+    times.add(Number((await caller.readResponse()).headers['retry-after']))
+  }
+  expect(times.size).toBeGreaterThan(4)
+  expect(Math.min(...times)).toBeGreaterThanOrEqual(2)
+  expect(Math.max(...times)).toBeLessThanOrEqual(3)
+})
+
 test('while the event loop is late, a request whose caller closes right after sending it is not forwarded', async () => {
   const { caller, forwarded } = await start(100)
   caller.send('GET', '/reads/1', requestHeaders('r1'))
--- a/src/platform/CallerListener.ts
+++ b/src/platform/CallerListener.ts
@@ -332,11 +332,12 @@
     this.closeConnectionIfStopping(response)
     const body = JSON.stringify(errorBodyOf(failed))
     const id = message.headers[headerNames.requestId]
+    const spread = this.options.hash.h32(`${String(id)}/retry`) / hashRange
     response.writeHead(status, {
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(body),
       ...(typeof id === 'string' ? { [headerNames.requestId]: id } : {}),
-      ...(retryAfterOfKind === undefined ? {} : { [headerNames.retryAfter]: String(retryAfterSecondsOf(failed)) }),
+      ...(retryAfterOfKind === undefined ? {} : { [headerNames.retryAfter]: String(retryAfterSecondsOf(failed, spread)) }),
       ...(message.complete ? {} : { connection: 'close' })
     }).end(body)
     return String(status)
@@ -421,10 +422,17 @@
   return errorResponses[failed.kind].notRun ? refusalOfStop : unknownOutcomeOfStop
 }
 
-/** Time after which a caller should come back, in seconds: that of the failure if it states one, at least the usual one. */
-function retryAfterSecondsOf ({ detail }: Failure): number {
+/** Share by which the time after which callers should come back is spread, so that they do not come back together. */
+const retryAfterSpread = 0.5
+
+/**
+ * Time after which a caller should come back, in seconds: that of the failure if it states one, at least the usual one,
+ * extended by the part `spread` (0 to 1) of the spread.
+ */
+function retryAfterSecondsOf ({ detail }: Failure, spread: number): number {
   const milliseconds = detail?.retryAfterMilliseconds
-  return typeof milliseconds === 'number' ? Math.max(retryAfterSeconds, milliseconds / 1000) : retryAfterSeconds
+  const seconds = typeof milliseconds === 'number' ? Math.max(retryAfterSeconds, milliseconds / 1000) : retryAfterSeconds
+  return Math.round(seconds * (1 + retryAfterSpread * spread) * 1000) / 1000
 }
 
 async function readBody (message: IncomingMessage, limit: number): Promise<Result<Buffer | undefined, Failure>> {
