Log and export the learned capacity of workers

Operators saw neither the limit nor the speed of a worker. worker_capacity_changed comes at most once a second per worker for changes over 25 %, also for prompts; two gauges have one series per listed worker.

--- a/src/concurrency/index.ts
+++ b/src/concurrency/index.ts
@@ -1,3 +1,4 @@
 export * from './ServerLoad.js'
 export * from './UsualLatencies.js'
 export * from './WorkerCapacity.js'
+export * from './CapacityChanges.js'
--- a/src/placement/PromptSchedule.ts
+++ b/src/placement/PromptSchedule.ts
@@ -9,6 +9,7 @@
  * the prompt is preferred: another one fetches them, and its copy displaces other parts.
  */
 import type { Clock, WorkerId, Zone } from '../common/index.js'
+import { CapacityChanges, roundedForLog } from '../concurrency/index.js'
 import type { PermitQueue } from '../limits/index.js'
 import type { EventLog } from '../observability/index.js'
 import { AnswerLoad, type AnswerWorker } from './AnswerLoad.js'
@@ -93,6 +94,7 @@
   private readonly speeds: WorkerSpeeds
   private readonly estimates: PromptEstimates
   private readonly overdueWatch: OverdueWatch
+  private readonly changes: CapacityChanges
   /** Sum of `computeMilliseconds` over the waiting prompts. */
   private waitingMilliseconds = 0
   private isDispatchDue = false
@@ -105,6 +107,7 @@
     this.speed = new PrefillSpeed(costs)
     this.speeds = new WorkerSpeeds(this.speed)
     this.backlogs = new WorkerBacklogs(workers)
+    this.changes = new CapacityChanges(clock)
     this.estimates = new PromptEstimates({
       held,
       holders,
@@ -158,6 +161,7 @@
       this.backlogs.spread.record(now - prompt.expectedAt)
       const occupied = backlog.recordSuccess(prompt, now, this.speed.baseMilliseconds)
       if (occupied !== undefined) this.speeds.record(backlog.worker, prompt.computedTokens, occupied, now)
+      this.logSpeed(backlog.worker, now)
       for (const [position, part] of prompt.parts.entries()) {
         this.options.held.record(backlog.worker, part, prompt.partTokens[position] ?? 0)
       }
@@ -353,6 +357,14 @@
     for (const id of this.answers.forgetLost(now)) this.answering.delete(id)
   }
 
+  private logSpeed (worker: WorkerId, now: number): void {
+    const slowness = this.speeds.slowness(worker, now)
+    const before = this.changes.record(worker, Infinity, () => ({ limit: Infinity, slowness }))
+    if (before === undefined) return
+    const [speed, speedBefore] = [roundedForLog(1 / slowness), roundedForLog(1 / before.slowness)]
+    this.options.events.info('worker_capacity_changed', { worker, work: 'prompts', speed, speed_before: speedBefore })
+  }
+
   private logState (now: number): void {
     if (now - this.stateLoggedAt < stateLogMilliseconds) return
     this.stateLoggedAt = now
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -16,6 +16,7 @@
 import { CapacityPolicy, PowerOfTwoPolicy, PrefixIndex, PromptPlacementPolicy } from '../routing/index.js'
 import { acceptsConnections, UpstreamManager, type UpstreamView } from '../upstreams/index.js'
 import { CallerListener } from './CallerListener.js'
+import { registerCapacityMetrics } from './CapacityMetrics.js'
 import { type ErrorEmitter, handleUnexpectedErrors } from './handleUnexpectedErrors.js'
 import { PlacementPart } from './PlacementPart.js'
 import { QuarantinePart } from './QuarantinePart.js'
@@ -190,6 +191,7 @@
       keepAliveMilliseconds: workerKeepAliveMilliseconds,
       readNotice: readWorkerNotice
     })
+    registerCapacityMetrics(metrics, () => upstreams.view())
     const budget = new RetryBudget(clock, retryLimitsOf(settings))
     const policy = createPlacementPolicy(settings, hash, index)
     const group = createDutyGroup(settings, { era, availability }, events)
