--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -14,11 +14,12 @@
 import { LocalPromptPlacer, type PromptPlacer } from '../placement/index.js'
 import { PartQuarantine } from '../quarantine/index.js'
 import { DemandCollector, SplitRolePlanner } from '../roles/index.js'
-import { PowerOfTwoPolicy, PrefixIndex, PromptPlacementPolicy } from '../routing/index.js'
+import { CapacityPolicy, PowerOfTwoPolicy, PrefixIndex, PromptPlacementPolicy } from '../routing/index.js'
 import { acceptsConnections, UpstreamManager, type UpstreamView } from '../upstreams/index.js'
 import { CallerListener } from './CallerListener.js'
 import { CapacityPart } from './CapacityPart.js'
 import { DutyPart } from './DutyPart.js'
+import { registerCapacityMetrics } from './CapacityMetrics.js'
 import { type ErrorEmitter, handleUnexpectedErrors } from './handleUnexpectedErrors.js'
 import { PlacementPart } from './PlacementPart.js'
 import { QuarantinePart } from './QuarantinePart.js'
@@ -208,6 +209,7 @@
       keepAliveMilliseconds: workerKeepAliveMilliseconds,
       readNotice: readWorkerNotice
     })
+    registerCapacityMetrics(metrics, () => upstreams.view())
     const budget = new RetryBudget(clock, retryLimitsOf(settings))
     const policy = createPlacementPolicy(settings, hash, index)
     const incarnation = newIncarnation()
@@ -510,7 +512,8 @@
 
 function createPlacementPolicy ({ host }: PlatformSettings, hash: Hash, index: PrefixIndex): PromptPlacementPolicy {
   const seed = hash.h32(host.id)
-  return new PromptPlacementPolicy({ index, hash, costs: placementCosts, policyWithoutPrompt: new PowerOfTwoPolicy(seed), seed })
+  const policyWithoutPrompt = new CapacityPolicy(seed, new PowerOfTwoPolicy(seed))
+  return new PromptPlacementPolicy({ index, hash, costs: placementCosts, policyWithoutPrompt, seed })
 }
 
 function requestManagerOptions (
