Learn the speed of workers only from prompts that tell it

Prompts that fetch parts, or are computed in turns with others, made estimates swing between 5 and 87 tokens per millisecond and workers between 0.01 and 2.7 of the usual time; workers then looked late and got no prompts for seconds.

--- a/src/placement/PrefillSpeed.ts
+++ b/src/placement/PrefillSpeed.ts
@@ -20,6 +20,9 @@
 /** Maximum size of a prompt whose response time tells the constant part, in tokens. */
 const maxBaseTokens = 500
 
+/** Largest factor between the initial speed and a measurement that counts; more shows that other parts were cached. */
+const maxFactor = 16
+
 /** Number of measurements of the speed that are kept. */
 const speedSamples = 15
 
@@ -84,7 +87,7 @@
     if (tokens <= maxBaseTokens) return
     const occupiedMilliseconds = Math.max(1, responseMilliseconds - this.baseMilliseconds)
     if (tokens >= this.minMeasuredTokens) {
-      this.speeds.add(tokens / occupiedMilliseconds, 0)
+      this.speeds.add(this.bounded(tokens / occupiedMilliseconds), 0)
     } else if (this.speeds.isEmpty) {
       const isSlow = occupiedMilliseconds > minMeasuredMilliseconds + 2 * (this.usualMilliseconds - this.baseMilliseconds)
       this.shortSpeeds.add(isSlow ? tokens / occupiedMilliseconds : this.tokensPerMillisecond, 0)
@@ -92,4 +95,9 @@
     const prior = this.shortSpeeds.estimate(this.initial.tokensPerMillisecond, 0)
     this.tokensPerMillisecond = this.speeds.estimate(prior, 0)
   }
+
+  private bounded (tokensPerMillisecond: number): number {
+    const { tokensPerMillisecond: initial } = this.initial
+    return Math.min(initial * maxFactor, Math.max(initial / maxFactor, tokensPerMillisecond))
+  }
 }
--- a/src/placement/PromptSchedule.ts
+++ b/src/placement/PromptSchedule.ts
@@ -160,12 +160,12 @@
     if (outcome === 'computed') {
       this.backlogs.spread.record(now - prompt.expectedAt)
       const occupied = backlog.recordSuccess(prompt, now, this.speed.baseMilliseconds)
-      if (occupied !== undefined) this.speeds.record(backlog.worker, prompt.computedTokens, occupied, now)
+      if (occupied !== undefined && !prompt.isFetched) this.speeds.record(backlog.worker, prompt.computedTokens, occupied, now)
       this.logSpeed(backlog.worker, now)
       for (const [position, part] of prompt.parts.entries()) {
         this.options.held.record(backlog.worker, part, prompt.partTokens[position] ?? 0)
       }
-      this.speed.record(prompt.computedTokens, now - prompt.dispatchedAt, prompt.ahead === 0)
+      this.speed.record(prompt.computedTokens, now - prompt.dispatchedAt, prompt.ahead === 0 && !prompt.isFetched)
     }
     if (outcome !== 'computed') backlog.recordUnfinished(now)
     if (outcome === 'failed' || (outcome === 'abandoned' && wasBehind)) backlog.recordFailure(now, wasBehind)
@@ -296,6 +296,7 @@
       dispatchedAt: now,
       ahead: backlog.size,
       computedTokens,
+      isFetched: partsSource !== undefined,
       lostAt: task.lostAt,
       onOverdue: task.onOverdue,
       parts: task.parts,
--- a/src/placement/WorkerBacklog.ts
+++ b/src/placement/WorkerBacklog.ts
@@ -16,6 +16,8 @@
   ahead: number
   /** Tokens that the worker computes. */
   computedTokens: number
+  /** True if the worker fetches parts from another one, which may have to compute them first; the time tells no speed. */
+  isFetched: boolean
   /** Monotonic time in milliseconds at which the caller gives up. */
   lostAt: number
   /** Called when the prompt should be computed on another worker; undefined if its host cannot do so or has been told. */
@@ -132,12 +134,13 @@
 
   /**
    * Records that a prompt was computed, which ends the series of failures. The prompts behind it are expected anew. Returns
-   * the time for which the worker was occupied by it, in milliseconds; undefined if that is not known.
+   * the time for which the worker was occupied by it, in milliseconds; undefined if others were ahead of it, with which the
+   * worker may have computed it in turns.
    */
   recordSuccess (prompt: DispatchedPrompt, now: number, responseMilliseconds: number): number | undefined {
     this.consecutiveFailures = 0
     this.pauseMilliseconds = firstPauseMilliseconds
-    const occupied = now - Math.max(prompt.dispatchedAt + responseMilliseconds, this.lastEnd.at)
+    const occupied = now - prompt.dispatchedAt - responseMilliseconds
     this.lastEnd = { at: now, lateness: now - prompt.expectedAt }
     let endsAt = now - responseMilliseconds
     for (const other of this.prompts.values()) {
@@ -145,7 +148,7 @@
       endsAt = Math.max(endsAt, other.dispatchedAt) + other.computeMilliseconds
       other.expectedAt = Math.max(other.expectedAt, endsAt + responseMilliseconds)
     }
-    return prompt.dispatchedAt >= this.unfinishedAt ? occupied : undefined
+    return prompt.ahead === 0 && prompt.dispatchedAt >= this.unfinishedAt ? occupied : undefined
   }
 
   /** Records that a prompt ended without a response. */
--- a/src/placement/WorkerSpeeds.ts
+++ b/src/placement/WorkerSpeeds.ts
@@ -14,6 +14,9 @@
 /** Difference between a worker and its pool that is ignored, besides the scatter of the measurements. */
 const ignoredDifference = 0.1
 
+/** Largest factor between a worker and its pool. A greater difference shows unknown cached parts rather than the worker. */
+const maxFactor = 4
+
 /** Speeds of the workers of one pool. */
 export class WorkerSpeeds {
   private readonly byWorker = new Map<WorkerId, RecentMedian>()
@@ -25,7 +28,9 @@
     if (tokens < this.pool.minMeasuredTokens) return
     const speeds = this.byWorker.get(worker) ?? new RecentMedian(samplesPerWorker, maxAgeMilliseconds)
     this.byWorker.set(worker, speeds)
-    speeds.add(tokens / Math.max(1, occupiedMilliseconds), now)
+    const { tokensPerMillisecond } = this.pool
+    const measured = tokens / Math.max(1, occupiedMilliseconds)
+    speeds.add(Math.min(tokensPerMillisecond * maxFactor, Math.max(tokensPerMillisecond / maxFactor, measured)), now)
   }
 
   /** Factor on the time that a worker of the pool usually takes; above 1 for a slow worker. */
