Look the holder of the duties up only when the store can name it

Each host asked the store for the holder at once after its start and after each failed report, although the store names another one only when the lease of the lost holder has ended. The test of the duties waits until both hosts have reported, since hosts now find the holder with their first planned read.

--- a/src/duties/HostReporter.ts
+++ b/src/duties/HostReporter.ts
@@ -9,7 +9,7 @@
 
 /** The holder of the duties, over one connection or on this host. It keeps what it has taken. */
 export interface HostReportReceiver {
-  /** Errors: `not_ready` if the receiver does not hold the duties or does not answer; `cancelled`. */
+  /** Errors: `conflict` if the receiver does not hold the duties; `not_ready` if it does not answer; `cancelled`. */
   send: (report: HostReport, signal: AbortSignal) => Promise<Result<HostReportAnswer, Failure>>
 }
 
--- a/src/placement/SchedulerConnection.ts
+++ b/src/placement/SchedulerConnection.ts
@@ -100,14 +100,14 @@
   }
 
   /**
-   * Sends a report to the holder of the duties. Errors: `not_ready` if the connection fails, the host is not the holder or
-   * does not know reports; `cancelled`; `body_too_large`.
+   * Sends a report to the holder of the duties. Errors: `not_ready` if the connection fails, or the host does not know
+   * reports; `conflict` if the host is not the holder; `cancelled`; `body_too_large`.
    */
   async report (id: string, report: HostReport, signal: AbortSignal): Promise<Result<HostReportAnswer, Failure>> {
     const answer = await this.ask(undefined, { kind: 'report', id, ...report }, signal)
     return answer.andThen((value): Result<HostReportAnswer, Failure> => value.kind === 'reported'
       ? Result.ok({ settledThrough: value.settled })
-      : Result.err(failure('not_ready', `${this.address} does not hold the duties`)))
+      : Result.err(failure('conflict', `${this.address} does not hold the duties`)))
   }
 
   /** `cell`: whose scheduler learns that the question was abandoned; undefined if it need not. */
--- a/src/platform/DutyPart.test.ts
+++ b/src/platform/DutyPart.test.ts
@@ -78,6 +78,7 @@
       events
     })
     await listener.listen()
+    directory.start()
     lease.start()
     part.start()
     const host = new DutyHost(part, group, lease, directory, listener)
@@ -136,6 +137,7 @@
   const holder = await DutyHost.start('host-1')
   await waitUntil(() => holder.lease.authority() !== undefined)
   const other = await DutyHost.start('host-2')
+  await waitUntil(() => holder.part.board.recent().length === 2)
   for (let count = 0; count < 3; count += 1) {
     holder.run('reef')
     other.run('reef')
--- a/src/platform/DutyReportChannel.test.ts
+++ b/src/platform/DutyReportChannel.test.ts
@@ -89,21 +89,27 @@
   expect(received).toEqual([])
 })
 
-test.each<[string, () => void]>([
-  ['does not hold the duties', () => { answer = undefined }],
-  ['closes the connection, since it does not know reports', () => { holder = `127.0.0.1:${(oldHost.address() as AddressInfo).port}` }]
-])('a host that %s is asked again only after a pause, and the holder is looked up', async (_name, arrange) => {
+// Guards also against a call to the store from each host before the store can name another holder.
+test.each<[string, () => void, string, number[]]>([
+  ['does not hold the duties', () => { answer = undefined }, 'conflict', [1, 2, 3, 4]],
+  [
+    'closes the connection, since it does not know reports',
+    () => { holder = `127.0.0.1:${(oldHost.address() as AddressInfo).port}` },
+    'not_ready',
+    [0, 0, 0, 1]
+  ]
+])('a host that %s is asked again only after growing pauses', async (_name, arrange, kind, lookups) => {
   arrange()
-  expect([await send(), await send()]).toEqual(['not_ready', 'no receiver'])
-  expect(failures).toBe(1)
-  await clock.advance(500)
-  expect([await send(), await send()]).toEqual(['not_ready', 'no receiver'])
-  await clock.advance(500)
-  expect(await send()).toBe('no receiver')
+  for (const [attempt, count] of lookups.entries()) {
+    expect([await send(), await send()]).toEqual([kind, 'no receiver'])
+    expect(failures).toBe(count)
+    await clock.advance(500 * 2 ** attempt - 1)
+    expect(await send()).toBe('no receiver')
+    await clock.advance(1)
+  }
   answer = { settledThrough: 7 }
   holder = '127.0.0.1:1'
   channel.receiver()
   holder = listener.address
-  await clock.advance(1000)
   expect(await send()).toEqual({ settledThrough: 7 })
 })
--- a/src/platform/DutyReportChannel.ts
+++ b/src/platform/DutyReportChannel.ts
@@ -28,12 +28,18 @@
 const minPauseMilliseconds = 500
 const maxPauseMilliseconds = 4000
 
+/**
+ * Number of failures in a row after which the holder is looked up. The store names another one only when the lease of a lost
+ * holder has ended, and charges for each call; a holder that states that it is none has been replaced already.
+ */
+const failuresBeforeLookup = 4
+
 /** Delivers the reports of this host. */
 export class DutyReportChannel extends HostReportChannel {
   private readonly local: HostReportReceiver
   private remote: RemoteReceiver | undefined
   private failedAddress: string | undefined
-  private pauseMilliseconds = minPauseMilliseconds
+  private failures = 0
   private pausedUntil = -Infinity
 
   constructor (private readonly options: DutyReportChannelOptions) {
@@ -41,7 +47,7 @@
     this.local = {
       send: async report => {
         const answer = options.receive(report)
-        return answer === undefined ? Result.err(failure('not_ready', 'this host no longer holds the duties')) : Result.ok(answer)
+        return answer === undefined ? Result.err(failure('conflict', 'this host no longer holds the duties')) : Result.ok(answer)
       }
     }
   }
@@ -56,7 +62,7 @@
     if (address === undefined) return undefined
     if (this.remote !== undefined && !this.remote.isClosed && this.remote.address === address) return this.remote
     this.close()
-    if (address === this.failedAddress && clock.monotonic() < this.pausedUntil) return undefined
+    if (this.failures > 0 && address === this.failedAddress && clock.monotonic() < this.pausedUntil) return undefined
     this.remote = new RemoteReceiver(address, clock, failed => { this.record(address, failed) })
     return this.remote
   }
@@ -70,16 +76,15 @@
   private record (address: string, failed: Failure | undefined): void {
     if (failed?.kind === 'cancelled') return
     if (failed === undefined) {
-      this.failedAddress = undefined
-      this.pauseMilliseconds = minPauseMilliseconds
+      this.failures = 0
       return
     }
-    const hasFailedBefore = this.failedAddress === address
-    this.pauseMilliseconds = hasFailedBefore ? Math.min(maxPauseMilliseconds, this.pauseMilliseconds * 2) : minPauseMilliseconds
+    this.failures = this.failedAddress === address ? this.failures + 1 : 1
     this.failedAddress = address
-    this.pausedUntil = this.options.clock.monotonic() + this.pauseMilliseconds
+    const pause = Math.min(maxPauseMilliseconds, minPauseMilliseconds * 2 ** (this.failures - 1))
+    this.pausedUntil = this.options.clock.monotonic() + pause
     this.close()
-    this.options.directory.reportFailure()
+    if (failed.kind === 'conflict' || this.failures >= failuresBeforeLookup) this.options.directory.reportFailure()
   }
 }
 
--- a/src/platform/SchedulerDirectory.test.ts
+++ b/src/platform/SchedulerDirectory.test.ts
@@ -52,14 +52,18 @@
 })
 
 // Guards against reports that go to a holder of another partition, which cannot take them.
-test('the holder of the duties is that of the first partition of the topic `duties`', async () => {
+test('the holder of the duties is that of the first partition of the topic `duties`, and looking for it before the first read makes no call', async () => {
   owners = Result.ok([
     { topic: 'duties', partition: 1, member: memberNameOf('host-1' as HostId, incarnation, '10.0.0.1:7000') },
     { topic: 'duties', partition: 0, member: memberNameOf('host-2' as HostId, incarnation, '10.0.0.2:7000') }
   ])
+  directory.start()
   expect(directory.orderHolder()).toBeUndefined()
   await clock.advance(0)
+  expect(calls).toBe(0)
+  await clock.advance(3000)
   expect(directory.orderHolder()).toBe('10.0.0.2:7000')
+  expect(calls).toBe(1)
 })
 
 test('a failed holder is replaced by the one that the store names next', async () => {
--- a/src/platform/SchedulerDirectory.ts
+++ b/src/platform/SchedulerDirectory.ts
@@ -62,11 +62,14 @@
     return this.holders.get(partition) ?? this.dutyHolders.get(partition) ?? this.holderOf(partition)
   }
 
-  /** Address of the host that holds the duties and takes the reports of all hosts; undefined while it is unknown. */
+  /**
+   * Address of the host that holds the duties and takes the reports of all hosts; undefined while it is unknown, which starts
+   * a call to the store unless the first read is still planned.
+   */
   orderHolder (): string | undefined {
     this.refreshAfterRestore()
     const holder = this.dutyHolders.get(orderPartition)
-    if (holder === undefined) this.refresh()
+    if (holder === undefined && this.refreshedAt > -Infinity) this.refresh()
     return holder
   }
 
