Keep equal and uniformly slow pools undisturbed by moves

The margin follows the scatter, a move costs as much lateness as it takes time, and twice that while prompts wait. A worker that lost a prompt pauses for twice its lateness. Short responses that follow others no longer distort the speeds.

--- a/src/placement/OverdueWatch.ts
+++ b/src/placement/OverdueWatch.ts
@@ -1,9 +1,9 @@
 /**
  * Tells the hosts of prompts that wait at a worker which is behind or gone, so that they have them computed elsewhere.
  *
- * The prompt may still be computed where it is, so another computation is worth it only if the worker is late by half of the
- * time that the other computation takes; this bounds the work that is done twice. A prompt whose caller would otherwise
- * give up is moved at once.
+ * The prompt may still be computed where it is, so another computation is worth it only if the worker is late by as much time
+ * as the other computation takes; this bounds the work that is done twice. While other prompts wait for a worker, that work
+ * delays them, so twice that time is required. A prompt whose caller would otherwise give up is moved after half of it.
  */
 import type { Clock } from '../common/index.js'
 import type { EventLog } from '../observability/index.js'
@@ -13,8 +13,12 @@
 /** Interval between two checks, in milliseconds. */
 const checkMilliseconds = 50
 
-/** Lateness at which a prompt is moved, as a fraction of the time of another computation. */
-const lateFraction = 0.5
+/** Lateness at which a prompt is moved, as a multiple of the time of another computation; second: while prompts wait. */
+const lateFactor = 1
+const lateFactorWhileWaiting = 2
+
+/** Share of that lateness which suffices if there is no time for a later move. */
+const lastChanceShare = 0.5
 
 /** Options of an `OverdueWatch`. */
 export interface OverdueWatchOptions {
@@ -26,6 +30,8 @@
    * place among the waiting prompts does not count, since it is more urgent than most of them.
    */
   elsewhereMilliseconds: (prompt: DispatchedPrompt, now: number) => number
+  /** True while prompts wait for a worker. */
+  isFull: () => boolean
   /** Called before each check. */
   onCheck: (now: number) => void
 }
@@ -69,6 +75,7 @@
     const elsewhere = this.options.elsewhereMilliseconds(prompt, now)
     if (now + elsewhere > prompt.lostAt) return false
     const isLastChance = now + 2 * elsewhere > prompt.lostAt
-    return isLastChance || backlog.overdueMilliseconds(now) >= lateFraction * elsewhere
+    const required = elsewhere * (this.options.isFull() ? lateFactorWhileWaiting : lateFactor)
+    return backlog.overdueMilliseconds(now) >= required * (isLastChance ? lastChanceShare : 1)
   }
 }
--- a/src/placement/PrefillSpeed.ts
+++ b/src/placement/PrefillSpeed.ts
@@ -34,6 +34,16 @@
 const aboveUsualWeight = 0.06
 const belowUsualWeight = 0.02
 
+/** Weight of a new deviation from the constant part, and the multiple of the average that a computation has to exceed. */
+const scatterWeight = 0.05
+const scatterFactor = 4
+
+/** Factor by which one measurement may differ from the present value. */
+const maxSampleFactor = 10
+
+/** Factor on the size of the largest recent prompt, with each prompt. */
+const largestDecay = 0.98
+
 /** Average speed of a pool's workers. */
 export class PrefillSpeed {
   tokensPerMillisecond: number
@@ -41,8 +51,9 @@
   /** Time that a response usually takes besides the computation, including the wait for prompts before it. */
   usualMilliseconds: number
   private readonly speeds = new RecentMedian(speedSamples)
-  /** Speeds by shorter prompts. They only tell that the initial value is far too high, in which no prompt looks long. */
-  private readonly shortSpeeds = new RecentMedian(speedSamples)
+  /** Tokens of the largest recent prompt, and average deviation of the constant part, in milliseconds. */
+  private largestTokens = 0
+  private baseScatter = 0
 
   constructor (private readonly initial: PrefillSpeedOptions) {
     this.tokensPerMillisecond = initial.tokensPerMillisecond
@@ -51,10 +62,10 @@
   }
 
   /**
-   * Minimum size of a prompt whose response time tells the speed, in tokens. It does not rise with the measured speed: a
-   * few responses that were too fast because of cached parts would otherwise exclude all later ones.
+   * Minimum size of a long prompt, in tokens. It does not rise with the measured speed: a few responses that were too fast
+   * because of cached parts would otherwise exclude all later ones.
    */
-  get minMeasuredTokens (): number {
+  private get minMeasuredTokens (): number {
     return minMeasuredMilliseconds * Math.min(this.initial.tokensPerMillisecond, this.tokensPerMillisecond)
   }
 
@@ -79,17 +90,44 @@
     if (tokens <= maxBaseTokens) {
       const base = Math.max(0, responseMilliseconds - this.computeMilliseconds(tokens))
       const weight = base < this.baseMilliseconds ? fasterWeight : slowerWeight
+      this.baseScatter += scatterWeight * (Math.abs(base - this.baseMilliseconds) - this.baseScatter)
       this.baseMilliseconds += weight * (base - this.baseMilliseconds)
     }
-    if (tokens <= maxBaseTokens) return
-    const occupiedMilliseconds = Math.max(1, responseMilliseconds - this.baseMilliseconds)
-    if (tokens >= this.minMeasuredTokens) {
-      this.speeds.add(tokens / occupiedMilliseconds, 0)
-    } else if (this.speeds.isEmpty) {
-      const isSlow = occupiedMilliseconds > minMeasuredMilliseconds + 2 * (this.usualMilliseconds - this.baseMilliseconds)
-      this.shortSpeeds.add(isSlow ? tokens / occupiedMilliseconds : this.tokensPerMillisecond, 0)
-    }
-    const prior = this.shortSpeeds.estimate(this.initial.tokensPerMillisecond, 0)
-    this.tokensPerMillisecond = this.speeds.estimate(prior, 0)
+    this.recordOccupied(tokens, responseMilliseconds - this.baseMilliseconds, true)
+  }
+
+  /**
+   * Records that a worker was occupied by this many tokens for the given time, in milliseconds; `isFirst`: no other prompt
+   * was ahead.
+   */
+  recordOccupied (tokens: number, milliseconds: number, isFirst: boolean): void {
+    if (tokens > maxBaseTokens) this.largestTokens = Math.max(tokens, this.largestTokens * largestDecay)
+    const measured = this.measuredSpeed(tokens, milliseconds, isFirst)
+    if (measured === undefined) return
+    this.speeds.add(measured, 0)
+    this.tokensPerMillisecond = this.speeds.estimate(this.initial.tokensPerMillisecond, 0)
+  }
+
+  /**
+   * The speed by the time for which a prompt occupied a worker; undefined if the prompt is too short to tell it. While the
+   * present value is far too high, no prompt looks long. The largest recent ones therefore count as well: by their time if
+   * that is long, and for the present value if it is not.
+   */
+  measuredSpeed (tokens: number, milliseconds: number, isFirst: boolean): number | undefined {
+    if (!isFirst && !this.isClear(tokens, milliseconds)) return undefined
+    const isLong = tokens >= this.minMeasuredTokens
+    if (!isLong && tokens < Math.max(maxBaseTokens, this.largestTokens / 2)) return undefined
+    const isSlow = milliseconds > minMeasuredMilliseconds + scatterFactor * this.baseScatter
+    if (!isLong && !isSlow) return this.tokensPerMillisecond
+    // A few wrong measurements must not make all estimates useless.
+    const bounds = [this.tokensPerMillisecond / maxSampleFactor, this.tokensPerMillisecond * maxSampleFactor] as const
+    return Math.min(bounds[1], Math.max(bounds[0], tokens / Math.max(1, milliseconds)))
+  }
+
+  /** True if the time of a prompt behind another one is long against the scatter of both responses. */
+  private isClear (tokens: number, milliseconds: number): boolean {
+    const clear = 2 * Math.max(minMeasuredMilliseconds, scatterFactor * this.baseScatter)
+    const expected = this.computeMilliseconds(tokens)
+    return expected >= clear || (milliseconds >= clear && milliseconds >= 2 * expected)
   }
 }
--- a/src/placement/PromptSchedule.ts
+++ b/src/placement/PromptSchedule.ts
@@ -20,7 +20,7 @@
 import { type Estimate, PromptEstimates } from './PromptEstimates.js'
 import { type PlacementDecision, type PromptOutcome, type PromptTask, promptTokensOf } from './PromptTask.js'
 import { compareRanks, type PromptTimes, rankOf, type WaitingPrompt } from './WaitingPrompt.js'
-import type { WorkerBacklog } from './WorkerBacklog.js'
+import type { DispatchedPrompt, WorkerBacklog } from './WorkerBacklog.js'
 import { WorkerBacklogs } from './WorkerBacklogs.js'
 import { WorkerSpeeds } from './WorkerSpeeds.js'
 
@@ -122,6 +122,7 @@
       events,
       backlogs: this.backlogs,
       elsewhereMilliseconds: ({ computedTokens }, now) => this.estimates.elsewhereMilliseconds(computedTokens, now),
+      isFull: () => this.waiting.size > 0,
       onCheck: now => { this.forgetLost(now) }
     })
   }
@@ -154,13 +155,13 @@
     this.placed.delete(id)
     if (backlog === undefined) return
     const now = this.options.clock.monotonic()
-    const wasBehind = this.backlogs.isBehind(backlog, now)
+    const lateness = this.backlogs.isBehind(backlog, now) ? backlog.overdueMilliseconds(now) : undefined
     const prompt = backlog.remove(id, now, this.speed.baseMilliseconds)
     if (prompt === undefined) return
     if (outcome === 'computed') {
       this.backlogs.spread.record(now - prompt.expectedAt)
       const occupied = backlog.recordSuccess(prompt, now, this.speed.baseMilliseconds)
-      if (occupied !== undefined) this.speeds.record(backlog.worker, prompt.computedTokens, occupied, now)
+      if (occupied !== undefined) this.recordOccupied(backlog.worker, prompt, occupied, now)
       this.logSpeed(backlog.worker, now)
       for (const [position, part] of prompt.parts.entries()) {
         this.options.held.record(backlog.worker, part, prompt.partTokens[position] ?? 0)
@@ -168,7 +169,8 @@
       this.speed.record(prompt.computedTokens, now - prompt.dispatchedAt, prompt.ahead === 0)
     }
     if (outcome !== 'computed') backlog.recordUnfinished(now)
-    if (outcome === 'failed' || (outcome === 'abandoned' && wasBehind)) backlog.recordFailure(now, wasBehind)
+    if (lateness !== undefined && (outcome === 'failed' || outcome === 'abandoned')) backlog.recordLost(now, lateness)
+    else if (outcome === 'failed') backlog.recordFailure(now)
     if (outcome === 'declined') backlog.recordDecline(now)
     this.dispatchSoon()
   }
@@ -357,6 +359,12 @@
     for (const id of this.answers.forgetLost(now)) this.answering.delete(id)
   }
 
+  private recordOccupied (worker: WorkerId, prompt: DispatchedPrompt, milliseconds: number, now: number): void {
+    const { computedTokens, ahead } = prompt
+    this.speeds.record(worker, computedTokens, milliseconds, ahead === 0, now)
+    if (ahead > 0) this.speed.recordOccupied(computedTokens, milliseconds, false)
+  }
+
   private logSpeed (worker: WorkerId, now: number): void {
     const slowness = this.speeds.slowness(worker, now)
     const before = this.changes.record(worker, Infinity, () => ({ limit: Infinity, slowness }))
--- a/src/placement/ResponseSpread.ts
+++ b/src/placement/ResponseSpread.ts
@@ -3,11 +3,14 @@
  * that its worker is behind.
  */
 
-/** Margin until enough responses have been measured, and its maximum, in milliseconds. */
-export const maxMarginMilliseconds = 400
+/** Margin until enough responses have been measured, in milliseconds. */
+const initialMarginMilliseconds = 400
 
 /** Minimum margin, in milliseconds: reports of other hosts arrive with delays of this size. */
-const minMarginMilliseconds = 50
+const minMarginMilliseconds = 100
+
+/** Factor by which one deviation may exceed the margin, so that a worker that hangs does not raise its own margin. */
+const maxDeviationFactor = 2
 
 /** Number of responses from which the margin follows them. */
 const minResponses = 8
@@ -25,15 +28,14 @@
 
   /** Time after the expected one at which a missing response shows that its worker is behind, in milliseconds. */
   get marginMilliseconds (): number {
-    if (this.responses < minResponses) return maxMarginMilliseconds
-    return Math.min(maxMarginMilliseconds, Math.max(minMarginMilliseconds, marginFactor * this.averageDeviation))
+    if (this.responses < minResponses) return initialMarginMilliseconds
+    return Math.max(minMarginMilliseconds, marginFactor * this.averageDeviation)
   }
 
   /** Records how much later than expected a response came, in milliseconds. */
   record (latenessMilliseconds: number): void {
+    const deviation = Math.min(Math.abs(latenessMilliseconds), maxDeviationFactor * this.marginMilliseconds)
     this.responses += 1
-    // A worker that hangs must not raise the margin by which it is recognised.
-    const deviation = Math.min(Math.abs(latenessMilliseconds), maxMarginMilliseconds)
     this.averageDeviation += Math.max(weight, 1 / this.responses) * (deviation - this.averageDeviation)
   }
 }
--- a/src/placement/WorkerBacklog.ts
+++ b/src/placement/WorkerBacklog.ts
@@ -49,6 +49,7 @@
   private occupiedUntil = -Infinity
   private pausedUntil = -Infinity
   private consecutiveFailures = 0
+  private latePauseMilliseconds = 0
   private pauseMilliseconds = firstPauseMilliseconds
   private lastEnd = { at: -Infinity, lateness: 0 }
   /** Time of the latest end of a prompt that may go on being computed; how long those behind it take is not known. */
@@ -136,6 +137,7 @@
    */
   recordSuccess (prompt: DispatchedPrompt, now: number, responseMilliseconds: number): number | undefined {
     this.consecutiveFailures = 0
+    this.latePauseMilliseconds = 0
     this.pauseMilliseconds = firstPauseMilliseconds
     const occupied = now - Math.max(prompt.dispatchedAt + responseMilliseconds, this.lastEnd.at)
     this.lastEnd = { at: now, lateness: now - prompt.expectedAt }
@@ -153,9 +155,20 @@
     this.unfinishedAt = now
   }
 
-  /** Records a failure; after several in a row, or one of a worker that was behind, the worker is paused. */
-  recordFailure (now: number, wasBehind = false): void {
-    this.consecutiveFailures += wasBehind ? failuresBeforePause : 1
+  /**
+   * Records that a prompt ended without a response while the worker was behind by `lateness`, in milliseconds. The worker is
+   * paused for twice as long as it was late, and for twice the last such pause until it answers: its lateness is then no longer
+   * seen, and a prompt would be its trial.
+   */
+  recordLost (now: number, lateness: number): void {
+    if (now < this.pausedUntil) return
+    this.latePauseMilliseconds = Math.min(maxPauseMilliseconds, 2 * Math.max(lateness, this.latePauseMilliseconds))
+    this.pausedUntil = now + this.latePauseMilliseconds
+  }
+
+  /** Records a failure; after several in a row the worker is paused. */
+  recordFailure (now: number): void {
+    this.consecutiveFailures += 1
     if (this.consecutiveFailures < failuresBeforePause) return
     this.pausedUntil = now + this.pauseMilliseconds
     this.pauseMilliseconds = Math.min(maxPauseMilliseconds, this.pauseMilliseconds * 2)
--- a/src/placement/WorkerBacklogs.ts
+++ b/src/placement/WorkerBacklogs.ts
@@ -4,9 +4,12 @@
  * or the load is too high, and another worker would be no faster.
  */
 import type { WorkerId } from '../common/index.js'
-import { maxMarginMilliseconds, ResponseSpread } from './ResponseSpread.js'
+import { ResponseSpread } from './ResponseSpread.js'
 import { type DispatchedPrompt, WorkerBacklog } from './WorkerBacklog.js'
 
+/** Multiple of the margin by which a worker is much later than the best of the others. */
+const muchLaterFactor = 4
+
 /** A prompt that waits at a worker which is behind or gone. */
 export interface OverduePrompt { backlog: WorkerBacklog, prompt: DispatchedPrompt, isGone: boolean }
 
@@ -44,7 +47,7 @@
     others.sort((left, right) => left - right)
     // Workers that are slow alike become late one after the other, so most of the others have to be in time.
     const usualLateness = others[others.length >> 1]!
-    return overdueMilliseconds > Math.min(marginMilliseconds + usualLateness, maxMarginMilliseconds + others[0]!)
+    return overdueMilliseconds > Math.min(marginMilliseconds + usualLateness, muchLaterFactor * marginMilliseconds + others[0]!)
   }
 
   /** Prompts that wait at workers that are behind, or late at workers that may no longer be sent prompts. */
--- a/src/placement/WorkerSpeeds.ts
+++ b/src/placement/WorkerSpeeds.ts
@@ -20,12 +20,13 @@
 
   constructor (private readonly pool: PrefillSpeed) {}
 
-  /** Records that a worker was occupied by this many tokens for the given time, in milliseconds. */
-  record (worker: WorkerId, tokens: number, occupiedMilliseconds: number, now: number): void {
-    if (tokens < this.pool.minMeasuredTokens) return
+  /** As `PrefillSpeed.recordOccupied`, for one worker. */
+  record (worker: WorkerId, tokens: number, occupiedMilliseconds: number, isFirst: boolean, now: number): void {
+    const measured = this.pool.measuredSpeed(tokens, occupiedMilliseconds, isFirst)
+    if (measured === undefined) return
     const speeds = this.byWorker.get(worker) ?? new RecentMedian(samplesPerWorker, maxAgeMilliseconds)
     this.byWorker.set(worker, speeds)
-    speeds.add(tokens / Math.max(1, occupiedMilliseconds), now)
+    speeds.add(measured, now)
   }
 
   /** Factor on the time that a worker of the pool usually takes; above 1 for a slow worker. */
