--- a/src/placement/WorkerSpeeds.ts
+++ b/src/placement/WorkerSpeeds.ts
@@ -14,23 +14,19 @@
 /** Difference between a worker and its pool that is ignored, besides the scatter of the measurements. */
 const ignoredDifference = 0.1
 
-/** Largest factor between a worker and its pool. A greater difference shows unknown cached parts rather than the worker. */
-const maxFactor = 4
-
 /** Speeds of the workers of one pool. */
 export class WorkerSpeeds {
   private readonly byWorker = new Map<WorkerId, RecentMedian>()
 
   constructor (private readonly pool: PrefillSpeed) {}
 
-  /** Records that a worker was occupied by this many tokens for the given time, in milliseconds. */
-  record (worker: WorkerId, tokens: number, occupiedMilliseconds: number, now: number): void {
-    if (tokens < this.pool.minMeasuredTokens) return
+  /** As `PrefillSpeed.recordOccupied`, for one worker. */
+  record (worker: WorkerId, tokens: number, occupiedMilliseconds: number, isFirst: boolean, now: number): void {
+    const measured = this.pool.measuredSpeed(tokens, occupiedMilliseconds, isFirst)
+    if (measured === undefined) return
     const speeds = this.byWorker.get(worker) ?? new RecentMedian(samplesPerWorker, maxAgeMilliseconds)
     this.byWorker.set(worker, speeds)
-    const { tokensPerMillisecond } = this.pool
-    const measured = tokens / Math.max(1, occupiedMilliseconds)
-    speeds.add(Math.min(tokensPerMillisecond * maxFactor, Math.max(tokensPerMillisecond / maxFactor, measured)), now)
+    speeds.add(measured, now)
   }
 
   /** Factor on the time that a worker of the pool usually takes; above 1 for a slow worker. */
