Give accounts fair shares of the workers that compute prompts

An account that sends much more than the others took most of the workers' time. The scheduler learns the account of each prompt, and sends prompts of accounts over the mean use of the waiting accounts after the others of the same lateness.

--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -70,7 +70,7 @@
    * further one in advance. Errors: those of `PromptPlacer.place`, and `quarantined` if the prompt must not be sent any more.
    */
   async compute (request: ServiceRequest, isFirst: boolean, stop: AbortSignal): Promise<Result<PromptResult, Failure>> {
-    const { prompt, pool, requestId, deadline } = request
+    const { prompt, pool, account, requestId, deadline } = request
     const { upstreams, budget, placer } = this.context
     if (prompt === undefined) return Result.ok(noComputation)
     const candidates = (): readonly Upstream[] => upstreams.candidatesForPool(pool, 'prefill').filter(({ role }) => role === 'prefill')
@@ -81,6 +81,7 @@
     const placed = await placer.place({
       id: `${requestId}.${this.computations}`,
       pool,
+      account,
       prompt,
       dueAt: request.startDueAt ?? deadline,
       lostAt: request.startLostAt ?? deadline,
--- a/src/placement/PromptPlacer.ts
+++ b/src/placement/PromptPlacer.ts
@@ -12,6 +12,8 @@
   /** Unique among the prompts of this host. */
   id: string
   pool: Pool
+  /** Client account of the request; undefined without accounts. */
+  account?: string | undefined
   prompt: RoutingRequest
   /** Monotonic time in milliseconds by which the answer has to start to be in time. */
   dueAt: number
--- a/src/placement/PromptSchedule.ts
+++ b/src/placement/PromptSchedule.ts
@@ -11,6 +11,7 @@
 import type { Clock, WorkerId, Zone } from '../common/index.js'
 import type { PermitQueue } from '../limits/index.js'
 import type { EventLog } from '../observability/index.js'
+import { AccountShares } from './AccountShares.js'
 import { AnswerLoad, type AnswerWorker } from './AnswerLoad.js'
 import type { HeldParts } from './HeldParts.js'
 import { ExpectedQueue } from './ExpectedQueue.js'
@@ -106,6 +107,7 @@
   private readonly answering = new Map<string, WorkerId>()
   private readonly backlogs = new Map<WorkerId, WorkerBacklog>()
   private readonly speed: PrefillSpeed
+  private readonly shares = new AccountShares()
   /** Sum of `computeMilliseconds` over the waiting prompts. */
   private waitingMilliseconds = 0
   private isDispatchDue = false
@@ -191,8 +193,12 @@
     if (Math.max(...backlogs) + longest <= available) return undefined
     const rank = rankOf(entry, now)
     const queue = new ExpectedQueue(backlogs)
-    for (const other of this.waiting.values()) {
-      if (compareRanks(rankOf(other, now), rank) <= 0) queue.add(Math.max(pace, other.computeMilliseconds))
+    const waiting = [...this.waiting.values()]
+    const isPreceded = this.shares.precedes(entry.task, [entry, ...waiting].map(({ task }) => task), now)
+    for (const other of waiting) {
+      const otherRank = rankOf(other, now)
+      if (otherRank.isLate === rank.isLate && isPreceded(other.task)) continue
+      if (compareRanks(otherRank, rank) <= 0) queue.add(Math.max(pace, other.computeMilliseconds))
     }
     if (queue.waitMilliseconds <= available) return undefined
     return { kind: 'refused', retryAfterMilliseconds: Math.ceil(queue.waitMilliseconds) }
@@ -284,6 +290,7 @@
     })
     this.placed.set(task.id, backlog)
     this.options.permits.take(backlog.worker, now)
+    this.shares.recordSent(task, computeMilliseconds, now)
     const zone = this.options.workers().find(({ id }) => id === backlog.worker)?.zone
     const answerWorker = this.assignAnswer(task, zone, now)
     this.removeWaiting(task.id)?.decide({ kind: 'placed', worker: backlog.worker, partsSource, answerWorker })
@@ -349,10 +356,10 @@
   }
 
   private inOrder (now: number): WaitingPrompt[] {
-    return [...this.waiting.values()]
+    const ranked = [...this.waiting.values()]
       .map(entry => ({ entry, rank: rankOf(entry, now) }))
       .sort((left, right) => compareRanks(left.rank, right.rank))
-      .map(({ entry }) => entry)
+    return this.shares.arrange(ranked, now).map(({ entry }) => entry)
   }
 
   private acceptingBacklogs (now: number): WorkerBacklog[] {
--- a/src/placement/PromptTask.ts
+++ b/src/placement/PromptTask.ts
@@ -7,6 +7,8 @@
 export interface PromptTask {
   /** Unique among the prompts of a pool; repeated by a host that asks again. */
   id: string
+  /** Client account whose share of the workers the prompt uses; undefined without accounts. */
+  account?: string | undefined
   /** Names of the prompt's parts in order. Only the last part belongs to this prompt alone. */
   parts: readonly string[]
   /** Number of tokens of each part. */
--- a/src/placement/ScheduledPromptPlacer.ts
+++ b/src/placement/ScheduledPromptPlacer.ts
@@ -102,9 +102,10 @@
   }
 }
 
-function taskOf ({ id, prompt, dueAt, lostAt }: PromptToPlace): PromptTask {
+function taskOf ({ id, account, prompt, dueAt, lostAt }: PromptToPlace): PromptTask {
   return {
     id,
+    account,
     parts: prompt.promptBlocks,
     partTokens: prompt.blockTokens ?? [],
     dueAt: dueAt - startAfterPromptMilliseconds,
--- a/src/placement/SchedulerConnection.test.ts
+++ b/src/placement/SchedulerConnection.test.ts
@@ -72,6 +72,18 @@
     expect((await second).unwrapOr(undefined)).toMatchObject({ kind: 'placed', worker: 'w0' })
   })
 
+  // Guards against prompts whose account is lost on the way, so that all of them share one account's part of the workers.
+  test.each(['kiosk', undefined])('states the account %s of its prompt', async account => {
+    const tasks: PromptTask[] = []
+    const { place } = scheduler
+    scheduler.place = async (cell, task, limits) => {
+      tasks.push(task)
+      return await place.call(scheduler, cell, task, limits)
+    }
+    expect((await open().place(cell, { ...taskOf('a'), account }, never)).isOk).toBe(true)
+    expect(tasks.map(task => task.account)).toEqual([account])
+  })
+
   test('about a cell that the host does not schedule fails with not_ready', async () => {
     const answer = await open().place(otherCell, taskOf('a'), never)
     expect(answer.isErr && answer.error.kind).toBe('not_ready')
--- a/src/placement/SchedulerConnection.ts
+++ b/src/placement/SchedulerConnection.ts
@@ -71,6 +71,7 @@
       kind: 'place',
       ...cell,
       id: task.id,
+      ...(task.account === undefined ? {} : { account: task.account }),
       parts: task.parts.map((part, position): [string, number] => [part, task.partTokens[position] ?? 0]),
       due: Math.round(task.dueAt - now),
       lost: Math.round(task.lostAt - now),
--- a/src/placement/SchedulerListener.ts
+++ b/src/placement/SchedulerListener.ts
@@ -137,9 +137,10 @@
       const { workers, urgency } = question
       return answerToPermit(id, await scheduler.permit(cell, { id, workers, urgency, ...times }, limits))
     }
-    const { parts } = question
+    const { account, parts } = question
     return answerToPrompt(id, await scheduler.place(cell, {
       id,
+      account,
       parts: parts.map(([part]) => part),
       partTokens: parts.map(([, tokens]) => tokens),
       ...times
--- a/src/placement/schedulerMessages.ts
+++ b/src/placement/schedulerMessages.ts
@@ -26,6 +26,8 @@
     kind: z.literal('place'),
     ...cell,
     id,
+    /** Client account of the prompt; absent without accounts, and from hosts that do not know them. */
+    account: z.string().min(1).max(255).optional(),
     /** Id and number of tokens of each part. */
     parts: z.array(z.tuple([z.string(), z.number().nonnegative()])),
     /** Milliseconds until the prompt has to be computed; negative if it is late already. */
--- a/src/platform/ClientAccounts.test.ts
+++ b/src/platform/ClientAccounts.test.ts
@@ -2,13 +2,14 @@
  * Guards against requests without a known key that run, requests with one that are refused, keys that reach a worker or a
  * log line, accounts that callers state themselves, and invalid accounts that replace valid ones.
  */
-import { afterEach, describe, expect, test } from '@jest/globals'
+import { afterEach, describe, expect, jest, test } from '@jest/globals'
 import type { IncomingMessage } from 'node:http'
 import type { Result } from 'true-myth'
 import type { Failure } from '../common/index.js'
+import { PromptScheduler } from '../placement/index.js'
 import { decodeRequest } from './decodeRequest.js'
 import { decodeRouteConfiguration, type RouteConfiguration, RouteTable } from './RouteConfiguration.js'
-import { configurationDocument, type PlatformTest, RawCaller, requestHeaders, startPlatform } from './testing/platformTestSupport.js'
+import { configurationDocument, type PlatformTest, RawCaller, requestHeaders, startPlatform, waitUntil } from './testing/platformTestSupport.js'
 
 const open = { name: 'open', host: 'forum.example', 'path-prefix': '/open/', kind: 'safe', 'timeout-ms': 1000, priority: 1, service: 'app', anonymous: true }
 const kiosk = { name: 'kiosk', 'api-keys': ['kiosk-1', 'clé à'], priority: 3 }
@@ -136,6 +137,24 @@
     expect(worker!.requests.map(({ method }) => method)).not.toContain('POST')
   })
 
+  // Guards against fair shares that take all prompts for those of one account.
+  test('the account of a prompt reaches the scheduler', async () => {
+    const place = jest.spyOn(PromptScheduler.prototype, 'place')
+    platform = await startPlatform({ configuration: documentOf(1, [kiosk]), hasPeers: true })
+    const { host, store, models: [prefill] } = platform
+    store.write('keyed.servers', prefill!.id, prefill!.createEntry('llm', { sequence: 2, stage: 'prefill' }))
+    await waitUntil(() => host.workers().some(({ id, role }) => id === prefill!.id && role === 'prefill'))
+    const prompt = { 'dogwooddale-prompt-prefix': 'aa:20,bb:10', ...bearer('kiosk-1') }
+    for (let tries = 0; place.mock.calls.length === 0; tries += 1) {
+      const caller = await RawCaller.connect(host.addresses.callers)
+      caller.send('POST', '/tags/1', requestHeaders(`prompt-${tries}`, prompt), 'text')
+      await caller.readResponse()
+      caller.socket.destroy()
+    }
+    expect(place.mock.calls[0]![1].account).toBe('kiosk')
+    place.mockRestore()
+  })
+
   test('that has lost the store, a request with an unknown key is answered 503, and one with a known key is served', async () => {
     platform = await startPlatform({ configuration: documentOf(1, [kiosk]) })
     await sendUntil(401, 'unknown')
