--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -137,6 +137,7 @@
     const placed = await placer.place({
       id: `${requestId}.${this.computations}`,
       pool,
+      account: request.account,
       prompt: prompt!,
       dueAt: request.startDueAt ?? deadline,
       lostAt: request.startLostAt ?? deadline,
--- a/src/placement/SchedulerListener.ts
+++ b/src/placement/SchedulerListener.ts
@@ -184,9 +184,10 @@
       const { workers, urgency } = question
       return answerToPermit(id, await scheduler.permit(cell, { id, workers, urgency, ...times }, limits))
     }
-    const { parts, moves } = question
+    const { account, parts, moves } = question
     return answerToPrompt(id, await scheduler.place(cell, {
       id,
+      account,
       parts: parts.map(([part]) => part),
       partTokens: parts.map(([, tokens]) => tokens),
       ...(moves === true ? { onOverdue } : {}),
