--- a/src/platform/relay/RecordWindow.ts
+++ b/src/platform/relay/RecordWindow.ts
@@ -17,6 +17,8 @@
   private records: HeldRecord[] = []
   private bytes = 0
   private nextOffset: number
+  /** The page that was added last, with the offset from which it was read. */
+  private lastPage: { from: number, records: KeyedRecord[] } | undefined
 
   constructor (from: number, readonly era: number, private readonly maxBytes: number) {
     this.nextOffset = from
@@ -39,6 +41,7 @@
 
   /** Adds the records that follow the last one, and drops the oldest ones beyond the bound. */
   append ({ records, next }: RecordPage): void {
+    this.lastPage = { from: this.nextOffset, records }
     if (next - this.nextOffset !== records.length) {
       // The page lacks malformed records, so that the offsets of the others are not known.
       this.records = []
@@ -59,8 +62,9 @@
     if (dropped > 0) this.records.splice(0, dropped)
   }
 
-  /** The records from an offset on. */
+  /** The records from an offset on, which the window covers or from which the last page was read. */
   recordsFrom (from: number): KeyedRecord[] {
+    if (this.lastPage?.from === from) return this.lastPage.records
     return this.records.slice(from - this.start).map(({ record }) => record)
   }
 
--- a/src/platform/relay/RelayReader.ts
+++ b/src/platform/relay/RelayReader.ts
@@ -70,11 +70,14 @@
     signal: AbortSignal = new AbortController().signal
   ): Promise<Result<ReadOutcome, Failure>> {
     const { local, onRead } = this.options
-    const page = await this.readThroughRelay(topic, from, waitMilliseconds, signal)
-    if (page !== undefined) return Result.ok(page)
+    const limit = this.relayLimit
+    if (limit !== undefined) {
+      const page = await this.readThroughRelay({ topic, from, wait: waitMilliseconds }, limit, signal)
+      if (page !== undefined) return Result.ok(page)
+    }
     if (signal.aborted) return Result.err(failure('cancelled', 'the read was cancelled'))
     this.hasReadStore = true
-    const read = await local.read(from, Math.ceil(Math.min(waitMilliseconds, this.maxStoreWait)), signal)
+    const read = await local.read(from, Math.ceil(Math.min(waitMilliseconds, this.maxStoreWait(limit !== undefined))), signal)
     if (read.isOk) {
       onRead('store')
       this.confirmedAt = local.viewTime
@@ -94,25 +97,31 @@
     await store.close()
   }
 
+  /**
+   * Time limit of a read through a relay, in milliseconds, after which the store can still be asked in time; undefined if
+   * no time is left for it, and on a host that relays, so that relays do not read from each other.
+   */
+  private get relayLimit (): number | undefined {
+    const { local, clock } = this.options
+    const limit = Math.min(maxRelayReadMilliseconds, this.confirmedAt + maxUnconfirmedMilliseconds - clock.monotonic())
+    return limit <= relayResponseMilliseconds || local.isServing ? undefined : limit
+  }
+
   /** Longest wait of a read of the store that lets the next read go to a relay as soon as it may, in milliseconds. */
-  private get maxStoreWait (): number {
+  private maxStoreWait (hasAskedRelay: boolean): number {
     const { relays, local } = this.options
-    if (relays.directMilliseconds > 0) return Math.max(minStoreWaitMilliseconds, relays.directMilliseconds)
-    // A relay could be asked, but the store has to confirm first that no change was missed.
-    return relays.isAvailable && !local.isServing ? 0 : Infinity
+    if (local.isServing || (relays.directMilliseconds <= 0 && !relays.isAvailable)) return Infinity
+    // Without a question to the relay, the store only has to confirm that no change was missed.
+    return hasAskedRelay ? Math.max(minStoreWaitMilliseconds, relays.directMilliseconds) : relays.directMilliseconds
   }
 
   private async readThroughRelay (
-    topic: string,
-    from: number,
-    waitMilliseconds: number,
+    { topic, from, wait: waitMilliseconds }: { topic: string, from: number, wait: number },
+    limit: number,
     signal: AbortSignal
   ): Promise<RecordPage | undefined> {
     const { relays, local, clock, onRead } = this.options
     const sentAt = clock.monotonic()
-    const limit = Math.min(maxRelayReadMilliseconds, this.confirmedAt + maxUnconfirmedMilliseconds - sentAt)
-    // A host that relays reads from the store, so that relays do not read from each other.
-    if (limit <= relayResponseMilliseconds || local.isServing) return undefined
     const left = new AbortController()
     this.relayRead = left
     const wait = Math.floor(Math.min(waitMilliseconds, limit - relayResponseMilliseconds))
--- a/src/platform/relay/RelayedTopic.test.ts
+++ b/src/platform/relay/RelayedTopic.test.ts
@@ -78,10 +78,12 @@
 })
 
 // The offsets of the other records are unknown if the page lacks some.
-test('a page that lacks malformed records is not passed on', async () => {
+test('a page that lacks malformed records is passed on to the follower of the host alone', async () => {
   await startServing(5)
+  const read = topic.read(5, 3000, never)
   reads.at(-1)!.answer({ records: [recordOf('a')], next: 8, era: 1 })
   await clock.advance(0)
+  expect((await read).unwrapOr(undefined)).toMatchObject({ records: [{ key: 'a' }], next: 8 })
   expect(await topic.readForPeer(5, 1, 0)).toEqual({ kind: 'behind' })
   expect(await topic.readForPeer(8, 1, 0)).toMatchObject({ kind: 'records', next: 8 })
 })
