--- a/src/placement/SchedulerListener.ts
+++ b/src/placement/SchedulerListener.ts
@@ -99,11 +99,13 @@
         return
       }
       for (const request of requests.value) {
-        if (request.kind !== 'open') this.handle(request, socket, openQuestions)
-        else if (this.handOver(socket, request.service)) {
+        if (request.kind === 'open') {
+          // The service answers before anything else may be sent, so that nothing else was received.
           socket.off('data', receive)
           closed.abort()
+          return this.handOver(socket, request.service)
         }
+        this.handle(request, socket, openQuestions)
       }
     }
     socket.on('data', receive)
@@ -111,17 +113,16 @@
   }
 
   /** Passes a connection to a service; closes it if there is none of this name. */
-  private handOver (socket: Socket, service: string): boolean {
+  private handOver (socket: Socket, service: string): void {
     const serve = this.options.services?.get(service)
     if (serve === undefined) {
       socket.destroy()
-      return false
+      return
     }
     this.sockets.delete(socket)
     this.serviceSockets.add(socket)
     socket.on('close', () => { this.serviceSockets.delete(socket) })
     serve(socket)
-    return true
   }
 
   private handle (request: Exclude<SchedulerRequest, { kind: 'open' }>, socket: Socket, openQuestions: Map<string, PlacementCell>): void {
