--- a/src/platform/DutyReportChannel.ts
+++ b/src/platform/DutyReportChannel.ts
@@ -34,6 +34,12 @@
  */
 const failuresBeforeLookup = 4
 
+/**
+ * Shortest time between two calls to the store while the duties have moved, in milliseconds. The next holder decides a window
+ * within 8 s of its end, by the counts of the hosts that have found it.
+ */
+const movedDutyMilliseconds = 1000
+
 /** Delivers the reports of this host. */
 export class DutyReportChannel extends HostReportChannel {
   private readonly local: HostReportReceiver
@@ -84,7 +90,9 @@
     const pause = Math.min(maxPauseMilliseconds, minPauseMilliseconds * 2 ** (this.failures - 1))
     this.pausedUntil = this.options.clock.monotonic() + pause
     this.close()
-    if (failed.kind === 'conflict' || this.failures >= failuresBeforeLookup) this.options.directory.reportFailure()
+    const { directory } = this.options
+    if (failed.kind === 'conflict') directory.reportFailure(movedDutyMilliseconds)
+    else if (this.failures >= failuresBeforeLookup) directory.reportFailure()
   }
 }
 
--- a/src/platform/SchedulerDirectory.ts
+++ b/src/platform/SchedulerDirectory.ts
@@ -87,9 +87,12 @@
     if (!this.hasNoScheduler) this.refreshMilliseconds = minRefreshMilliseconds
   }
 
-  /** Records that the known holder failed or no longer holds the partition, which starts a call to the store. */
-  reportFailure (): void {
-    this.nextRefreshAt = Math.min(this.nextRefreshAt, this.refreshedAt + maxRefreshMilliseconds * (1 + this.options.random()))
+  /**
+   * Records that the known holder failed or no longer holds the partition, which starts a call to the store.
+   * `intervalMilliseconds`: shortest time between two calls, which is extended by up to as much again.
+   */
+  reportFailure (intervalMilliseconds = maxRefreshMilliseconds): void {
+    this.nextRefreshAt = Math.min(this.nextRefreshAt, this.refreshedAt + intervalMilliseconds * (1 + this.options.random()))
     this.refresh()
   }
 
