Apply the limits on clients to the product's own interface

On the code before, three process tests against a bound of 240 MB saw 351 MB with 60 unfinished bodies for a service, an end by heap exhaustion with 8 in one-byte chunks, and 408 MB with 60 for operators. Callers and operators have budgets of their own, bodies are read through them, and only operators may send a large body to /restore.

--- a/src/administration/administrationApplication.ts
+++ b/src/administration/administrationApplication.ts
@@ -5,6 +5,7 @@
 import { Hono } from 'hono'
 import { bodyLimit } from 'hono/body-limit'
 import { errorResponseOf, failure, failureOf } from '../common/index.js'
+import { intakeOf } from '../intake/index.js'
 import type { AdministrationOptions } from './AdministrationOptions.js'
 import { hostRoutes, publicRoutes } from './hostRoutes.js'
 import type { AdministrationEnvironment } from './requests.js'
@@ -16,6 +17,9 @@
 /** Limit on the body of `/restore`, which is an exported configuration: all documents and up to 8 MiB of history. */
 const maxRestoreBytes = 64 * 1024 * 1024
 
+/** Methods whose bodies are not read. */
+const bodylessMethods: ReadonlySet<string> = new Set(['GET', 'HEAD'])
+
 function limitBody (maxSize: number) {
   return bodyLimit({
     maxSize,
@@ -26,7 +30,8 @@
 /** Creates the application; its `fetch` serves requests. */
 export function administrationApplication (options: AdministrationOptions): Hono<AdministrationEnvironment> {
   const application = new Hono<AdministrationEnvironment>()
-  const limits = { restore: limitBody(maxRestoreBytes), other: limitBody(options.maxBodyBytes ?? defaultMaxBodyBytes) }
+  const maxBodyBytes = options.maxBodyBytes ?? defaultMaxBodyBytes
+  const limits = { restore: limitBody(maxRestoreBytes), other: limitBody(maxBodyBytes) }
 
   application.route('/', publicRoutes(options))
   application.use(async (context, next) => {
@@ -36,8 +41,14 @@
     await next()
   })
   application.use(async (context, next) => {
-    const limit = context.req.path === '/restore' ? limits.restore : limits.other
-    return await limit(context, next)
+    if (context.req.path === '/restore' && context.get('team').operator) return await limits.restore(context, next)
+    const intake = intakeOf(context.env?.incoming)
+    if (intake === undefined || bodylessMethods.has(context.req.method)) return await limits.other(context, next)
+    const body = await intake.readBody(maxBodyBytes)
+    if (body.isErr) return errorResponseOf(body.error)
+    const { raw } = context.req
+    context.req.raw = new Request(raw.url, { method: raw.method, headers: raw.headers, body: body.value ?? null })
+    await next()
   })
   application.route('/', settingsRoutes(options))
   application.route('/', watchRoutes(options))
--- a/src/administration/requests.ts
+++ b/src/administration/requests.ts
@@ -1,6 +1,7 @@
 /**
  * Helpers that the routes share: access checks, parsing and validation of requests, and responses.
  */
+import type { HttpBindings } from '@hono/node-server'
 import type { Context, MiddlewareHandler } from 'hono'
 import { Result } from 'true-myth'
 import type { z } from 'zod'
@@ -8,7 +9,7 @@
 import { type AuthenticatedTeam, type ConfigurationPath, configurationPathSchema } from '../configuration/index.js'
 
 /** Hono environment of the routes. `team` is set on all routes that need a token. */
-export interface AdministrationEnvironment { Variables: { team: AuthenticatedTeam } }
+export interface AdministrationEnvironment { Bindings: Partial<HttpBindings>, Variables: { team: AuthenticatedTeam } }
 
 /** Hono context of a request. */
 export type AdministrationContext = Context<AdministrationEnvironment>
--- a/src/entry/callHeaders.ts
+++ b/src/entry/callHeaders.ts
@@ -5,6 +5,8 @@
 import { Result } from 'true-myth'
 import { z } from 'zod'
 import { type Failure, failure } from '../common/index.js'
+import { intakeOf } from '../intake/index.js'
+import type { EntryCall } from './EntryCall.js'
 
 /** Limits of one call. */
 export interface CallLimits {
@@ -52,8 +54,14 @@
   }
 }
 
-/** Reads the body of a request. Errors: `body_too_large`; `cancelled` if the caller stops sending before its end. */
-export async function readBody (request: Request, maxBytes: number): Promise<Result<Uint8Array, Failure>> {
+/**
+ * Reads the body of a request, within the limits of its server if that has some. Errors: `body_too_large`; `cancelled` if the
+ * caller stops sending before its end; with limits also `overloaded` and `body_timeout`.
+ */
+export async function readBody ({ env, req }: EntryCall, maxBytes: number): Promise<Result<Uint8Array, Failure>> {
+  const intake = intakeOf(env?.incoming)
+  if (intake !== undefined) return (await intake.readBody(maxBytes)).map(body => body ?? new Uint8Array())
+  const request = req.raw
   const tooLarge = failure('body_too_large', `the body is larger than ${maxBytes} bytes`)
   if (Number(request.headers.get('content-length') ?? 0) > maxBytes) return Result.err(tooLarge)
   if (request.body === null) return Result.ok(new Uint8Array())
--- a/src/entry/entryApplication.ts
+++ b/src/entry/entryApplication.ts
@@ -5,6 +5,7 @@
 import { createMiddleware } from 'hono/factory'
 import { failure, newRequestId } from '../common/index.js'
 import { TeamAuthenticator } from '../configuration/index.js'
+import { intakeOf } from '../intake/index.js'
 import { createCallHeaderReader } from './callHeaders.js'
 import { answerFailure, type EntryCall, type EntryEnvironment } from './EntryCall.js'
 import type { EntryOptions } from './EntryOptions.js'
@@ -48,6 +49,8 @@
   }))
 
   application.use(createMiddleware<EntryEnvironment>(async (context, next) => {
+    const refusal = intakeOf(context.env?.incoming)?.refusal()
+    if (refusal !== undefined) return answerFailure(refusal)
     const call = readCallHeaders(context.req.raw.headers)
     if (call.isErr) return answerFailure(call.error)
     const account = authenticator.authenticate(context.req.header('authorization'))
--- a/src/entry/handleGeneration.ts
+++ b/src/entry/handleGeneration.ts
@@ -17,7 +17,7 @@
 
 /** Validates and admits a request to a model and creates the response, as a stream if the caller asks for one. */
 export async function handleGeneration (context: EntryCall, options: EntryOptions, endpoint: Endpoint): Promise<Response> {
-  const bytes = await readBody(context.req.raw, options.limits.maxBodyBytes)
+  const bytes = await readBody(context, options.limits.maxBodyBytes)
   if (bytes.isErr) return answerFailure(bytes.error)
   const parsed = parseCall(endpoint, bytes.value)
   if (parsed.isErr) return answerFailure(parsed.error)
--- a/src/entry/handleService.ts
+++ b/src/entry/handleService.ts
@@ -35,7 +35,7 @@
     ? options.configuration.get(`/fleet/pools/${pool.data}`)?.value as PoolDocument | undefined
     : undefined
   if (!pool.success || document?.kind !== 'service') return answerFailure(failure('not_found', 'there is no such service pool'))
-  const body = await readBody(context.req.raw, options.limits.maxBodyBytes)
+  const body = await readBody(context, options.limits.maxBodyBytes)
   if (body.isErr) return answerFailure(body.error)
   const { account, deadline, callerDisconnected, call, requestId } = context.var
   const admitted = await options.admission.admit({
--- a/src/entry/serve.ts
+++ b/src/entry/serve.ts
@@ -3,6 +3,7 @@
  */
 import type { AddressInfo } from 'node:net'
 import { getRequestListener } from '@hono/node-server'
+import type { ClientIntake } from '../intake/index.js'
 import { GracefulServer } from './GracefulServer.js'
 
 /** Options of `serve`. */
@@ -12,6 +13,8 @@
   addresses: readonly string[]
   /** Headers up to twice this size reach the application, which rejects those above the size; Node rejects larger ones. */
   maxHeaderBytes: number
+  /** Limits on what the callers may take of the host. Default: none. */
+  intake?: ClientIntake
 }
 
 /** The servers that `serve` started, one for each address. */
@@ -60,7 +63,9 @@
     headersTimeout: headersTimeoutMilliseconds,
     keepAliveTimeout: keepAliveTimeoutMilliseconds,
     requestTimeout: requestTimeoutMilliseconds
-  }, handler)
+  }, options.intake === undefined ? handler : undefined)
+  options.intake?.serve(server, (message, response) => { handler(message, response) })
+  options.intake?.configure(server, keepAliveTimeoutMilliseconds)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     server.listen(Number(address.slice(separator + 1)), address.slice(0, separator).replace(/^\[|\]$/g, ''), () => {
--- a/src/host/EntryHost.ts
+++ b/src/host/EntryHost.ts
@@ -5,6 +5,7 @@
 import { Result } from 'true-myth'
 import { failure, type Failure, type Model } from '../common/index.js'
 import { type ListeningServer, serve } from '../entry/index.js'
+import { ClientIntake, deriveIntakeLimits } from '../intake/index.js'
 import type { HostSettings } from '../settings/index.js'
 import { AdministrationPart } from './AdministrationPart.js'
 import { ControlPart, type HostAddresses } from './ControlPart.js'
@@ -12,6 +13,9 @@
 import { createContext, type HostContext, resultOfStep } from './HostContext.js'
 import { RequestPart } from './RequestPart.js'
 
+/** Maximum number of connections of operators and their programs. */
+const maxAdministrationConnections = 256
+
 /** Lifecycle state of a host. The load balancer should send requests only to a host that is `ready`. */
 export type LifecycleState = 'starting' | 'ready' | 'draining' | 'stopped'
 
@@ -30,7 +34,17 @@
 
   private control: ControlPart | undefined
 
-  private constructor (private readonly context: HostContext) {}
+  /** Limits of callers, and those of operators, whom a crowd of callers does not keep out. */
+  private readonly intake: ClientIntake
+  private readonly administrationIntake: ClientIntake
+
+  private constructor (private readonly context: HostContext) {
+    const { settings, clock, events } = context
+    const limits = deriveIntakeLimits(settings.limits)
+    this.intake = new ClientIntake({ limits, clock, events })
+    const administrationLimits = { ...limits, maxConnections: maxAdministrationConnections }
+    this.administrationIntake = new ClientIntake({ limits: administrationLimits, clock, events })
+  }
 
   /** Creates a host that does not listen yet. */
   static create (settings: HostSettings): EntryHost {
@@ -98,7 +112,9 @@
     this.requests = requests
     const peerServerResult = await control.listen({ ...requests.peerHandlers(), ...fleet.peerHandlers() })
     if (peerServerResult.isErr) return Result.err(peerServerResult.error)
+    this.intake.expose(context.metrics)
     const callerServerResult = await resultOfStep(() => serve({
+      intake: this.intake,
       application: requests.application,
       addresses: settings.listen.callers,
       maxHeaderBytes: settings.limits.maxHeaderBytes
@@ -116,6 +132,7 @@
     })
     this.administration = administration
     const administrationServerResult = await resultOfStep(() => serve({
+      intake: this.administrationIntake,
       application: administration.application,
       addresses: [settings.listen.administration],
       maxHeaderBytes: settings.limits.maxHeaderBytes
@@ -179,6 +196,8 @@
 
   private async closeOnce (): Promise<void> {
     this.closing.abort()
+    await this.intake.stop()
+    await this.administrationIntake.stop()
     await this.administration?.stop()
     await this.administrationServer?.close()
     await this.fleet?.stop()
--- a/src/intake/ClientIntake.ts
+++ b/src/intake/ClientIntake.ts
@@ -143,7 +143,9 @@
     const connection = this.connections.get(message.socket)
     // The rest of a read goes on to be parsed after its connection was closed.
     if (connection === undefined || message.socket.destroyed) return
-    const intake = new RequestIntake({ message, response, connection, budget: this.budget, clock, refusals: this.refusals })
+    const { budget, refusals } = this
+    const hostRefusal = (): Failure | undefined => this.refusal()
+    const intake = new RequestIntake({ message, response, connection, budget, clock, refusals, hostRefusal })
     response.once('close', () => {
       this.requests.delete(intake)
       intake.close()
@@ -151,6 +153,7 @@
     })
     const entered = connection.enter(intake, () => {
       this.requests.add(intake)
+      intake.start()
       handle(message, response, intake)
     })
     if (entered) return
--- a/src/intake/RequestIntake.test.ts
+++ b/src/intake/RequestIntake.test.ts
@@ -24,7 +24,7 @@
   const refusals = new RefusalLog(clock, events)
   const intake = new RequestIntake({
     message: message as unknown as IncomingMessage,
-    response: {} as ServerResponse,
+    response: Object.assign(new EventEmitter(), { setHeader: () => {} }) as unknown as ServerResponse,
     connection,
     budget,
     clock,
--- a/src/intake/RequestIntake.ts
+++ b/src/intake/RequestIntake.ts
@@ -15,6 +15,14 @@
 /** Bytes of a body that have to arrive within each period of the progress check; no limit on bodies that end earlier. */
 const minBytesPerPeriod = 1024
 
+/** The requests that are open, by their messages. */
+const intakes = new WeakMap<IncomingMessage, RequestIntake>()
+
+/** The intake of a request; undefined if its server has no limits. */
+export function intakeOf (message: IncomingMessage | undefined): RequestIntake | undefined {
+  return message === undefined ? undefined : intakes.get(message)
+}
+
 /** Dependencies of a `RequestIntake`. */
 export interface RequestIntakeOptions {
   message: IncomingMessage
@@ -23,6 +31,8 @@
   budget: MemoryBudget
   clock: Clock
   refusals: RefusalLog
+  /** Why the host takes on no further request; undefined if it does. */
+  hostRefusal?: () => Failure | undefined
 }
 
 /** One request, until its response has been sent or its connection has closed. */
@@ -40,6 +50,7 @@
 
   constructor (private readonly options: RequestIntakeOptions) {
     this.receivedAt = options.clock.monotonic()
+    intakes.set(options.message, this)
     this.reservation = options.budget.open(this)
     this.reservation.add(headerBytesOf(options.message) + requestOverheadBytes)
   }
@@ -59,9 +70,19 @@
     else this.failBody(failure('overloaded', 'the memory for bodies is used up'))
   }
 
+  /** The turn of the request has come: from now on the budget refuses it only while its body or response is on the way. */
+  start (): void {
+    this.reservation.settle()
+  }
+
+  /** Why the host takes on no further request; undefined if it does. */
+  refusal (): Failure | undefined {
+    return this.options.hostRefusal?.()
+  }
+
   /**
    * Reads the body; undefined if the request has none. Errors: `body_too_large`, `overloaded`, `body_timeout`, `cancelled`.
-   * After an error the connection is not read any more.
+   * After an error the connection is not read any more, and closes after the response.
    */
   async readBody (maxBytes: number): Promise<Result<Buffer | undefined, Failure>> {
     const { message, response } = this.options
@@ -139,6 +160,8 @@
       const leave = (): void => { end(Result.err(callerLeft)) }
       this.failBody = failed => { end(Result.err(failed)) }
       this.startPeriod()
+      this.reservation.recordProgress()
+      this.reservation.isRefusable = true
       message.on('end', complete).on('close', leave).on('error', leave).on('data', add)
     })
   }
@@ -151,7 +174,10 @@
   }
 
   private stopReading (failed: Failure): Result<never, Failure> {
-    this.options.connection.gate.hold('refused')
+    const { connection: { gate, socket }, response } = this.options
+    gate.hold('refused')
+    if (!response.headersSent) response.setHeader('connection', 'close')
+    response.once('finish', () => socket.destroySoon())
     this.body.clear()
     this.reserveBody(0)
     this.reservation.settle()
--- a/src/platform/outsideLimits.test.ts
+++ b/src/platform/outsideLimits.test.ts
@@ -4,9 +4,9 @@
  * limits, where each of the cases failed.
  */
 import { afterEach, beforeEach, expect, test } from '@jest/globals'
+import { descriptorsOf, FloodClient, type FloodClientOptions, peakMegabytesOf } from '../testing/index.js'
 import { FakeStore } from './testing/FakeStore.js'
 import { FakeWorker } from './testing/FakeWorker.js'
-import { FloodClient, type FloodClientOptions } from './testing/FloodClient.js'
 import { HostProcess } from './testing/HostProcess.js'
 import { configurationDocument, RawCaller, requestHeaders } from './testing/platformTestSupport.js'
 
@@ -95,7 +95,7 @@
   crowd = Array.from({ length: count }, (_, index) => new FloodClient({ address: host.address, ...optionsOf(index) }))
   await Promise.all(crowd.map(async client => await client.ended))
   await expectServes()
-  const use = { running: host.isRunning, megabytes: host.peakMegabytes(), descriptors: host.descriptors() }
+  const use = { running: host.isRunning, megabytes: peakMegabytesOf(host.pid), descriptors: descriptorsOf(host.pid) }
   expect(use.running).toBe(true)
   expect(use.megabytes).toBeLessThan(memoryMegabytes)
   expect(use.descriptors).toBeLessThan(descriptors)
--- a/src/platform/testing/HostProcess.ts
+++ b/src/platform/testing/HostProcess.ts
@@ -1,9 +1,8 @@
 /**
- * An entry host as a process of its own, for tests that check what its clients cost it. Linux only: memory and
- * descriptors are read from `/proc`.
+ * An entry host as a process of its own, for tests that check what its clients cost it.
  */
 import { type ChildProcess, spawn } from 'node:child_process'
-import { mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { createInterface } from 'node:readline'
@@ -64,15 +63,8 @@
     return this.child.exitCode === null && this.child.signalCode === null
   }
 
-  /** Largest resident memory since the start of the process, in megabytes. */
-  peakMegabytes (): number {
-    const status = readFileSync(`/proc/${this.child.pid}/status`, 'utf8')
-    return Math.round(Number(/VmHWM:\s+(\d+) kB/.exec(status)?.[1]) / 1024)
-  }
-
-  /** Number of open descriptors. */
-  descriptors (): number {
-    return readdirSync(`/proc/${this.child.pid}/fd`).length
+  get pid (): number {
+    return this.child.pid ?? 0
   }
 
   async stop (): Promise<void> {
--- a/src/settings/HostSettings.ts
+++ b/src/settings/HostSettings.ts
@@ -103,6 +103,9 @@
     maxHeaderBytes: z.number().int().positive().default(16_384),
     defaultTimeoutMilliseconds: milliseconds.default(30_000),
     maxTimeoutMilliseconds: milliseconds.default(600_000),
+    /** Memory of the machine and number of descriptors of the process; limits on clients follow from them. */
+    memoryMegabytes: z.number().positive().optional(),
+    descriptors: z.number().positive().optional(),
     /** Maximum number of requests in progress on this host. */
     maxConcurrent: z.number().int().positive().default(1024),
     /** Maximum number of requests that wait on this host. */
--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -1,3 +1,5 @@
 export * from './ProcessGroup.js'
 export * from './StartedProcess.js'
 export * from './Deployment.js'
+export * from './FloodClient.js'
+export * from './processUse.js'
