End stalled clients when connections or requests run out

Clients that stop in the middle of their bodies could hold all connections or requests of a host, so that others got 429 or no connection until the idle timeout. The one that has been waited for longest, at least a second, gives way now.

--- a/src/intake/ClientIntake.ts
+++ b/src/intake/ClientIntake.ts
@@ -67,7 +67,7 @@
 
   /** Why the host takes on no further request; undefined if it does. The request that asks is counted already. */
   refusal (): Failure | undefined {
-    if (this.requests.size > this.options.limits.maxRequests) {
+    if (this.requests.size > this.options.limits.maxRequests && !this.endStalled()) {
       this.refusals.record('requests')
       return failure('overloaded', `more than ${this.options.limits.maxRequests} requests are in progress`)
     }
@@ -97,7 +97,7 @@
 
   private accept (socket: Socket): void {
     const now = this.options.clock.monotonic()
-    if (this.connections.size >= this.options.limits.maxConnections && !this.closeIdle(now)) {
+    if (this.connections.size >= this.options.limits.maxConnections && !this.closeIdle(now) && !this.closeStalled()) {
       this.refusals.record('connections')
       socket.destroy()
       return
@@ -126,6 +126,36 @@
     return true
   }
 
+  /** The request whose client has been waited for longest, if that is long enough. */
+  private longestStalled (): RequestIntake | undefined {
+    const stalledBefore = this.options.clock.monotonic() - idleMilliseconds
+    let longest: RequestIntake | undefined
+    for (const request of this.requests) {
+      const since = request.waitsForClientSince ?? Infinity
+      if (since <= stalledBefore && since < (longest?.waitsForClientSince ?? Infinity)) longest = request
+    }
+    return longest
+  }
+
+  /** Ends the request whose client has been waited for longest. Returns false if there is none. */
+  private endStalled (): boolean {
+    const stalled = this.longestStalled()
+    if (stalled === undefined) return false
+    this.refusals.record('requests')
+    stalled.endStalled()
+    return true
+  }
+
+  /** Closes the connection of the request whose client has been waited for longest. Returns false if there is none. */
+  private closeStalled (): boolean {
+    const stalled = this.longestStalled()
+    if (stalled === undefined) return false
+    this.refusals.record('connections')
+    this.connections.delete(stalled.socket)
+    stalled.socket.destroy()
+    return true
+  }
+
   /** A connection has been silent for its timeout. Open requests go on, unless their caller does not read. */
   private closeUnused (socket: Socket): void {
     const isUnread = socket.writableLength > 0
--- a/src/intake/MemoryBudget.test.ts
+++ b/src/intake/MemoryBudget.test.ts
@@ -54,19 +54,19 @@
   expect([large!.calls, small!.calls]).toEqual([['pause'], []])
 })
 
-test('a client that has waited for two seconds is refused, one at a time, the largest first', () => {
+test('a client that has waited for two seconds is refused, one at a time, the largest first', async () => {
   const { clock, budget, clients } = start(3)
   for (const [index, client] of clients.entries()) client.reservation.add(340_000 + index * 20_000)
   for (const client of clients) client.reservation.add(1)
-  clock.advance(2000)
+  await clock.advance(2000)
   budget.check()
   expect(clients.map(({ calls }) => calls.at(-1))).toEqual(['resume', 'resume', 'refuse'])
 })
 
-test('when the budget is short, a client without progress is refused before others wait', () => {
+test('when the budget is short, a client without progress is refused before others wait', async () => {
   const { clock, clients: [stalled, active] } = start(2)
   stalled!.reservation.add(600_000)
-  clock.advance(1000)
+  await clock.advance(1000)
   active!.reservation.add(600_000)
   expect([stalled!.calls, active!.calls]).toEqual([['refuse'], []])
 })
@@ -80,12 +80,12 @@
   expect(budget.usedBytes).toBe(500_000)
 })
 
-test('requests that run are neither paused nor refused; a host that holds too much of them is exhausted', () => {
+test('requests that run are neither paused nor refused; a host that holds too much of them is exhausted', async () => {
   const { clock, budget, clients: [running] } = start(1)
   running!.reservation.add(100)
   running!.reservation.settle()
   running!.reservation.add(2 * capacity)
-  clock.advance(10_000)
+  await clock.advance(10_000)
   budget.check()
   expect([running!.calls, budget.isExhausted]).toEqual([[], true])
 })
--- a/src/intake/RequestIntake.test.ts
+++ b/src/intake/RequestIntake.test.ts
@@ -61,9 +61,9 @@
   const { clock, message, intake, result } = start({ 'transfer-encoding': 'chunked' })
   message.write('x'.repeat(800))
   await new Promise(resolve => setImmediate(resolve))
-  clock.advance(900)
+  await clock.advance(900)
   intake.checkProgress(1000)
-  clock.advance(1000)
+  await clock.advance(1000)
   intake.checkProgress(1000)
   expect((await result).mapErr(({ kind }) => kind)).toMatchObject({ error: 'body_timeout' })
 })
@@ -75,10 +75,10 @@
   expect(lines.filter(line => /event=clients_refused reason=memory count=1/.test(line))).toHaveLength(1)
 })
 
-test('lines about refused requests are left out above a rate, and counted', () => {
+test('lines about refused requests are left out above a rate, and counted', async () => {
   const { clock, refusals } = start({})
   const lines = Array.from({ length: 150 }, () => refusals.takeLine())
   expect(lines.filter(omitted => omitted !== undefined)).toHaveLength(100)
-  clock.advance(1000)
+  await clock.advance(1000)
   expect([refusals.takeLine(), refusals.takeLine()]).toEqual([50, 0])
 })
--- a/src/intake/RequestIntake.ts
+++ b/src/intake/RequestIntake.ts
@@ -2,6 +2,7 @@
  * What one request takes of the budget: its head, its body as it arrives, and its response until the caller has read it.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import { Result } from 'true-myth'
 import { type Clock, type Failure, failure } from '../common/index.js'
 import { BodyBuffer } from './BodyBuffer.js'
@@ -55,6 +56,10 @@
     this.reservation.add(headerBytesOf(options.message) + requestOverheadBytes)
   }
 
+  get socket (): Socket {
+    return this.options.connection.socket
+  }
+
   pause (): void {
     this.options.connection.gate.hold(this)
   }
@@ -110,6 +115,21 @@
     this.failBody(failure('body_timeout', `less than ${minBytesPerPeriod} bytes of the body arrived within ${periodMilliseconds} ms`))
   }
 
+  /**
+   * Monotonic time in milliseconds since which the client has delivered no part of its body, or taken no part of its
+   * response; undefined if the client is not waited for.
+   */
+  get waitsForClientSince (): number | undefined {
+    const isWaiting = (this.failBody !== undefined && !this.options.connection.gate.isHeld) || this.reservation.isRefusable
+    return isWaiting ? this.reservation.progressAt : undefined
+  }
+
+  /** Ends a request whose client is waited for, since its place is needed. */
+  endStalled (): void {
+    if (this.failBody === undefined) this.options.connection.socket.destroy()
+    else this.failBody(failure('body_timeout', 'the body makes no progress, and the host is short of connections or requests'))
+  }
+
   /** Counts bytes of the response that are held. Returns false while the budget is short, so that no more should be read. */
   readonly holdResponse = (bytes: number): boolean => {
     this.reservation.add(bytes)
--- a/src/intake/intakeLimits.ts
+++ b/src/intake/intakeLimits.ts
@@ -48,6 +48,12 @@
 
 const minConnections = 32
 
+/**
+ * Share of the remaining descriptors for connections of clients, and that for their requests, which have a connection to a
+ * worker each. The rest is for idle connections to workers.
+ */
+const descriptorShare = 0.45
+
 /** An entry takes about 200 bytes, so that a full table takes a twentieth of the memory. */
 const tableEntriesPerMegabyte = 250
 
@@ -63,12 +69,11 @@
   const countedBytes = (memoryMegabytes - restMegabytes) * 1_048_576 * countedShare
   const budgetBytes = Math.round(Math.min(maxBudgetBytes, Math.max(minBudgetBytes, countedBytes)))
   const clientDescriptors = Math.max(0, descriptors - ownDescriptors)
-  const connections = Math.floor(Math.min(clientDescriptors / 2, budgetBytes / bytesPerConnection))
+  const maxRequests = Math.max(minConnections, Math.floor(clientDescriptors * descriptorShare))
   return {
     budgetBytes,
-    maxConnections: Math.max(minConnections, connections),
-    // The last sixth is for idle connections to workers.
-    maxRequests: Math.max(minConnections, Math.floor(clientDescriptors / 3)),
+    maxConnections: Math.max(minConnections, Math.min(maxRequests, Math.floor(budgetBytes / bytesPerConnection))),
+    maxRequests,
     maxRequestsPerConnection,
     maxTableEntries: Math.min(maxTableEntries, Math.floor(memoryMegabytes * tableEntriesPerMegabyte))
   }
