--- a/src/intake/intakeLimits.ts
+++ b/src/intake/intakeLimits.ts
@@ -33,7 +33,7 @@
  * Share of the remaining memory that is counted. The rest is for what the count does not show: memory that is freed but
  * not collected yet, and copies in the parser and in the connections to workers.
  */
-const countedShare = 0.4
+const countedShare = 0.33
 
 /** Holds several bodies of the usual limit (4 MiB), so that a host of any size serves a single one. */
 const minBudgetBytes = 16 * 1_048_576
