--- a/src/intake/RequestIntake.ts
+++ b/src/intake/RequestIntake.ts
@@ -2,6 +2,7 @@
  * What one request takes of the budget: its head, its body as it arrives, and its response until the caller has read it.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import { Result } from 'true-myth'
 import { type Clock, type Failure, failure } from '../common/index.js'
 import { BodyBuffer } from './BodyBuffer.js'
@@ -15,6 +16,14 @@
 /** Bytes of a body that have to arrive within each period of the progress check; no limit on bodies that end earlier. */
 const minBytesPerPeriod = 1024
 
+/** The requests that are open, by their messages. */
+const intakes = new WeakMap<IncomingMessage, RequestIntake>()
+
+/** The intake of a request; undefined if its server has no limits. */
+export function intakeOf (message: IncomingMessage | undefined): RequestIntake | undefined {
+  return message === undefined ? undefined : intakes.get(message)
+}
+
 /** Dependencies of a `RequestIntake`. */
 export interface RequestIntakeOptions {
   message: IncomingMessage
@@ -23,6 +32,8 @@
   budget: MemoryBudget
   clock: Clock
   refusals: RefusalLog
+  /** Why the host takes on no further request; undefined if it does. */
+  hostRefusal?: () => Failure | undefined
 }
 
 /** One request, until its response has been sent or its connection has closed. */
@@ -40,10 +51,15 @@
 
   constructor (private readonly options: RequestIntakeOptions) {
     this.receivedAt = options.clock.monotonic()
+    intakes.set(options.message, this)
     this.reservation = options.budget.open(this)
     this.reservation.add(headerBytesOf(options.message) + requestOverheadBytes)
   }
 
+  get socket (): Socket {
+    return this.options.connection.socket
+  }
+
   pause (): void {
     this.options.connection.gate.hold(this)
   }
@@ -59,9 +75,19 @@
     else this.failBody(failure('overloaded', 'the memory for bodies is used up'))
   }
 
+  /** The turn of the request has come: from now on the budget refuses it only while its body or response is on the way. */
+  start (): void {
+    this.reservation.settle()
+  }
+
+  /** Why the host takes on no further request; undefined if it does. */
+  refusal (): Failure | undefined {
+    return this.options.hostRefusal?.()
+  }
+
   /**
    * Reads the body; undefined if the request has none. Errors: `body_too_large`, `overloaded`, `body_timeout`, `cancelled`.
-   * After an error the connection is not read any more.
+   * After an error the connection is not read any more, and closes after the response.
    */
   async readBody (maxBytes: number): Promise<Result<Buffer | undefined, Failure>> {
     const { message, response } = this.options
@@ -89,6 +115,21 @@
     this.failBody(failure('body_timeout', `less than ${minBytesPerPeriod} bytes of the body arrived within ${periodMilliseconds} ms`))
   }
 
+  /**
+   * Monotonic time in milliseconds since which the client has delivered no part of its body, or taken no part of its
+   * response; undefined if the client is not waited for.
+   */
+  get waitsForClientSince (): number | undefined {
+    const isWaiting = (this.failBody !== undefined && !this.options.connection.gate.isHeld) || this.reservation.isRefusable
+    return isWaiting ? this.reservation.progressAt : undefined
+  }
+
+  /** Ends a request whose client is waited for, since its place is needed. */
+  endStalled (): void {
+    if (this.failBody === undefined) this.options.connection.socket.destroy()
+    else this.failBody(failure('body_timeout', 'the body makes no progress, and the host is short of connections or requests'))
+  }
+
   /** Counts bytes of the response that are held. Returns false while the budget is short, so that no more should be read. */
   readonly holdResponse = (bytes: number): boolean => {
     this.reservation.add(bytes)
@@ -139,6 +180,8 @@
       const leave = (): void => { end(Result.err(callerLeft)) }
       this.failBody = failed => { end(Result.err(failed)) }
       this.startPeriod()
+      this.reservation.recordProgress()
+      this.reservation.isRefusable = true
       message.on('end', complete).on('close', leave).on('error', leave).on('data', add)
     })
   }
@@ -151,7 +194,10 @@
   }
 
   private stopReading (failed: Failure): Result<never, Failure> {
-    this.options.connection.gate.hold('refused')
+    const { connection: { gate, socket }, response } = this.options
+    gate.hold('refused')
+    if (!response.headersSent) response.setHeader('connection', 'close')
+    response.once('finish', () => socket.destroySoon())
     this.body.clear()
     this.reserveBody(0)
     this.reservation.settle()
