Mend what the review of placement and orders found

Abandoned prompts went on counting as waiting, so that a scheduler refused all prompts after some thousands of them. A race of computations hung on an unexpected error, and allowed one worker more after another had vanished. An order that was refused without a reason ended the authority for good while the store did not answer; words of a refusal no longer decide that. Hosts that cannot reach the holder no longer look like less demand.

--- a/src/capacity/CapacityPlanner.ts
+++ b/src/capacity/CapacityPlanner.ts
@@ -61,7 +61,7 @@
     const serving = workers.filter(({ leaving }) => !leaving)
     this.target ??= new WorkerTarget(this.throughput, serving.length)
     const needed = this.target.update(demand, scaling.startupMilliseconds, now)
-    const zones = [...scaling.zonePrices].sort(([, left], [, right]) => left - right).map(([zone]) => zone)
+    const zones = zonesByPrice(scaling, serving)
     const countOf = (zone: Zone, kind: WorkerKind): number =>
       serving.filter(worker => worker.zone === zone && worker.kind === kind).length
     const spot = this.planSpot(zones, needed, scaling, now)
@@ -164,3 +164,13 @@
     return state
   }
 }
+
+/** Price of a worker in a zone for which the operators state none. */
+const defaultPrice = 1
+
+/** The zones with a price or with workers, the cheapest first. */
+function zonesByPrice ({ zonePrices }: PoolScaling, workers: readonly CountedWorker[]): Zone[] {
+  const zones = [...new Set([...zonePrices.keys(), ...workers.map(({ zone }) => zone)])]
+  const priceOf = (zone: Zone): number => zonePrices.get(zone) ?? defaultPrice
+  return zones.sort((left, right) => priceOf(left) - priceOf(right))
+}
--- a/src/capacity/CapacityTask.ts
+++ b/src/capacity/CapacityTask.ts
@@ -2,7 +2,7 @@
  * Orders workers while this host holds the duty: plans the numbers of each pool once a second, and gives an order only
  * right after the store has confirmed the host's authority.
  */
-import { type Clock, type Failure, type Pool, Task } from '../common/index.js'
+import { type Clock, type Pool, Task } from '../common/index.js'
 import type { DutyPlatform } from '../duties/index.js'
 import type { GroupLease } from '../leases/index.js'
 import type { EventLog } from '../observability/index.js'
@@ -80,18 +80,18 @@
     const outcome = given.isOk ? 'accepted' : given.error.kind
     events.info('workers_ordered', { pool, zone, kind, desired, before, fencing: fencingNumber, outcome, reason })
     if (given.isOk) return true
-    if (given.error.kind === 'conflict' && await this.isUnavailable(given.error)) {
-      planner.recordUnavailable(zone, kind, clock.monotonic())
-      return true
+    const { kind: errorKind, detail } = given.error
+    if (errorKind === 'lost_authority') {
+      lease.handleRefusal(fencingNumber)
+      return false
     }
-    planner.recordFailure(zone, kind)
-    if (given.error.kind !== 'lost_authority' && given.error.kind !== 'conflict') return true
-    lease.handleRefusal(fencingNumber)
-    return false
-  }
-
-  /** True if the platform refused an order since it has no such workers, and not since the fencing number is outdated. */
-  private async isUnavailable ({ detail }: Failure): Promise<boolean> {
-    return detail?.isUnavailable === true || await this.options.lease.confirmedAuthority() !== undefined
+    if (errorKind === 'conflict' && detail?.isUnavailable !== true && await lease.confirmedAuthority() === undefined) {
+      // A store that does not answer shows nothing about the reason, and the authority goes on.
+      planner.recordFailure(zone, kind)
+      return lease.authority() !== undefined
+    }
+    if (errorKind === 'conflict' || errorKind === 'bad_request') planner.recordUnavailable(zone, kind, clock.monotonic())
+    else planner.recordFailure(zone, kind)
+    return true
   }
 }
--- a/src/capacity/WorkerTarget.ts
+++ b/src/capacity/WorkerTarget.ts
@@ -59,7 +59,11 @@
    * worker serves.
    */
   update (demand: PoolDemand | undefined, startupMilliseconds: number, now: number): number {
-    if (demand !== undefined) this.record(demand, now)
+    if (demand === undefined) {
+      this.lowerSince = undefined
+      return this.number
+    }
+    this.record(demand, now)
     if (this.observedSince === undefined) return this.number
     const tolerated = Math.max(1, this.number * toleratedShare)
     const needed = this.workersFor(this.average)
--- a/src/concurrency/LoadSamples.ts
+++ b/src/concurrency/LoadSamples.ts
@@ -38,9 +38,9 @@
     return this.latest !== undefined && now - this.latest.at <= maxAgeMilliseconds
   }
 
-  /** Requests that the worker processes at once, as last stated. */
-  get slots (): number | undefined {
-    return this.latest?.load.slots
+  /** Requests that the worker processes at once, as it has stated lately. */
+  slots (now: number): number | undefined {
+    return this.isRecent(now) ? this.latest?.load.slots : undefined
   }
 
   /** Requests of all hosts that are expected to be open. `requestMilliseconds`: usual time of a request. */
--- a/src/concurrency/WorkerCapacity.ts
+++ b/src/concurrency/WorkerCapacity.ts
@@ -109,7 +109,7 @@
   }
 
   private get knownSlots (): number {
-    return this.samples.slots ?? this.slots()
+    return this.samples.slots(this.clock.monotonic()) ?? this.slots()
   }
 
   private fading (now: number): number {
--- /dev/null
+++ b/src/duties/HostReportBoard.test.ts
@@ -0,0 +1,31 @@
+import { expect, test } from '@jest/globals'
+import { type HostId, type Incarnation, ManualClock, type Pool, type Zone } from '../common/index.js'
+import { HostReportBoard } from './HostReportBoard.js'
+
+const pool = 'llm' as Pool
+
+// Guards against a holder that takes hosts which cannot reach it for less demand, and orders fewer workers.
+test('the demand is unknown while many of the hosts that reported before do not', async () => {
+  const clock = new ManualClock()
+  const board = new HostReportBoard(clock)
+  const report = (hosts: number): void => {
+    for (let number = 0; number < hosts; number += 1) {
+      board.receive({
+        host: `host-${number}` as HostId,
+        incarnation: '0123456789abcdef' as Incarnation,
+        zone: 'a' as Zone,
+        at: clock.wall(),
+        windows: [],
+        demand: [{ pool, openPrompts: 1, openAnswers: 2 }]
+      })
+    }
+  }
+  report(10)
+  expect(board.demandOf(pool)).toEqual({ openPrompts: 10, openAnswers: 20 })
+  await clock.advance(4000)
+  report(5)
+  expect(board.demandOf(pool)).toBeUndefined()
+  await clock.advance(12_000)
+  report(5)
+  expect(board.demandOf(pool)).toEqual({ openPrompts: 5, openAnswers: 10 })
+})
--- a/src/forwarding/ComputationRace.test.ts
+++ b/src/forwarding/ComputationRace.test.ts
@@ -52,3 +52,21 @@
 test('no computation is started once it is of no use', async () => {
   expect((await play([[1, 'late'], [1, 'no_move']], false)).starts).toEqual([undefined])
 })
+
+// Guards against a call that never ends since a computation met an unexpected error.
+test('an unexpected error of a computation ends the race with it, and aborts the others', async () => {
+  const starts: RunStart[] = []
+  const race = new ComputationRace<{ verdict: RunVerdict }>({
+    run: async start => {
+      if (starts.push(start) === 2) throw new Error('unexpected')
+      return await new Promise(resolve => { start.cancelled.addEventListener('abort', () => { resolve({ verdict: 'no_move' }) }) })
+    },
+    verdictOn: ({ verdict }) => verdict,
+    mayMove: () => true,
+    onLoser: () => {}
+  })
+  const result = race.run()
+  starts[0]!.onLate()
+  await expect(result).rejects.toThrow('unexpected')
+  expect(starts[0]!.cancelled.aborted).toBe(true)
+})
--- a/src/forwarding/ComputationRace.ts
+++ b/src/forwarding/ComputationRace.ts
@@ -28,16 +28,19 @@
 
 /** Options of a `ComputationRace`. */
 export interface ComputationRaceOptions<Ended> {
-  /** Makes one computation. Must not reject. */
+  /** Makes one computation. If it rejects, the race does too. */
   run: (start: RunStart) => Promise<Ended>
   verdictOn: (ended: Ended) => RunVerdict
-  /** True while another computation can be of use and is allowed after the given number of them. */
-  mayMove: (reason: MoveReason, computations: number) => boolean
+  /** True while another computation can be of use and is allowed. */
+  mayMove: (reason: MoveReason) => boolean
   /** Called for each computation that ends after the race is over. */
   onLoser: (ended: Ended) => void
 }
 
-type RaceEvent<Ended> = { kind: 'late', run: number } | { kind: 'ended', run: number, ended: Ended }
+type RaceEvent<Ended> =
+  | { kind: 'late', run: number }
+  | { kind: 'ended', run: number, ended: Ended }
+  | { kind: 'threw', error: unknown }
 
 const overtaken = new Error('another worker computed the prompt first')
 
@@ -63,6 +66,10 @@
         if (event.run === this.startedRuns && this.openRuns.has(event.run)) this.tryMove('late')
         continue
       }
+      if (event.kind === 'threw') {
+        this.end()
+        throw event.error
+      }
       this.openRuns.delete(event.run)
       ended.push(event.ended)
       const verdict = this.options.verdictOn(event.ended)
@@ -71,18 +78,22 @@
       const isLatest = event.run === this.startedRuns
       if (verdict !== 'no_move' && (isLatest || this.openRuns.size === 0)) this.tryMove(verdict)
     }
+    this.end()
+    return ended
+  }
+
+  private end (): void {
     this.isOver = true
     for (const controller of this.openRuns.values()) controller.abort(overtaken)
     for (const event of this.events) {
       if (event.kind === 'ended') this.options.onLoser(event.ended)
     }
-    return ended
   }
 
   private tryMove (reason: MoveReason): void {
     if (reason === 'failed') this.failures += 1
     if (this.startedRuns > maxMoves || this.failures >= maxFailures) return
-    if (this.options.mayMove(reason, this.startedRuns)) this.start(reason)
+    if (this.options.mayMove(reason)) this.start(reason)
   }
 
   private start (reason: MoveReason | undefined): void {
@@ -94,7 +105,7 @@
     this.options.run({ reason, cancelled: controller.signal, onLate }).then(ended => {
       if (this.isOver) this.options.onLoser(ended)
       else this.add({ kind: 'ended', run, ended })
-    }, () => {})
+    }, error => { this.add({ kind: 'threw', error }) })
   }
 
   private add (event: RaceEvent<Ended>): void {
--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -4,7 +4,7 @@
  */
 import { Result } from 'true-myth'
 import type { Dispatcher } from 'undici'
-import { abortAfter, type Clock, type Failure, type WorkerId } from '../common/index.js'
+import { abortAfter, type Clock, type Failure } from '../common/index.js'
 import { isNotSent, readBounded } from '../clients/index.js'
 import type { RequestPermits } from '../limits/index.js'
 import type { EventLog } from '../observability/index.js'
@@ -87,15 +87,15 @@
     if (this.candidates(request).length === 0) return Result.ok(noComputation)
     const mayCompute = isFirst ? !budget.isOverdrawn(pool) : budget.tryTake(pool)
     if (!mayCompute) return Result.ok(noComputation)
-    const excluded = new Set<WorkerId>()
+    const sentTo = new Set<Upstream>()
     const lostAt = request.startLostAt ?? deadline
     const ended = await new ComputationRace<EndedRun>({
-      run: async start => await this.run(request, excluded, start, stop),
+      run: async start => await this.run(request, sentTo, start, stop),
       verdictOn,
-      mayMove: (reason, computations) => {
+      mayMove: reason => {
         if (stop.aborted || clock.monotonic() >= lostAt) return false
-        if (this.candidates(request).every(({ id }) => excluded.has(id))) return false
-        return reason === 'nothing' || !this.areAllServing(excluded) || computations < (request.maxAttempts ?? Infinity)
+        if (this.candidates(request).every(upstream => sentTo.has(upstream))) return false
+        return reason === 'nothing' || servingCount(sentTo) < (request.maxAttempts ?? Infinity)
       },
       onLoser: run => { this.discard(request, run) }
     }).run()
@@ -114,25 +114,18 @@
     return this.context.upstreams.candidatesForPool(pool, 'prefill').filter(({ role }) => role === 'prefill')
   }
 
-  /**
-   * True if all workers that were sent the prompt are still there. A further computation then counts as an attempt of the
-   * request, whose number the operators limit.
-   */
-  private areAllServing (sentTo: ReadonlySet<WorkerId>): boolean {
-    return [...sentTo].every(id => this.context.upstreams.worker(id) !== undefined)
-  }
-
-  /** Places the prompt on a worker that is not excluded, and computes it there. */
+  /** Places the prompt on a worker that was not sent it, and computes it there. */
   private async run (
     request: ServiceRequest,
-    excluded: Set<WorkerId>,
+    sentTo: Set<Upstream>,
     { reason, cancelled, onLate }: RunStart,
     stopOfCall: AbortSignal
   ): Promise<EndedRun> {
     const { prompt, pool, requestId, deadline } = request
     const { upstreams, budget, placer, events } = this.context
     const stop = AbortSignal.any([stopOfCall, cancelled])
-    const untried = (): readonly Upstream[] => this.candidates(request).filter(({ id }) => !excluded.has(id))
+    const untried = (): readonly Upstream[] => this.candidates(request).filter(upstream => !sentTo.has(upstream))
+    const excluded = new Set([...sentTo].map(({ id }) => id))
     this.computations += 1
     const placed = await placer.place({
       id: `${requestId}.${this.computations}`,
@@ -162,7 +155,7 @@
       : await this.choosePermitted(request, placement.worker, untried, stop)
     if (worker === undefined) return { ...notSent, placement }
     if (reason !== undefined) events.info('prompt_moved', { request: requestId, worker: worker.id, reason, from: [...excluded].join(',') })
-    excluded.add(worker.id)
+    sentTo.add(worker)
     worker.vanished.addEventListener('abort', onLate, { once: true })
     if (worker.vanished.aborted) onLate()
     const computation = await this.send(request, { ...placement, worker }, stop)
@@ -280,6 +273,14 @@
   }
 }
 
+/**
+ * Number of workers that were sent the prompt and are still there. A computation on a further one counts as an attempt of
+ * the request, whose number the operators limit.
+ */
+function servingCount (sentTo: ReadonlySet<Upstream>): number {
+  return [...sentTo].filter(({ vanished }) => !vanished.aborted).length
+}
+
 /** A scheduler that leaves the prompt to the worker of the answer has decided the race as well. */
 function verdictOn ({ outcome, source, placement, takesRetry }: EndedRun): RunVerdict {
   if (source !== undefined || (outcome === undefined && placement?.answerWorker !== undefined)) return 'final'
--- a/src/placement/PromptSchedule.ts
+++ b/src/placement/PromptSchedule.ts
@@ -19,7 +19,7 @@
 import { OverdueWatch } from './OverdueWatch.js'
 import { PrefillSpeed } from './PrefillSpeed.js'
 import { type Estimate, PromptEstimates } from './PromptEstimates.js'
-import { type PlacementDecision, type PromptOutcome, type PromptTask, promptTokensOf } from './PromptTask.js'
+import { type PlacementDecision, promptBytesOf, type PromptOutcome, type PromptTask, promptTokensOf } from './PromptTask.js'
 import { compareRanks, type PromptTimes, rankOf, type WaitingPrompt } from './WaitingPrompt.js'
 import type { DispatchedPrompt, WorkerBacklog } from './WorkerBacklog.js'
 import { WorkerBacklogs } from './WorkerBacklogs.js'
@@ -99,6 +99,7 @@
   private readonly shares = new AccountShares()
   /** Sum of `computeMilliseconds` over the waiting prompts. */
   private waitingMilliseconds = 0
+  private waitingByteCount = 0
   private isDispatchDue = false
   private recheck: AbortController | undefined
   private stateLoggedAt = -Infinity
@@ -134,6 +135,11 @@
     return this.waiting.size
   }
 
+  /** Memory of the prompts that wait, in bytes. */
+  get waitingBytes (): number {
+    return this.waitingByteCount
+  }
+
   /** Decides about a prompt; resolves when a worker has room for it, or when it is clear that it must be refused. */
   async place (task: PromptTask): Promise<PlacementDecision> {
     if (this.options.workers().length === 0) return { kind: 'no_worker' }
@@ -146,6 +152,7 @@
     return await new Promise(resolve => {
       this.waiting.set(task.id, { task, decide: resolve, ...times })
       this.waitingMilliseconds += computeMilliseconds
+      this.waitingByteCount += promptBytesOf(task)
       this.dispatchSoon()
     })
   }
@@ -194,6 +201,7 @@
     if (entry === undefined) return undefined
     this.waiting.delete(id)
     this.waitingMilliseconds -= entry.computeMilliseconds
+    this.waitingByteCount -= promptBytesOf(entry.task)
     return entry
   }
 
--- a/src/placement/PromptScheduler.ts
+++ b/src/placement/PromptScheduler.ts
@@ -10,7 +10,7 @@
 import type { AnswerWorker } from './AnswerLoad.js'
 import type { HeldParts } from './HeldParts.js'
 import { PromptSchedule, type PromptScheduleCosts } from './PromptSchedule.js'
-import type { PlacementDecision, PromptOutcome, PromptTask } from './PromptTask.js'
+import { type PlacementDecision, promptBytesOf, type PromptOutcome, type PromptTask } from './PromptTask.js'
 
 /** The workers for which one schedule decides: those of a pool in one zone, or in all zones. */
 export interface PlacementCell { pool: Pool, zone: Zone | undefined }
@@ -41,9 +41,6 @@
 /** Maximum size of the waiting prompts of all cells in bytes; a prompt of 50 parts takes about 3 KB. */
 const maxWaitingBytes = 16_777_216
 
-/** Memory of a part beside its name, in bytes. */
-const partOverheadBytes = 48
-
 /** Time after which a prompt that the scheduler did not take on should come back, in milliseconds. */
 const retryAfterMilliseconds = 300
 
@@ -74,22 +71,22 @@
   private readonly schedules = new Map<string, { cell: PlacementCell, schedule: PromptSchedule }>()
   /** Permits of the limited workers, by cell; also of cells whose workers compute no prompts. */
   private readonly permits = new Map<string, PermitQueue>()
-  private waitingBytes = 0
 
   constructor (private readonly options: PromptSchedulerOptions) {}
 
   /** Decides about a prompt; see `PromptSchedule.place`. `limits`: what the asking host knows of the cell's workers. */
   async place (cell: PlacementCell, task: PromptTask, limits: readonly WorkerLimit[] = []): Promise<PlacementDecision> {
-    const bytes = task.parts.reduce((sum, part) => sum + part.length + partOverheadBytes, 0)
     if (this.isForeign(cell)) return { kind: 'no_worker' }
-    if (this.waitingBytes + bytes > maxWaitingBytes) return { kind: 'refused', retryAfterMilliseconds }
+    if (this.waitingBytes + promptBytesOf(task) > maxWaitingBytes) return { kind: 'refused', retryAfterMilliseconds }
     this.permitsOf(cell).learn(limits)
-    this.waitingBytes += bytes
-    try {
-      return await this.scheduleOf(cell).place(task)
-    } finally {
-      this.waitingBytes -= bytes
-    }
+    return await this.scheduleOf(cell).place(task)
+  }
+
+  /** Memory of the prompts that wait in all cells, in bytes. */
+  private get waitingBytes (): number {
+    let sum = 0
+    for (const { schedule } of this.schedules.values()) sum += schedule.waitingBytes
+    return sum
   }
 
   /** Decides about a request to a limited worker that was not placed as a prompt; see `PermitQueue.request`. */
--- a/src/placement/PromptTask.ts
+++ b/src/placement/PromptTask.ts
@@ -46,3 +46,11 @@
 export function promptTokensOf ({ partTokens }: PromptTask): number {
   return partTokens.reduce((sum, tokens) => sum + tokens, 0)
 }
+
+/** Memory of a part beside its name, in bytes. */
+const partOverheadBytes = 48
+
+/** Memory of a prompt while it waits, in bytes. */
+export function promptBytesOf ({ parts }: PromptTask): number {
+  return parts.reduce((sum, part) => sum + part.length + partOverheadBytes, 0)
+}
--- a/src/platform/CapacityPart.ts
+++ b/src/platform/CapacityPart.ts
@@ -32,6 +32,9 @@
 /** Share of a worker's slots that requests in progress take, so that the steps of streams stay short. */
 const usedSlotShare = 0.25
 
+/** Largest share of the engines that compute prompts; some have to answer. */
+const maxPromptShare = 0.95
+
 /** Owns the meter and the task. */
 export class CapacityPart {
   private readonly meter: OccupancyMeter
@@ -80,15 +83,14 @@
     return services.flatMap(({ pool, models, scaling }) => {
       if (scaling === undefined) return []
       const members = entries.filter(entry => entry.pool === pool)
-      const slots = Math.min(...members.map(member => member.slots))
-      if (members.length === 0) return []
+      const slots = members.length === 0 ? 1 : Math.min(...members.map(member => member.slots))
       return [{
         pool,
         scaling,
         throughput: {
           promptsPerWorker: promptsPerEngine,
           answersPerWorker: Math.max(1, slots * usedSlotShare),
-          promptShare: models.length > 0 ? this.options.prefillShare : 0
+          promptShare: models.length > 0 ? Math.min(maxPromptShare, this.options.prefillShare) : 0
         },
         workers: members.map(({ zone, spot, leaving }): CountedWorker => ({ zone, kind: spot ? 'spot' : 'standard', leaving }))
       }]
--- a/src/platform/PlatformDutyClient.ts
+++ b/src/platform/PlatformDutyClient.ts
@@ -30,7 +30,7 @@
 /** Number of characters of a response that an error message contains. */
 const maxQuotedLength = 200
 
-/** Words in the body of a refusal that tell an outdated fencing number from a lack of workers. */
+/** Words in the body of a refusal: names of members with a fencing number, and those that tell of a lack of workers. */
 const outdatedWords = /token|fence|stale|outdated/i
 const unavailableWords = /avail|capacity|stock|sold/i
 
@@ -100,11 +100,9 @@
 /** The reason for which an order was refused, as far as the body of the response tells. */
 function conflictOf (body: unknown, fencingNumber: FencingNumber): Failure {
   if (greatestNumberIn(body) > fencingNumber) return outdated(body)
-  const text = JSON.stringify(body ?? '')
-  const [saysOutdated, saysUnavailable] = [outdatedWords.test(text), unavailableWords.test(text)]
-  if (saysOutdated && !saysUnavailable) return outdated(body)
   const detail: OrderConflictDetail = { isUnavailable: true }
-  return failure('conflict', `the platform refused the order: ${quote(body)}`, saysUnavailable && !saysOutdated ? detail : undefined)
+  const saysUnavailable = unavailableWords.test(JSON.stringify(body ?? ''))
+  return failure('conflict', `the platform refused the order: ${quote(body)}`, saysUnavailable ? detail : undefined)
 }
 
 /** The greatest number among the members of a response whose names speak of a token. */
