End polls of the store that nobody waits for

Each read of a follower left a second poll open, a charged call. The connection then stayed open although it was idle, and a later confirmation could join the old poll or a silent connection, so that a change was known later than 3 s.

--- a/src/platform/relay/RelayedTopic.test.ts
+++ b/src/platform/relay/RelayedTopic.test.ts
@@ -15,18 +15,20 @@
 let topic: RelayedTopic
 /** Reads of the store that wait for their response. */
 let reads: Array<{ from: number, wait: number, answer: (outcome: ReadOutcome) => void }>
+let closes: number
 
 beforeEach(async () => {
   clock = new ManualClock()
   era = new StoreEra()
   era.accept('1')
   reads = []
+  closes = 0
   const read = async (_topic: string, from: number, wait: number, signal = never): Promise<Result<ReadOutcome, Failure>> =>
     await new Promise(resolve => {
       reads.push({ from, wait, answer: outcome => { resolve(Result.ok(outcome)) } })
       signal.addEventListener('abort', () => { resolve(Result.err(failure('platform_unavailable', 'aborted'))) })
     })
-  topic = new RelayedTopic({ topic: 'keyed.op', store: { read, close: async () => {} }, era, clock })
+  topic = new RelayedTopic({ topic: 'keyed.op', store: { read, close: async () => { closes += 1 } }, era, clock })
 })
 
 afterEach(async () => { await topic.stop() })
@@ -114,3 +116,25 @@
   await answer()
   expect(await topic.readForPeer(20, era.current, 0)).toMatchObject({ kind: 'records', next: 20 })
 })
+
+// An idle connection may become silent, and a poll that goes on unasked is charged and delays the next read.
+test('the store is polled once for a read of the follower, and the connection is closed when the follower reads elsewhere', async () => {
+  const read = topic.read(5, 3000, never)
+  await answer()
+  await read
+  expect(reads).toHaveLength(1)
+  await topic.release()
+  topic.read(5, 0, never).catch(() => {})
+  await clock.advance(0)
+  expect([closes, reads.at(-1)!.wait]).toEqual([1, 0])
+})
+
+test('a poll for other hosts that read no more is ended when the follower of the host reads elsewhere', async () => {
+  await startServing(5)
+  await answer()
+  await clock.advance(5000)
+  await topic.release()
+  topic.read(5, 0, never).catch(() => {})
+  await clock.advance(0)
+  expect([closes, reads.at(-1)!.wait]).toEqual([1, 0])
+})
--- a/src/platform/relay/RelayedTopic.ts
+++ b/src/platform/relay/RelayedTopic.ts
@@ -129,7 +129,9 @@
 
   /** Closes the connection to the store if nobody reads here; it may become silent while it is idle. */
   async release (): Promise<void> {
-    if (!this.isPolling) await this.options.store.close()
+    if (this.isPolling && this.isNeeded) return
+    this.openPoll?.abort()
+    await this.options.store.close()
   }
 
   async stop (): Promise<void> {
@@ -139,6 +141,11 @@
     await this.options.store.close()
   }
 
+  /** True while the follower of this host or another host reads here. */
+  private get isNeeded (): boolean {
+    return this.isServing || this.followerWait !== undefined
+  }
+
   /** Wait of the next poll for other hosts, so that its response arrives while the view is fresh. */
   private get servingWait (): number {
     const remaining = this.viewedAt + maxViewAgeMilliseconds - responseMilliseconds - this.options.clock.monotonic()
@@ -175,7 +182,7 @@
   }
 
   private async poll (): Promise<void> {
-    while (this.window !== undefined && (this.isServing || this.followerWait !== undefined)) {
+    while (this.window !== undefined && this.isNeeded) {
       await this.pollOnce(this.window)
     }
     this.isPolling = false
@@ -194,6 +201,8 @@
     if (read.isErr || read.value === 'expired' || read.value.era !== window.era) return this.drop(read)
     window.append(read.value)
     this.viewedAt = this.viewTimeOf({ isEmpty: window.end === from, sentAt, waitMilliseconds })
+    // The follower's read ends here. Its caller goes on only after this loop has decided about a further poll.
+    this.followerWait = undefined
     this.notifyChange()
     if (window.end > from && this.isServing) await clock.sleep(changeBatchMilliseconds, this.stopping.signal)
   }
