Discard a relay's records when its follower reads elsewhere

The first reader of a host that reads through another relay was closed, since the follower of that host then dropped the old records; the reader avoided the host for 3 s. The records are now discarded when the follower leaves the store.

--- a/src/platform/relay/RelayedTopic.test.ts
+++ b/src/platform/relay/RelayedTopic.test.ts
@@ -16,6 +16,7 @@
 /** Reads of the store that wait for their response. */
 let reads: Array<{ from: number, wait: number, answer: (outcome: ReadOutcome) => void }>
 let closes: number
+let drops: number
 
 beforeEach(async () => {
   clock = new ManualClock()
@@ -23,12 +24,14 @@
   era.accept('1')
   reads = []
   closes = 0
+  drops = 0
   const read = async (_topic: string, from: number, wait: number, signal = never): Promise<Result<ReadOutcome, Failure>> =>
     await new Promise(resolve => {
       reads.push({ from, wait, answer: outcome => { resolve(Result.ok(outcome)) } })
       signal.addEventListener('abort', () => { resolve(Result.err(failure('platform_unavailable', 'aborted'))) })
     })
-  topic = new RelayedTopic({ topic: 'keyed.op', store: { read, close: async () => { closes += 1 } }, era, clock })
+  const store = { read, close: async () => { closes += 1 } }
+  topic = new RelayedTopic({ topic: 'keyed.op', store, era, clock, onDropped: () => { drops += 1 } })
 })
 
 afterEach(async () => { await topic.stop() })
@@ -138,3 +141,16 @@
   await clock.advance(0)
   expect([closes, reads.at(-1)!.wait]).toEqual([1, 0])
 })
+
+// The reader would avoid this relay for 3 s. `onDropped` closes the connections of the readers.
+test('the first reader of a host that read elsewhere meanwhile is answered, and not closed', async () => {
+  const read = topic.read(5, 3000, never)
+  await answer()
+  await read
+  await topic.release()
+  const first = topic.readForPeer(9, 1, 1000)
+  topic.read(9, 3000, never).catch(() => {})
+  await clock.advance(0)
+  await answer(recordOf('a'))
+  expect([await first, drops]).toMatchObject([{ kind: 'records', next: 10 }, 0])
+})
--- a/src/platform/relay/RelayedTopic.ts
+++ b/src/platform/relay/RelayedTopic.ts
@@ -127,9 +127,15 @@
     }
   }
 
-  /** Closes the connection to the store if nobody reads here; it may become silent while it is idle. */
+  /**
+   * Closes the connection to the store if nobody reads here; it may become silent while it is idle. The records are
+   * discarded: the follower goes on elsewhere, so that they would be dropped at its next read here, when other hosts may
+   * already read them.
+   */
   async release (): Promise<void> {
     if (this.isPolling && this.isNeeded) return
+    this.window = undefined
+    this.viewedAt = -Infinity
     this.openPoll?.abort()
     await this.options.store.close()
   }
