Bound the unsent answers of a relay over all its readers

Each of 96 readers could leave 4 MB and a line unread, over 380 MB on hosts of 202 MB and more. The relay now closes the readers with the most unsent answers above 8 MB in all, the line to be written included; they read from the store.

--- a/src/platform/relay/StoreRelay.test.ts
+++ b/src/platform/relay/StoreRelay.test.ts
@@ -79,6 +79,32 @@
 const opening = `{"kind":"open","service":"${relayService}"}\n`
 const readLine = `${JSON.stringify({ kind: 'read', id: 'a', ...question })}\n`
 
+/** Opens the service on a connection that does not read the answers to its reads. */
+async function openSilent (reads: number): Promise<Socket> {
+  const [host, port] = listener.address.split(':')
+  const socket = connect(Number(port), host)
+  socket.on('error', () => {}).write(opening)
+  await new Promise(resolve => { socket.once('data', resolve) })
+  socket.pause()
+  socket.write(readLine.repeat(reads))
+  return socket
+}
+
+// 96 readers with some unsent pages each would take up more memory than small hosts have.
+test('the readers that do not read are closed beyond a bound over all readers, and others are served', async () => {
+  const served = new Set<Socket>()
+  const serve = relay.serve.bind(relay)
+  relay.serve = socket => { served.add(socket); serve(socket) }
+  outcome = { kind: 'records', next: 1, age: 0, texts: [encodeRecord({ key: 'key', value: Buffer.alloc(1_000_000, 'v') })] }
+  const silent: Socket[] = []
+  for (let count = 0; count < 12; count += 1) silent.push(await openSilent(4))
+  expect(await read()).toMatchObject({ kind: 'records' })
+  const unsent = [...served].filter(socket => !socket.destroyed).reduce((sum, { writableLength }) => sum + writableLength, 0)
+  for (const socket of silent) socket.destroy()
+  expect(unsent).toBeLessThanOrEqual(8_388_608)
+  expect(relay.readers).toBeLessThan(13)
+})
+
 describe('a connection that sends', () => {
   test.each([
     ['the name of no service', '{"kind":"open","service":"other"}\n'],
--- a/src/platform/relay/StoreRelay.ts
+++ b/src/platform/relay/StoreRelay.ts
@@ -14,8 +14,14 @@
 /** Maximum number of open reads of one connection; a reader has one for each topic. */
 const maxOpenReads = 16
 
-/** Maximum size of the answers to one connection that were not sent yet, in bytes. */
-const maxUnsentBytes = 4_194_304
+/**
+ * Maximum size of the answers to all readers that were not sent yet, in characters. The smallest hosts have 202 MB, and
+ * these answers are not part of the byte budget of their requests.
+ */
+const maxUnsentLength = 8_388_608
+
+/** Length from which a line is passed to the system at once, so that it does not wait with the other lines of the turn. */
+const minLongLineLength = 16_384
 
 /** Time after which a connection without reads is closed, in milliseconds; its host may be gone. */
 const idleMilliseconds = 10_000
@@ -66,6 +72,7 @@
 
   private refuse (socket: Socket, reason: string): void {
     this.options.events.warn('relay_reader_closed', { address: socket.remoteAddress, reason })
+    this.sockets.delete(socket)
     socket.destroy()
   }
 
@@ -73,8 +80,22 @@
     openReads.count += 1
     const line = await this.lineFor(request)
     openReads.count -= 1
-    if (socket.writableLength > maxUnsentBytes) return this.refuse(socket, 'answers are not read')
-    writeCorked(socket, line)
+    if (socket.destroyed) return
+    this.makeRoom(line.length)
+    if (line.length < minLongLineLength) writeCorked(socket, line)
+    else if (!socket.destroyed) socket.write(line)
+  }
+
+  /** Closes the readers with the longest unsent answers until a line fits into the bound; they read from the store. */
+  private makeRoom (length: number): void {
+    const readers = [...this.sockets]
+    let unsent = readers.reduce((sum, { writableLength }) => sum + writableLength, length)
+    if (unsent <= maxUnsentLength) return
+    for (const socket of readers.sort((left, right) => right.writableLength - left.writableLength)) {
+      if (unsent <= maxUnsentLength) return
+      unsent -= socket.writableLength
+      this.refuse(socket, 'answers are not read')
+    }
   }
 
   private async lineFor ({ id, topic: name, from, wait, era }: RelayRequest): Promise<string> {
