--- a/src/platform/UsageTopic.test.ts
+++ b/src/platform/UsageTopic.test.ts
@@ -3,8 +3,10 @@
  * forgotten and that are decided once more.
  */
 import { afterEach, beforeEach, expect, test } from '@jest/globals'
-import { ManualClock } from '../common/index.js'
-import type { JournalContent, JournalView } from '../usage/windows/index.js'
+import { Result } from 'true-myth'
+import { type Clock, type FencingNumber, ManualClock } from '../common/index.js'
+import { discardingEventLog } from '../streams/testSupport.js'
+import { type JournalContent, type JournalView, UsageCollector, UsageReporter } from '../usage/windows/index.js'
 import { StoreClient } from './StoreClient.js'
 import { StoreEra } from './StoreEra.js'
 import { FakeStore } from './testing/FakeStore.js'
@@ -75,7 +77,7 @@
   expect((await topic.append(contentOf(2, 9), lost)).isErr).toBe(true)
   store.restore(copy, { keepsConnections: true })
   const restored = await read(topic)
-  expect(restored).toMatchObject({ content: contentOf(1, 3), mayLackWindows: true, completeSince: clock.wall() })
+  expect(restored).toMatchObject({ content: contentOf(1, 3), mayLackWindows: true, completeForMilliseconds: 0 })
   await topic.append(contentOf(13, 6), restored.position)
   expect(await read(openTopic())).toMatchObject({ content: contentOf(13, 6), mayLackWindows: false })
 })
@@ -84,3 +86,52 @@
   store.write(usageTopic, usageKey, { through: 'x' })
   expect((await openTopic().read()).isErr).toBe(true)
 })
+
+// Guards against a window that the former holder reported and that is reported again, and against missed windows.
+test.each([0, -30_000, 60_000])('after a restore, a new holder whose clock is %i ms ahead reports the windows from then on', async offset => {
+  const [first, windowMilliseconds, reported] = [1_700_000_000_000 / 5000, 5000, [] as number[]]
+  const own = Object.assign(Object.create(clock) as Clock, { wall: () => clock.wall() + offset })
+  const era = new StoreEra()
+  era.accept('1')
+  const value = Buffer.from(JSON.stringify({ era: 1, through: first, windows: [] }))
+  const journal = new UsageTopic({
+    store: {
+      newest: async () => Result.ok({ records: [{ key: usageKey, value }], end: 1, era: 2 } as never),
+      append: async () => Result.ok({ end: 2, era: 2 } as never),
+      close: async () => {}
+    },
+    era,
+    clock: own
+  })
+  const collector = new UsageCollector({ clock: own, windowMilliseconds })
+  let token: FencingNumber | undefined
+  const reporter = new UsageReporter({
+    lease: { authority: () => token, confirmedAuthority: async () => token, handleRefusal: () => {} },
+    journal,
+    platform: {
+      reportUsage: async ({ window }) => {
+        reported.push(window - first)
+        return Result.ok(undefined)
+      }
+    },
+    collector,
+    clock: own,
+    events: discardingEventLog(clock),
+    windowMilliseconds,
+    lateMilliseconds: 10_000
+  })
+  await clock.advance(13_000)
+  era.accept('2')
+  reporter.start()
+  for (let second = 0; second < 20; second += 1) {
+    const at = clock.wall()
+    const finalWindow = Math.floor((at - 2500) / windowMilliseconds) - 1
+    for (const host of ['a', 'b', 'c']) {
+      collector.receive({ host: host as never, incarnation: '1' as never, zone: 'a' as never, at, windows: [], finalWindow, demand: [] })
+    }
+    if (second === 1) token = 2 as FencingNumber
+    await clock.advance(1000)
+  }
+  await reporter.stop()
+  expect(reported).toEqual([2, 3, 4])
+})
--- a/src/platform/UsageTopic.ts
+++ b/src/platform/UsageTopic.ts
@@ -68,7 +68,7 @@
       content: content === undefined ? undefined : { through: content.through, windows: content.windows },
       position,
       mayLackWindows: content?.era !== readEra,
-      completeSince: clock.wall() - (clock.monotonic() - this.eraKnownAt)
+      completeForMilliseconds: clock.monotonic() - this.eraKnownAt
     })
   }
 
--- a/src/usage/windows/DecidedWindows.ts
+++ b/src/usage/windows/DecidedWindows.ts
@@ -36,9 +36,9 @@
 
   /**
    * Takes over what the journal holds. Returns false if it lacks windows of this host that were not reported yet, and has to
-   * be written again first.
+   * be written again first. `now` is the Unix time in milliseconds by the clocks of all hosts.
    */
-  take ({ content, mayLackWindows, completeSince }: JournalView, windowMilliseconds: number): boolean {
+  take ({ content, mayLackWindows, completeForMilliseconds }: JournalView, now: number, windowMilliseconds: number): boolean {
     const journaled = new Set(content?.windows.map(({ window }) => window))
     for (const record of content?.windows ?? []) {
       if (!this.known.has(record.window)) this.known.set(record.window, { record, isReported: false, attempts: 0 })
@@ -50,7 +50,7 @@
       return true
     }
     // The window during which the journal's state became certain ends after it, so that nobody has reported it before.
-    const lastUncertain = windowOf(completeSince, windowMilliseconds) - 1
+    const lastUncertain = windowOf(now - completeForMilliseconds, windowMilliseconds) - 1
     this.newest = Math.max(lastUncertain, content?.through ?? -Infinity, ...this.known.keys())
     this.trim()
     return this.pending().every(({ record }) => journaled.has(record.window))
--- a/src/usage/windows/UsageJournal.ts
+++ b/src/usage/windows/UsageJournal.ts
@@ -33,8 +33,11 @@
    * older copy after the newest append, or there is none.
    */
   mayLackWindows: boolean
-  /** Unix time in milliseconds since which the store certainly has not come back from an older copy. */
-  completeSince: number
+  /**
+   * Time in milliseconds for which the store certainly has not come back from an older copy; not a time of day, since the
+   * clock of this host may be wrong.
+   */
+  completeForMilliseconds: number
 }
 
 /** The journal, which all hosts share. */
--- a/src/usage/windows/UsageReporter.test.ts
+++ b/src/usage/windows/UsageReporter.test.ts
@@ -46,7 +46,8 @@
   async read (): Promise<Result<JournalView, Failure>> {
     const { appends, era, restoredFrom, completeSince } = this.shared
     const mayLackWindows = appends.length <= restoredFrom
-    return Result.ok({ content: appends.at(-1), position: { end: appends.length, era }, mayLackWindows, completeSince })
+    const completeForMilliseconds = clock.wall() - completeSince
+    return Result.ok({ content: appends.at(-1), position: { end: appends.length, era }, mayLackWindows, completeForMilliseconds })
   }
 
   async append (content: JournalContent, position: JournalPosition): Promise<Result<JournalPosition, Failure>> {
--- a/src/usage/windows/UsageReporter.ts
+++ b/src/usage/windows/UsageReporter.ts
@@ -131,7 +131,7 @@
     if (this.position !== undefined) return undefined
     const read = await journal.read(signal)
     if (read.isErr) return read.error
-    this.mustWriteAgain = !this.decided.take(read.value, windowMilliseconds)
+    this.mustWriteAgain = !this.decided.take(read.value, this.now(), windowMilliseconds)
     this.position = read.value.position
     events.info('usage_journal_read', {
       through: this.decided.through, pending: this.decided.pending().length, restored: read.value.mayLackWindows
