Hold calls to the platform after an unknown outcome while the fencing number has risen

Where the platform checks no numbers, it could execute a call without a response after a call of the same holder with a greater number. Reports and orders now wait for one lease in that case.

--- a/src/capacity/CapacityTask.test.ts
+++ b/src/capacity/CapacityTask.test.ts
@@ -16,9 +16,10 @@
   const clock = new ManualClock()
   const given: Array<{ order: WorkerCountOrder, fencingNumber: FencingNumber }> = []
   const refused: FencingNumber[] = []
+  const held = { number }
   const lease = {
-    authority: () => refused.length > 0 ? undefined : number,
-    confirmedAuthority: async () => isConfirmed ? number : undefined,
+    authority: () => refused.length > 0 ? undefined : held.number,
+    confirmedAuthority: async () => isConfirmed ? held.number : undefined,
     handleRefusal: (refusedNumber: FencingNumber) => { refused.push(refusedNumber) }
   }
   const task = new CapacityTask({
@@ -39,7 +40,7 @@
       }
     }
   })
-  return { clock, task, given, refused }
+  return { clock, task, given, refused, held }
 }
 
 const failed = (kind: ErrorKind) => () => Result.err<void, Failure>(failure(kind, 'refused by the test'))
@@ -71,3 +72,16 @@
   await task.runOnce()
   expect(given.map(({ order: { kind: ordered } }) => ordered)).toEqual(Array(times).fill('spot'))
 })
+
+// Guards against an order that the platform executes after one with a greater number, when it does not check numbers.
+test('after an order without a response, none with a greater number is given for one lease', async () => {
+  const { task, given, clock, held } = createTask(failed('outcome_unknown'))
+  await task.runOnce()
+  held.number = 8 as FencingNumber
+  await clock.advance(2900)
+  await task.runOnce()
+  expect(given.every(({ fencingNumber }) => fencingNumber === number)).toBe(true)
+  await clock.advance(100)
+  await task.runOnce()
+  expect(given.at(-1)!.fencingNumber).toBe(8)
+})
--- a/src/capacity/CapacityTask.ts
+++ b/src/capacity/CapacityTask.ts
@@ -3,7 +3,7 @@
  * right after the store has confirmed the host's authority.
  */
 import { type Clock, type Failure, type Pool, Task } from '../common/index.js'
-import type { DutyPlatform } from '../duties/index.js'
+import { CallHold, type DutyPlatform } from '../duties/index.js'
 import type { GroupLease } from '../leases/index.js'
 import type { EventLog } from '../observability/index.js'
 import { CapacityPlanner } from './CapacityPlanner.js'
@@ -29,15 +29,20 @@
   pools: () => ScaledPool[]
   demandOf: (pool: Pool) => PoolDemand | undefined
   platform: Pick<DutyPlatform, 'orderWorkers'>
+  /** Time for which calls with a greater fencing number wait after one with an unknown outcome. Default: 3 s. */
+  holdMilliseconds?: number
 }
 
 /** Plans and orders on the holder of the duty. */
 export class CapacityTask {
   /** Planners since this host gained the duty. */
   private readonly planners = new Map<Pool, CapacityPlanner>()
+  private readonly hold: CallHold
   private task: Task | undefined
 
-  constructor (private readonly options: CapacityTaskOptions) {}
+  constructor (private readonly options: CapacityTaskOptions) {
+    this.hold = new CallHold(options.clock, options.holdMilliseconds)
+  }
 
   start (): void {
     const { clock, events } = this.options
@@ -71,6 +76,10 @@
   private async give (order: WorkerOrder, planner: CapacityPlanner): Promise<boolean> {
     const { lease, platform, events, clock } = this.options
     const { pool, zone, kind, desired, before, reason } = order
+    if (this.hold.holds(lease.authority())) {
+      planner.recordFailure(zone, kind)
+      return true
+    }
     const fencingNumber = await lease.confirmedAuthority()
     if (fencingNumber === undefined) {
       planner.recordFailure(zone, kind)
@@ -85,6 +94,7 @@
       return true
     }
     planner.recordFailure(zone, kind)
+    if (given.error.kind === 'outcome_unknown') this.hold.recordUnknown(fencingNumber)
     if (given.error.kind !== 'lost_authority' && given.error.kind !== 'conflict') return true
     lease.handleRefusal(fencingNumber)
     return false
--- a/src/platform/DutyPart.ts
+++ b/src/platform/DutyPart.ts
@@ -140,7 +140,15 @@
     const collector = new UsageCollector({ clock, windowMilliseconds })
     const journal = new UsageTopic({ store: new StoreClient(store.address, era), era, clock })
     const reporter = new UsageReporter({
-      lease, journal, platform: this.platform, collector, clock, events, windowMilliseconds, lateMilliseconds
+      lease,
+      journal,
+      platform: this.platform,
+      collector,
+      clock,
+      events,
+      windowMilliseconds,
+      lateMilliseconds,
+      holdMilliseconds: bounds.leaseMilliseconds
     })
     const gauge = (name: string, help: string, value: () => number): void => {
       metrics.gauge(name, help, [], metric => { metric.set(value()) })
--- a/src/usage/windows/UsageReporter.test.ts
+++ b/src/usage/windows/UsageReporter.test.ts
@@ -310,6 +310,18 @@
   expect(a.reporter.totals).toMatchObject({ reported: 12, late: 10 })
 })
 
+// Guards against a call that the platform executes after one with a greater token, when it does not check tokens.
+test('after a report without a response, none with a greater token is sent for one lease', async () => {
+  platform.nextErrors = ['outcome_unknown']
+  await pass(5100, () => { a.hear('h1', 0, 3) })
+  expect(platform.calls).toHaveLength(1)
+  a.token = 6
+  await pass(2800, () => { a.hear('h1', 0, 3) })
+  expect(platform.calls).toHaveLength(1)
+  await pass(1000, () => { a.hear('h1', 0, 3) })
+  expect(platform.calls.map(({ token }) => token)).toEqual([5, 6])
+})
+
 // Guards against a holder that goes on with a token that the platform has refused.
 test('a refusal for a greater token ends the duty of the holder at once', async () => {
   platform.greatestToken = 6
--- a/src/usage/windows/UsageReporter.ts
+++ b/src/usage/windows/UsageReporter.ts
@@ -3,7 +3,7 @@
  * what the hosts have reported, appends it to the journal, and sends to the platform exactly what the journal holds.
  */
 import { Backoff, type Clock, type Failure, failure, Task } from '../../common/index.js'
-import type { DutyPlatform } from '../../duties/index.js'
+import { CallHold, type DutyPlatform } from '../../duties/index.js'
 import type { GroupLease } from '../../leases/index.js'
 import type { EventLog } from '../../observability/index.js'
 import { type DecidedWindow, DecidedWindows } from './DecidedWindows.js'
@@ -22,6 +22,8 @@
   windowMilliseconds: number
   /** Time after the end of a window at which its report is due. */
   lateMilliseconds: number
+  /** Time for which calls with a greater fencing number wait after one with an unknown outcome. Default: 3 s. */
+  holdMilliseconds?: number
 }
 
 /** Interval of the checks for windows that can be reported, in milliseconds. */
@@ -66,11 +68,14 @@
   private mustWriteAgain = false
   /** Monotonic time in milliseconds since which this host has had the authority without a break. */
   private collectingSince: number | undefined
+  private readonly hold: CallHold
   private task: Task | undefined
   /** Windows reported, reported after they were due, and given up, since the start; and refused calls. */
   readonly totals = { reported: 0, late: 0, abandoned: 0, refused: 0 }
 
-  constructor (private readonly options: UsageReporterOptions) {}
+  constructor (private readonly options: UsageReporterOptions) {
+    this.hold = new CallHold(options.clock, options.holdMilliseconds)
+  }
 
   start (): void {
     this.task ??= Task.start(signal => this.run(signal), error => {
@@ -214,7 +219,7 @@
    */
   private async reportPending (signal: AbortSignal): Promise<Failure | undefined> {
     for (const decided of this.decided.pending().sort((left, right) => left.attempts - right.attempts)) {
-      if (signal.aborted) return undefined
+      if (signal.aborted || this.hold.holds(this.options.lease.authority())) return undefined
       const failed = await this.report(decided)
       if (failed !== undefined) return failed
     }
@@ -240,6 +245,7 @@
     const { kind, message: reason } = reported.error
     events.warn('usage_window_refused', { ...fields, kind, reason })
     this.totals.refused += 1
+    if (kind === 'outcome_unknown') this.hold.recordUnknown(fencingNumber)
     if (kind === 'lost_authority') lease.handleRefusal(fencingNumber)
     if (kind === 'bad_request' && decided.attempts >= maxRejections) {
       decided.isReported = true
