Limit the last report of a stopping host to the time that is left

The report could take 300 ms, but only 250 ms remain after the final answers, so that a complete late drain counted as incomplete and lost the report. The limit is now 150 ms, and runs on the clock of the host.

--- a/src/platform/DutyPart.test.ts
+++ b/src/platform/DutyPart.test.ts
@@ -3,7 +3,8 @@
  * window that two holders report differently.
  */
 import { afterEach, beforeEach, expect, test } from '@jest/globals'
-import { type AccountName, loadHash, newIncarnation, type RequestId, SystemClock } from '../common/index.js'
+import { type AddressInfo, createServer, type Socket } from 'node:net'
+import { type AccountName, loadHash, ManualClock, newIncarnation, type RequestId, SystemClock } from '../common/index.js'
 import type { ServiceRequest } from '../forwarding/index.js'
 import { GroupLease } from '../leases/index.js'
 import { Metrics } from '../observability/index.js'
@@ -16,7 +17,7 @@
 import { StoreDutyGroup } from './StoreDutyGroup.js'
 import { StoreEra } from './StoreEra.js'
 import { FakeDutyApi } from './testing/FakeDutyApi.js'
-import { PlatformHost } from './PlatformHost.js'
+import { finalAnswerMilliseconds, PlatformHost } from './PlatformHost.js'
 import { FakeStore } from './testing/FakeStore.js'
 import { testSettings, unusedAddress, waitUntil } from './testing/platformTestSupport.js'
 
@@ -180,3 +181,36 @@
   }
   expect(new Set(api.calls.map(({ holder }) => holder))).toEqual(new Set(['host-1', 'host-2']))
 })
+
+// Guards against a drain that is complete but counts as incomplete, since the holder does not answer the last report.
+test('the last report ends within the time that is left after the final answers', async () => {
+  const clock = new ManualClock()
+  const sockets: Socket[] = []
+  let received = false
+  const silent = createServer(socket => { sockets.push(socket.on('data', () => { received = true })) })
+  await new Promise<void>(resolve => { silent.listen(0, '127.0.0.1', resolve) })
+  const { port } = silent.address() as AddressInfo
+  try {
+    const settings = { ...testSettings(store), duties: { address: api.address, kinds: ['autoscale'] } }
+    const part = new DutyPart({
+      settings,
+      incarnation: newIncarnation(),
+      era: new StoreEra(),
+      clock,
+      events: discardingEventLog(clock),
+      metrics: new Metrics(),
+      hash: await loadHash(),
+      lease: { isAssigned: false } as GroupLease,
+      directory: { orderHolder: () => `127.0.0.1:${port}`, reportFailure: () => {} }
+    })
+    let hasStopped = false
+    const stopped = part.stop().then(() => { hasStopped = true })
+    await waitUntil(() => received)
+    await clock.advance(finalAnswerMilliseconds - 50)
+    expect(hasStopped).toBe(true)
+    await stopped
+  } finally {
+    for (const socket of sockets) socket.destroy()
+    silent.close()
+  }
+})
--- a/src/platform/DutyPart.ts
+++ b/src/platform/DutyPart.ts
@@ -49,8 +49,11 @@
  */
 const settleShare = 0.25
 
-/** Time limit of the last report of a host that stops, in milliseconds. */
-const finalReportMilliseconds = 300
+/**
+ * Time limit of the last report of a host that stops, in milliseconds. It may begin when the final answers have been sent,
+ * 250 ms before the end of the stop; with 300 ms, a complete drain counted as incomplete.
+ */
+const finalReportMilliseconds = 150
 
 /** Number of values of the 32-bit hash. */
 const hashRange = 2 ** 32
@@ -125,7 +128,10 @@
   async stop (): Promise<void> {
     await this.stopDuties()
     await this.reporter?.stop()
-    await this.reporter?.report(AbortSignal.timeout(finalReportMilliseconds))
+    const limit = new AbortController()
+    this.options.clock.sleep(finalReportMilliseconds, limit.signal).then(() => { limit.abort() }, () => {})
+    await this.reporter?.report(limit.signal)
+    limit.abort()
     this.channel.close()
   }
 
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -58,7 +58,7 @@
  * Time before the end of a stop at which requests without a response receive a final answer, in milliseconds; it
  * suffices to send the answers.
  */
-const finalAnswerMilliseconds = 250
+export const finalAnswerMilliseconds = 250
 
 /** Time for which a stop waits until its log lines are written, in milliseconds. */
 const logDrainMilliseconds = 100
