Apply no time limit of the runtime to connections with requests in progress

With 8 requests in progress the host does not read the connection, but Node's limits for the next head (3 s) and body ran on: it wrote 408 in the place of the first response and dropped all 8, although they had been sent on. A status is now written only where no response is expected; late heads and bodies have limits that count only while the host reads.

--- a/src/intake/ClientIntake.ts
+++ b/src/intake/ClientIntake.ts
@@ -5,6 +5,7 @@
 import type { Socket } from 'node:net'
 import { type Clock, type Failure, failure, Task } from '../common/index.js'
 import type { EventLog, Metrics } from '../observability/index.js'
+import { answerFault, timeoutCode } from './answerFault.js'
 import { ConnectionIntake } from './ConnectionIntake.js'
 import type { IntakeLimits } from './intakeLimits.js'
 import { MemoryBudget } from './MemoryBudget.js'
@@ -51,6 +52,7 @@
   serve (server: Server, handle: (message: IncomingMessage, response: ServerResponse, intake: RequestIntake) => void): void {
     server.on('connection', socket => { this.accept(socket) })
     server.on('timeout', socket => { this.closeUnused(socket) })
+    server.on('clientError', (error: NodeJS.ErrnoException, socket) => { this.endFaulty(server, error, socket as Socket) })
     // The body is asked for when it is read, and not at all if it is refused.
     server.on('checkContinue', (message, response) => server.emit('request', message, response))
     server.on('request', (message, response) => { this.begin(message, response, handle) })
@@ -164,6 +166,23 @@
     socket.destroy()
   }
 
+  /**
+   * A request could not be read. The runtime's time limits for heads and bodies run on while the host does not read the
+   * connection, so they are not applied to a busy one: the client was not late, and its other requests run.
+   */
+  private endFaulty (server: Server, { code }: NodeJS.ErrnoException, socket: Socket): void {
+    const connection = this.connections.get(socket)
+    const requests = [...connection?.open ?? []]
+    if (code === timeoutCode && connection?.isBusy === true) {
+      // A body that is late has its own limits in `RequestIntake`.
+      const isHeadLate = requests.every(({ isReceived }) => isReceived)
+      if (isHeadLate) connection.lateHead = { limit: server.headersTimeout, since: this.options.clock.monotonic() }
+      return
+    }
+    // A complete request may be running, and the status would be taken for its response.
+    answerFault(socket, code, requests.every(({ isReceived, isAnswered }) => !isReceived && !isAnswered))
+  }
+
   private begin (
     message: IncomingMessage,
     response: ServerResponse,
@@ -196,6 +215,10 @@
     while (!signal.aborted) {
       await this.options.clock.sleep(checkMilliseconds, signal)
       this.budget.check()
+      const now = this.options.clock.monotonic()
+      for (const connection of this.connections.values()) {
+        if (connection.isHeadOverdue(now)) answerFault(connection.socket, timeoutCode, true)
+      }
       for (const request of this.requests) request.checkProgress(this.idleTimeoutMilliseconds)
       this.refusals.flush()
     }
--- a/src/intake/ConnectionIntake.ts
+++ b/src/intake/ConnectionIntake.ts
@@ -18,6 +18,8 @@
   readonly open = new Set<RequestIntake>()
   /** Monotonic time in milliseconds of the latest begin or end of a request. */
   activeAt: number
+  /** Set while the head of the next request is late: its limit in milliseconds, and the start of the time that counts. */
+  lateHead: { limit: number, since: number } | undefined
   private readonly waiting: Array<() => void> = []
   private started = 0
 
@@ -30,6 +32,7 @@
   enter (request: RequestIntake, start: () => void): boolean {
     if (this.waiting.length >= maxWaitingRequests) return false
     this.open.add(request)
+    this.lateHead = undefined
     if (this.started < this.maxStarted) this.start(start)
     else this.waiting.push(start)
     if (this.started >= this.maxStarted) this.gate.hold('requests')
@@ -46,6 +49,18 @@
     if (this.started < this.maxStarted) this.gate.release('requests')
   }
 
+  /** True while a late part of a request cannot be blamed on the client, or could not be answered in its place. */
+  get isBusy (): boolean {
+    return this.gate.isHeld || this.open.size > 0
+  }
+
+  /** True if the head of the next request has been late for its limit, in which only time counts without other requests. */
+  isHeadOverdue (now: number): boolean {
+    if (this.lateHead === undefined) return false
+    if (this.isBusy) this.lateHead.since = now
+    return now - this.lateHead.since >= this.lateHead.limit
+  }
+
   private start (start: () => void): void {
     this.started += 1
     start()
--- a/src/intake/RequestIntake.test.ts
+++ b/src/intake/RequestIntake.test.ts
@@ -68,6 +68,26 @@
   expect((await result).mapErr(({ kind }) => kind)).toMatchObject({ error: 'body_timeout' })
 })
 
+test('a body that arrives slowly is refused after a minute of reading, without the time in which it is not read', async () => {
+  const { clock, message, intake, connection, result } = start({ 'transfer-encoding': 'chunked' })
+  let isRefused = false
+  result.then(({ isErr }) => { isRefused = isErr }, () => {})
+  const check = async (milliseconds: number): Promise<boolean> => {
+    await clock.advance(milliseconds)
+    intake.checkProgress(100_000)
+    await new Promise(resolve => setImmediate(resolve))
+    return isRefused
+  }
+  message.write('x')
+  expect(await check(59_000)).toBe(false)
+  connection.gate.hold('requests')
+  expect(await check(60_000)).toBe(false)
+  connection.gate.release('requests')
+  expect(await check(999)).toBe(false)
+  expect(await check(1)).toBe(true)
+  expect((await result).mapErr(({ kind }) => kind)).toMatchObject({ error: 'body_timeout' })
+})
+
 test('a body that the budget refuses ends as overloaded, and the log says so once a second', async () => {
   const { message, result, lines } = start({ 'transfer-encoding': 'chunked' }, 7000)
   message.write('x'.repeat(100))
--- a/src/intake/RequestIntake.ts
+++ b/src/intake/RequestIntake.ts
@@ -16,6 +16,9 @@
 /** Bytes of a body that have to arrive within each period of the progress check; no limit on bodies that end earlier. */
 const minBytesPerPeriod = 1024
 
+/** Time for which a body is read at most, in milliseconds. Time in which the host does not read does not count. */
+const maxReadMilliseconds = 60_000
+
 /** The requests that are open, by their messages. */
 const intakes = new WeakMap<IncomingMessage, RequestIntake>()
 
@@ -48,6 +51,9 @@
   private failBody: ((failed: Failure) => void) | undefined
   private isSending = false
   private period = { startedAt: 0, length: 0 }
+  /** Time for which the body has been read, in milliseconds, until the latest check. */
+  private readMilliseconds = 0
+  private checkedAt = 0
 
   constructor (private readonly options: RequestIntakeOptions) {
     this.receivedAt = options.clock.monotonic()
@@ -105,10 +111,27 @@
     return Result.ok(content)
   }
 
-  /** Fails a body that has made too little progress within the period. */
+  /** True if the whole request has been received. */
+  get isReceived (): boolean {
+    return this.options.message.complete
+  }
+
+  /** True if a part of the response has been sent. */
+  get isAnswered (): boolean {
+    return this.options.response.headersSent
+  }
+
+  /** Fails a body that has made too little progress within the period, or that takes too long as a whole. */
   checkProgress (periodMilliseconds: number): void {
     const now = this.options.clock.monotonic()
+    const sinceCheck = now - this.checkedAt
+    this.checkedAt = now
     if (this.failBody === undefined || this.options.connection.gate.isHeld) return this.startPeriod()
+    this.readMilliseconds += sinceCheck
+    if (this.readMilliseconds >= maxReadMilliseconds) {
+      this.options.refusals.record('slow_body')
+      return this.failBody(failure('body_timeout', `the body is incomplete after ${maxReadMilliseconds} ms of reading`))
+    }
     if (now - this.period.startedAt < periodMilliseconds) return
     if (this.body.length - this.period.length >= minBytesPerPeriod) return this.startPeriod()
     this.options.refusals.record('slow_body')
@@ -180,6 +203,7 @@
       const leave = (): void => { end(Result.err(callerLeft)) }
       this.failBody = failed => { end(Result.err(failed)) }
       this.startPeriod()
+      this.checkedAt = this.period.startedAt
       this.reservation.recordProgress()
       this.reservation.isRefusable = true
       message.on('end', complete).on('close', leave).on('error', leave).on('data', add)
