Do not refuse requests that only wait behind others on their connection

While memory was short, a complete request that waited for its turn, or a response behind a stream, counted as stalled after 1 s, and its whole connection was destroyed with the requests that ran on it. Waiting requests are no longer refusable, and a response counts as unread only from when it is the one sent on the connection.

--- a/src/intake/ClientIntake.test.ts
+++ b/src/intake/ClientIntake.test.ts
@@ -4,12 +4,14 @@
  */
 import { afterEach, expect, test } from '@jest/globals'
 import { once } from 'node:events'
-import { createServer, type Server } from 'node:http'
+import { createServer, type Server, type ServerResponse } from 'node:http'
 import { type AddressInfo, connect, type Socket } from 'node:net'
 import { ManualClock } from '../common/index.js'
 import { EventLog, HybridClock, Metrics, Timeline } from '../observability/index.js'
 import { ClientIntake } from './ClientIntake.js'
-import { deriveIntakeLimits } from './intakeLimits.js'
+import { deriveIntakeLimits, type IntakeLimits } from './intakeLimits.js'
+import type { RequestIntake } from './RequestIntake.js'
+import { sendBody } from './sendBody.js'
 
 let server: Server
 let intake: ClientIntake
@@ -22,8 +24,8 @@
   await intake.stop()
 })
 
-/** Starts a server that answers each request with the length of its body. */
-async function start (limits: { maxConnections?: number, maxRequests?: number }) {
+/** Starts a server that answers each request once its body has been read, unless `answer` does it. */
+async function start (limits: Partial<IntakeLimits>, answer?: (response: ServerResponse, request: RequestIntake) => void) {
   const clock = new ManualClock()
   const events = new EventLog({ timeline: new Timeline('test', new HybridClock(clock)), level: 'error' })
   intake = new ClientIntake({ limits: { ...deriveIntakeLimits({}), ...limits }, clock, events })
@@ -31,6 +33,7 @@
   let begun = 0
   intake.serve(server, (_message, response, request) => {
     begun += 1
+    if (answer !== undefined) return answer(response, request)
     const refusal = request.refusal()
     if (refusal !== undefined) {
       response.writeHead(429).end()
@@ -43,7 +46,7 @@
   return { clock, begun: () => begun }
 }
 
-async function send (text: string): Promise<{ status: () => string }> {
+async function send (text: string): Promise<{ status: () => string, received: () => string, isClosed: () => boolean }> {
   const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
   sockets.push(socket)
   let received = ''
@@ -53,7 +56,7 @@
   socket.on('close', () => { isClosed = true })
   await once(socket, 'connect')
   socket.write(text)
-  return { status: () => received === '' && isClosed ? 'closed' : received.slice(9, 12) }
+  return { status: () => received === '' && isClosed ? 'closed' : received.slice(9, 12), received: () => received, isClosed: () => isClosed }
 }
 
 async function waitUntil (condition: () => boolean): Promise<void> {
@@ -82,6 +85,29 @@
   expect(crowd.slice(1).map(({ status }) => status())).toEqual(['', ''])
 })
 
+// Guards against running requests that end with their connection, since the budget takes one behind them for stalled.
+test.each<[string, number]>([
+  ['a response behind a stream', 2],
+  ['a request that waits for its turn', 9]
+])('when the budget is short, %s is not refused for the progress it cannot make', async (_name, count) => {
+  const responses: ServerResponse[] = []
+  const { clock } = await start({ budgetBytes: 1_000_000 }, (response, request) => {
+    responses.push(response)
+    if (responses.length === 1) response.flushHeaders()
+    else sendBody(response, Buffer.alloc(100_000, 'x'), request).then(() => { response.end() }, () => {})
+  })
+  const client = await send('GET / HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(count))
+  await waitUntil(() => responses.length === Math.min(count, 8))
+  await clock.advance(1000)
+  const reservation = intake.budget.open({ pause: () => {}, resume: () => {}, refuse: () => {} })
+  reservation.isRefusable = false
+  reservation.add(1_100_000)
+  responses[0]!.end()
+  const bodyBytes = (): number => client.received().split('x').length - 1
+  await waitUntil(() => bodyBytes() === (count - 1) * 100_000 || client.isClosed())
+  expect([bodyBytes(), intake.budget.refusals]).toEqual([(count - 1) * 100_000, 0])
+})
+
 test('the metrics state what clients hold and were refused', async () => {
   await start({ maxConnections: 1 })
   const metrics = new Metrics()
--- a/src/intake/ClientIntake.ts
+++ b/src/intake/ClientIntake.ts
@@ -202,7 +202,6 @@
     })
     const entered = connection.enter(intake, () => {
       this.requests.add(intake)
-      intake.start()
       handle(message, response, intake)
     })
     if (entered) return
--- a/src/intake/RequestIntake.test.ts
+++ b/src/intake/RequestIntake.test.ts
@@ -19,18 +19,19 @@
   const events = new EventLog({ timeline: new Timeline('test', new HybridClock(clock)), level: 'info', write: line => { lines.push(line) } })
   const socket = Object.assign(new EventEmitter(), { pause: () => {}, resume: () => {}, destroy: () => {} }) as unknown as Socket
   const connection = new ConnectionIntake(socket, 2, 0)
+  const response = Object.assign(new EventEmitter(), { setHeader: () => {}, socket: null as Socket | null })
   const message = Object.assign(new PassThrough(), { headers, rawHeaders: [] })
   const budget = new MemoryBudget(capacity, clock)
   const refusals = new RefusalLog(clock, events)
   const intake = new RequestIntake({
     message: message as unknown as IncomingMessage,
-    response: Object.assign(new EventEmitter(), { setHeader: () => {} }) as unknown as ServerResponse,
+    response: response as unknown as ServerResponse,
     connection,
     budget,
     clock,
     refusals
   })
-  return { clock, lines, refusals, message, intake, budget, connection, result: intake.readBody(maxBytes) }
+  return { clock, lines, refusals, message, response, socket, intake, budget, connection, result: intake.readBody(maxBytes) }
 }
 
 test.each<[string, Record<string, string>, string[], string | undefined]>([
@@ -88,6 +89,21 @@
   expect((await result).mapErr(({ kind }) => kind)).toMatchObject({ error: 'body_timeout' })
 })
 
+test('a response counts as unread only from when it is sent on the connection', async () => {
+  const { clock, message, intake, response, socket, result } = start({})
+  message.end()
+  await result
+  intake.beginSending()
+  await clock.advance(1000)
+  expect(intake.waitsForClientSince).toBe(undefined)
+  response.socket = socket
+  intake.checkProgress(1000)
+  expect(intake.waitsForClientSince).toBe(1000)
+  intake.endSending()
+  intake.checkProgress(1000)
+  expect(intake.waitsForClientSince).toBe(undefined)
+})
+
 test('a body that the budget refuses ends as overloaded, and the log says so once a second', async () => {
   const { message, result, lines } = start({ 'transfer-encoding': 'chunked' }, 7000)
   message.write('x'.repeat(100))
--- a/src/intake/RequestIntake.ts
+++ b/src/intake/RequestIntake.ts
@@ -59,6 +59,8 @@
     this.receivedAt = options.clock.monotonic()
     intakes.set(options.message, this)
     this.reservation = options.budget.open(this)
+    // A request that waits for its turn cannot make progress, and would take the running ones before it along.
+    this.reservation.isRefusable = false
     this.reservation.add(headerBytesOf(options.message) + requestOverheadBytes)
   }
 
@@ -76,16 +78,11 @@
   }
 
   refuse (): void {
-    this.options.refusals.record(this.failBody !== undefined ? 'memory' : this.isSending ? 'unread_response' : 'sent_ahead')
+    this.options.refusals.record(this.failBody === undefined ? 'unread_response' : 'memory')
     if (this.failBody === undefined) this.options.connection.socket.destroy()
     else this.failBody(failure('overloaded', 'the memory for bodies is used up'))
   }
 
-  /** The turn of the request has come: from now on the budget refuses it only while its body or response is on the way. */
-  start (): void {
-    this.reservation.settle()
-  }
-
   /** Why the host takes on no further request; undefined if it does. */
   refusal (): Failure | undefined {
     return this.options.hostRefusal?.()
@@ -126,6 +123,7 @@
     const now = this.options.clock.monotonic()
     const sinceCheck = now - this.checkedAt
     this.checkedAt = now
+    if (this.isSending && !this.reservation.isRefusable) this.beginSending()
     if (this.failBody === undefined || this.options.connection.gate.isHeld) return this.startPeriod()
     this.readMilliseconds += sinceCheck
     if (this.readMilliseconds >= maxReadMilliseconds) {
@@ -159,15 +157,19 @@
     return !this.options.budget.isShort
   }
 
-  /** From now on only the caller's reading is waited for, so that a caller who does not read may be refused. */
+  /**
+   * From now on only the caller's reading is waited for, so that a caller who does not read may be refused. A response that
+   * waits behind another one on the connection has no socket yet, and is not waited for.
+   */
   beginSending (): void {
     this.isSending = true
     this.reservation.recordProgress()
-    this.reservation.isRefusable = true
+    this.reservation.isRefusable = this.options.response.socket !== null
   }
 
   /** The caller has read what was sent. */
   endSending (): void {
+    this.isSending = false
     this.reservation.isRefusable = false
   }
 
