--- a/src/capacity/CapacityPlanner.ts
+++ b/src/capacity/CapacityPlanner.ts
@@ -33,7 +33,8 @@
 
 /** State of one kind of workers in one zone. */
 interface ZoneKind {
-  ordered?: { desired: number, at: number }
+  /** The latest order. `isFulfilled`: the ordered workers have been counted, so that fewer show a loss. */
+  ordered?: { desired: number, at: number, isFulfilled: boolean }
   unavailableUntil: number
 }
 
@@ -62,6 +63,10 @@
     this.target ??= new WorkerTarget(this.throughput, serving.length)
     const needed = this.target.update(demand, scaling.startupMilliseconds, now)
     const zones = zonesByPrice(scaling, serving)
+    // The platform takes away all spot workers of a zone when it has none to give there.
+    for (const { zone, kind, leaving } of workers) {
+      if (leaving && kind === 'spot' && this.isWanted(zone)) this.recordUnavailable(zone, kind, now)
+    }
     const countOf = (zone: Zone, kind: WorkerKind): number =>
       serving.filter(worker => worker.zone === zone && worker.kind === kind).length
     const spot = this.planSpot(zones, needed, scaling, now)
@@ -80,19 +85,28 @@
     })
   }
 
-  /** Spot workers of each zone: equal shares, with those of zones that have none given to the others. */
+  /** True if the leaving spot workers of a zone are not those that an order has removed. */
+  private isWanted (zone: Zone): boolean {
+    const { ordered } = this.stateOf(zone, 'spot')
+    return ordered?.isFulfilled === true
+  }
+
+  /**
+   * Spot workers of each zone: equal shares. Those of zones that have none are not given to the others, so that the loss of a
+   * further zone leaves enough; standard workers take their place.
+   */
   private planSpot (zones: readonly Zone[], needed: number, scaling: PoolScaling, now: number): Map<Zone, number> {
     const planned = new Map(zones.map(zone => [zone, 0]))
     if (scaling.spotPrice === undefined || scaling.spotPrice >= 1) return planned
     const base = this.standardBase(zones, scaling)
-    const available = zones.filter(zone => this.isAvailable(zone, 'spot', now))
     let open = needed - [...base.values()].reduce((sum, count) => sum + count, 0)
     while (open > 0) {
-      const withRoom = available.filter(zone => planned.get(zone)! + base.get(zone)! < scaling.maxWorkersPerZone)
+      const withRoom = zones.filter(zone => planned.get(zone)! + base.get(zone)! < scaling.maxWorkersPerZone)
       if (withRoom.length === 0) break
       for (const zone of withRoom.slice(0, open)) planned.set(zone, planned.get(zone)! + 1)
       open -= Math.min(open, withRoom.length)
     }
+    for (const zone of zones) if (!this.isAvailable(zone, 'spot', now)) planned.set(zone, 0)
     return planned
   }
 
@@ -145,11 +159,14 @@
     if (desired > count && !this.isAvailable(zone, kind, now)) return false
     if (ordered === undefined) return desired !== count
     if (ordered.desired !== desired) return true
+    ordered.isFulfilled ||= desired === count
+    if (ordered.isFulfilled && desired > count) return true
     return desired !== count && now - ordered.at > scaling.startupMilliseconds + repeatSlackMilliseconds
   }
 
   private order (order: WorkerOrder, now: number): WorkerOrder {
-    this.stateOf(order.zone, order.kind).ordered = { desired: order.desired, at: now }
+    const { zone, kind, desired, before } = order
+    this.stateOf(zone, kind).ordered = { desired, at: now, isFulfilled: desired === before }
     return order
   }
 
--- a/src/capacity/WorkerTarget.ts
+++ b/src/capacity/WorkerTarget.ts
@@ -20,8 +20,8 @@
  */
 const maxGrowth = 1.5
 
-/** Time for which demand has to be known before the number falls, in milliseconds. */
-const observationMilliseconds = 5000
+/** Time for which demand has to be known before the number falls, in milliseconds: as long as a peak counts. */
+const observationMilliseconds = peakMilliseconds
 
 /** Time for which the need has to be lower before the number falls, in milliseconds. */
 const lowerMilliseconds = 3000
