Keep a connection paused that is held again right after its release

The socket began to read in the next tick, and pausing it had no effect since its stream counted as paused already, so that more requests started than allowed. The gate now emits the event at which the HTTP server stops reading.

--- a/src/intake/ReadingGate.ts
+++ b/src/intake/ReadingGate.ts
@@ -11,8 +11,14 @@
 export class ReadingGate {
   private readonly reasons = new Set<HoldReason>()
 
-  constructor (private readonly socket: Pick<Socket, 'on' | 'pause' | 'resume'>) {
-    socket.on('resume', () => { if (this.isHeld) this.socket.pause() })
+  constructor (private readonly socket: Pick<Socket, 'on' | 'pause' | 'resume' | 'emit'>) {
+    socket.on('resume', () => {
+      if (!this.isHeld) return
+      this.socket.pause()
+      // A resume of before the hold begins to read only now. The stream counts as paused already, so that `pause` does not
+      // emit the event at which the HTTP server stops reading.
+      this.socket.emit('pause')
+    })
   }
 
   get isHeld (): boolean {
