--- a/src/capacity/CapacityPlanner.ts
+++ b/src/capacity/CapacityPlanner.ts
@@ -13,6 +13,12 @@
 /** Standard workers of a pool over all zones: two for prompts and two for answers, so that one of each may be lost. */
 const minStandardWorkers = 4
 
+/**
+ * Largest share of the workers that are spot workers. The platform may take those of one zone away, and those of the next
+ * before the replacements compute prompts, which takes the start of a worker and a change of its role.
+ */
+const maxSpotShare = 1 / 3
+
 /** Time for which a kind is not ordered in a zone after the platform had none, in milliseconds. */
 const unavailableMilliseconds = 8000
 
@@ -99,7 +105,8 @@
     const planned = new Map(zones.map(zone => [zone, 0]))
     if (scaling.spotPrice === undefined || scaling.spotPrice >= 1) return planned
     const base = this.standardBase(zones, scaling)
-    let open = needed - [...base.values()].reduce((sum, count) => sum + count, 0)
+    const standardBase = [...base.values()].reduce((sum, count) => sum + count, 0)
+    let open = Math.min(needed - standardBase, Math.floor(needed * maxSpotShare))
     while (open > 0) {
       const withRoom = zones.filter(zone => planned.get(zone)! + base.get(zone)! < scaling.maxWorkersPerZone)
       if (withRoom.length === 0) break
--- a/src/platform/CapacityPart.ts
+++ b/src/platform/CapacityPart.ts
@@ -25,10 +25,9 @@
 
 /**
  * Prompts in progress for each engine that computes them, on average. An engine computes one at a time, but a prompt is in
- * progress for longer than it is computed, by the time of the messages and of the fetch of its parts. A quarter is kept for
- * the engines of a zone that may be taken away.
+ * progress for longer than it is computed: by the time of the messages, of the fetch of its parts, and of prompts before it.
  */
-const promptsPerEngine = 0.8
+const promptsPerEngine = 1.5
 
 /** Share of a worker's slots that requests in progress take, so that the steps of streams stay short. */
 const usedSlotShare = 0.25
