Take the learned speeds of prompt workers out

The speed of the pool is measured as before. What remains of the part: capacity and record of plain workers, and prompts moved from workers that are gone.

--- a/src/forwarding/ComputationRace.ts
+++ b/src/forwarding/ComputationRace.ts
@@ -1,6 +1,6 @@
 /**
  * Computations of one prompt on several workers, of which the first to end counts. Another one is started when the worker
- * of the latest is behind or gone, or has failed; the earlier ones go on, since they may still end first.
+ * of the latest is gone, or has failed; the earlier ones go on, since they may still end first.
  */
 import { ChangeNotifier } from '../common/index.js'
 
@@ -19,7 +19,7 @@
   reason: MoveReason | undefined
   /** Aborts when another computation has ended first. */
   cancelled: AbortSignal
-  /** Must be called if the worker is behind or gone. */
+  /** Must be called if the worker is gone. */
   onLate: () => void
 }
 
--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -77,7 +77,7 @@
   /**
    * Returns the source of the computed prompt; without a source, the decode worker has to compute the prompt itself. The
    * first computation of a call takes a retry from the budget only if the worker may have received it in vain, every
-   * further one in advance. A prompt that waits at a worker which is behind or gone is given to another worker as well.
+   * further one in advance. A prompt that waits at a worker which is gone is given to another worker as well.
    * Errors: those of `PromptPlacer.place`, and `quarantined` if the prompt must not be sent any more.
    */
   async compute (request: ServiceRequest, isFirst: boolean, stop: AbortSignal): Promise<Result<PromptResult, Failure>> {
@@ -136,8 +136,7 @@
       lostAt: request.startLostAt ?? deadline,
       candidates: () => this.candidates(request),
       decodeCandidates: () => upstreams.candidatesForPool(pool),
-      excluded,
-      onOverdue: onLate
+      excluded
     }, stop)
     const notSent: EndedRun = { outcome: undefined, takesRetry: false, isFirst: reason === undefined }
     if (placed.isErr) return { ...notSent, failure: placed.error }
--- a/src/placement/AnswerLoad.ts
+++ b/src/placement/AnswerLoad.ts
@@ -1,7 +1,7 @@
 /**
  * The streams that the workers of a pool generate, and how fast each worker starts them, from the reports of all hosts.
  */
-import { medianOf, RecentMedian, type WorkerId } from '../common/index.js'
+import type { WorkerId } from '../common/index.js'
 
 /** A worker that generates answers. */
 export interface AnswerWorker {
@@ -25,20 +25,11 @@
 /** Delay of a stream's start caused by each stream beyond the slots of the worker, in milliseconds. */
 const millisecondsPerWaitingStream = 10
 
-/** Number of start times of a worker that are kept, and the time after which one is forgotten, in milliseconds. */
-const startsPerWorker = 7
-const maxStartAgeMilliseconds = 10_000
-
-/** Difference between a worker's start times and the usual ones that is ignored, besides their scatter. */
-const ignoredDifference = 0.25
-
 interface WorkerLoad {
   /** Time at which each stream was assigned, by prompt id. */
   streams: Map<string, number>
   startMilliseconds: number
   startedAt: number
-  /** The latest start times. */
-  starts: RecentMedian
 }
 
 /** Counts the streams of each worker. */
@@ -60,8 +51,7 @@
     for (const worker of workers) {
       const streams = this.streamCount(worker.id)
       const waiting = Math.max(0, streams + 1 - worker.slots) * millisecondsPerWaitingStream
-      const delay = (streams * millisecondsPerStream + waiting) * this.slowness(worker.id, now)
-      const cost = delay + this.startMilliseconds(worker.id, now) + extraCost(worker)
+      const cost = streams * millisecondsPerStream + waiting + this.startMilliseconds(worker.id, now) + extraCost(worker)
       if (best === undefined || cost < best.cost) best = { id: worker.id, cost }
     }
     return best?.id
@@ -83,17 +73,6 @@
     const remembered = this.startMilliseconds(worker, now)
     load.startMilliseconds = remembered + startWeight * (startMilliseconds - remembered)
     load.startedAt = now
-    load.starts.add(startMilliseconds, now)
-  }
-
-  /** Factor on the time that the workers usually take to start an answer; above 1 for a slow worker. */
-  slowness (worker: WorkerId, now: number): number {
-    const own = this.loads.get(worker)?.starts
-    if (own === undefined) return 1
-    const usual = medianOf([...this.loads.values()].map(({ starts }) => starts.estimate(0, now)))
-    if (usual <= 0) return 1
-    const start = own.estimate(usual, now)
-    return Math.abs(start - usual) / usual <= ignoredDifference + own.relativeScatter(start, now) ? 1 : start / usual
   }
 
   /** Forgets streams whose end was never reported, because the host that sent them stopped. Returns their ids. */
@@ -117,12 +96,7 @@
   }
 
   private loadOf (worker: WorkerId): WorkerLoad {
-    const load = this.loads.get(worker) ?? {
-      streams: new Map<string, number>(),
-      startMilliseconds: 0,
-      startedAt: 0,
-      starts: new RecentMedian(startsPerWorker, maxStartAgeMilliseconds)
-    }
+    const load = this.loads.get(worker) ?? { streams: new Map(), startMilliseconds: 0, startedAt: 0 }
     this.loads.set(worker, load)
     return load
   }
--- a/src/placement/PromptPlacer.ts
+++ b/src/placement/PromptPlacer.ts
@@ -25,8 +25,6 @@
   decodeCandidates: () => readonly Upstream[]
   /** Workers that have been sent the prompt already and must not be chosen again. */
   excluded?: ReadonlySet<WorkerId>
-  /** Called if the chosen worker is behind the others or gone, so that the prompt should be computed on another one. */
-  onOverdue?: () => void
 }
 
 /** The candidates for the computation that have not been sent the prompt. */
--- a/src/placement/PromptSchedule.ts
+++ b/src/placement/PromptSchedule.ts
@@ -9,21 +9,16 @@
  * the prompt is preferred: another one fetches them, and its copy displaces other parts.
  */
 import type { Clock, WorkerId, Zone } from '../common/index.js'
-import { CapacityChanges, roundedForLog } from '../concurrency/index.js'
 import type { PermitQueue } from '../limits/index.js'
 import type { EventLog } from '../observability/index.js'
 import { AccountShares } from './AccountShares.js'
 import { AnswerLoad, type AnswerWorker } from './AnswerLoad.js'
 import type { HeldParts } from './HeldParts.js'
 import { ExpectedQueue } from './ExpectedQueue.js'
-import { OverdueWatch } from './OverdueWatch.js'
 import { PrefillSpeed } from './PrefillSpeed.js'
-import { type Estimate, PromptEstimates } from './PromptEstimates.js'
 import { type PlacementDecision, promptBytesOf, type PromptOutcome, type PromptTask, promptTokensOf } from './PromptTask.js'
 import { compareRanks, type PromptTimes, rankOf, type WaitingPrompt } from './WaitingPrompt.js'
-import type { DispatchedPrompt, WorkerBacklog } from './WorkerBacklog.js'
-import { WorkerBacklogs } from './WorkerBacklogs.js'
-import { WorkerSpeeds } from './WorkerSpeeds.js'
+import { WorkerBacklog } from './WorkerBacklog.js'
 
 /** Speeds of a deployment's engines until they are measured, and of its links. */
 export interface PromptScheduleCosts {
@@ -56,6 +51,15 @@
  */
 const dispatchAheadMilliseconds = 40
 
+/** Time that a worker needs to start a fetch of parts, in milliseconds. */
+const fetchSetupMilliseconds = 10
+
+/**
+ * Cost of a copy of shared parts on another worker, as a fraction of the time to compute them: the copy displaces other
+ * parts, some of which have to be computed again.
+ */
+const copyCostFraction = 0.5
+
 /** Interval of the log lines about the state of a schedule that is in use, in milliseconds. */
 const stateLogMilliseconds = 2000
 
@@ -82,6 +86,17 @@
  */
 const maxDispatchedAtOnce = 32
 
+/** Expected course of a prompt on one worker. */
+interface Estimate {
+  backlog: WorkerBacklog
+  computedTokens: number
+  computeMilliseconds: number
+  fetchMilliseconds: number
+  partsSource: WorkerId | undefined
+  /** Time until the prompt is computed plus the cost of copies, in milliseconds. */
+  cost: number
+}
+
 /** Queue, backlogs and speed of one pool. */
 export class PromptSchedule {
   private readonly waiting = new Map<string, WaitingPrompt>()
@@ -90,12 +105,8 @@
   private readonly answers = new AnswerLoad()
   /** Workers that generate the answers that have not ended, by prompt id. */
   private readonly answering = new Map<string, WorkerId>()
-  private readonly backlogs: WorkerBacklogs
+  private readonly backlogs = new Map<WorkerId, WorkerBacklog>()
   private readonly speed: PrefillSpeed
-  private readonly speeds: WorkerSpeeds
-  private readonly estimates: PromptEstimates
-  private readonly overdueWatch: OverdueWatch
-  private readonly changes: CapacityChanges
   private readonly shares = new AccountShares()
   /** Sum of `computeMilliseconds` over the waiting prompts. */
   private waitingMilliseconds = 0
@@ -106,28 +117,7 @@
   private overdueDecidedAt = -Infinity
 
   constructor (private readonly options: PromptScheduleOptions) {
-    const { clock, events, held, holders, workers, costs } = options
-    this.speed = new PrefillSpeed(costs)
-    this.speeds = new WorkerSpeeds(this.speed)
-    this.backlogs = new WorkerBacklogs(workers)
-    this.changes = new CapacityChanges(clock)
-    this.estimates = new PromptEstimates({
-      held,
-      holders,
-      backlogs: this.backlogs,
-      speed: this.speed,
-      speeds: this.speeds,
-      fetchedTokensPerMillisecond: costs.fetchedTokensPerMillisecond,
-      busyMilliseconds: (backlog, now) => this.busyMilliseconds(backlog, now)
-    })
-    this.overdueWatch = new OverdueWatch({
-      clock,
-      events,
-      backlogs: this.backlogs,
-      elsewhereMilliseconds: ({ computedTokens }, now) => this.estimates.elsewhereMilliseconds(computedTokens, now),
-      isFull: () => this.waiting.size > 0,
-      onCheck: now => { this.forgetLost(now) }
-    })
+    this.speed = new PrefillSpeed(options.costs)
   }
 
   /** Number of prompts that wait for a worker. */
@@ -143,7 +133,7 @@
   /** Decides about a prompt; resolves when a worker has room for it, or when it is clear that it must be refused. */
   async place (task: PromptTask): Promise<PlacementDecision> {
     if (this.options.workers().length === 0) return { kind: 'no_worker' }
-    const computeMilliseconds = this.estimates.shortestCompute(task)
+    const computeMilliseconds = this.shortestCompute(task)
     const neededMilliseconds = computeMilliseconds + this.speed.baseMilliseconds
     const usualMilliseconds = computeMilliseconds + this.speed.usualMilliseconds
     const times = { computeMilliseconds, neededMilliseconds, usualMilliseconds }
@@ -164,22 +154,16 @@
     this.placed.delete(id)
     if (backlog === undefined) return
     const now = this.options.clock.monotonic()
-    const lateness = this.backlogs.isBehind(backlog, now) ? backlog.overdueMilliseconds(now) : undefined
     const prompt = backlog.remove(id, now, this.speed.baseMilliseconds)
     if (prompt === undefined) return
     if (outcome === 'computed') {
-      this.backlogs.spread.record(now - prompt.expectedAt)
-      const occupied = backlog.recordSuccess(prompt, now, this.speed.baseMilliseconds)
-      if (occupied !== undefined && !prompt.isFetched) this.recordOccupied(backlog.worker, prompt, occupied, now)
-      this.logSpeed(backlog.worker, now)
+      backlog.recordSuccess()
       for (const [position, part] of prompt.parts.entries()) {
         this.options.held.record(backlog.worker, part, prompt.partTokens[position] ?? 0)
       }
-      this.speed.record(prompt.computedTokens, now - prompt.dispatchedAt, prompt.ahead === 0 && !prompt.isFetched)
+      this.speed.record(prompt.computedTokens, now - prompt.dispatchedAt, prompt.ahead === 0)
     }
-    if (outcome !== 'computed') backlog.recordUnfinished(now)
-    if (lateness !== undefined && (outcome === 'failed' || outcome === 'abandoned')) backlog.recordLost(now, lateness)
-    else if (outcome === 'failed') backlog.recordFailure(now)
+    if (outcome === 'failed') backlog.recordFailure(now)
     if (outcome === 'declined') backlog.recordDecline(now)
     this.dispatchSoon()
   }
@@ -208,18 +192,15 @@
   /** The refusal of a prompt that cannot be computed before its caller gives up; undefined if it can. */
   private refusalOf (entry: PromptTimes & { task: PromptTask }): PlacementDecision | undefined {
     const now = this.options.clock.monotonic()
-    const workers = this.backlogs.accepting(now)
-    if (workers.length === 0) return undefined
-    const { computeMilliseconds, neededMilliseconds } = entry
-    const available = entry.task.lostAt - (neededMilliseconds - computeMilliseconds) - now
-    const pace = this.millisecondsBetweenPrompts(workers.length)
-    const backlogs = workers.map(backlog => this.busyMilliseconds(backlog, now))
-    const slowness = workers.map(({ worker }) => this.speeds.slowness(worker, now))
+    const backlogs = this.acceptingBacklogs(now).map(backlog => this.busyMilliseconds(backlog, now))
+    if (backlogs.length === 0) return undefined
+    const available = entry.task.lostAt - entry.neededMilliseconds - now
+    const pace = this.millisecondsBetweenPrompts(backlogs.length)
     // Ranking the waiting prompts takes time, which is saved while even the last of them would be in time.
-    const longest = Math.max(this.waitingMilliseconds, pace * this.waiting.size) / workers.length
-    if (Math.max(...backlogs) + (longest + computeMilliseconds) * Math.max(...slowness) <= available) return undefined
+    const longest = Math.max(this.waitingMilliseconds, pace * this.waiting.size) / backlogs.length
+    if (Math.max(...backlogs) + longest <= available) return undefined
     const rank = rankOf(entry, now)
-    const queue = new ExpectedQueue(backlogs, slowness)
+    const queue = new ExpectedQueue(backlogs)
     const waiting = [...this.waiting.values()]
     const isPreceded = this.shares.precedes(entry.task, [entry, ...waiting].map(({ task }) => task), now)
     for (const other of waiting) {
@@ -227,7 +208,7 @@
       if (otherRank.isLate === rank.isLate && isPreceded(other.task)) continue
       if (compareRanks(otherRank, rank) <= 0) queue.add(Math.max(pace, other.computeMilliseconds))
     }
-    if (queue.endMilliseconds(computeMilliseconds) <= available) return undefined
+    if (queue.waitMilliseconds <= available) return undefined
     return { kind: 'refused', retryAfterMilliseconds: Math.ceil(queue.waitMilliseconds) }
   }
 
@@ -259,7 +240,7 @@
     this.logState(now)
     if (this.hasRoom(now)) {
       for (const { task } of this.inOrder(now).slice(0, maxDispatchedAtOnce)) {
-        const estimate = this.estimates.best(task, now)
+        const estimate = this.bestEstimate(task, now)
         if (estimate === undefined || !this.isFree(estimate.backlog, now)) continue
         this.send(task, estimate, now)
         if (!this.hasRoom(now)) break
@@ -269,7 +250,7 @@
   }
 
   private hasRoom (now: number): boolean {
-    return this.answerWaitMilliseconds(now) === 0 && this.backlogs.accepting(now).some(backlog => this.isFree(backlog, now))
+    return this.answerWaitMilliseconds(now) === 0 && this.acceptingBacklogs(now).some(backlog => this.isFree(backlog, now))
   }
 
   /** True if the worker may be sent the next prompt. */
@@ -312,14 +293,10 @@
       dispatchedAt: now,
       ahead: backlog.size,
       computedTokens,
-      isFetched: partsSource !== undefined,
-      lostAt: task.lostAt,
-      onOverdue: task.onOverdue,
       parts: task.parts,
       partTokens: task.partTokens
     })
     this.placed.set(task.id, backlog)
-    this.overdueWatch.start()
     this.options.permits.take(backlog.worker, now)
     this.shares.recordSent(task, computeMilliseconds, now)
     const zone = this.options.workers().find(({ id }) => id === backlog.worker)?.zone
@@ -339,27 +316,29 @@
   /**
    * Decides about prompts that are no longer expected to be computed in time: refuses those that cannot be computed before
    * their callers give up, and leaves short ones to the workers that generate the answers if there are enough of these.
+   * Forgets prompts whose hosts stopped.
    */
   private decideOverdue (now: number): void {
     if (now - this.overdueDecidedAt < overdueCheckMilliseconds) return
     this.overdueDecidedAt = now
-    this.forgetLost(now)
-    const workers = this.backlogs.accepting(now)
+    for (const backlog of this.backlogs.values()) {
+      for (const id of backlog.forgetLost(now)) this.placed.delete(id)
+    }
+    for (const id of this.answers.forgetLost(now)) this.answering.delete(id)
+    const workers = this.acceptingBacklogs(now)
     const computeWithAnswer = this.options.answerWorkers().length > this.options.workers().length
-    const queue = new ExpectedQueue(
-      workers.map(worker => this.busyMilliseconds(worker, now)), workers.map(({ worker }) => this.speeds.slowness(worker, now)))
+    const queue = new ExpectedQueue(workers.map(worker => this.busyMilliseconds(worker, now)))
     const pace = this.millisecondsBetweenPrompts(workers.length)
     for (const entry of this.inOrder(now)) {
       const { task, computeMilliseconds, neededMilliseconds } = entry
       const isLate = rankOf(entry, now).isLate
       const mayAnswer = this.answerWaitMilliseconds(now) === 0
-      if (isLate && mayAnswer && computeWithAnswer && this.estimates.tokensToCompute(task) <= maxTokensWithAnswer) {
+      if (isLate && mayAnswer && computeWithAnswer && this.tokensToCompute(task) <= maxTokensWithAnswer) {
         this.removeWaiting(task.id)?.decide({ kind: 'with_answer', answerWorker: this.assignAnswer(task, undefined, now) })
         continue
       }
       const waitMilliseconds = workers.length === 0 ? 0 : queue.waitMilliseconds
-      const endMilliseconds = workers.length === 0 ? computeMilliseconds : queue.endMilliseconds(computeMilliseconds)
-      if (now + endMilliseconds + neededMilliseconds - computeMilliseconds > task.lostAt) {
+      if (now + waitMilliseconds + neededMilliseconds > task.lostAt) {
         this.removeWaiting(task.id)?.decide({ kind: 'refused', retryAfterMilliseconds: Math.ceil(waitMilliseconds) })
         continue
       }
@@ -367,28 +346,6 @@
     }
   }
 
-  /** Forgets prompts and answers whose hosts stopped. */
-  private forgetLost (now: number): void {
-    for (const backlog of this.backlogs.all) {
-      for (const id of backlog.forgetLost(now)) this.placed.delete(id)
-    }
-    for (const id of this.answers.forgetLost(now)) this.answering.delete(id)
-  }
-
-  private recordOccupied (worker: WorkerId, prompt: DispatchedPrompt, milliseconds: number, now: number): void {
-    const { computedTokens, ahead } = prompt
-    this.speeds.record(worker, computedTokens, milliseconds, ahead === 0, now)
-    if (ahead > 0) this.speed.recordOccupied(computedTokens, milliseconds, false)
-  }
-
-  private logSpeed (worker: WorkerId, now: number): void {
-    const slowness = this.speeds.slowness(worker, now)
-    const before = this.changes.record(worker, Infinity, () => ({ limit: Infinity, slowness }))
-    if (before === undefined) return
-    const [speed, speedBefore] = [roundedForLog(1 / slowness), roundedForLog(1 / before.slowness)]
-    this.options.events.info('worker_capacity_changed', { worker, work: 'prompts', speed, speed_before: speedBefore })
-  }
-
   private logState (now: number): void {
     if (now - this.stateLoggedAt < stateLogMilliseconds) return
     this.stateLoggedAt = now
@@ -396,10 +353,8 @@
       waiting: this.waiting.size,
       placed: this.placed.size,
       workers: this.options.workers().length,
-      accepting: this.backlogs.accepting(now).length,
-      backlogs: this.backlogs.all.map(backlog => Math.round(backlog.milliseconds(now))).join(','),
-      slowness: this.backlogs.all.map(({ worker }) => Math.round(this.speeds.slowness(worker, now) * 100) / 100).join(','),
-      margin: Math.round(this.backlogs.spread.marginMilliseconds),
+      accepting: this.acceptingBacklogs(now).length,
+      backlogs: [...this.backlogs.values()].map(backlog => Math.round(backlog.milliseconds(now))).join(','),
       tokens_per_millisecond: Math.round(this.speed.tokensPerMillisecond * 10) / 10,
       base: Math.round(this.speed.baseMilliseconds),
       usual: Math.round(this.speed.usualMilliseconds),
@@ -415,6 +370,71 @@
     return this.shares.arrange(ranked, now).map(({ entry }) => entry)
   }
 
+  private acceptingBacklogs (now: number): WorkerBacklog[] {
+    return this.options.workers().map(({ id }) => this.backlogOf(id)).filter(backlog => backlog.accepts(now))
+  }
+
+  private backlogOf (worker: WorkerId): WorkerBacklog {
+    const backlog = this.backlogs.get(worker) ?? new WorkerBacklog(worker)
+    this.backlogs.set(worker, backlog)
+    return backlog
+  }
+
+  /** The worker with the lowest cost; undefined if no worker accepts prompts. */
+  private bestEstimate (task: PromptTask, now: number): Estimate | undefined {
+    const heldTokens = this.heldTokens(task)
+    return this.acceptingBacklogs(now)
+      .map(backlog => this.estimate(task, backlog, heldTokens, now))
+      .reduce<Estimate | undefined>((best, other) => best === undefined || other.cost < best.cost ? other : best, undefined)
+  }
+
+  private estimate (task: PromptTask, backlog: WorkerBacklog, heldTokens: ReadonlyMap<WorkerId, number>, now: number): Estimate {
+    const promptTokens = promptTokensOf(task)
+    const sharedTokens = promptTokens - (task.partTokens.at(-1) ?? 0)
+    const isComputing = sharedTokens > 0 && backlog.isComputing(task.parts.slice(0, -1))
+    const ownTokens = isComputing ? sharedTokens : heldTokens.get(backlog.worker) ?? 0
+    const [partsSource, sourceTokens] = longestOf(heldTokens, backlog.worker)
+    const fetchedTokens = Math.max(0, sourceTokens - ownTokens)
+    const computedTokens = promptTokens - ownTokens - fetchedTokens
+    const computeMilliseconds = this.speed.computeMilliseconds(computedTokens)
+    const fetchMilliseconds = fetchedTokens === 0
+      ? 0
+      : fetchSetupMilliseconds + fetchedTokens / this.options.costs.fetchedTokensPerMillisecond
+    const isComputedElsewhere = !isComputing && sharedTokens > 0 && this.isComputing(task)
+    const repeatedTokens = isComputedElsewhere ? Math.max(0, sharedTokens - ownTokens - fetchedTokens) : 0
+    const copyMilliseconds = copyCostFraction * this.speed.computeMilliseconds(fetchedTokens + repeatedTokens)
+    return {
+      backlog,
+      computedTokens,
+      computeMilliseconds,
+      fetchMilliseconds,
+      partsSource: fetchedTokens > 0 ? partsSource : undefined,
+      cost: this.busyMilliseconds(backlog, now) + fetchMilliseconds + computeMilliseconds + copyMilliseconds
+    }
+  }
+
+  /** True if some worker computes a prompt with the same shared parts. */
+  private isComputing (task: PromptTask): boolean {
+    const sharedParts = task.parts.slice(0, -1)
+    return [...this.backlogs.values()].some(backlog => backlog.isComputing(sharedParts))
+  }
+
+  /** Number of leading tokens of the prompt that each worker holds. */
+  private heldTokens ({ parts, partTokens }: PromptTask): Map<WorkerId, number> {
+    const { held, holders } = this.options
+    return new Map(holders().map(({ id }) => [id, held.leadingTokens(id, parts, partTokens)]))
+  }
+
+  /** Time for which the prompt occupies a worker if its parts are fetched or held as far as any worker holds them. */
+  private shortestCompute (task: PromptTask): number {
+    return this.speed.computeMilliseconds(this.tokensToCompute(task))
+  }
+
+  /** Number of tokens of the prompt that no worker holds. */
+  private tokensToCompute (task: PromptTask): number {
+    return promptTokensOf(task) - Math.max(0, ...this.heldTokens(task).values())
+  }
+
   /** Schedules the next dispatch for the time when the first worker is about to have room. */
   private scheduleRecheck (): void {
     this.recheck?.abort()
@@ -422,7 +442,7 @@
     if (this.waiting.size === 0) return
     const { clock } = this.options
     const now = clock.monotonic()
-    const untilFree = this.backlogs.accepting(now).map(backlog => Math.max(
+    const untilFree = this.acceptingBacklogs(now).map(backlog => Math.max(
       backlog.milliseconds(now) - dispatchAheadMilliseconds,
       this.options.permits.waitMilliseconds(backlog.worker, now)
     ))
@@ -434,3 +454,12 @@
     }, () => {})
   }
 }
+
+/** The worker other than `excluded` that holds most tokens, and their number. */
+function longestOf (heldTokens: ReadonlyMap<WorkerId, number>, excluded: WorkerId): [WorkerId | undefined, number] {
+  let longest: [WorkerId | undefined, number] = [undefined, 0]
+  for (const [worker, tokens] of heldTokens) {
+    if (worker !== excluded && tokens > longest[1]) longest = [worker, tokens]
+  }
+  return longest
+}
--- a/src/placement/PromptTask.ts
+++ b/src/placement/PromptTask.ts
@@ -17,11 +17,6 @@
   dueAt: number
   /** Time at which the caller gives up; a prompt that is computed later is of no use. */
   lostAt: number
-  /**
-   * Called if the prompt was placed and should be computed on another worker, because its worker is behind the others or
-   * gone; undefined if the host cannot do so.
-   */
-  onOverdue?: () => void
 }
 
 /**
--- a/src/placement/ScheduledPromptPlacer.ts
+++ b/src/placement/ScheduledPromptPlacer.ts
@@ -102,14 +102,13 @@
   }
 }
 
-function taskOf ({ id, account, prompt, dueAt, lostAt, onOverdue }: PromptToPlace): PromptTask {
+function taskOf ({ id, account, prompt, dueAt, lostAt }: PromptToPlace): PromptTask {
   return {
     id,
     account,
     parts: prompt.promptBlocks,
     partTokens: prompt.blockTokens ?? [],
     dueAt: dueAt - startAfterPromptMilliseconds,
-    lostAt: lostAt - startAfterPromptMilliseconds,
-    ...(onOverdue === undefined ? {} : { onOverdue })
+    lostAt: lostAt - startAfterPromptMilliseconds
   }
 }
--- a/src/placement/SchedulerConnection.ts
+++ b/src/placement/SchedulerConnection.ts
@@ -26,8 +26,6 @@
 export class SchedulerConnection {
   private readonly socket: Socket
   private readonly openQuestions = new Map<string, Settle>()
-  /** What to call if a placed prompt is overdue, by its id. */
-  private readonly overdueCalls = new Map<string, () => void>()
   private lastLineAt: number
   private readonly closed = new AbortController()
   private isWatching = false
@@ -74,7 +72,6 @@
     limits: readonly WorkerLimit[] = []
   ): Promise<Result<PlacementDecision, Failure>> {
     const now = this.clock.monotonic()
-    if (task.onOverdue !== undefined) this.overdueCalls.set(task.id, task.onOverdue)
     const answer = await this.ask(cell, {
       kind: 'place',
       ...cell,
@@ -83,12 +80,9 @@
       parts: task.parts.map((part, position): [string, number] => [part, task.partTokens[position] ?? 0]),
       due: Math.round(task.dueAt - now),
       lost: Math.round(task.lostAt - now),
-      ...(task.onOverdue === undefined ? {} : { moves: true }),
       ...encodeLimits(limits, now)
     }, signal)
-    const decision = answer.andThen(value => this.placementOf(value))
-    if (decision.isErr || decision.value.kind !== 'placed') this.overdueCalls.delete(task.id)
-    return decision
+    return answer.andThen(value => this.placementOf(value))
   }
 
   /** Asks for a permit to send a request to a limited worker. Errors: as for `place`. */
@@ -144,7 +138,6 @@
 
   /** Reports the end of a prompt. */
   end (cell: PlacementCell, id: string, outcome: PromptOutcome): void {
-    this.overdueCalls.delete(id)
     if (!this.isClosed) writeCorked(this.socket, encodeLine({ kind: 'end', ...cell, id, outcome }))
   }
 
@@ -161,13 +154,11 @@
     if (this.isClosed) return
     this.closed.abort()
     this.socket.destroy()
-    this.overdueCalls.clear()
     for (const id of [...this.openQuestions.keys()]) this.settle(id, Result.err(failure('not_ready', reason)))
   }
 
   private handle (answer: SchedulerAnswer): void {
     if (answer.kind === 'alive') return
-    if (answer.kind === 'overdue') return this.overdueCalls.get(answer.id)?.()
     if ('hosts' in answer) this.hosts = answer.hosts ?? this.hosts
     if ('limits' in answer) this.onLimits(decodeLimits(answer, this.clock.monotonic()))
     this.settle(answer.id, Result.ok(answer))
--- a/src/placement/SchedulerListener.ts
+++ b/src/placement/SchedulerListener.ts
@@ -156,10 +156,7 @@
     const decides = request.kind === 'permit' ? grantsPermits(cell) : schedules(cell)
     if (!decides) return writeCorked(socket, encodeLine({ kind: 'not_scheduler', id: request.id }))
     openQuestions.set(request.id, cell)
-    const onOverdue = (): void => {
-      if (!socket.destroyed) writeCorked(socket, encodeLine({ kind: 'overdue', id: request.id }))
-    }
-    this.answer(request, cell, onOverdue).then(answer => {
+    this.answer(request, cell).then(answer => {
       if (!openQuestions.delete(request.id)) return
       writeCorked(socket, encodeLine({ ...answer, ...this.sharedKnowledge(cell) }))
     }, error => {
@@ -175,7 +172,7 @@
     return limits.length === 0 ? {} : { hosts, ...encodeLimits(limits, clock.monotonic()) }
   }
 
-  private async answer (question: SchedulerQuestion, cell: PlacementCell, onOverdue: () => void): Promise<SchedulerAnswer> {
+  private async answer (question: SchedulerQuestion, cell: PlacementCell): Promise<SchedulerAnswer> {
     const { clock, scheduler } = this.options
     const now = clock.monotonic()
     const { id, due, lost } = question
@@ -185,13 +182,12 @@
       const { workers, urgency } = question
       return answerToPermit(id, await scheduler.permit(cell, { id, workers, urgency, ...times }, limits))
     }
-    const { account, parts, moves } = question
+    const { account, parts } = question
     return answerToPrompt(id, await scheduler.place(cell, {
       id,
       account,
       parts: parts.map(([part]) => part),
       partTokens: parts.map(([, tokens]) => tokens),
-      ...(moves === true ? { onOverdue } : {}),
       ...times
     }, limits))
   }
--- a/src/placement/schedulerMessages.ts
+++ b/src/placement/schedulerMessages.ts
@@ -35,8 +35,6 @@
     due: z.number(),
     /** Milliseconds until the caller gives up. */
     lost: z.number(),
-    /** True if the host understands `overdue`. */
-    moves: z.boolean().optional(),
     limits
   }),
   /** Asks for a permit to send a request to one of the workers, the preferred one first. */
@@ -73,8 +71,6 @@
   z.object({ kind: z.literal('granted'), id, worker: workerIdSchema, ...shared }),
   z.object({ kind: z.literal('with_answer'), id, answer: workerIdSchema.optional() }),
   z.object({ kind: z.literal('no_worker'), id }),
-  /** A placed prompt should be computed on another worker. Sent only to hosts that understand it. */
-  z.object({ kind: z.literal('overdue'), id }),
   /** The host that was asked does not schedule the cell. */
   z.object({ kind: z.literal('not_scheduler'), id }),
   /** The holder of the duties took a report. Counts of the window `settled` and earlier ones no longer matter. */
--- a/src/placement/testing/SimulatedFleet.ts
+++ b/src/placement/testing/SimulatedFleet.ts
@@ -24,8 +24,6 @@
   kept: Set<string>
   /** True while the worker answers nothing. */
   hangs: boolean
-  /** Factor on the time that a prompt takes on the worker. */
-  slowness: number
 }
 
 /** The workers of a pool. */
@@ -36,7 +34,7 @@
 
   constructor (private readonly clock: Clock, count: number) {
     for (let number = 0; number < count; number += 1) {
-      this.workers.set(`w${number}` as WorkerId, { busyUntil: 0, kept: new Set(), hangs: false, slowness: 1 })
+      this.workers.set(`w${number}` as WorkerId, { busyUntil: 0, kept: new Set(), hangs: false })
     }
   }
 
@@ -64,7 +62,7 @@
       if (isRepeated) this.repeatedTokens += prompt.partTokens[position]!
     }
     const start = Math.max(clock.monotonic(), worker.busyUntil) + (isFetching ? fetchMilliseconds : 0)
-    worker.busyUntil = start + tokens / simulatedTokensPerMillisecond * worker.slowness
+    worker.busyUntil = start + tokens / simulatedTokensPerMillisecond
     const answeredAt = worker.busyUntil + simulatedBaseMilliseconds
     await clock.sleep(answeredAt - clock.monotonic())
     for (const part of prompt.parts) worker.kept.add(part)
