--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -77,7 +77,8 @@
   /**
    * Returns the source of the computed prompt; without a source, the decode worker has to compute the prompt itself. The
    * first computation of a call takes a retry from the budget only if the worker may have received it in vain, every
-   * further one in advance. A prompt that waits at a worker which is gone is given to another worker as well.
+   * further one in advance. A prompt that waits at a worker which is gone is given to another worker. One that a present
+   * worker failed to compute in time is not, since a second computation would lengthen the queues that made it late.
    * Errors: those of `PromptPlacer.place`, and `quarantined` if the prompt must not be sent any more.
    */
   async compute (request: ServiceRequest, isFirst: boolean, stop: AbortSignal): Promise<Result<PromptResult, Failure>> {
@@ -95,7 +96,7 @@
       mayMove: reason => {
         if (stop.aborted || clock.monotonic() >= lostAt) return false
         if (this.candidates(request).every(upstream => sentTo.has(upstream))) return false
-        return reason === 'nothing' || servingCount(sentTo) < (request.maxAttempts ?? Infinity)
+        return reason === 'nothing' || [...sentTo].every(({ vanished }) => vanished.aborted)
       },
       onLoser: run => { this.discard(request, run) }
     }).run()
@@ -272,14 +273,6 @@
   }
 }
 
-/**
- * Number of workers that were sent the prompt and are still there. A computation on a further one counts as an attempt of
- * the request, whose number the operators limit.
- */
-function servingCount (sentTo: ReadonlySet<Upstream>): number {
-  return [...sentTo].filter(({ vanished }) => !vanished.aborted).length
-}
-
 /** A scheduler that leaves the prompt to the worker of the answer has decided the race as well. */
 function verdictOn ({ outcome, source, placement, takesRetry }: EndedRun): RunVerdict {
   if (source !== undefined || (outcome === undefined && placement?.answerWorker !== undefined)) return 'final'
