--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -13,7 +13,6 @@
 import type { PromptPlacementPolicy } from '../routing/index.js'
 import type { Upstream, UpstreamManager } from '../upstreams/index.js'
 import type { CallProtocol, KvSource } from './CallProtocol.js'
-import { ComputationRace, type RunStart, type RunVerdict } from './ComputationRace.js'
 import { destroyBody } from './responseBodies.js'
 import { permitUseOf } from './permitUseOf.js'
 import type { RetryBudget } from './RetryBudget.js'
@@ -44,15 +43,6 @@
  */
 interface ComputationResult { outcome: PromptOutcome, source?: KvSource, takesRetry: boolean }
 
-/** A computation that has ended, or that was not sent. */
-interface EndedRun extends Omit<ComputationResult, 'outcome'> {
-  /** Undefined if no worker was sent the prompt. */
-  outcome: PromptOutcome | undefined
-  isFirst: boolean
-  placement?: PlacedPrompt
-  failure?: Failure
-}
-
 /** Time limit for the response to a call that frees a computed prompt, in milliseconds. */
 const releaseTimeoutMilliseconds = 2000
 
@@ -77,97 +67,44 @@
   /**
    * Returns the source of the computed prompt; without a source, the decode worker has to compute the prompt itself. The
    * first computation of a call takes a retry from the budget only if the worker may have received it in vain, every
-   * further one in advance. A prompt that waits at a worker which is gone is given to another worker. One that a present
-   * worker failed to compute in time is not, since a second computation would lengthen the queues that made it late.
-   * Errors: those of `PromptPlacer.place`, and `quarantined` if the prompt must not be sent any more.
+   * further one in advance. Errors: those of `PromptPlacer.place`, and `quarantined` if the prompt must not be sent any more.
    */
   async compute (request: ServiceRequest, isFirst: boolean, stop: AbortSignal): Promise<Result<PromptResult, Failure>> {
-    const { prompt, pool, deadline } = request
-    const { budget, clock } = this.context
+    const { prompt, pool, account, requestId, deadline } = request
+    const { upstreams, budget, placer } = this.context
     if (prompt === undefined) return Result.ok(noComputation)
-    if (this.candidates(request).length === 0) return Result.ok(noComputation)
+    const candidates = (): readonly Upstream[] => upstreams.candidatesForPool(pool, 'prefill').filter(({ role }) => role === 'prefill')
+    if (candidates().length === 0) return Result.ok(noComputation)
     const mayCompute = isFirst ? !budget.isOverdrawn(pool) : budget.tryTake(pool)
     if (!mayCompute) return Result.ok(noComputation)
-    const sentTo = new Set<Upstream>()
-    const lostAt = request.startLostAt ?? deadline
-    const ended = await new ComputationRace<EndedRun>({
-      run: async start => await this.run(request, sentTo, start, stop),
-      verdictOn,
-      mayMove: reason => {
-        if (stop.aborted || clock.monotonic() >= lostAt) return false
-        if (this.candidates(request).every(upstream => sentTo.has(upstream))) return false
-        return reason === 'nothing' || [...sentTo].every(({ vanished }) => vanished.aborted)
-      },
-      onLoser: run => { this.discard(request, run) }
-    }).run()
-    const decisive = ended.find(run => verdictOn(run) === 'final')
-    const result = decisive ?? ended.find(run => run.isFirst)!
-    for (const run of ended) {
-      if (run !== result) this.discard(request, run)
-    }
-    // Moves have paid for all calls in vain but one, which the computed prompt makes up for.
-    if (decisive === undefined && isFirst && ended.some(({ takesRetry }) => takesRetry)) budget.charge(pool)
-    if (result.failure !== undefined) return Result.err(result.failure)
-    return Result.ok({ source: result.source, placement: result.placement })
-  }
-
-  private candidates ({ pool }: ServiceRequest): readonly Upstream[] {
-    return this.context.upstreams.candidatesForPool(pool, 'prefill').filter(({ role }) => role === 'prefill')
-  }
-
-  /** Places the prompt on a worker that was not sent it, and computes it there. */
-  private async run (
-    request: ServiceRequest,
-    sentTo: Set<Upstream>,
-    { reason, cancelled, onLate }: RunStart,
-    stopOfCall: AbortSignal
-  ): Promise<EndedRun> {
-    const { prompt, pool, requestId, deadline } = request
-    const { upstreams, budget, placer, events } = this.context
-    const stop = AbortSignal.any([stopOfCall, cancelled])
-    const untried = (): readonly Upstream[] => this.candidates(request).filter(upstream => !sentTo.has(upstream))
-    const excluded = new Set([...sentTo].map(({ id }) => id))
     this.computations += 1
     const placed = await placer.place({
       id: `${requestId}.${this.computations}`,
       pool,
-      account: request.account,
-      prompt: prompt!,
+      account,
+      prompt,
       dueAt: request.startDueAt ?? deadline,
       lostAt: request.startLostAt ?? deadline,
-      candidates: () => this.candidates(request),
-      decodeCandidates: () => upstreams.candidatesForPool(pool),
-      excluded
+      candidates,
+      decodeCandidates: () => upstreams.candidatesForPool(pool)
     }, stop)
-    const notSent: EndedRun = { outcome: undefined, takesRetry: false, isFirst: reason === undefined }
-    if (placed.isErr) return { ...notSent, failure: placed.error }
+    if (placed.isErr) return Result.err(placed.error)
     const placement = placed.value
-    const refusal = this.context.quarantine?.refusalOf(prompt!)
-    const takesRetry = placement?.worker !== undefined && (reason === 'late' || reason === 'failed')
-    if (refusal !== undefined || (takesRetry && !budget.tryTake(pool))) {
+    const refusal = this.context.quarantine?.refusalOf(prompt)
+    if (refusal !== undefined) {
       if (placement?.worker !== undefined) placement.end('abandoned')
       placement?.answered(undefined, undefined)
-      return { ...notSent, failure: refusal }
+      return Result.err(refusal)
     }
-    if (placement?.worker === undefined) return { ...notSent, placement }
+    if (placement?.worker === undefined) return Result.ok({ source: undefined, placement })
     const worker = placement.hasPermits
       ? placement.worker
-      : await this.choosePermitted(request, placement.worker, untried, stop)
-    if (worker === undefined) return { ...notSent, placement }
-    if (reason !== undefined) events.info('prompt_moved', { request: requestId, worker: worker.id, reason, from: [...excluded].join(',') })
-    sentTo.add(worker)
-    worker.vanished.addEventListener('abort', onLate, { once: true })
-    if (worker.vanished.aborted) onLate()
+      : await this.choosePermitted(request, placement.worker, candidates, stop)
+    if (worker === undefined) return Result.ok({ source: undefined, placement })
     const computation = await this.send(request, { ...placement, worker }, stop)
-    worker.vanished.removeEventListener('abort', onLate)
     placement.end(computation.outcome)
-    return { ...notSent, ...computation, placement }
-  }
-
-  /** Gives up a run whose result is not used. */
-  private discard (request: ServiceRequest, { placement, source }: EndedRun): void {
-    placement?.answered(undefined, undefined)
-    if (source !== undefined) this.release(request, source).catch(() => {})
+    if (computation.takesRetry && isFirst) budget.charge(pool)
+    return Result.ok({ source: computation.source, placement })
   }
 
   /** Returns a worker that may be sent the prompt; undefined if all state a limit and no permit is available. */
@@ -272,10 +209,3 @@
     this.context.events.warn('prompt_computation_failed', { request: request.requestId, worker: upstream.id, reason })
   }
 }
-
-/** A scheduler that leaves the prompt to the worker of the answer has decided the race as well. */
-function verdictOn ({ outcome, source, placement, takesRetry }: EndedRun): RunVerdict {
-  if (source !== undefined || (outcome === undefined && placement?.answerWorker !== undefined)) return 'final'
-  if (outcome !== 'failed') return 'no_move'
-  return takesRetry ? 'failed' : 'nothing'
-}
--- a/src/placement/PromptPlacer.ts
+++ b/src/placement/PromptPlacer.ts
@@ -23,13 +23,6 @@
   candidates: () => readonly Upstream[]
   /** Workers that generate answers at the moment, which may hold shared parts. */
   decodeCandidates: () => readonly Upstream[]
-  /** Workers that have been sent the prompt already and must not be chosen again. */
-  excluded?: ReadonlySet<WorkerId>
-}
-
-/** The candidates for the computation that have not been sent the prompt. */
-export function untriedCandidates ({ candidates, excluded }: PromptToPlace): readonly Upstream[] {
-  return excluded === undefined || excluded.size === 0 ? candidates() : candidates().filter(({ id }) => !excluded.has(id))
 }
 
 /** Workers for a prompt and its answer. */
@@ -66,9 +59,8 @@
     super()
   }
 
-  async place (toPlace: PromptToPlace): Promise<Result<PlacedPrompt | undefined, Failure>> {
-    const { prompt, decodeCandidates } = toPlace
-    const placement = this.policy.chooseForPrompt(prompt, untriedCandidates(toPlace), decodeCandidates())
+  async place ({ prompt, candidates, decodeCandidates }: PromptToPlace): Promise<Result<PlacedPrompt | undefined, Failure>> {
+    const placement = this.policy.chooseForPrompt(prompt, candidates(), decodeCandidates())
     if (placement === undefined) return Result.ok(undefined)
     return Result.ok({ ...placement, answerWorker: undefined, hasPermits: false, end: () => {}, answered: () => {} })
   }
--- a/src/placement/ScheduledPromptPlacer.ts
+++ b/src/placement/ScheduledPromptPlacer.ts
@@ -6,7 +6,7 @@
 import { type Clock, failure, type Failure, type WorkerId, type Zone } from '../common/index.js'
 import type { EventLog } from '../observability/index.js'
 import { cellOf, type PlacementCell } from './PromptScheduler.js'
-import { type PlacedPrompt, PromptPlacer, type PromptToPlace, untriedCandidates } from './PromptPlacer.js'
+import { type PlacedPrompt, PromptPlacer, type PromptToPlace } from './PromptPlacer.js'
 import type { PlacementDecision, PromptOutcome, PromptTask } from './PromptTask.js'
 
 /** Connection to the schedulers of all cells. */
@@ -91,9 +91,9 @@
       return Result.ok({ worker: undefined, sharedPartsSource: undefined, answerWorker, ...reports })
     }
     const candidates = prompt.candidates()
-    const worker = untriedCandidates(prompt).find(({ id }) => id === decision.worker)
+    const worker = candidates.find(({ id }) => id === decision.worker)
     if (worker === undefined) {
-      // This host knows that the worker leaves, its own requests to the worker fail, or it was sent the prompt already.
+      // This host knows that the worker leaves, or its own requests to the worker fail.
       client.end(cell, prompt.id, 'abandoned')
       return await fallback.place(prompt, signal)
     }
--- a/src/upstreams/Upstream.ts
+++ b/src/upstreams/Upstream.ts
@@ -71,7 +71,6 @@
   /** Rate of requests that the process states. */
   readonly limit = new StatedLimit()
   readonly origin: string
-  private readonly vanishing = new AbortController()
   private connectionPool: ConnectionPool | undefined
   /** The latest calls, by upstream and request. */
   private readonly carriedCalls: BoundedTable<true>
@@ -140,18 +139,6 @@
     return this.removed || this.leaving || this.hasAnnouncedStop || this.description.worker.draining
   }
 
-  /** Aborts when the worker disappears from the configuration without having left in order. */
-  get vanished (): AbortSignal {
-    return this.vanishing.signal
-  }
-
-  /** Records that the configuration no longer contains the worker. */
-  markRemoved (): void {
-    if (!this.isLeaving) this.vanishing.abort()
-    this.removed = true
-    this.available = false
-  }
-
   private get stays (): boolean {
     return !this.isLeaving && !this.draining
   }
--- a/src/upstreams/UpstreamManager.ts
+++ b/src/upstreams/UpstreamManager.ts
@@ -310,7 +310,8 @@
   }
 
   private remove (entry: Entry): void {
-    entry.upstream.markRemoved()
+    entry.upstream.removed = true
+    entry.upstream.available = false
     this.entries.delete(entry.upstream.id)
     this.options.events.info('worker_removed', { worker: entry.upstream.id })
     for (const task of entry.tasks) task.stop().catch(() => {})
