Leave the bound of unread answers to the service of a connection

The peer port closed a reader with over 1 MiB unread when it asked on. Two pages under way, or one long record, exceed that although the reader reads normally. The relay itself bounds what it has not sent.

--- a/src/placement/PeerSockets.ts
+++ b/src/placement/PeerSockets.ts
@@ -15,8 +15,8 @@
 
 /** The open connections of a listener. */
 export class PeerSockets {
-  /** Connections by age, with whether a complete line has arrived. */
-  private readonly sockets = new Map<Socket, { hasSentLine: boolean }>()
+  /** Connections by age, with whether a complete line has arrived and whether a service took the connection over. */
+  private readonly sockets = new Map<Socket, { hasSentLine: boolean, isOfService: boolean }>()
 
   constructor (private readonly events: EventLog, private readonly maxSockets = defaultMaxSockets) {}
 
@@ -29,16 +29,25 @@
       this.close(socket, 'too many connections')
       return false
     }
-    const state = { hasSentLine: false }
+    const state = { hasSentLine: false, isOfService: false }
     this.sockets.set(socket, state)
     socket.on('close', () => { this.sockets.delete(socket) })
     socket.on('data', bytes => {
       state.hasSentLine ||= bytes.includes(lineFeed)
-      if (socket.writableLength > maxUnreadBytes) this.close(socket, 'the other host does not read')
+      if (!state.isOfService && socket.writableLength > maxUnreadBytes) this.close(socket, 'the other host does not read')
     })
     return true
   }
 
+  /**
+   * Leaves the bound of what the other end has not read to the service that took the connection over; one answer of a
+   * relay may be longer than the answers of the scheduler may be together.
+   */
+  passToService (socket: Socket): void {
+    const state = this.sockets.get(socket)
+    if (state !== undefined) state.isOfService = true
+  }
+
   private closeUnused (): boolean {
     for (const [socket, { hasSentLine }] of this.sockets) {
       if (hasSentLine) continue
--- a/src/placement/SchedulerListener.ts
+++ b/src/placement/SchedulerListener.ts
@@ -27,7 +27,7 @@
   grantsPermits: (cell: PlacementCell) => boolean
   /** Number of hosts that share the limits of workers, as this host has heard before it grants permits itself. */
   sharingHosts: () => number
-  /** Further services, by name, which take over the connections that open them. */
+  /** Further services, by name, which take over the connections that open them; they bound their unsent answers. */
   services?: ReadonlyMap<string, (socket: Socket) => void>
   /** Takes the report of a host; undefined if this host does not hold the duties. Default: it does not. */
   receiveReport?: ((report: HostReport) => HostReportAnswer | undefined) | undefined
@@ -46,6 +46,7 @@
 /** Serves the scheduler of this host to other hosts. */
 export class SchedulerListener {
   private readonly server: Server
+  private readonly peers: PeerSockets
   private readonly sockets = new Set<Socket>()
   /** Connections that a service took over. */
   private readonly serviceSockets = new Set<Socket>()
@@ -53,8 +54,8 @@
   private readonly reportSockets = new Set<Socket>()
 
   constructor (private readonly options: SchedulerListenerOptions) {
-    const peers = new PeerSockets(options.events, options.maxConnections)
-    this.server = createServer({ noDelay: true }, socket => { if (peers.accept(socket)) this.serve(socket) })
+    this.peers = new PeerSockets(options.events, options.maxConnections)
+    this.server = createServer({ noDelay: true }, socket => { if (this.peers.accept(socket)) this.serve(socket) })
   }
 
   /** Starts to listen. Rejects if the address cannot be bound. */
@@ -131,6 +132,7 @@
       return
     }
     this.sockets.delete(socket)
+    this.peers.passToService(socket)
     this.serviceSockets.add(socket)
     socket.on('close', () => { this.serviceSockets.delete(socket) })
     serve(socket)
--- a/src/platform/relay/StoreRelay.test.ts
+++ b/src/platform/relay/StoreRelay.test.ts
@@ -105,6 +105,30 @@
   expect(relay.readers).toBeLessThan(13)
 })
 
+// Two pages may be under way on a slow network when the reader, which has read another answer, asks on.
+test('a reader that asks on while long answers are under way is not closed', async () => {
+  let served: Socket | undefined
+  const serve = relay.serve.bind(relay)
+  relay.serve = socket => { served = socket; serve(socket) }
+  outcome = { kind: 'records', next: 1, age: 0, texts: [encodeRecord({ key: 'key', value: Buffer.alloc(1_000_000, 'v') })] }
+  const reader = await openSilent(7)
+  while (served!.writableLength <= 1_048_576) await new Promise(resolve => setTimeout(resolve, 5))
+  const { bytesRead } = served!
+  reader.write(readLine)
+  while (served!.bytesRead === bytesRead) await new Promise(resolve => setTimeout(resolve, 5))
+  let lines = 0
+  const ended = new Promise<void>(resolve => {
+    reader.on('close', () => { resolve() }).on('data', bytes => {
+      lines += bytes.toString('latin1').split('\n').length - 1
+      if (lines === 8) resolve()
+    })
+  })
+  reader.resume()
+  await ended
+  reader.destroy()
+  expect(lines).toBe(8)
+})
+
 describe('a connection that sends', () => {
   test.each([
     ['the name of no service', '{"kind":"open","service":"other"}\n'],
