--- a/review/standins-2/deployment.mjs
+++ b/review/standins-2/deployment.mjs
@@ -206,7 +206,7 @@
   }
 }
 
-async function isReady (address) {
+export async function isReady (address) {
   const [hostname, port] = address.split(':')
   return await new Promise(resolve => {
     const call = startRequest({ hostname, port, path: '/v1/ready', agent: false }, message => {
