Log the cell and the decisions of a prompt schedule, and what the numbers of workers are planned from

Three causes were possible: the workers stand in other zones than the callers, the schedulers do not share their workers, or the demand that the planner knows is too low. The lines of `prompt_schedule` did not name their cell, counted neither the prompts that were sent nor those that were refused, and stopped while all were refused at once; the planner logged only its orders. Now each line names the cell with both counts, and `capacity_state` gives workers by zone and kind beside the demand every five seconds. Decisions are unchanged; the tests of both folders pass.

--- a/src/capacity/CapacityTask.ts
+++ b/src/capacity/CapacityTask.ts
@@ -13,6 +13,9 @@
 /** Interval between plans, in milliseconds. */
 const planMilliseconds = 1000
 
+/** Interval of the log lines about the workers and the demand of a pool, in milliseconds. */
+const stateLogMilliseconds = 5000
+
 /** A pool that the operators allow to grow and shrink. */
 export interface ScaledPool {
   pool: Pool
@@ -38,6 +41,7 @@
   /** Planners since this host gained the duty. */
   private readonly planners = new Map<Pool, CapacityPlanner>()
   private readonly hold: CallHold
+  private stateLoggedAt = -Infinity
   private task: Task | undefined
 
   constructor (private readonly options: CapacityTaskOptions) {
@@ -63,6 +67,7 @@
     const { lease, pools, demandOf, clock } = this.options
     // What a former holder ordered is unknown, so a new holder begins with what it counts.
     if (lease.authority() === undefined) return this.planners.clear()
+    this.logState()
     for (const { pool, scaling, throughput, workers } of pools()) {
       const planner = this.planners.get(pool) ?? new CapacityPlanner(pool, throughput)
       this.planners.set(pool, planner)
@@ -72,6 +77,24 @@
     }
   }
 
+  /** Logs what the plans start from, also while no order is due. */
+  private logState (): void {
+    const { clock, events, pools, demandOf } = this.options
+    const now = clock.monotonic()
+    if (now - this.stateLoggedAt < stateLogMilliseconds) return
+    this.stateLoggedAt = now
+    for (const { pool, workers } of pools()) {
+      const serving = workers.filter(({ leaving }) => !leaving)
+      const demand = demandOf(pool)
+      events.info('capacity_state', {
+        pool,
+        workers: [...countBy(serving, ({ zone, kind }) => `${zone}/${kind}`)].map(([group, count]) => `${group}=${count}`).join(','),
+        open_prompts: demand === undefined ? undefined : Math.round(demand.openPrompts * 10) / 10,
+        open_answers: demand === undefined ? undefined : Math.round(demand.openAnswers * 10) / 10
+      })
+    }
+  }
+
   /** Gives an order. Returns false if this host has lost its authority. */
   private async give (order: WorkerOrder, planner: CapacityPlanner): Promise<boolean> {
     const { lease, platform, events, clock } = this.options
@@ -105,3 +128,9 @@
     return true
   }
 }
+
+function countBy<Item> (items: readonly Item[], groupOf: (item: Item) => string): Map<string, number> {
+  const counts = new Map<string, number>()
+  for (const item of items) counts.set(groupOf(item), (counts.get(groupOf(item)) ?? 0) + 1)
+  return counts
+}
--- a/src/placement/AccountShares.test.ts
+++ b/src/placement/AccountShares.test.ts
@@ -65,6 +65,7 @@
   const fleet = new SimulatedFleet(clock, 2)
   const workers = (): Array<{ id: WorkerId, zone: Zone }> => fleet.ids
   const schedule = new PromptSchedule({
+    cell: 'llm',
     clock,
     events,
     held: new HeldParts(),
--- a/src/placement/PromptSchedule.test.ts
+++ b/src/placement/PromptSchedule.test.ts
@@ -29,6 +29,7 @@
   fleet = new SimulatedFleet(clock, workers)
   permits = new PermitQueue({ clock, events: discardingEventLog(clock) })
   schedule = new PromptSchedule({
+    cell: 'llm',
     clock,
     events: discardingEventLog(clock),
     held,
--- a/src/placement/PromptSchedule.ts
+++ b/src/placement/PromptSchedule.ts
@@ -31,6 +31,8 @@
 
 /** Options of a `PromptSchedule`. */
 export interface PromptScheduleOptions {
+  /** Name of the cell in log lines. */
+  cell: string
   clock: Clock
   events: EventLog
   held: HeldParts
@@ -114,6 +116,8 @@
   private isDispatchDue = false
   private recheck: AbortController | undefined
   private stateLoggedAt = -Infinity
+  /** Decisions since the last log line about the state. */
+  private decided = { sent: 0, refused: 0 }
   private overdueDecidedAt = -Infinity
 
   constructor (private readonly options: PromptScheduleOptions) {
@@ -138,7 +142,11 @@
     const usualMilliseconds = computeMilliseconds + this.speed.usualMilliseconds
     const times = { computeMilliseconds, neededMilliseconds, usualMilliseconds }
     const refusal = this.refusalOf({ task, ...times })
-    if (refusal !== undefined) return refusal
+    if (refusal !== undefined) {
+      this.decided.refused += 1
+      this.logState(this.options.clock.monotonic())
+      return refusal
+    }
     return await new Promise(resolve => {
       this.waiting.set(task.id, { task, decide: resolve, ...times })
       this.waitingMilliseconds += computeMilliseconds
@@ -297,6 +305,7 @@
       partTokens: task.partTokens
     })
     this.placed.set(task.id, backlog)
+    this.decided.sent += 1
     this.options.permits.take(backlog.worker, now)
     this.shares.recordSent(task, computeMilliseconds, now)
     const zone = this.options.workers().find(({ id }) => id === backlog.worker)?.zone
@@ -339,6 +348,7 @@
       }
       const waitMilliseconds = workers.length === 0 ? 0 : queue.waitMilliseconds
       if (now + waitMilliseconds + neededMilliseconds > task.lostAt) {
+        this.decided.refused += 1
         this.removeWaiting(task.id)?.decide({ kind: 'refused', retryAfterMilliseconds: Math.ceil(waitMilliseconds) })
         continue
       }
@@ -349,7 +359,12 @@
   private logState (now: number): void {
     if (now - this.stateLoggedAt < stateLogMilliseconds) return
     this.stateLoggedAt = now
+    const { sent, refused } = this.decided
+    this.decided = { sent: 0, refused: 0 }
     this.options.events.info('prompt_schedule', {
+      cell: this.options.cell,
+      sent,
+      refused,
       waiting: this.waiting.size,
       placed: this.placed.size,
       workers: this.options.workers().length,
--- a/src/placement/PromptScheduler.ts
+++ b/src/placement/PromptScheduler.ts
@@ -151,6 +151,7 @@
     if (known !== undefined) return known.schedule
     const { clock, events, held, workers, holders, answerWorkers, costs } = this.options
     const schedule = new PromptSchedule({
+      cell: name,
       clock,
       events,
       held,
