Offer prompts that the cell of their zone cannot compute in time to other cells

Cause: a pool of more than 24 engines that compute prompts is divided into a cell for each zone. The prompts of a zone's callers went to the engines of that zone alone, however few there were, and nothing moved them to a cell whose engines waited. A zone without any engine used a cell of the whole pool, whose scheduler knew nothing of the zones' own queues.

Change: a host first asks the cell of its zone whether it can compute the prompt in time. If not, it asks up to two other cells, drawn by their numbers of engines. If none can, the prompt waits in the cell with the shortest queue. A cell of another zone whose scheduler fails is not asked for two seconds. Without overload there is one question, as before.

--- a/src/placement/PromptSchedule.ts
+++ b/src/placement/PromptSchedule.ts
@@ -197,12 +197,12 @@
     return entry
   }
 
-  /** The refusal of a prompt that cannot be computed before its caller gives up; undefined if it can. */
+  /** The refusal of a prompt that cannot wait as long as it would have to; undefined if it can. */
   private refusalOf (entry: PromptTimes & { task: PromptTask }): PlacementDecision | undefined {
     const now = this.options.clock.monotonic()
     const backlogs = this.acceptingBacklogs(now).map(backlog => this.busyMilliseconds(backlog, now))
     if (backlogs.length === 0) return undefined
-    const available = entry.task.lostAt - entry.neededMilliseconds - now
+    const available = this.availableMilliseconds(entry, now)
     const pace = this.millisecondsBetweenPrompts(backlogs.length)
     // Ranking the waiting prompts takes time, which is saved while even the last of them would be in time.
     const longest = Math.max(this.waitingMilliseconds, pace * this.waiting.size) / backlogs.length
@@ -220,6 +220,17 @@
     return { kind: 'refused', retryAfterMilliseconds: Math.ceil(queue.waitMilliseconds) }
   }
 
+  /**
+   * Time for which a prompt may wait, in milliseconds. One that can be late elsewhere too is taken on by a worker that is
+   * about to be free.
+   */
+  private availableMilliseconds (entry: PromptTimes & { task: PromptTask }, now: number): number {
+    const { task, neededMilliseconds, usualMilliseconds } = entry
+    const untilLost = task.lostAt - neededMilliseconds - now
+    if (task.onlyInTime !== true) return untilLost
+    return Math.min(untilLost, Math.max(dispatchAheadMilliseconds, task.dueAt - usualMilliseconds - now))
+  }
+
   /** Chooses the worker that generates an answer: the one that starts it first, given where the prompt is computed. */
   private chooseAnswerWorker (task: PromptTask, computedIn: Zone | undefined, now: number): WorkerId | undefined {
     const { held, costs, answerWorkers, permits } = this.options
--- a/src/placement/PromptScheduler.ts
+++ b/src/placement/PromptScheduler.ts
@@ -45,12 +45,33 @@
 const retryAfterMilliseconds = 300
 
 /**
- * The cell of a host's prompts. `workers`: the workers of the pool that compute prompts. A pool that fits one cell has
- * only one, in which the load of all zones is balanced.
+ * The cell of a zone. `workers`: the workers of the pool that compute prompts. A pool that fits one cell has only one, in
+ * which the load of all zones is balanced.
  */
 export function cellOf (pool: Pool, zone: Zone, workers: ReadonlyArray<{ readonly zone: Zone }>): PlacementCell {
-  const hasWorkersInZone = workers.some(worker => worker.zone === zone)
-  return { pool, zone: workers.length > maxCellWorkers && hasWorkersInZone ? zone : undefined }
+  return { pool, zone: workers.length > maxCellWorkers ? zone : undefined }
+}
+
+/**
+ * The cells that may compute a host's prompts: that of its zone, if workers compute prompts there, and the others in an
+ * order that is drawn for each prompt by their numbers of workers, so that what one zone cannot compute is spread.
+ * `random`: returns numbers from 0 (inclusive) to 1 (exclusive).
+ */
+export function cellsOf (
+  pool: Pool,
+  zone: Zone,
+  workers: ReadonlyArray<{ readonly zone: Zone }>,
+  random: () => number
+): PlacementCell[] {
+  if (workers.length <= maxCellWorkers) return [cellOf(pool, zone, workers)]
+  const counts = new Map<Zone, number>()
+  for (const worker of workers) counts.set(worker.zone, (counts.get(worker.zone) ?? 0) + 1)
+  const rankOf = (count: number): number => random() ** (1 / count)
+  const others = [...counts].filter(([other]) => other !== zone)
+    .map(([other, count]) => ({ cell: { pool, zone: other }, rank: rankOf(count) }))
+    .sort((left, right) => right.rank - left.rank)
+    .map(({ cell }) => cell)
+  return counts.has(zone) ? [{ pool, zone }, ...others] : others
 }
 
 /** Text that identifies a cell. */
--- a/src/placement/PromptTask.ts
+++ b/src/placement/PromptTask.ts
@@ -17,12 +17,15 @@
   dueAt: number
   /** Time at which the caller gives up; a prompt that is computed later is of no use. */
   lostAt: number
+  /** True if another cell may compute the prompt instead, so that it is refused unless it can be in time here. */
+  onlyInTime?: boolean
 }
 
 /**
  * Decision about a prompt. `placed`: the host sends it to `worker`, which fetches shared parts from `partsSource`;
- * `refused`: it cannot be computed before its caller gives up; `with_answer`: the worker that generates the answer
- * computes it, `answerWorker` if it is set; `no_worker`: the scheduler knows no worker that computes prompts.
+ * `refused`: it cannot be computed before its caller gives up, or in time if it asks for that alone; `with_answer`: the
+ * worker that generates the answer computes it, `answerWorker` if it is set; `no_worker`: the scheduler knows no worker that
+ * computes prompts.
  */
 export type PlacementDecision =
   | { kind: 'placed', worker: WorkerId, partsSource: WorkerId | undefined, answerWorker: WorkerId | undefined }
--- a/src/placement/ScheduledPromptPlacer.test.ts
+++ b/src/placement/ScheduledPromptPlacer.test.ts
@@ -9,7 +9,7 @@
 import type { Upstream } from '../upstreams/index.js'
 import { type PlacedPrompt, PromptPlacer, type PromptToPlace } from './PromptPlacer.js'
 import type { PlacementCell } from './PromptScheduler.js'
-import type { PlacementDecision, PromptOutcome } from './PromptTask.js'
+import type { PlacementDecision, PromptOutcome, PromptTask } from './PromptTask.js'
 import { ScheduledPromptPlacer, SchedulerClient } from './ScheduledPromptPlacer.js'
 
 const zone = 'a' as Zone
@@ -142,6 +142,60 @@
   ['a cell for each zone of a large pool', 40, zone]
 ])('the host asks the scheduler of %s', async (_name, count, expectedZone) => {
   const candidates = Array.from({ length: count }, (_, index) => upstream(`w${index}`, (index % 2 === 0 ? zone : 'b') as Zone))
+  client.answer = Result.ok({ kind: 'placed', worker: 'w0' as WorkerId, partsSource: undefined, answerWorker: undefined })
   await placer.place(prompt(candidates), never)
   expect(client.cells).toEqual([{ pool: 'llm', zone: expectedZone }])
 })
+
+describe('a prompt that the cell of its zone cannot compute in time', () => {
+  const candidates = Array.from({ length: 30 }, (_, index) => upstream(`w${index}`, (['a', 'b', 'c'] as Zone[])[index % 3]!))
+  const refused = (retryAfterMilliseconds: number): Result<PlacementDecision, Failure> => Result.ok({ kind: 'refused', retryAfterMilliseconds })
+  const placed = (worker: string): Result<PlacementDecision, Failure> =>
+    Result.ok({ kind: 'placed', worker: worker as WorkerId, partsSource: undefined, answerWorker: undefined })
+  const silent: Result<PlacementDecision, Failure> = Result.err(failure('not_ready', 'silent'))
+
+  // Guards against callers who are refused although another zone has room, against longer waits than that of their own
+  // zone, and against prompts that are given up since a zone that would only help does not answer.
+  test.each<[string, Record<string, Array<Result<PlacementDecision, Failure>>>, string | undefined, string]>([
+    ['goes to a cell that can', { a: [refused(900)], b: [placed('w1')], c: [placed('w2')] }, 'w2', 'a? c?'],
+    ['goes to the third cell if the second one cannot either', { a: [refused(900)], b: [placed('w1')], c: [refused(500)] }, 'w1', 'a? c? b?'],
+    ['waits in its own cell if no queue is shorter', { a: [refused(400), placed('w0')], b: [refused(400)], c: [refused(500)] }, 'w0', 'a? c? b? a'],
+    ['waits in the cell with the shortest queue', { a: [refused(900)], b: [refused(300), placed('w1')], c: [refused(500)] }, 'w1', 'a? c? b? b'],
+    ['is refused if no cell can compute it at all', { a: [refused(900), refused(900)], b: [refused(901)], c: [refused(902)] }, undefined, 'a? c? b? a'],
+    ['waits in its own cell if no other one answers', { a: [refused(900), placed('w0')], b: [silent], c: [silent] }, 'w0', 'a? c? b? a']
+  ])('%s', async (_name, answers, worker, asked) => {
+    const questions: string[] = []
+    client.place = async (cell: PlacementCell, task?: PromptTask) => {
+      questions.push(`${cell.zone}${task?.onlyInTime === true ? '?' : ''}`)
+      return answers[cell.zone!]!.shift()!
+    }
+    placer = new ScheduledPromptPlacer({
+      client, fallback: new FirstCandidatePlacer(), zone, clock, events: discardingEventLog(clock), random: sequence([0.1, 0.9])
+    })
+    const result = await placer.place(prompt(candidates), never)
+    expect(result.unwrapOr(undefined)?.worker?.id).toBe(worker)
+    expect(questions.join(' ')).toBe(asked)
+  })
+
+  // Guards against a wait for each prompt while another zone is cut off.
+  test('is not offered to a cell whose scheduler has just failed', async () => {
+    const asked: Array<Zone | undefined> = []
+    client.place = async (cell: PlacementCell) => {
+      asked.push(cell.zone)
+      return cell.zone === zone ? refused(900) : silent
+    }
+    await placer.place(prompt(candidates), never)
+    asked.length = 0
+    await placer.place(prompt(candidates), never)
+    expect(asked).toEqual([zone, zone])
+    await clock.advance(2000)
+    asked.length = 0
+    await placer.place(prompt(candidates), never)
+    expect(asked).toHaveLength(4)
+  })
+})
+
+function sequence (values: readonly number[]): () => number {
+  let next = 0
+  return () => values[next++ % values.length]!
+}
--- a/src/placement/SchedulerConnection.ts
+++ b/src/placement/SchedulerConnection.ts
@@ -80,6 +80,7 @@
       parts: task.parts.map((part, position): [string, number] => [part, task.partTokens[position] ?? 0]),
       due: Math.round(task.dueAt - now),
       lost: Math.round(task.lostAt - now),
+      ...(task.onlyInTime === true ? { only_in_time: true } : {}),
       ...encodeLimits(limits, now)
     }, signal)
     return answer.andThen(value => this.placementOf(value))
--- a/src/placement/SchedulerListener.ts
+++ b/src/placement/SchedulerListener.ts
@@ -184,12 +184,13 @@
       const { workers, urgency } = question
       return answerToPermit(id, await scheduler.permit(cell, { id, workers, urgency, ...times }, limits))
     }
-    const { account, parts } = question
+    const { account, parts, only_in_time: onlyInTime = false } = question
     return answerToPrompt(id, await scheduler.place(cell, {
       id,
       account,
       parts: parts.map(([part]) => part),
       partTokens: parts.map(([, tokens]) => tokens),
+      onlyInTime,
       ...times
     }, limits))
   }
--- a/src/placement/schedulerMessages.ts
+++ b/src/placement/schedulerMessages.ts
@@ -35,6 +35,8 @@
     due: z.number(),
     /** Milliseconds until the caller gives up. */
     lost: z.number(),
+    /** True if the prompt is to be refused unless it can be in time. Schedulers that do not know it take the prompt. */
+    only_in_time: z.boolean().optional(),
     limits
   }),
   /** Asks for a permit to send a request to one of the workers, the preferred one first. */
--- a/src/placement/testing/SimulatedFleet.ts
+++ b/src/placement/testing/SimulatedFleet.ts
@@ -32,14 +32,15 @@
   /** Tokens of shared parts that were computed although a worker kept them. */
   repeatedTokens = 0
 
-  constructor (private readonly clock: Clock, count: number) {
+  /** `zoneOf`: the zone of a worker by its number; default: all are in one. */
+  constructor (private readonly clock: Clock, count: number, private readonly zoneOf = (_number: number): Zone => 'zone-a' as Zone) {
     for (let number = 0; number < count; number += 1) {
       this.workers.set(`w${number}` as WorkerId, { busyUntil: 0, kept: new Set(), hangs: false })
     }
   }
 
   get ids (): Array<{ id: WorkerId, zone: Zone }> {
-    return [...this.workers.keys()].map(id => ({ id, zone: 'zone-a' as Zone }))
+    return [...this.workers.keys()].map((id, number) => ({ id, zone: this.zoneOf(number) }))
   }
 
   /** Computes a prompt; resolves with the time of the response. Never resolves on a worker that hangs. */
