Divide the workers of a pool among the zones as their callers divide the demand

Cause: the planner knew one demand for the whole pool and kept and added standard workers in the order of their prices. Neither the demand of a zone nor its loss or cut had a place in the plan.

Change: the reports of the hosts, which name their zone, are summed for each zone. The number of workers is divided among the zones as that demand was divided over the last 15 s, and as the present workers are until it has been observed for as long. A zone's spot workers replace its own standard workers. What a zone cannot have, the others have; workers of a zone go only when those that replace them elsewhere serve. A change of under a tenth of a zone's number, or one worker, orders nothing. The price decides between equal remainders, and where a zone has none to give.

--- a/src/capacity/CapacityPlanner.test.ts
+++ b/src/capacity/CapacityPlanner.test.ts
@@ -71,6 +71,65 @@
   expect([fleet.count('spot'), fleet.count('standard')]).toEqual([2, 6])
 })
 
+/** A demand of which each zone sees the given share. */
+function dividedDemand ({ openPrompts, openAnswers }: PoolDemand, shares: readonly number[]): PoolDemand {
+  return {
+    openPrompts,
+    openAnswers,
+    zones: new Map(zones.map((zone, index) =>
+      [zone, { openPrompts: openPrompts * shares[index]!, openAnswers: openAnswers * shares[index]! }]))
+  }
+}
+
+// Guards against a zone whose callers are refused, since the workers stand where they are cheap, and against zones that
+// cannot serve their callers while they are cut off.
+test.each([
+  ['equally', 32, [1 / 3, 1 / 3, 1 / 3], { openPrompts: 12, openAnswers: 60 }],
+  ['unequally', 32, [0.5, 0.15, 0.35], { openPrompts: 12, openAnswers: 60 }],
+  ['so that one has few', 10, [0.48, 0.48, 0.04], { openPrompts: 6, openAnswers: 30 }],
+  ['before fewer workers are needed', 8, [0.2, 0.3, 0.5], { openPrompts: 8, openAnswers: 30 }]
+])('zones that share the demand %s share the workers alike, whatever they cost', (_name, present, shares, demand) => {
+  const fleet = new Fleet(present, { ...scaling, maxWorkersPerZone: 94 })
+  fleet.run(90, dividedDemand(demand, shares))
+  const total = fleet.count('standard') + fleet.count('spot')
+  for (const [index, zone] of zones.entries()) {
+    const workers = fleet.count('standard', zone) + fleet.count('spot', zone)
+    // Up to a tenth, or one worker, orders nothing, and numbers are rounded.
+    expect(workers).toBeGreaterThanOrEqual(Math.floor(shares[index]! * total * 0.9 - 1))
+  }
+})
+
+// Guards against zones that lose their workers before those that replace them in other zones serve.
+test('workers move to the zones of the demand only as others serve there', () => {
+  const fleet = new Fleet(0)
+  fleet.set(zones[1]!, 'standard', 18)
+  const demand = dividedDemand({ openPrompts: 6, openAnswers: 60 }, [0.4, 0.3, 0.3])
+  let lowest = Infinity
+  for (let second = 0; second < 40; second += 1) {
+    fleet.run(1, demand)
+    lowest = Math.min(lowest, fleet.count('standard') + fleet.count('spot'))
+  }
+  expect(lowest).toBeGreaterThanOrEqual(15)
+  expect(fleet.count('standard', zones[1]) + fleet.count('spot', zones[1])).toBeLessThan(8)
+})
+
+// Guards against a pool that is too small since the zone of the demand has no workers to give.
+test('other zones have the workers that a zone cannot have', () => {
+  const fleet = new Fleet(6)
+  const demand = dividedDemand({ openPrompts: 6, openAnswers: 60 }, [0.6, 0.2, 0.2])
+  fleet.run(40, demand, order => order.zone === zones[0])
+  expect(fleet.count('standard') + fleet.count('spot')).toBeGreaterThanOrEqual(15)
+})
+
+// Guards against orders for a demand that moves between the zones faster than workers start.
+test('a demand that swings between the zones orders nothing once it was seen', () => {
+  const fleet = new Fleet(10)
+  const swing = (turns: number): WorkerOrder[] => [...Array(turns).keys()].flatMap(turn =>
+    fleet.run(4, dividedDemand({ openPrompts: 6, openAnswers: 60 }, turn % 2 === 0 ? [0.45, 0.25, 0.3] : [0.25, 0.45, 0.3])))
+  swing(10)
+  expect(swing(10)).toEqual([])
+})
+
 // Guards against orders that follow a mix of prompts and answers that swings faster than workers start.
 test('a demand that swings every three seconds orders nothing once both sides were seen', () => {
   const fleet = new Fleet(10)
--- a/src/capacity/CapacityPlanner.ts
+++ b/src/capacity/CapacityPlanner.ts
@@ -1,6 +1,9 @@
 /**
  * Plans how many workers of each kind each zone of a pool has, at the lowest price that serves the demand.
  *
+ * The zones share the workers as their callers share the demand, so that a zone can be cut off or lost. The price decides
+ * only where that leaves a choice.
+ *
  * Spot workers carry most of the load, spread over the zones, since the platform takes those of a zone away together. A
  * few standard workers remain for the time in which no spot worker is to be had. Standard workers go only when spot
  * workers that replace them serve, and return while these are missing.
@@ -8,7 +11,8 @@
 import type { Pool, Zone } from '../common/index.js'
 import type { WorkerKind } from '../duties/index.js'
 import type { CountedWorker, PoolDemand, PoolScaling, WorkerOrder } from './WorkerOrder.js'
-import { type WorkerThroughput, WorkerTarget } from './WorkerTarget.js'
+import { type WorkerThroughput, workersFor, WorkerTarget } from './WorkerTarget.js'
+import { divideAmongZones, ZoneShares } from './ZoneShares.js'
 
 /** Standard workers of a pool over all zones: two for prompts and two for answers, so that one of each may be lost. */
 const minStandardWorkers = 4
@@ -47,6 +51,7 @@
 /** Plans the workers of one pool. */
 export class CapacityPlanner {
   private target: WorkerTarget | undefined
+  private shares: ZoneShares | undefined
   private readonly states = new Map<string, ZoneKind>()
 
   constructor (private readonly pool: Pool, private readonly throughput: WorkerThroughput) {}
@@ -75,9 +80,10 @@
     }
     const countOf = (zone: Zone, kind: WorkerKind): number =>
       serving.filter(worker => worker.zone === zone && worker.kind === kind).length
-    const spot = this.planSpot(zones, needed, scaling, now)
+    const needs = this.needsOf(zones, needed, { now, workers: serving, demand, scaling })
+    const spot = this.planSpot(zones, needs, scaling, now)
     const servingSpot = zones.reduce((sum, zone) => sum + Math.min(countOf(zone, 'spot'), spot.get(zone)!), 0)
-    const standard = this.planStandard(zones, needed - servingSpot, scaling, { spot, countOf, now })
+    const standard = this.planStandard(zones, needs, scaling, { spot, countOf, now })
     const reason = `${needed} workers needed, ${serving.length} serve, of them ${servingSpot} spot workers`
     return zones.flatMap(zone => {
       const counts = { standard: countOf(zone, 'standard'), spot: countOf(zone, 'spot') }
@@ -97,22 +103,36 @@
     return ordered?.isFulfilled === true
   }
 
+  /** Workers of both kinds that each zone needs. */
+  private needsOf (
+    zones: readonly Zone[],
+    needed: number,
+    { now, workers, demand, scaling }: CapacityInput
+  ): Map<Zone, number> {
+    const present = new Map(zones.map(zone => [zone, workers.filter(worker => worker.zone === zone).length]))
+    this.shares ??= new ZoneShares(present)
+    const demandOfZones = demand?.zones === undefined
+      ? undefined
+      : new Map([...demand.zones].map(([zone, work]) => [zone, workersFor(work, this.throughput)]))
+    const shares = this.shares.update(demandOfZones, needed, now)
+    return divideAmongZones(needed, zones, zone => shares.get(zone) ?? 0, () => scaling.maxWorkersPerZone)
+  }
+
   /**
-   * Spot workers of each zone: equal shares. Those of zones that have none are not given to the others, so that the loss of a
-   * further zone leaves enough; standard workers take their place.
+   * Spot workers of each zone: equal shares, as far as the zone needs workers. Those of zones that have none are not given to
+   * the others, so that the loss of a further zone leaves enough; standard workers take their place.
    */
-  private planSpot (zones: readonly Zone[], needed: number, scaling: PoolScaling, now: number): Map<Zone, number> {
-    const planned = new Map(zones.map(zone => [zone, 0]))
-    if (scaling.spotPrice === undefined || scaling.spotPrice >= 1) return planned
+  private planSpot (
+    zones: readonly Zone[],
+    needs: ReadonlyMap<Zone, number>,
+    scaling: PoolScaling,
+    now: number
+  ): Map<Zone, number> {
+    if (scaling.spotPrice === undefined || scaling.spotPrice >= 1) return new Map(zones.map(zone => [zone, 0]))
     const base = this.standardBase(zones, scaling)
-    const standardBase = [...base.values()].reduce((sum, count) => sum + count, 0)
-    let open = Math.min(needed - standardBase, Math.floor(needed * maxSpotShare))
-    while (open > 0) {
-      const withRoom = zones.filter(zone => planned.get(zone)! + base.get(zone)! < scaling.maxWorkersPerZone)
-      if (withRoom.length === 0) break
-      for (const zone of withRoom.slice(0, open)) planned.set(zone, planned.get(zone)! + 1)
-      open -= Math.min(open, withRoom.length)
-    }
+    const needed = sumOf(needs)
+    const open = Math.min(needed - sumOf(base), Math.floor(needed * maxSpotShare))
+    const planned = divideAmongZones(open, zones, () => 1, zone => Math.max(0, needs.get(zone)! - base.get(zone)!))
     for (const zone of zones) if (!this.isAvailable(zone, 'spot', now)) planned.set(zone, 0)
     return planned
   }
@@ -129,29 +149,46 @@
     return base
   }
 
-  /** Standard workers of each zone: the base, and those that the serving spot workers do not replace. */
+  /**
+   * Standard workers of each zone: the base, and those that the serving spot workers of the zone do not replace. What a zone
+   * cannot have, the others have in its place.
+   */
   private planStandard (
     zones: readonly Zone[],
-    open: number,
+    needs: ReadonlyMap<Zone, number>,
     scaling: PoolScaling,
     { spot, countOf, now }: { spot: ReadonlyMap<Zone, number>, countOf: (zone: Zone, kind: WorkerKind) => number, now: number }
   ): Map<Zone, number> {
     const base = this.standardBase(zones, scaling)
-    const planned = new Map(base)
-    let missing = open - [...base.values()].reduce((sum, count) => sum + count, 0)
-    // Workers that are there already are kept before others are ordered.
+    const wanted = new Map(zones.map(zone => {
+      const servingSpot = Math.min(countOf(zone, 'spot'), spot.get(zone)!)
+      return [zone, Math.max(base.get(zone)!, needs.get(zone)! - servingSpot)]
+    }))
+    const keptOf = (zone: Zone): number => Math.max(base.get(zone)!, Math.min(wanted.get(zone)!, countOf(zone, 'standard')))
+    const planned = new Map(zones.map(zone => [zone, keptOf(zone)]))
+    let missing = zones.reduce((sum, zone) => sum + Math.max(0, wanted.get(zone)! - countOf(zone, 'standard')), 0)
+    // Workers that are there already are kept until those that replace them in other zones serve.
     for (const zone of zones) {
-      const kept = Math.min(Math.max(0, missing), Math.max(0, countOf(zone, 'standard') - planned.get(zone)!))
+      const kept = Math.min(missing, Math.max(0, countOf(zone, 'standard') - planned.get(zone)!))
       planned.set(zone, planned.get(zone)! + kept)
       missing -= kept
     }
-    const expectedSpot = zones.reduce((sum, zone) => sum + Math.max(0, spot.get(zone)! - countOf(zone, 'spot')), 0)
-    missing -= expectedSpot
+    const roomOf = (zone: Zone): number => this.isAvailable(zone, 'standard', now)
+      ? Math.max(0, scaling.maxWorkersPerZone - spot.get(zone)! - planned.get(zone)!)
+      : 0
+    let unplaced = 0
     for (const zone of zones) {
-      if (!this.isAvailable(zone, 'standard', now)) continue
-      const added = Math.min(Math.max(0, missing), Math.max(0, scaling.maxWorkersPerZone - spot.get(zone)! - planned.get(zone)!))
+      const expectedSpot = Math.max(0, spot.get(zone)! - countOf(zone, 'spot'))
+      const open = Math.max(0, wanted.get(zone)! - planned.get(zone)! - expectedSpot)
+      const added = Math.min(open, roomOf(zone))
       planned.set(zone, planned.get(zone)! + added)
-      missing -= added
+      unplaced += open - added
+    }
+    unplaced = Math.min(unplaced, missing)
+    for (const zone of zones) {
+      const added = Math.min(unplaced, roomOf(zone))
+      planned.set(zone, planned.get(zone)! + added)
+      unplaced -= added
     }
     for (const zone of zones) {
       const count = countOf(zone, 'standard')
@@ -189,6 +226,10 @@
   }
 }
 
+function sumOf (counts: ReadonlyMap<Zone, number>): number {
+  return [...counts.values()].reduce((sum, count) => sum + count, 0)
+}
+
 /** Price of a worker in a zone for which the operators state none. */
 const defaultPrice = 1
 
--- a/src/capacity/WorkerOrder.ts
+++ b/src/capacity/WorkerOrder.ts
@@ -24,14 +24,20 @@
   leaving: boolean
 }
 
-/** Work of a pool at one moment, summed over all hosts. */
-export interface PoolDemand {
+/** Work of a pool, summed over hosts. */
+export interface OpenWork {
   /** Prompts at the workers that compute them, or waiting for one. */
   openPrompts: number
   /** Streams and other requests at the workers that answer. */
   openAnswers: number
 }
 
+/** Work of a pool at one moment, summed over all hosts. */
+export interface PoolDemand extends OpenWork {
+  /** The part of each zone, from whose callers it comes; undefined if it is not known. */
+  zones?: ReadonlyMap<Zone, OpenWork>
+}
+
 /** The number of workers of one kind that a zone is to have, and why. */
 export interface WorkerOrder extends WorkerCountOrder {
   /** Number that was counted when the order was planned. */
--- a/src/capacity/WorkerTarget.ts
+++ b/src/capacity/WorkerTarget.ts
@@ -3,10 +3,10 @@
  * demand that is shorter than the start of a worker orders nothing.
  */
 import { DemandPeak } from './DemandPeak.js'
-import type { PoolDemand } from './WorkerOrder.js'
+import type { OpenWork, PoolDemand } from './WorkerOrder.js'
 
 /** Period whose peak counts, in milliseconds; it covers several swings between prompts and answers. */
-const peakMilliseconds = 15_000
+export const peakMilliseconds = 15_000
 
 /**
  * Time over which demand is averaged, in milliseconds. Caches that are still empty and workers that have just failed make
@@ -27,7 +27,7 @@
 const lowerMilliseconds = 3000
 
 /** Changes up to this share of the number, or of one worker, order nothing. */
-const toleratedShare = 0.1
+export const toleratedShare = 0.1
 
 /** How much work a worker takes so that requests rarely wait. */
 export interface WorkerThroughput {
@@ -46,7 +46,7 @@
 export class WorkerTarget {
   private readonly prompts = new DemandPeak(peakMilliseconds)
   private readonly answers = new DemandPeak(peakMilliseconds)
-  private average: PoolDemand = { openPrompts: 0, openAnswers: 0 }
+  private average: OpenWork = { openPrompts: 0, openAnswers: 0 }
   private averagedAt: number | undefined
   private observedSince: number | undefined
   private raisedAt: number | undefined
@@ -101,10 +101,15 @@
     if (demand.openPrompts + demand.openAnswers > 0) this.observedSince ??= now
   }
 
-  private workersFor ({ openPrompts, openAnswers }: PoolDemand): number {
-    const { promptsPerWorker, answersPerWorker, promptShare } = this.throughput
-    const forPrompts = promptShare > 0 ? openPrompts / promptsPerWorker / promptShare : 0
-    const forAnswers = openAnswers / answersPerWorker / (1 - promptShare)
-    return Math.max(1, Math.ceil(Math.max(forPrompts, forAnswers)))
+  private workersFor (work: OpenWork): number {
+    return Math.max(1, Math.ceil(workersFor(work, this.throughput)))
   }
 }
+
+/** The number of workers that some work occupies, with the reserve of `throughput`. Not rounded. */
+export function workersFor ({ openPrompts, openAnswers }: OpenWork, throughput: WorkerThroughput): number {
+  const { promptsPerWorker, answersPerWorker, promptShare } = throughput
+  const forPrompts = promptShare > 0 ? openPrompts / promptsPerWorker / promptShare : 0
+  const forAnswers = openAnswers / answersPerWorker / (1 - promptShare)
+  return Math.max(forPrompts, forAnswers)
+}
--- a/src/duties/HostReportBoard.test.ts
+++ b/src/duties/HostReportBoard.test.ts
@@ -13,7 +13,7 @@
       board.receive({
         host: `host-${number}` as HostId,
         incarnation: '0123456789abcdef' as Incarnation,
-        zone: 'a' as Zone,
+        zone: (number % 5 < 3 ? 'a' : 'b') as Zone,
         at: clock.wall(),
         windows: [],
         demand: [{ pool, openPrompts: 1, openAnswers: 2 }]
@@ -21,11 +21,15 @@
     }
   }
   report(10)
-  expect(board.demandOf(pool)).toEqual({ openPrompts: 10, openAnswers: 20 })
+  expect(board.demandOf(pool)).toEqual({
+    openPrompts: 10,
+    openAnswers: 20,
+    zones: new Map([['a', { openPrompts: 6, openAnswers: 12 }], ['b', { openPrompts: 4, openAnswers: 8 }]])
+  })
   await clock.advance(4000)
   report(5)
   expect(board.demandOf(pool)).toBeUndefined()
   await clock.advance(12_000)
   report(5)
-  expect(board.demandOf(pool)).toEqual({ openPrompts: 5, openAnswers: 10 })
+  expect(board.demandOf(pool)).toMatchObject({ openPrompts: 5, openAnswers: 10 })
 })
--- a/src/duties/HostReportBoard.ts
+++ b/src/duties/HostReportBoard.ts
@@ -1,7 +1,7 @@
 /**
  * The latest report of each host, on the holder of the duties.
  */
-import { BoundedTable, type Clock, type Pool } from '../common/index.js'
+import { BoundedTable, type Clock, type Pool, type Zone } from '../common/index.js'
 import type { HostPoolDemand, HostReport } from './HostReport.js'
 
 /** A report with the monotonic time in milliseconds of its arrival. */
@@ -19,6 +19,11 @@
 /** Time after which hosts that no longer report are not expected to, in milliseconds. */
 const expectedMilliseconds = 15_000
 
+/** Work of a pool over all hosts, and the part of it that the hosts of each zone see. */
+export interface ReportedDemand extends Omit<HostPoolDemand, 'pool'> {
+  zones: ReadonlyMap<Zone, Omit<HostPoolDemand, 'pool'>>
+}
+
 /** Keeps the latest reports, with the demand that they state. */
 export class HostReportBoard {
   private readonly reports = new BoundedTable<ReceivedReport>(maxReports)
@@ -45,15 +50,22 @@
    * Demand for a pool over all hosts; undefined if none has stated any, or if so many hosts cannot reach this one that the
    * rest would look like less demand.
    */
-  demandOf (pool: Pool): Omit<HostPoolDemand, 'pool'> | undefined {
+  demandOf (pool: Pool): ReportedDemand | undefined {
     const recent = this.recent()
     if (recent.length < this.expectedHosts(recent.length) * enoughShare) return undefined
-    const demands = recent.flatMap(({ report }) => report.demand.filter(demand => demand.pool === pool))
-    if (demands.length === 0) return undefined
-    return {
-      openPrompts: demands.reduce((sum, { openPrompts }) => sum + openPrompts, 0),
-      openAnswers: demands.reduce((sum, { openAnswers }) => sum + openAnswers, 0)
+    const total = { openPrompts: 0, openAnswers: 0 }
+    const zones = new Map<Zone, { openPrompts: number, openAnswers: number }>()
+    for (const { report } of recent) {
+      for (const demand of report.demand.filter(reported => reported.pool === pool)) {
+        const ofZone = zones.get(report.zone) ?? { openPrompts: 0, openAnswers: 0 }
+        zones.set(report.zone, ofZone)
+        for (const sum of [total, ofZone]) {
+          sum.openPrompts += demand.openPrompts
+          sum.openAnswers += demand.openAnswers
+        }
+      }
     }
+    return zones.size === 0 ? undefined : { ...total, zones }
   }
 
   /** The largest number of hosts that reported within the latest seconds, given the present one. */
