Do not take spot workers that leave by an order for reclaimed ones

Cause: a leaving spot worker counted as taken away by the platform once the latest order of its zone was fulfilled. An order for fewer is fulfilled at once, while the workers that it removed still leave for seconds, so the planner concluded that the zone has no spot workers to give.

Change: after an order for fewer, leaving spot workers of the zone say nothing until none is left of them. A loss meanwhile still shows in the number, and the order is given again.

Evidence: the new case of CapacityPlanner.test.ts fails on the code before, where spot workers are ordered away and back with a constant demand, and passes now.

--- a/src/capacity/CapacityPlanner.test.ts
+++ b/src/capacity/CapacityPlanner.test.ts
@@ -202,3 +202,36 @@
   expect(ordersAt(6000)).toBe(0)
   expect(ordersAt(7100)).toBeGreaterThan(0)
 })
+
+// Guards against a pool that loses all its spot workers after each order for fewer of them, as if the platform had taken
+// the ones that leave, and against a loss that is overlooked since an earlier order has removed some.
+test('spot workers that leave by an order are not taken for those that the platform takes away', () => {
+  const planner = new CapacityPlanner(pool, throughput)
+  const counts = new Map(zones.flatMap(zone => [[`${zone}/standard`, 8], [`${zone}/spot`, 5]]))
+  const leavingUntil: Array<{ zone: Zone, until: number }> = []
+  const orders: WorkerOrder[] = []
+  const run = (from: number, through: number): void => {
+    for (let now = from; now <= through; now += 1000) {
+      const leaving = leavingUntil.filter(({ until }) => until > now).map(({ zone }) => ({ zone, kind: 'spot' as const, leaving: true }))
+      const serving = zones.flatMap(zone => (['standard', 'spot'] as const).flatMap(kind =>
+        Array.from({ length: counts.get(`${zone}/${kind}`)! }, () => ({ zone, kind, leaving: false }))))
+      for (const order of planner.plan({ now, workers: [...serving, ...leaving], demand: calm, scaling })) {
+        const { zone, kind, desired, before } = order
+        orders.push(order)
+        counts.set(`${zone}/${kind}`, desired)
+        const removed = kind === 'spot' ? Math.max(0, before - desired) : 0
+        leavingUntil.push(...Array.from({ length: removed }, () => ({ zone, until: now + 4000 })))
+      }
+    }
+  }
+  run(0, 60_000)
+  expect(leavingUntil.length).toBeGreaterThan(0)
+  expect(orders.filter(({ kind, desired, before: counted }) => kind === 'spot' && desired > counted)).toEqual([])
+  const spot = zones.find(zone => counts.get(`${zone}/spot`)! > 0)!
+  expect(spot).toBeDefined()
+  leavingUntil.push(...Array.from({ length: counts.get(`${spot}/spot`)! }, () => ({ zone: spot, until: 65_000 })))
+  counts.set(`${spot}/spot`, 0)
+  const before = counts.get(`${spot}/standard`)!
+  run(61_000, 64_000)
+  expect(counts.get(`${spot}/standard`)).toBeGreaterThan(before)
+})
--- a/src/capacity/CapacityPlanner.ts
+++ b/src/capacity/CapacityPlanner.ts
@@ -45,6 +45,8 @@
 interface ZoneKind {
   /** The latest order. `isFulfilled`: the ordered workers have been counted, so that fewer show a loss. */
   ordered?: { desired: number, at: number, isFulfilled: boolean }
+  /** True while workers may still be leaving that an order has removed. */
+  isShrinking: boolean
   unavailableUntil: number
 }
 
@@ -75,8 +77,11 @@
     const needed = this.target.update(demand, scaling.startupMilliseconds, now)
     const zones = zonesByPrice(scaling, serving)
     // The platform takes away all spot workers of a zone when it has none to give there.
-    for (const { zone, kind, leaving } of workers) {
-      if (leaving && kind === 'spot' && this.isWanted(zone)) this.recordUnavailable(zone, kind, now)
+    for (const zone of zones) {
+      const hasLeaving = workers.some(worker => worker.leaving && worker.kind === 'spot' && worker.zone === zone)
+      if (hasLeaving && this.isWanted(zone)) this.recordUnavailable(zone, 'spot', now)
+      const state = this.stateOf(zone, 'spot')
+      if (!hasLeaving && state.ordered?.isFulfilled === true) state.isShrinking = false
     }
     const countOf = (zone: Zone, kind: WorkerKind): number =>
       serving.filter(worker => worker.zone === zone && worker.kind === kind).length
@@ -99,8 +104,8 @@
 
   /** True if the leaving spot workers of a zone are not those that an order has removed. */
   private isWanted (zone: Zone): boolean {
-    const { ordered } = this.stateOf(zone, 'spot')
-    return ordered?.isFulfilled === true
+    const { ordered, isShrinking } = this.stateOf(zone, 'spot')
+    return ordered?.isFulfilled === true && !isShrinking
   }
 
   /** Workers of both kinds that each zone needs. */
@@ -210,7 +215,9 @@
 
   private order (order: WorkerOrder, now: number): WorkerOrder {
     const { zone, kind, desired, before } = order
-    this.stateOf(zone, kind).ordered = { desired, at: now, isFulfilled: desired === before }
+    const state = this.stateOf(zone, kind)
+    state.isShrinking ||= desired < before
+    state.ordered = { desired, at: now, isFulfilled: desired === before }
     return order
   }
 
@@ -220,7 +227,7 @@
 
   private stateOf (zone: Zone, kind: WorkerKind): ZoneKind {
     const key = `${kind}/${zone}`
-    const state = this.states.get(key) ?? { unavailableUntil: -Infinity }
+    const state = this.states.get(key) ?? { unavailableUntil: -Infinity, isShrinking: false }
     this.states.set(key, state)
     return state
   }
