Count refused prompts as demand for workers

Cause: demand was measured as the requests in progress at the workers. A refused prompt is never in progress, so the more a pool refused, the fewer workers it seemed to need.

Change: hosts count the prompts that were computed and those that were refused because no worker could compute them before their callers give up, and report both rates. The holder of the duties adds to the prompts in progress those that the refused ones would have been, by the mean time of the computed ones (Little's law), in the zone that refused them. Reports of hosts without these counts are taken as before.

--- a/src/capacity/WorkerOrder.ts
+++ b/src/capacity/WorkerOrder.ts
@@ -2,7 +2,7 @@
  * What the planner of worker numbers knows about a pool, and the orders that it gives.
  */
 import type { Zone } from '../common/index.js'
-import type { WorkerCountOrder, WorkerKind } from '../duties/index.js'
+import type { OpenWork, WorkerCountOrder, WorkerKind } from '../duties/index.js'
 
 /** How the operators allow a pool to grow and shrink. The limits hold for each zone, for both kinds together. */
 export interface PoolScaling {
@@ -24,14 +24,6 @@
   leaving: boolean
 }
 
-/** Work of a pool, summed over hosts. */
-export interface OpenWork {
-  /** Prompts at the workers that compute them, or waiting for one. */
-  openPrompts: number
-  /** Streams and other requests at the workers that answer. */
-  openAnswers: number
-}
-
 /** Work of a pool at one moment, summed over all hosts. */
 export interface PoolDemand extends OpenWork {
   /** The part of each zone, from whose callers it comes; undefined if it is not known. */
--- a/src/capacity/WorkerTarget.ts
+++ b/src/capacity/WorkerTarget.ts
@@ -3,7 +3,8 @@
  * demand that is shorter than the start of a worker orders nothing.
  */
 import { DemandPeak } from './DemandPeak.js'
-import type { OpenWork, PoolDemand } from './WorkerOrder.js'
+import type { OpenWork } from '../duties/index.js'
+import type { PoolDemand } from './WorkerOrder.js'
 
 /** Period whose peak counts, in milliseconds; it covers several swings between prompts and answers. */
 export const peakMilliseconds = 15_000
--- a/src/duties/HostReport.ts
+++ b/src/duties/HostReport.ts
@@ -17,7 +17,10 @@
   /** Prompts at the workers that compute them. */
   openPrompts: amount,
   /** Streams and other requests at the workers that answer. */
-  openAnswers: amount
+  openAnswers: amount,
+  /** Prompts a second that were computed, and that were refused for lack of workers; 0 from hosts that do not count them. */
+  computedPrompts: amount.default(0),
+  refusedPrompts: amount.default(0)
 })
 export type HostPoolDemand = z.infer<typeof poolDemandSchema>
 
--- a/src/duties/HostReportBoard.test.ts
+++ b/src/duties/HostReportBoard.test.ts
@@ -16,7 +16,7 @@
         zone: (number % 5 < 3 ? 'a' : 'b') as Zone,
         at: clock.wall(),
         windows: [],
-        demand: [{ pool, openPrompts: 1, openAnswers: 2 }]
+        demand: [{ pool, openPrompts: 1, openAnswers: 2, computedPrompts: 10, refusedPrompts: 0 }]
       })
     }
   }
@@ -33,3 +33,27 @@
   report(5)
   expect(board.demandOf(pool)).toMatchObject({ openPrompts: 5, openAnswers: 10 })
 })
+
+// Guards against a pool whose workers are taken away since its callers are refused.
+test('prompts that were refused for lack of workers count as those that were computed', () => {
+  const board = new HostReportBoard(new ManualClock())
+  const demands = {
+    a: { openPrompts: 6, computedPrompts: 20, refusedPrompts: 0 },
+    b: { openPrompts: 0, computedPrompts: 0, refusedPrompts: 10 }
+  }
+  for (const [zone, demand] of Object.entries(demands)) {
+    board.receive({
+      host: `host-${zone}` as HostId,
+      incarnation: '0123456789abcdef' as Incarnation,
+      zone: zone as Zone,
+      at: 0,
+      windows: [],
+      demand: [{ pool, openAnswers: 1, ...demand }]
+    })
+  }
+  expect(board.demandOf(pool)).toEqual({
+    openPrompts: 9,
+    openAnswers: 2,
+    zones: new Map([['a', { openPrompts: 6, openAnswers: 1 }], ['b', { openPrompts: 3, openAnswers: 1 }]])
+  })
+})
--- a/src/duties/HostReportBoard.ts
+++ b/src/duties/HostReportBoard.ts
@@ -2,7 +2,7 @@
  * The latest report of each host, on the holder of the duties.
  */
 import { BoundedTable, type Clock, type Pool, type Zone } from '../common/index.js'
-import type { HostPoolDemand, HostReport } from './HostReport.js'
+import type { HostReport } from './HostReport.js'
 
 /** A report with the monotonic time in milliseconds of its arrival. */
 export interface ReceivedReport { report: HostReport, receivedAt: number }
@@ -19,9 +19,17 @@
 /** Time after which hosts that no longer report are not expected to, in milliseconds. */
 const expectedMilliseconds = 15_000
 
+/** Work of a pool, summed over hosts. */
+export interface OpenWork {
+  /** Prompts at the workers that compute them, and those that would have been there, had they not been refused. */
+  openPrompts: number
+  /** Streams and other requests at the workers that answer. */
+  openAnswers: number
+}
+
 /** Work of a pool over all hosts, and the part of it that the hosts of each zone see. */
-export interface ReportedDemand extends Omit<HostPoolDemand, 'pool'> {
-  zones: ReadonlyMap<Zone, Omit<HostPoolDemand, 'pool'>>
+export interface ReportedDemand extends OpenWork {
+  zones: ReadonlyMap<Zone, OpenWork>
 }
 
 /** Keeps the latest reports, with the demand that they state. */
@@ -53,19 +61,24 @@
   demandOf (pool: Pool): ReportedDemand | undefined {
     const recent = this.recent()
     if (recent.length < this.expectedHosts(recent.length) * enoughShare) return undefined
+    const demands = recent.flatMap(({ report: { zone, demand } }) =>
+      demand.filter(reported => reported.pool === pool).map(reported => ({ ...reported, zone })))
+    if (demands.length === 0) return undefined
+    const computedPrompts = demands.reduce((sum, demand) => sum + demand.computedPrompts, 0)
+    const openPrompts = demands.reduce((sum, demand) => sum + demand.openPrompts, 0)
+    // The number in progress is the rate times the time of each (Little's law), which refused prompts would have taken too.
+    const secondsPerPrompt = computedPrompts === 0 ? 0 : openPrompts / computedPrompts
     const total = { openPrompts: 0, openAnswers: 0 }
-    const zones = new Map<Zone, { openPrompts: number, openAnswers: number }>()
-    for (const { report } of recent) {
-      for (const demand of report.demand.filter(reported => reported.pool === pool)) {
-        const ofZone = zones.get(report.zone) ?? { openPrompts: 0, openAnswers: 0 }
-        zones.set(report.zone, ofZone)
-        for (const sum of [total, ofZone]) {
-          sum.openPrompts += demand.openPrompts
-          sum.openAnswers += demand.openAnswers
-        }
+    const zones = new Map<Zone, OpenWork>()
+    for (const demand of demands) {
+      const ofZone = zones.get(demand.zone) ?? { openPrompts: 0, openAnswers: 0 }
+      zones.set(demand.zone, ofZone)
+      for (const sum of [total, ofZone]) {
+        sum.openPrompts += demand.openPrompts + demand.refusedPrompts * secondsPerPrompt
+        sum.openAnswers += demand.openAnswers
       }
     }
-    return zones.size === 0 ? undefined : { ...total, zones }
+    return { ...total, zones }
   }
 
   /** The largest number of hosts that reported within the latest seconds, given the present one. */
--- a/src/forwarding/PromptComputation.ts
+++ b/src/forwarding/PromptComputation.ts
@@ -4,7 +4,7 @@
  */
 import { Result } from 'true-myth'
 import type { Dispatcher } from 'undici'
-import { abortAfter, type Clock, type Failure } from '../common/index.js'
+import { abortAfter, type Clock, type Failure, type Pool } from '../common/index.js'
 import { isNotSent, readBounded } from '../clients/index.js'
 import type { RequestPermits } from '../limits/index.js'
 import type { EventLog } from '../observability/index.js'
@@ -31,6 +31,8 @@
   permits?: RequestPermits
   /** Refuses prompts that crash workers; undefined if nothing does so. */
   quarantine?: PartQuarantine
+  /** Learns how many prompts were computed, or refused for lack of workers; undefined if nothing counts them. */
+  recordPrompt?: (pool: Pool, outcome: 'computed' | 'refused') => void
 }
 
 /**
@@ -88,7 +90,10 @@
       candidates,
       decodeCandidates: () => upstreams.candidatesForPool(pool)
     }, stop)
-    if (placed.isErr) return Result.err(placed.error)
+    if (placed.isErr) {
+      if (placed.error.kind === 'overloaded') this.context.recordPrompt?.(pool, 'refused')
+      return Result.err(placed.error)
+    }
     const placement = placed.value
     const refusal = this.context.quarantine?.refusalOf(prompt)
     if (refusal !== undefined) {
@@ -103,6 +108,7 @@
     if (worker === undefined) return Result.ok({ source: undefined, placement })
     const computation = await this.send(request, { ...placement, worker }, stop)
     placement.end(computation.outcome)
+    if (computation.outcome === 'computed') this.context.recordPrompt?.(pool, 'computed')
     if (computation.takesRetry && isFirst) budget.charge(pool)
     return Result.ok({ source: computation.source, placement })
   }
--- a/src/platform/CapacityPart.ts
+++ b/src/platform/CapacityPart.ts
@@ -3,7 +3,7 @@
  * workers of the services that the operators allow to grow and shrink.
  */
 import { CapacityTask, type CountedWorker, OccupancyMeter, type OccupiedWorker, type ScaledPool } from '../capacity/index.js'
-import type { Clock } from '../common/index.js'
+import type { Clock, Pool } from '../common/index.js'
 import type { HostPoolDemand } from '../duties/index.js'
 import type { GroupLease } from '../leases/index.js'
 import type { EventLog } from '../observability/index.js'
@@ -60,6 +60,11 @@
     return [...this.meter.take()].map(([pool, demand]) => ({ pool, ...demand }))
   }
 
+  /** Records the outcome of a prompt; see `OccupancyMeter.recordPrompt`. */
+  recordPrompt (pool: Pool, outcome: 'computed' | 'refused'): void {
+    if (this.task !== undefined && this.isNeeded) this.meter.recordPrompt(pool, outcome)
+  }
+
   start (): void {
     if (this.task === undefined) return
     this.meter.start()
--- a/src/platform/DutyReportChannel.test.ts
+++ b/src/platform/DutyReportChannel.test.ts
@@ -17,7 +17,7 @@
   at: 1_700_000_000_000,
   windows: [{ window: 3, counts: [['reef' as never, 2]] }],
   finalWindow: 2,
-  demand: [{ pool: 'llm' as never, openPrompts: 1.5, openAnswers: 4 }]
+  demand: [{ pool: 'llm' as never, openPrompts: 1.5, openAnswers: 4, computedPrompts: 5, refusedPrompts: 1 }]
 }
 
 let clock: ManualClock
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -3,7 +3,7 @@
  * reports readiness to the load balancer, and finishes open requests before it stops.
  */
 import { Hono } from 'hono'
-import { type Clock, EventLoopDelay, type Hash, type Incarnation, loadHash, newIncarnation, SystemClock } from '../common/index.js'
+import { type Clock, EventLoopDelay, type Hash, type Incarnation, loadHash, newIncarnation, type Pool, SystemClock } from '../common/index.js'
 import { type ListeningServer, serve } from '../entry/index.js'
 import { defaultAttemptLimits, PromptComputation, RequestManager, type RequestManagerOptions, RetryBudget, type RetryLimits, type RunObserver } from '../forwarding/index.js'
 import { type ObservedEngine, RolePlannerTask } from '../fleet/index.js'
@@ -260,7 +260,16 @@
     })
     const permits = new RequestPermits({ client: placement.permitClient, clock, events })
     const requests = new RequestManager(requestManagerOptions({
-      clock, events, upstreams, budget, policy, quarantine, permits, placer: placement.placer, runObserver: duties.runObserver
+      clock,
+      events,
+      upstreams,
+      budget,
+      policy,
+      quarantine,
+      permits,
+      placer: placement.placer,
+      recordPrompt: (pool, outcome) => { capacity.recordPrompt(pool, outcome) },
+      runObserver: duties.runObserver
     }))
     const loopDelay = new EventLoopDelay(clock)
     loopDelay.start(error => events.error('event_loop_delay_ended', { reason: String(error) }))
@@ -507,6 +516,7 @@
   quarantine: PartQuarantine
   permits: RequestPermits
   placer: PromptPlacer
+  recordPrompt: (pool: Pool, outcome: 'computed' | 'refused') => void
   runObserver: RunObserver | undefined
 }
 
@@ -517,7 +527,7 @@
 }
 
 function requestManagerOptions (
-  { clock, events, upstreams, budget, policy, quarantine, permits, placer, runObserver }: RequestDependencies
+  { clock, events, upstreams, budget, policy, quarantine, permits, placer, recordPrompt, runObserver }: RequestDependencies
 ): RequestManagerOptions {
   const protocol = new WorkerProtocol()
   return {
@@ -525,7 +535,9 @@
     policy,
     servicePolicy: policy,
     protocol,
-    promptComputation: new PromptComputation({ upstreams, policy, placer, protocol, budget, clock, events, quarantine, permits }),
+    promptComputation: new PromptComputation({
+      upstreams, policy, placer, protocol, budget, clock, events, quarantine, permits, recordPrompt
+    }),
     permits,
     quarantine,
     limits: defaultAttemptLimits,
