Keep each stream at the software version of the worker that began it

What callers saw: on systems like ours, and here in tests, streams that broke off went on at a worker of another software version, in the same response or when their callers took them up, also after all hosts had been killed at once.

Cause: the version in the workers' entries was dropped when they were decoded, so no host knew one. A stream went on at any worker of its pool, and a caller's take-up was sent to any worker like a new request. The class of fault: a property of a worker that binds later requests, kept by nobody.

Workers carry their version; a stream goes on in its response at workers of the version of its first event. Each version of a pool is registered in the store before new streams begin there. While there are several, hosts publish the begin of each stream; a host that takes up a stream of another one reads both, after the request has arrived, and refuses (503, not run) what does not follow from them. With one version nothing is written, and a take-up costs one read. Workers of the soak have two versions, which the events bear.

--- a/src/configuration/documents.ts
+++ b/src/configuration/documents.ts
@@ -49,7 +49,9 @@
   /** Number of requests that the worker processes at once; absent if it is not known. */
   slots: z.number().int().positive().optional(),
   /** Unix time in milliseconds at which the process started, by its own clock; absent if it is not known. */
-  startedAt: z.number().int().optional()
+  startedAt: z.number().int().optional(),
+  /** Version of the software of the process; absent if it is not known. */
+  softwareVersion: z.string().min(1).optional()
 })
 export type WorkerDocument = z.infer<typeof workerSchema>
 
--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -75,8 +75,11 @@
   private readonly triedWorkers = new Set<WorkerId>()
   private possibleRuns = 0
   private hasBegun = false
+  private hasFirstEvent = false
   private readonly prompt: CallPrompt
   private declinedAttempts = 0
+  /** Software version of the workers that may go on with the stream; undefined if it has no event yet. */
+  private boundVersion: string | undefined
   /** Time that workers spent on the call, over all attempts, in milliseconds. */
   upstreamMilliseconds = 0
   /** True if a worker received the call and may have run it. */
@@ -106,7 +109,10 @@
     const stopOnDisconnect = (): void => { stop.abort(callerDisconnected) }
     if (this.stopsOnDisconnect) signal?.addEventListener('abort', stopOnDisconnect, { once: true })
     if (this.stopsOnDisconnect && signal?.aborted) stopOnDisconnect()
-    const result = (await this.runAttempts(stop.signal)).mapErr(cause => this.failureAfterRun(cause))
+    const bound = await this.bindResumption()
+    const result = bound.isErr
+      ? Result.err<ServiceResponse, Failure>(bound.error)
+      : (await this.runAttempts(stop.signal)).mapErr(cause => this.failureAfterRun(cause))
     const cleanUp = async (): Promise<void> => {
       this.prompt.close()
       timer.cancel()
@@ -123,6 +129,17 @@
     return this.request.idempotent || this.request.delivery === 'stream'
   }
 
+  /** Binds a call that takes up a stream to the version that began it. Errors: `not_run` if that is not known. */
+  private async bindResumption (): Promise<Result<void, Failure>> {
+    const { streamVersions } = this.context
+    const { resumption, pool } = this.request
+    if (streamVersions === undefined || resumption === undefined) return Result.ok(undefined)
+    const version = await streamVersions.versionOf(pool, resumption.firstRequest)
+    if (version.isErr) return Result.err(version.error)
+    this.boundVersion = version.value
+    return Result.ok(undefined)
+  }
+
   private async runAttempts (stop: AbortSignal): Promise<Result<ServiceResponse, Failure>> {
     let lastFailedAttempt: FailedAttempt | undefined
     for (;;) {
@@ -232,10 +249,23 @@
   }
 
   private untriedWorkers (): readonly Upstream[] {
-    const candidates = this.context.upstreams.candidatesForPool(this.request.pool)
+    const candidates = this.workersOfVersion(this.context.upstreams.candidatesForPool(this.request.pool))
     return this.triedWorkers.size === 0 ? candidates : candidates.filter(({ id }) => !this.triedWorkers.has(id))
   }
 
+  /** The workers that may send the next event of the stream; all of them if the call is no stream that may go on. */
+  private workersOfVersion (candidates: readonly Upstream[]): readonly Upstream[] {
+    const { streamVersions } = this.context
+    if (streamVersions === undefined) return candidates
+    const { boundVersion } = this
+    if (boundVersion !== undefined) return candidates.filter(({ softwareVersion }) => softwareVersion === boundVersion)
+    return this.isResumable ? streamVersions.eligible(this.request.pool, candidates) : candidates
+  }
+
+  private get isResumable (): boolean {
+    return this.request.idempotent && this.request.delivery === 'stream'
+  }
+
   private async attempt (
     upstream: Upstream,
     stop: AbortSignal,
@@ -542,6 +572,7 @@
           for (const event of splitter.add(piece)) {
             if (isRepeatedEvent(event.id, lastId)) continue
             lastId = event.id ?? lastId
+            this.recordFirstEvent(openResponse.tracker.upstream)
             yield event.bytes
           }
         }
@@ -549,12 +580,30 @@
       } catch (caught) {
         const failedAttempt: FailedAttempt = { kind: 'broken', failure: this.failureOf(caught as Error, stop) }
         this.logFailure(openResponse.tracker.upstream, failedAttempt)
-        if (stop.aborted || !this.tryTakeRetry(failedAttempt)) throw caught
+        if (stop.aborted || !this.mayGoOn(openResponse.tracker.upstream) || !this.tryTakeRetry(failedAttempt)) throw caught
         openResponse = await this.resume(lastId, stop, caught as Error)
       }
     }
   }
 
+  /** Binds the stream to the version of the worker that sent its first event, and makes that version known. */
+  private recordFirstEvent (upstream: Upstream): void {
+    const { streamVersions } = this.context
+    if (streamVersions === undefined || this.hasFirstEvent) return
+    this.hasFirstEvent = true
+    if (this.request.resumption !== undefined) return
+    this.boundVersion = upstream.softwareVersion
+    const { pool, requestId: request } = this.request
+    streamVersions.recordBegin({ pool, request }, upstream)
+  }
+
+  /** True if the version of the events so far is known, so that another worker may send the rest. */
+  private mayGoOn (upstream: Upstream): boolean {
+    const { streamVersions } = this.context
+    if (streamVersions === undefined || !this.hasFirstEvent) return true
+    return this.boundVersion !== undefined && streamVersions.isCertain(upstream.id, this.boundVersion)
+  }
+
   private async resume (lastId: string | undefined, stop: AbortSignal, cause: Error): Promise<OpenResponse> {
     for (;;) {
       const chosen = await this.choose(stop)
--- a/src/forwarding/ServiceRequest.ts
+++ b/src/forwarding/ServiceRequest.ts
@@ -7,11 +7,18 @@
 import type { PartQuarantine } from '../quarantine/index.js'
 import type { RoutingPolicy, RoutingRequest } from '../routing/index.js'
 import type { UpstreamManager } from '../upstreams/index.js'
+import type { StreamVersions } from '../versions/index.js'
 import type { CallProtocol } from './CallProtocol.js'
 import type { PromptComputation } from './PromptComputation.js'
 import type { RetryBudget } from './RetryBudget.js'
 import type { RunObserver } from './RunObserver.js'
 
+/** A stream that a caller takes up. */
+export interface StreamResumption {
+  /** The request that brought the first event of the stream; undefined if the caller names none. */
+  firstRequest: RequestId | undefined
+}
+
 /** A call to a service. */
 export interface ServiceRequest {
   requestId: RequestId
@@ -47,6 +54,8 @@
   startLostAt?: number
   /** Counts bytes of the response that are held for the caller. Returns false while the host is short of memory for them. */
   holdResponse?: (bytes: number) => boolean
+  /** Set if the caller takes up a stream that has broken off. */
+  resumption?: StreamResumption
   /** Time without a response after which an idempotent call is sent to another worker. Default: until the deadline. */
   attemptTimeoutMilliseconds?: number
 }
@@ -82,6 +91,8 @@
   permits?: RequestPermits
   /** Refuses prompts that crash workers; undefined if nothing does so. */
   quarantine?: PartQuarantine
+  /** Keeps streams at the version that began them; undefined if workers have no versions. */
+  streamVersions?: StreamVersions
   /** Learns when workers began to run calls; undefined if nothing counts them. */
   runObserver?: RunObserver
 }
--- a/src/platform/PlatformDirectory.ts
+++ b/src/platform/PlatformDirectory.ts
@@ -235,8 +235,8 @@
       onWorkerRestarted(entry.id)
       if (!known.leaving) onWorkerLost()
     }
-    const { id, pool, zone, address, leaving, role, report } = entry
-    events.info('worker_reported', { worker: id, pool, zone, address, leaving, role, report })
+    const { id, pool, zone, address, leaving, role, report, softwareVersion: version } = entry
+    events.info('worker_reported', { worker: id, pool, zone, address, leaving, role, report, version })
     return true
   }
 
@@ -341,8 +341,9 @@
 function documentsOf (configuration: RouteConfiguration, workers: ListedWorker[]): Array<[string, unknown]> {
   const pools = configuration.services.map(({ pool, models }): [string, unknown] => {
     const members = workers.filter(worker => worker.pool === pool).map(worker => {
-      const { id, zone, address, leaving, uncertain, slots, startedAt } = worker
-      return { id, zone, address, checksFencing: true, reportsLoad: false, draining: leaving, uncertain, slots, startedAt }
+      const { id, zone, address, leaving, uncertain, slots, startedAt, softwareVersion } = worker
+      const process = { slots, startedAt, softwareVersion }
+      return { id, zone, address, checksFencing: true, reportsLoad: false, draining: leaving, uncertain, ...process }
     })
     const kind = models.length > 0 ? { kind: 'engines', models } : { kind: 'service', service: { routes: [] } }
     return [`/fleet/pools/${pool}`, { ...kind, workers: members }]
--- a/src/platform/PlatformHost.ts
+++ b/src/platform/PlatformHost.ts
@@ -17,6 +17,7 @@
 import { CapacityPolicy, PowerOfTwoPolicy, PrefixIndex, PromptPlacementPolicy } from '../routing/index.js'
 import { acceptsConnections, UpstreamManager, type UpstreamView } from '../upstreams/index.js'
 import { CallerListener } from './CallerListener.js'
+import type { StreamVersions } from '../versions/index.js'
 import { CapacityPart } from './CapacityPart.js'
 import { DutyPart } from './DutyPart.js'
 import { registerCapacityMetrics } from './CapacityMetrics.js'
@@ -32,6 +33,7 @@
 import { StoreClient } from './StoreClient.js'
 import { StoreDutyGroup } from './StoreDutyGroup.js'
 import { StoreEra } from './StoreEra.js'
+import { StreamVersionPart } from './StreamVersionPart.js'
 import { TopicFollower, type TopicReceiver } from './TopicFollower.js'
 import { responseTimeoutMilliseconds, WorkerOrders } from './WorkerOrders.js'
 import { WorkerProtocol } from './WorkerProtocol.js'
@@ -138,6 +140,7 @@
     private readonly placement: PlacementPart,
     private readonly quarantine: PartQuarantine,
     private readonly quarantinePart: QuarantinePart,
+    private readonly streamVersionPart: StreamVersionPart,
     private readonly loopDelay: EventLoopDelay,
     private readonly duties: DutyPart,
     private readonly capacity: CapacityPart
@@ -258,6 +261,7 @@
     const capacity: CapacityPart = new CapacityPart({
       directory, upstreams, lease, duties, prefillShare: settings.roles.prefillShare, clock, events
     })
+    const streamVersionPart = new StreamVersionPart({ settings, era, directory, lease, clock, events, hash })
     const permits = new RequestPermits({ client: placement.permitClient, clock, events })
     const requests = new RequestManager(requestManagerOptions({
       clock,
@@ -269,6 +273,7 @@
       permits,
       placer: placement.placer,
       recordPrompt: (pool, outcome) => { capacity.recordPrompt(pool, outcome) },
+      streamVersions: streamVersionPart.versions,
       runObserver: duties.runObserver
     }))
     const loopDelay = new EventLoopDelay(clock)
@@ -295,7 +300,7 @@
     })
     const host = new PlatformHost(
       settings, clock, events, lines, metrics, directory, [configurationFollower, workerFollower], upstreams, requests,
-      listener, lease, budget, placement, quarantine, quarantinePart, loopDelay, duties, capacity)
+      listener, lease, budget, placement, quarantine, quarantinePart, streamVersionPart, loopDelay, duties, capacity)
     directory.onChange(() => {
       const limits = directory.routes?.configuration.limits
       if (limits !== undefined) listener.configure(limits)
@@ -317,6 +322,7 @@
     this.upstreams.start()
     await this.placement.start()
     this.quarantinePart.start()
+    this.streamVersionPart.start()
     this.lease.start()
     this.rolePlannerTask.start()
     this.duties.start()
@@ -354,6 +360,7 @@
     await this.lease.stop()
     await this.placement.stop()
     await this.quarantinePart.stop()
+    await this.streamVersionPart.stop()
     await this.loopDelay.stop()
     await Promise.all(this.followers.map(async follower => await follower.stop()))
     await this.upstreams.stop()
@@ -517,6 +524,7 @@
   permits: RequestPermits
   placer: PromptPlacer
   recordPrompt: (pool: Pool, outcome: 'computed' | 'refused') => void
+  streamVersions: StreamVersions
   runObserver: RunObserver | undefined
 }
 
@@ -527,7 +535,9 @@
 }
 
 function requestManagerOptions (
-  { clock, events, upstreams, budget, policy, quarantine, permits, placer, recordPrompt, runObserver }: RequestDependencies
+  {
+    clock, events, upstreams, budget, policy, quarantine, permits, placer, recordPrompt, streamVersions, runObserver
+  }: RequestDependencies
 ): RequestManagerOptions {
   const protocol = new WorkerProtocol()
   return {
@@ -546,6 +556,7 @@
     budget,
     maxBufferedBytes,
     maxNonIdempotentResponseBytes,
+    streamVersions,
     ...(runObserver === undefined ? {} : { runObserver })
   }
 }
--- a/src/platform/StoreClient.ts
+++ b/src/platform/StoreClient.ts
@@ -100,8 +100,15 @@
 
 const appendSchema = z.object({ offset: z.number().int().nonnegative(), end: z.number().int().nonnegative() })
 
+const expiredSchema = z.object({ first: z.number().int().nonnegative() })
+
+/** Maximum number of responses that one read of all available records takes. */
+const maxAvailablePages = 64
+
 /** Options of an append. */
 export interface AppendOptions {
+  /** Default: 0. */
+  partition?: number
   /** The records are written only if the topic ends at this offset; they have to fit into one call. */
   at?: number
   signal?: AbortSignal | undefined
@@ -209,6 +216,33 @@
     return Result.ok({ ...page, era })
   }
 
+  /**
+   * Reads the records of a partition from an offset to its end without waiting. Records that the store no longer has are left
+   * out. Errors: `platform_unavailable`.
+   */
+  async readAvailable (topic: string, partition: number, from: number): Promise<Result<RecordPage, Failure>> {
+    const records: KeyedRecord[] = []
+    let next = from
+    for (let pages = 0; pages < maxAvailablePages; pages += 1) {
+      const query = new URLSearchParams({ topic, part: String(partition), from: String(next) })
+      const response = await this.send({ method: 'GET', path: `/v1/log-read?${query}` })
+      if (response.isErr) return Result.err(response.error)
+      const { status, body, era } = response.value
+      const expired = status === 410 ? expiredSchema.safeParse(parseJson(body.toString('utf8'))) : undefined
+      if (expired?.success === true && expired.data.first !== next) {
+        next = expired.data.first
+        continue
+      }
+      const page = status === 200 ? parseRecords(body, next) : undefined
+      if (page === undefined) return Result.err(unexpectedStatus('a read', status))
+      records.push(...page.records)
+      if (page.next === next) return Result.ok({ records, next, era })
+      next = page.next
+      if (BigInt(next) === body.readBigUInt64BE(0)) return Result.ok({ records, next, era })
+    }
+    return Result.err(failure('platform_unavailable', `${topic} has more records than one read takes`))
+  }
+
   /**
    * Appends records to a topic, with as many calls as the limits of the store require. After a failure some records may
    * have been appended, or may be appended later. Errors: `platform_unavailable`; `bad_request` if a record exceeds the
@@ -217,11 +251,11 @@
   async append (
     topic: string,
     records: readonly KeyedRecord[],
-    { at, signal }: AppendOptions = {}
+    { partition = 0, at, signal }: AppendOptions = {}
   ): Promise<Result<AppendedRecords, Failure>> {
     const tooLarge = records.find(record => !isAppendable(record))
     if (tooLarge !== undefined) return Result.err(failure('bad_request', `a record of ${topic} exceeds the limits of the store`))
-    const query = new URLSearchParams({ topic, part: '0', ...(at === undefined ? {} : { at: String(at) }) })
+    const query = new URLSearchParams({ topic, part: String(partition), ...(at === undefined ? {} : { at: String(at) }) })
     let offset: number | undefined
     let end = 0
     for (const body of splitAppend(records.map(encodeKeyedRecord))) {
--- a/src/platform/WorkerEntry.ts
+++ b/src/platform/WorkerEntry.ts
@@ -24,6 +24,8 @@
   report: number
   /** True if the platform may take the worker away shortly after a notice. */
   spot: boolean
+  /** Version of the worker's software; undefined if the entry names none that can be compared. */
+  softwareVersion: string | undefined
 }
 
 const roles = { prefill: 'prefill', decode: 'decode', colocated: 'mixed' } as const
@@ -35,6 +37,9 @@
 const maxCount = 2 ** 32
 const maxStart = Date.UTC(2100)
 
+/** Maximum length of the version of a worker's software. */
+const maxVersionLength = 100
+
 const entrySchema = z.object({
   service: z.string().min(1),
   address: z.string().refine(isSocketAddress),
@@ -44,7 +49,8 @@
   stage: z.enum(['prefill', 'decode', 'colocated']).default('colocated'),
   born: z.number().int().nonnegative().max(maxStart).default(0),
   sequence: z.number().int().nonnegative().max(maxCount),
-  spot: z.boolean().default(false)
+  spot: z.boolean().default(false),
+  version: z.string().min(1).max(maxVersionLength).optional().catch(undefined)
 })
 
 /** Decodes an entry; undefined if it is not a valid entry of a worker. */
@@ -52,7 +58,7 @@
   const id = workerIdSchema.safeParse(key)
   const parsed = entrySchema.safeParse(parseJson(value.toString('utf8')))
   if (!id.success || !parsed.success) return undefined
-  const { service, address, zone, slots, state, stage, born, sequence, spot } = parsed.data
+  const { service, address, zone, slots, state, stage, born, sequence, spot, version } = parsed.data
   return {
     id: id.data,
     pool: service as Pool,
@@ -63,7 +69,8 @@
     slots,
     startedAt: born,
     report: sequence,
-    spot
+    spot,
+    softwareVersion: version
   }
 }
 
--- a/src/platform/WorkerProtocol.ts
+++ b/src/platform/WorkerProtocol.ts
@@ -33,6 +33,8 @@
   /** Worker from which the addressed worker fetches parts of the prompt: `ip:port`. */
   promptPartsSource: 'kv-fetch',
   resumeAfter: 'last-event-id',
+  /** Id of the caller's request that brought the first event of the stream that it takes up. */
+  resumedStream: 'resumes',
   retryAfter: 'retry-after',
   /** `1` in the responses of a worker that is about to stop. */
   leaving: 'server-leaving',
--- a/src/platform/decodeRequest.ts
+++ b/src/platform/decodeRequest.ts
@@ -105,6 +105,7 @@
     urgency: rank,
     kind: route.name,
     startDueAt: now + route.targetMilliseconds,
+    ...(route.kind === 'stream' ? resumptionOf(message) : {}),
     ...(prompt === undefined
       ? { attemptTimeoutMilliseconds: route.targetMilliseconds * attemptTimeoutFactor }
       : {
@@ -114,6 +115,14 @@
   }
 }
 
+/** The stream that a caller takes up: one that it names, or whose last event it names. */
+function resumptionOf ({ headers }: IncomingMessage): Pick<ServiceRequest, 'resumption'> {
+  const named = headers[headerNames.resumedStream]
+  if (named === undefined && (headers[headerNames.resumeAfter] ?? '') === '') return {}
+  const firstRequest = requestIdSchema.safeParse(named)
+  return { resumption: { firstRequest: firstRequest.success ? firstRequest.data : undefined } }
+}
+
 function withoutQuery (target: string): string {
   const query = target.indexOf('?')
   return query < 0 ? target : target.slice(0, query)
--- a/src/platform/soak/Soak.ts
+++ b/src/platform/soak/Soak.ts
@@ -479,6 +479,7 @@
       journal: this.journal,
       random: new SeededRandom(this.copyRandom.integer(1, 1_000_000)),
       // The end of a connection may be that of a crashed worker.
+      version: `v${1 + Math.floor(this.workerCount / 2) % 2}`,
       streamFraming: this.crashes !== undefined && this.workerCount % 2 === 0 ? 'connection' : 'chunks',
       leaseMilliseconds,
       writeEntry: (id, entry) => this.writeWorkerEntry(id, entry),
--- a/src/platform/soak/SoakCaller.ts
+++ b/src/platform/soak/SoakCaller.ts
@@ -228,7 +228,7 @@
       if (status >= 300 && status < 500 && ![408, 421, 429].includes(status)) journal.recordViolation('DENIED', `${sent.id} is answered with status ${status}`)
       return
     }
-    const expected = this.expectedBody(sent.kind, worker, sent.id)
+    const expected = this.expectedBody(sent.kind, worker, sent.id, body)
     if (isWhole) journal.checkAnswer(sent.id, worker)
     if (isWhole && body !== expected) journal.recordViolation('MIXED', `${sent.id} receives a complete response of ${worker} that is not the expected one: ${body.slice(0, 60)}`)
     if (streamKinds.has(sent.kind) && !expected.startsWith(body)) journal.recordViolation('ORDER', `${sent.id} receives events out of order: ${body.slice(-60)}`)
@@ -236,8 +236,8 @@
     this.checkService(sent, worker)
   }
 
-  private expectedBody (kind: RequestKind, worker: string, id: string): string {
-    return streamKinds.has(kind) ? streamBodyOf(id) : responseBodyOf(worker, id)
+  private expectedBody (kind: RequestKind, worker: string, id: string, received: string): string {
+    return streamKinds.has(kind) ? streamBodyOf(id, received) : responseBodyOf(worker, id)
   }
 
   /** Checks that a configuration that moves a kind to another service is in force 2 s after the store accepted it. */
--- a/src/platform/soak/SoakWorker.ts
+++ b/src/platform/soak/SoakWorker.ts
@@ -56,6 +56,8 @@
   leaseMilliseconds: number
   /** Writes the worker's entry to the store. */
   writeEntry: (id: string, entry: Record<string, unknown>) => void
+  /** Version of the worker's software, which its events bear. */
+  version: string
   /** How a stream ends: with its last chunk, or with its connection. */
   streamFraming: 'chunks' | 'connection'
   /** Called when a request with the part that crashes workers arrives, before the worker answers it. */
@@ -149,7 +151,7 @@
   private writeEntry (state: 'ready' | 'draining' = 'ready'): void {
     this.sequence += 1
     const { id, service, zone } = this.options
-    const self = { service, address: this.link.address, zone, version: 'v1', slots: 8, 'cold-left-ms': 0, born: this.startedAt }
+    const self = { service, address: this.link.address, zone, version: this.options.version, slots: 8, 'cold-left-ms': 0, born: this.startedAt }
     const stage = this.stage === undefined ? {} : { stage: this.stage }
     this.options.writeEntry(id, { ...self, state, sequence: this.sequence, ...stage })
   }
@@ -247,7 +249,7 @@
     this.copies.begin(socket)
     write(`HTTP/1.1 200 X\r\ncontent-type: text/event-stream\r\n${head.join('\r\n')}\r\n\r\n`)
     for (let event = Number(request.headers['last-event-id'] ?? 0) + 1; event <= eventsPerStream; event += 1) {
-      const text = eventOf(id, event)
+      const text = eventOf(id, event, this.options.version)
       if (this.behaviour === 'truncated' && event === eventsPerStream) {
         socket.write(`${text.length.toString(16)}\r\n${text.slice(0, Math.floor(text.length / 2))}`)
         socket.resetAndDestroy()
@@ -380,12 +382,13 @@
   return `${worker} answers ${requestBodyOf(id)}`
 }
 
-/** One event of the response stream to a request. */
-export function eventOf (id: string, number: number): string {
-  return `id: ${number}\ndata: ${number}/${eventsPerStream} of ${requestBodyOf(id)}\n\n`
+/** One event of the response stream to a request, from a worker of a version. */
+export function eventOf (id: string, number: number, version: string): string {
+  return `id: ${number}\ndata: ${version} ${number}/${eventsPerStream} of ${requestBodyOf(id)}\n\n`
 }
 
-/** Complete body of the response stream to a request. */
-export function streamBodyOf (id: string): string {
-  return Array.from({ length: eventsPerStream }, (_, index) => eventOf(id, index + 1)).join('')
+/** Complete body of the response stream to a request, from workers of the version that its first event bears. */
+export function streamBodyOf (id: string, received: string): string {
+  const version = /^data: (\S+) /m.exec(received)?.[1] ?? ''
+  return Array.from({ length: eventsPerStream }, (_, index) => eventOf(id, index + 1, version)).join('')
 }
--- a/src/platform/testing/FakeStore.ts
+++ b/src/platform/testing/FakeStore.ts
@@ -127,6 +127,11 @@
     return this.topicOf(topic).records.filter(record => record.key === key).at(-1)?.value
   }
 
+  /** Number of records that were written to a topic, or to a partition of it as `topic#partition`. */
+  recordCount (topic: string): number {
+    return this.topicOf(topic).records.length
+  }
+
   private wakePendingReads (): void {
     for (const waiter of this.pendingReads.splice(0)) waiter()
   }
@@ -212,11 +217,12 @@
       response.writeHead(403).end()
       return
     }
-    if (url.searchParams.get('part') !== '0' || body.length > maxAppendBytes || records === undefined) {
+    const partition = Number(url.searchParams.get('part'))
+    if (!(partition >= 0 && partition < partitionsPerTopic) || body.length > maxAppendBytes || records === undefined) {
       response.writeHead(400).end()
       return
     }
-    const topic = this.topicOf(name)
+    const topic = this.topicOf(partitionName(name, partition))
     const offset = topic.records.length
     const at = url.searchParams.get('at')
     if (at !== null && Number(at) !== offset) {
@@ -245,7 +251,7 @@
   }
 
   private async read (url: URL, socket: Socket, response: ServerResponse): Promise<void> {
-    const name = url.searchParams.get('topic') ?? ''
+    const name = partitionName(url.searchParams.get('topic') ?? '', Number(url.searchParams.get('part')))
     const from = Number(url.searchParams.get('from'))
     const waitMilliseconds = Number(url.searchParams.get('wait-ms'))
     this.reads.push({ topic: name, waitMilliseconds })
@@ -266,6 +272,11 @@
   }
 }
 
+/** Name under which the records of a partition are kept; partition 0 has that of the topic. */
+function partitionName (topic: string, partition: number): string {
+  return partition === 0 ? topic : `${topic}#${partition}`
+}
+
 function copyTopics (topics: ReadonlyMap<string, Topic>): Map<string, Topic> {
   return new Map([...topics].map(([name, { records, firstOffset }]) => [name, { records: [...records], firstOffset }]))
 }
--- a/src/upstreams/Upstream.ts
+++ b/src/upstreams/Upstream.ts
@@ -109,6 +109,11 @@
     return this.description.isInOwnZone
   }
 
+  /** Version of the worker's software; undefined if it is not known. */
+  get softwareVersion (): string | undefined {
+    return this.description.worker.softwareVersion
+  }
+
   /** Number of requests that the worker processes at once; infinite if it is not known. */
   get slots (): number {
     return this.description.worker.slots ?? Infinity
--- /dev/null
+++ b/src/versions/index.ts
@@ -0,0 +1,2 @@
+export * from './VersionExchange.js'
+export * from './StreamVersions.js'
