--- a/src/forwarding/ServiceCall.ts
+++ b/src/forwarding/ServiceCall.ts
@@ -131,10 +131,17 @@
 
   /** Binds a call that takes up a stream to the version that began it. Errors: `not_run` if that is not known. */
   private async bindResumption (): Promise<Result<void, Failure>> {
-    const { streamVersions } = this.context
-    const { resumption, pool } = this.request
+    const { streamVersions, events } = this.context
+    const { resumption, pool, requestId } = this.request
     if (streamVersions === undefined || resumption === undefined) return Result.ok(undefined)
     const version = await streamVersions.versionOf(pool, resumption.firstRequest)
+    events.info('stream_taken_up', {
+      request: requestId,
+      first: resumption.firstRequest,
+      pool,
+      version: version.isOk ? version.value : undefined,
+      reason: version.isErr ? version.error.message : undefined
+    })
     if (version.isErr) return Result.err(version.error)
     this.boundVersion = version.value
     return Result.ok(undefined)
