Pass on no response with a status outside 200 to 599

Here 000 and 099 were refused already, since the parser rejects them or takes them for interim responses; 600 and 999 were passed on as the worker's answer. Such a status is now taken for a response that does not belong to the call.

--- a/src/platform/WorkerProtocol.ts
+++ b/src/platform/WorkerProtocol.ts
@@ -61,6 +61,10 @@
 /** Status with which a worker rejects a request for another worker, or for work that its present stage excludes. */
 const misdirectedRequestStatus = 421
 
+/** Statuses that a final response may have (RFC 9110, section 15). */
+const minFinalStatus = 200
+const maxFinalStatus = 599
+
 /** Sets the header fields of calls to the platform's workers, and classifies the responses. */
 export class WorkerProtocol extends CallProtocol {
   override readonly requestIdField = headerNames.requestId
@@ -86,6 +90,7 @@
     const { status, headers } = head
     // Without the id, a refusal may be one of an earlier request that the worker has written once more.
     if (!this.isResponseTo(request, head)) return 'foreign'
+    if (status < minFinalStatus || status > maxFinalStatus) return 'foreign'
     if (status === misdirectedRequestStatus || headers[headerNames.notRun] !== undefined) return 'not_run'
     if (headers[headerNames.signature] === undefined) return 'foreign'
     if (headers['content-encoding'] !== undefined) return 'foreign'
