Ask a store that does not answer less often for the registered versions

A host that starts while the store is down asked for the registered versions every 300 ms; the store charges for each call, refused ones included. The pause now doubles up to 4 s. The new case of StreamVersions.test.ts counts under ten reads in 20 s.

--- a/src/versions/StreamVersions.test.ts
+++ b/src/versions/StreamVersions.test.ts
@@ -108,6 +108,17 @@
   expect(exchange.reads).toBeLessThanOrEqual(9)
 })
 
+// Guards against calls to a store that is down, each of which is charged.
+test('a store that does not answer is asked less and less often', async () => {
+  const host = createHost()
+  exchange.mode = 'refused'
+  await run(host, 20_000)
+  expect(exchange.reads).toBeLessThan(10)
+  exchange.mode = 'normal'
+  await run(host, 4000)
+  expect(registered()).toEqual(['v1'])
+})
+
 // Guards against a host that was cut off while a second version was registered, and takes up streams of that.
 test('a host that knows one version asks whether there are others before it takes up a stream', async () => {
   const stale = createHost()
--- a/src/versions/StreamVersions.ts
+++ b/src/versions/StreamVersions.ts
@@ -39,8 +39,9 @@
 /** Longest time for which hosts without the duty leave the registration to the one that has it, in milliseconds. */
 const maxDeferredMilliseconds = 600
 
-/** Shortest interval between two reads of the registered versions, in milliseconds. */
+/** Delays between two reads of the registered versions, in milliseconds; the store charges for failed reads too. */
 const minReadMilliseconds = 300
+const maxReadMilliseconds = 4000
 
 /** Interval of the reads of the registered versions while a pool has several, in milliseconds. */
 const rereadMilliseconds = 60_000
@@ -82,6 +83,7 @@
   /** Versions that were registered before the store came back from an older copy, which may lack them. */
   private restorable: ReadonlyMap<Pool, ReadonlySet<string>> = new Map()
   private readAt = -Infinity
+  private readDelayMilliseconds = minReadMilliseconds
   /** Monotonic time at which this host registers the missing versions of a pool. */
   private readonly registerAt = new Map<Pool, number>()
   /** Monotonic time at which a version last had a worker, by pool and version, since this host has the duty. */
@@ -201,9 +203,10 @@
     if (!hasDuty()) this.lastPresent.clear()
     const retired = hasDuty() ? this.retiredVersions(now) : new Map<Pool, ReadonlySet<string>>()
     if (!isStale && due.length === 0 && retired.size === 0) return
-    if (now - this.readAt < minReadMilliseconds) return
+    if (now - this.readAt < this.readDelayMilliseconds) return
     const read = await this.options.exchange.readRegistered()
     this.readAt = clock.monotonic()
+    this.readDelayMilliseconds = read.isOk ? minReadMilliseconds : Math.min(maxReadMilliseconds, 2 * this.readDelayMilliseconds)
     if (read.isErr) return
     this.takeRegistered(read.value)
     for (const pool of due) await this.register(pool, retired.get(pool) ?? new Set())
