Soak: callers take up resumable streams that broke off behind an event, at any host

Workers of the soak have two software versions, which their events bear, but streams go on within a response too seldom to show a mix of them. A caller now takes a broken stream up once, at any host.

--- a/src/platform/soak/Soak.ts
+++ b/src/platform/soak/Soak.ts
@@ -36,6 +36,7 @@
 export interface SoakResult {
   violations: string[]
   outcomeCounts: SoakJournal['outcomeCounts']
+  takenUp: SoakJournal['takenUp']
   faults: string[]
   orders: number
   /** Number of runs of requests whose time limit was checked. */
@@ -245,10 +246,11 @@
   }
 
   private result (): SoakResult {
-    const { violations, outcomeCounts, orders, deadlineChecks } = this.journal
+    const { violations, outcomeCounts, takenUp, orders, deadlineChecks } = this.journal
     return {
       violations,
       outcomeCounts,
+      takenUp,
       faults: this.faults,
       orders: orders.length,
       deadlineChecks,
--- a/src/platform/soak/SoakCaller.ts
+++ b/src/platform/soak/SoakCaller.ts
@@ -9,7 +9,7 @@
 import { crashingPart, type PromptCrashes } from './PromptCrashes.js'
 import type { SoakHost } from './SoakHost.js'
 import { requestBodyOf, requestKinds, type RequestKind, type SentRequest, type SoakJournal, streamKinds } from './SoakJournal.js'
-import { responseBodyOf, streamBodyOf } from './SoakWorker.js'
+import { responseBodyOf, streamBodyOf, versionOf } from './SoakWorker.js'
 
 /** Time limits that callers state for their requests, in milliseconds; the second ends after a planned stop. */
 const requestTimeoutsMilliseconds = [3000, 7000] as const
@@ -172,9 +172,37 @@
     if (disconnectAfterMilliseconds !== undefined) return
     this.checkOutcome(sent, outcome)
     this.recordPrompt(sent, outcome)
+    await this.takeUp(sent, outcome)
     if (outcome.status === undefined || !outcome.isWhole) this.checkPlannedStop(sent, outcome, host, processNumber)
   }
 
+  /** Takes up a resumable stream that broke off behind an event, once, at any host. */
+  private async takeUp ({ id: first, kind }: SentRequest, { status, body, isWhole }: Outcome): Promise<void> {
+    const { hosts, journal, random } = this.options
+    const last = [...body.matchAll(/^id: (\d+)\ndata: (\S+) .*\n\n/gm)].at(-1)
+    if (kind !== 'answers' || status !== 200 || isWhole || last === undefined) return
+    const host = random.pick(hosts)
+    if (host.callerAddress === undefined) return
+    const id = `${first}-again`
+    const sent: SentRequest = {
+      id,
+      kind,
+      path: `/${kind}/${id}?x=1`,
+      body: requestBodyOf(id),
+      host: host.name,
+      sentAt: performance.now(),
+      limitMilliseconds: random.pick(requestTimeoutsMilliseconds),
+      promptParts: this.promptPartsOf(id),
+      takesUp: { first, lastEvent: Number(last[1]), version: last[2]! }
+    }
+    journal.recordSent(sent)
+    this.agent.destroy()
+    this.agent = new ConnectionAgent()
+    const outcome = await this.exchange(sent, host.callerAddress, undefined)
+    this.checkOutcome(sent, outcome)
+    if (outcome.status !== undefined) journal.takenUp[outcome.status === 200 ? 'resumed' : 'refused'] += 1
+  }
+
   private promptPartsOf (id: string): string[] {
     const { random, sendsCrashingPrompts } = this.options
     const isCrashing = sendsCrashingPrompts() && random.fraction() < crashingPromptRatio
@@ -228,7 +256,7 @@
       if (status >= 300 && status < 500 && ![408, 421, 429].includes(status)) journal.recordViolation('DENIED', `${sent.id} is answered with status ${status}`)
       return
     }
-    const expected = this.expectedBody(sent.kind, worker, sent.id, body)
+    const expected = this.expectedBody(sent, worker, body)
     if (isWhole) journal.checkAnswer(sent.id, worker)
     if (isWhole && body !== expected) journal.recordViolation('MIXED', `${sent.id} receives a complete response of ${worker} that is not the expected one: ${body.slice(0, 60)}`)
     if (streamKinds.has(sent.kind) && !expected.startsWith(body)) journal.recordViolation('ORDER', `${sent.id} receives events out of order: ${body.slice(-60)}`)
@@ -236,8 +264,9 @@
     this.checkService(sent, worker)
   }
 
-  private expectedBody (kind: RequestKind, worker: string, id: string, received: string): string {
-    return streamKinds.has(kind) ? streamBodyOf(id, received) : responseBodyOf(worker, id)
+  private expectedBody ({ kind, id, takesUp }: SentRequest, worker: string, received: string): string {
+    if (!streamKinds.has(kind)) return responseBodyOf(worker, id)
+    return streamBodyOf(id, takesUp?.version ?? versionOf(received), takesUp?.lastEvent)
   }
 
   /** Checks that a configuration that moves a kind to another service is in force 2 s after the store accepted it. */
@@ -264,6 +293,7 @@
         'content-length': Buffer.byteLength(sent.body),
         'dogwooddale-request-id': sent.id,
         'dogwooddale-deadline-ms': String(sent.limitMilliseconds),
+        ...(sent.takesUp === undefined ? {} : { resumes: sent.takesUp.first, 'last-event-id': String(sent.takesUp.lastEvent) }),
         ...(sent.promptParts === undefined
           ? {}
           : { 'dogwooddale-model': 'm', 'dogwooddale-token-counts': '35,5', 'dogwooddale-prompt-prefix': sent.promptParts.join(',') })
--- a/src/platform/soak/SoakJournal.ts
+++ b/src/platform/soak/SoakJournal.ts
@@ -30,6 +30,8 @@
   limitMilliseconds?: number
   /** Parts of the prompt, as `ID:TOKENS`; undefined without a prompt. */
   promptParts?: string[]
+  /** Stream that the request takes up: the request that began it, the number of its last event, and its version. */
+  takesUp?: { first: string, lastEvent: number, version: string }
 }
 
 /** A request whose connection ended without a complete response while its process was stopping. */
@@ -100,6 +102,8 @@
    * `cut`, incomplete or missing.
    */
   readonly outcomeCounts = { whole: 0, refused: 0, failed: 0, cut: 0 }
+  /** Streams that callers took up again, by whether they went on. */
+  readonly takenUp = { resumed: 0, refused: 0 }
   /** True if no fault disturbed the host for the stable window before the monotonic time `since`; set by the soak. */
   isUndisturbed: (host: string, since: number) => boolean = () => false
   private readonly sentRequests = new Map<string, SentRequest>()
--- a/src/platform/soak/SoakWorker.ts
+++ b/src/platform/soak/SoakWorker.ts
@@ -387,8 +387,12 @@
   return `id: ${number}\ndata: ${version} ${number}/${eventsPerStream} of ${requestBodyOf(id)}\n\n`
 }
 
-/** Complete body of the response stream to a request, from workers of the version that its first event bears. */
-export function streamBodyOf (id: string, received: string): string {
-  const version = /^data: (\S+) /m.exec(received)?.[1] ?? ''
-  return Array.from({ length: eventsPerStream }, (_, index) => eventOf(id, index + 1, version)).join('')
+/** Body of the response stream to a request behind an event, from workers of one version. */
+export function streamBodyOf (id: string, version: string, lastEvent = 0): string {
+  return Array.from({ length: eventsPerStream - lastEvent }, (_, index) => eventOf(id, lastEvent + index + 1, version)).join('')
+}
+
+/** Version of the worker that sent the first event of a body; empty if there is none. */
+export function versionOf (body: string): string {
+  return /^data: (\S+) /m.exec(body)?.[1] ?? ''
 }
--- a/src/platform/soak/main.ts
+++ b/src/platform/soak/main.ts
@@ -48,11 +48,11 @@
 
 function report (
   seed: number,
-  { violations, outcomeCounts, faults, orders, deadlineChecks, noticeChecks, lateCopies, crashCounts, log }: SoakResult,
+  { violations, outcomeCounts, takenUp, faults, orders, deadlineChecks, noticeChecks, lateCopies, crashCounts, log }: SoakResult,
   directory: string
 ): void {
   const { whole, refused, failed, cut } = outcomeCounts
-  const counts = `whole=${whole} refused=${refused} failed=${failed} cut=${cut} orders=${orders} timed=${deadlineChecks} noticed=${noticeChecks} copies=${lateCopies} faults=${faults.length}`
+  const counts = `whole=${whole} refused=${refused} failed=${failed} cut=${cut} orders=${orders} timed=${deadlineChecks} noticed=${noticeChecks} copies=${lateCopies} resumed=${takenUp.resumed}/${takenUp.resumed + takenUp.refused} faults=${faults.length}`
   process.stdout.write(`seed=${seed} broken=${violations.length} ${counts}${textOf(crashCounts)}\n`)
   if (violations.length === 0) return
   mkdirSync(directory, { recursive: true })
