Return to the own cell if the cell with the shortest queue fails

A cell of another zone that refused a prompt for its queue and then failed made the host place all of its prompts alone for half a second, as if the scheduler of its own zone had failed. Now the other cell is not asked for a while, and the own cell decides. The new case of ScheduledPromptPlacer.test.ts fails on the code before.

--- a/src/placement/ScheduledPromptPlacer.test.ts
+++ b/src/placement/ScheduledPromptPlacer.test.ts
@@ -162,6 +162,8 @@
     ['waits in its own cell if no queue is shorter', { a: [refused(400), placed('w0')], b: [refused(400)], c: [refused(500)] }, 'w0', 'a? c? b? a'],
     ['waits in the cell with the shortest queue', { a: [refused(900)], b: [refused(300), placed('w1')], c: [refused(500)] }, 'w1', 'a? c? b? b'],
     ['is refused if no cell can compute it at all', { a: [refused(900), refused(900)], b: [refused(901)], c: [refused(902)] }, undefined, 'a? c? b? a'],
+    ['waits in its own cell if that with the shortest queue no longer answers',
+      { a: [refused(900), placed('w0')], b: [refused(300), silent], c: [refused(500)] }, 'w0', 'a? c? b? b a'],
     ['waits in its own cell if no other one answers', { a: [refused(900), placed('w0')], b: [silent], c: [silent] }, 'w0', 'a? c? b? a']
   ])('%s', async (_name, answers, worker, asked) => {
     const questions: string[] = []
--- a/src/placement/ScheduledPromptPlacer.ts
+++ b/src/placement/ScheduledPromptPlacer.ts
@@ -115,7 +115,10 @@
       const waitMilliseconds = decision.value.kind === 'refused' ? decision.value.retryAfterMilliseconds : Infinity
       if (shortest === undefined || waitMilliseconds < shortest.waitMilliseconds) shortest = { cell, waitMilliseconds }
     }
-    return await this.ask(shortest?.cell ?? first, task, signal)
+    const taken = await this.ask(shortest?.cell ?? first, task, signal)
+    if (taken.cell === first || taken.decision.isOk || signal.aborted) return taken
+    this.recordFailedCell(taken.cell, prompt.id, taken.decision.error)
+    return await this.ask(first, task, signal)
   }
 
   private workingCells (cells: readonly PlacementCell[]): PlacementCell[] {
