Keep a begin at a second version behind two at the first

A host kept the first two begins under one name and dropped the third, also if that was the only one at another version: a name under which streams were begun at v1 at two workers, and then at v2, counted as v1. Found by reading the diff. Now one begin of each version is kept.

--- a/src/platform/StreamVersionTopics.ts
+++ b/src/platform/StreamVersionTopics.ts
@@ -135,7 +135,7 @@
       const begin = decodeBegin(record)
       if (begin === undefined) continue
       const others = known.begins.get(keyOf(begin)) ?? []
-      const isKnown = others.some(({ version, worker }) => version === begin.version && worker === begin.worker)
+      const isKnown = others.some(({ version }) => version === begin.version)
       // Two are enough to show that the version is uncertain.
       if (!isKnown && others.length < 2) known.begins.set(keyOf(begin), [...others, begin])
     }
